Serve requests end to end through entries, thin

Cause: the project had no code. The thin path comes first: settings, an accepted configuration read from the table, h11 on both sides, two-choice dispatch with a bounded queue, peers over pynng, stand-ins as processes and a demo judged by the minions' records.

--- /dev/null
+++ b/bench/nutmegshelf_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure nutmegshelf and print lines of name, value and unit."""
--- /dev/null
+++ b/bench/nutmegshelf_bench/path.py
@@ -0,0 +1,63 @@
+"""Measure the path: throughput and added time through one entry against direct."""
+
+import asyncio
+import random
+import statistics
+import time
+
+from nutmegshelf_standins import caller, demo, process
+
+from nutmegshelf_bench import figures
+
+_REPEATS = 5
+_CONNECTIONS = 16
+_CALLS = 3000
+_LOW_LOAD_CALLS = 300
+
+
+async def _throughput(ports: list[int], service: str, seed: int) -> float:
+    calls = caller.Caller(ports, random.Random(seed))
+
+    async def one(number: int) -> None:
+        for step in range(_CALLS // _CONNECTIONS):
+            call = caller.Call(token=f"{number}-{step}", service=service)
+            await calls.call(call)
+
+    started_s = time.perf_counter()
+    await asyncio.gather(*(one(number) for number in range(_CONNECTIONS)))
+    took_s = time.perf_counter() - started_s
+    whole = sum(done.result is caller.Result.WHOLE for done in calls.done)
+    return whole / took_s
+
+
+async def _median_ms(port: int, service: str) -> float:
+    calls = caller.Caller([port], random.Random(0))
+    for number in range(_LOW_LOAD_CALLS):
+        await calls.call(caller.Call(token=f"low-{number}", service=service))
+    return statistics.median(done.latency_s for done in calls.done) * 1000
+
+
+async def _measure(seed: int) -> None:
+    async with process.Group() as group:
+        site = demo.Deployment(group, demo.EXAMPLES / "dorna", seed, minion_mean_s=0.0)
+        await site.start(entries=1)
+        direct = site.records[0].port
+        service = str(site.records[0].service)
+        through = next(iter(site.ports.values())).callers
+        await _throughput([through], service, seed)
+        ratios, added = [], []
+        for _ in range(_REPEATS):
+            direct_per_s = await _throughput([direct], service, seed)
+            through_per_s = await _throughput([through], service, seed)
+            ratios.append(through_per_s / direct_per_s)
+            added.append(await _median_ms(through, service) - await _median_ms(direct, service))
+        figures.show_spread("path.throughput_ratio", ratios, "ratio")
+        figures.show_spread("path.added_p50_ms", added, "ms")
+        figures.show("path.through_per_s", through_per_s, "requests/s")
+        figures.show("path.direct_per_s", direct_per_s, "requests/s")
+
+
+@figures.register("path")
+def path(seed: int) -> None:
+    """Print path.throughput_ratio and path.added_p50_ms."""
+    asyncio.run(_measure(seed))
--- /dev/null
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators a command line."""
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Run one entry: the daemon between callers and minions."""
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -0,0 +1,129 @@
+"""Build one entry from its parts, run it and stop it gracefully."""
+
+import asyncio
+import contextlib
+import random
+import signal
+
+from nutmegshelf import configuration, exceptions, members, messages
+from nutmegshelf_http import server
+
+from nutmegshelf_entry import (
+    configurator,
+    health,
+    logs,
+    minions,
+    operator,
+    peers,
+    relay,
+    settings,
+    slots,
+    table,
+    telemetry,
+)
+
+_SILENCE_BEATS = 4
+_log = logs.part("daemon")
+
+
+class Daemon:
+    """Own all parts of one entry."""
+
+    def __init__(self, own: settings.Settings) -> None:
+        self._own = own
+        self._in_force = configuration.InForce()
+        self._telemetry = telemetry.Telemetry(own.trace_fraction)
+        self._table = table.Table(own.platform.host, own.platform.port, own.platform.timeout_s)
+        self._slots = slots.Slots(own.zone, own.seats, random.Random(own.seed))
+        self._pool = minions.MinionPool()
+        self._members = members.Members(own.entry, _SILENCE_BEATS * own.heartbeat_interval_s)
+        self._peers = peers.Peers(own.entry, own.peers.host, own.peers.port)
+        self._configurator = configurator.Configurator(
+            self._table, self._in_force, self._spread, self._switched, own.poll_interval_s
+        )
+        self._relay = relay.Relay(self._in_force, self._slots, self._pool, self._telemetry)
+        self._operator = operator.Operator(
+            own, self._in_force, self._configurator, self._members, self._telemetry
+        )
+        self._fleet = health.FleetWatch(self._table, self._slots, own.poll_interval_s)
+        self._heartbeat = health.Heartbeat(
+            self._table, self._members, self._peers, self._row, own.heartbeat_interval_s
+        )
+        self._operators_port = 0
+        self._leaving = False
+        self._callers = server.Server(self._relay.handle, bad_head=relay.bad_head)
+        self._operators = server.Server(self._operator.handle)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain; ends when all work is done."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        own = self._own
+        self._operators_port = await self._operators.start(own.operators.host, own.operators.port)
+        callers_port = await self._callers.start(own.callers.host, own.callers.port)
+        _log.info("Listening.", callers=callers_port, operators=self._operators_port)
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._peers.run(self._take_message)),
+                group.create_task(self._heartbeat.run()),
+                group.create_task(self._configurator.run()),
+                group.create_task(self._fleet.run()),
+            ]
+            await stop.wait()
+            await self._drain()
+            for task in tasks:
+                task.cancel()
+        await self._callers.close()
+        await self._operators.close()
+        self._pool.close()
+        self._peers.close()
+        self._table.close()
+        _log.info("Stopped.")
+
+    async def _drain(self) -> None:
+        _log.info("Draining.", in_progress=self._callers.in_progress)
+        self._leaving = True
+        self._operator.ready = False
+        self._relay.refusing = exceptions.ErrorKind.SHUTTING_DOWN
+        self._callers.stop_listening()
+        with contextlib.suppress(exceptions.TableError):
+            await self._heartbeat.beat()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._own.drain_timeout_s):
+                await self._callers.wait_idle()
+        with contextlib.suppress(exceptions.TableError):
+            await self._heartbeat.leave(self._own.entry)
+
+    def _row(self, beat: int) -> members.EntryRow:
+        own = self._own
+        return members.EntryRow(
+            entry=own.entry,
+            zone=own.zone,
+            peer_address=self._peers.address,
+            operator_address=f"{own.operators.host}:{self._operators_port}",
+            version=self._in_force.version,
+            leaving=self._leaving,
+            beat=beat,
+        )
+
+    def _spread(self, head: configuration.Head) -> None:
+        self._peers.broadcast(messages.HeadAccepted(sender=self._own.entry, head=head))
+
+    def _switched(self, accepted: configuration.Accepted) -> None:
+        self._slots.set_declared(accepted.declarations)
+        if not self._leaving:
+            self._relay.refusing = None
+            self._operator.ready = True
+
+    async def _take_message(self, message: messages.Any) -> None:
+        self._members.heard(message.sender, asyncio.get_running_loop().time())
+        match message:
+            case messages.HeadAccepted():
+                with contextlib.suppress(exceptions.TableError):
+                    await self._configurator.take_head(message.head)
+            case messages.MinionLeaving():
+                self._slots.set_leaving(message.minion)
+            case messages.Hello():
+                pass
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/main.py
@@ -0,0 +1,37 @@
+"""Start the daemon from the command line."""
+
+import asyncio
+import pathlib
+import sys
+import typing
+
+import typer
+from nutmegshelf import exceptions
+
+from nutmegshelf_entry import daemon, logs, settings
+
+BAD_SETTINGS_EXIT = 2
+
+
+def serve(
+    settings_file: typing.Annotated[pathlib.Path, typer.Option("--settings", help="A TOML file.")],
+) -> None:
+    """Run one nutmegshelf entry."""
+    try:
+        own = settings.load(settings_file)
+    except exceptions.DeclarationError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(BAD_SETTINGS_EXIT) from error
+    logs.configure(own.log_level)
+
+    async def start() -> None:
+        await daemon.Daemon(own).run()
+
+    asyncio.run(start())
+
+
+def run() -> None:
+    """Be the entry point of nutmegshelf-entry."""
+    app = typer.Typer(pretty_exceptions_enable=False)
+    app.command()(serve)
+    app()
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
@@ -0,0 +1,92 @@
+"""Keep connections to minions and carry one attempt of a request over one of them."""
+
+import asyncio
+import collections
+import dataclasses
+
+import h11
+from nutmegshelf import exceptions, ids, platform
+from nutmegshelf_http import channel, client
+
+_CONNECT_TIMEOUT_S = 1.0
+_IDLE_LIMIT_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Idle:
+    link: channel.Channel
+    since_s: float
+
+
+class MinionPool:
+    """Own all connections to minions; at most one per granted slot is open."""
+
+    def __init__(self) -> None:
+        self._idle: dict[ids.MinionId, collections.deque[_Idle]] = collections.defaultdict(
+            collections.deque
+        )
+
+    async def checkout(
+        self, record: platform.MinionRecord, *, fresh: bool
+    ) -> tuple[channel.Channel, bool]:
+        """Give a connection and whether it was used before; raises RequestError not-run.
+
+        An idle connection may die under a request. A request that must not be sent twice
+        asks for a fresh one, so that a refused connection proves that it did not run.
+        """
+        now_s = asyncio.get_running_loop().time()
+        idle = self._idle[record.minion]
+        while idle:
+            kept = idle.pop()
+            stale = now_s - kept.since_s > _IDLE_LIMIT_S or kept.link.gone.is_set()
+            if not fresh and not stale:
+                return kept.link, True
+            kept.link.abort()
+            if fresh:
+                break
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                return await client.open_channel(record.host, record.port), False
+        except (OSError, TimeoutError) as error:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.MINION_REFUSED, f"{record.minion}: {error}"
+            ) from error
+
+    def checkin(self, minion: ids.MinionId, link: channel.Channel) -> None:
+        """Keep a connection for later, or end it where it can't be used again."""
+        if link.is_reusable():
+            link.start_next()
+            self._idle[minion].append(_Idle(link, asyncio.get_running_loop().time()))
+        else:
+            link.abort()
+
+    def forget(self, minion: ids.MinionId) -> None:
+        """End the idle connections of a minion that left."""
+        for kept in self._idle.pop(minion, ()):
+            kept.link.abort()
+
+    def close(self) -> None:
+        """End all idle connections."""
+        for minion in list(self._idle):
+            self.forget(minion)
+
+
+async def receive_answer_head(link: channel.Channel, record: platform.MinionRecord) -> h11.Response:
+    """Read an answer's head; raises RequestError unknown where it can't be read."""
+    try:
+        head = await client.receive_head(link)
+    except h11.RemoteProtocolError as error:
+        kind = exceptions.ErrorKind.MINION_CUT
+        raise exceptions.RequestError(kind, f"{record.minion}: {error}") from error
+    if not _has_known_end(head):
+        # A body that ends with its connection can't be told from one that was cut short.
+        kind = exceptions.ErrorKind.MINION_BAD_ANSWER
+        raise exceptions.RequestError(kind, f"{record.minion}: the answer has no length")
+    return head
+
+
+def _has_known_end(head: h11.Response) -> bool:
+    if head.status_code in (204, 304):
+        return True
+    names = {name for name, _ in head.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/peers.py
@@ -0,0 +1,78 @@
+"""Carry messages between entries over pynng sockets."""
+
+import collections.abc
+
+import msgspec
+import pynng
+from nutmegshelf import codecs, ids, messages
+
+from nutmegshelf_entry import logs
+
+_SEND_BUFFER_MESSAGES = 128
+_log = logs.part("peers")
+
+Handler = collections.abc.Callable[[messages.Any], collections.abc.Awaitable[None]]
+
+
+class Peers:
+    """Own the sockets to and from the other entries; a slow peer loses messages, not time."""
+
+    def __init__(self, own: ids.EntryId, host: str, port: int) -> None:
+        self.own = own
+        self._pull = pynng.Pull0(recv_buffer_size=_SEND_BUFFER_MESSAGES)
+        listener = self._pull.listen(f"tcp://{host}:{port}")
+        bound_port = str(listener.local_address).rpartition(":")[2]
+        self._address = f"tcp://{host}:{bound_port}"
+        self._push: dict[str, pynng.Push0] = {}
+
+    @property
+    def address(self) -> str:
+        """Give the address that peers dial."""
+        return self._address
+
+    def set_addresses(self, addresses: set[str]) -> None:
+        """Dial new peers and drop those that left."""
+        for address in addresses - self._push.keys():
+            socket = pynng.Push0(send_buffer_size=_SEND_BUFFER_MESSAGES)
+            try:
+                socket.dial(address, block=False)
+            except pynng.NNGException as error:
+                _log.warning("Could not dial a peer.", peer=address, error=str(error))
+                socket.close()
+                continue
+            self._push[address] = socket
+        for address in self._push.keys() - addresses:
+            self._push.pop(address).close()
+
+    def broadcast(self, message: messages.Any) -> None:
+        """Send to every peer without waiting."""
+        for address in self._push:
+            self.send(address, message)
+
+    def send(self, address: str, message: messages.Any) -> None:
+        """Send to one peer without waiting; drops the message where the peer is slow or away."""
+        socket = self._push.get(address)
+        if socket is None:
+            return
+        try:
+            socket.send(codecs.pack(message), block=False)
+        except pynng.TryAgain:
+            _log.debug("Dropped a message to a slow peer.", peer=address)
+
+    async def run(self, handler: Handler) -> None:
+        """Hand every message to the handler until cancelled."""
+        while True:
+            data = await self._pull.arecv()
+            try:
+                message: messages.Any = codecs.CODECS["msgpack"].decode(data, messages.Any)
+            except msgspec.DecodeError as error:
+                _log.warning("Dropped a broken message.", error=str(error))
+                continue
+            if message.sender != self.own:
+                await handler(message)
+
+    def close(self) -> None:
+        """End all sockets."""
+        for socket in self._push.values():
+            socket.close()
+        self._pull.close()
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -0,0 +1,88 @@
+"""Speak with the platform's table, object store and fleet list."""
+
+import asyncio
+import typing
+
+import h11
+from nutmegshelf import codecs, exceptions, platform
+from nutmegshelf_http import client
+
+_HEADERS = [(b"content-type", b"application/msgpack")]
+
+
+class Table:
+    """Own the connections to the platform; every call ends within its time limit."""
+
+    def __init__(self, host: str, port: int, timeout_s: float) -> None:
+        self._client = client.Client(host, port)
+        self._timeout_s = timeout_s
+
+    async def read(self, key: str) -> platform.Row:
+        """Read a row; raises TableUnavailable."""
+        answer = await self._call("GET", f"/table/{key}", changes=False)
+        return codecs.unpack(answer.body, platform.Row)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[platform.Row]:
+        """Read rows by prefix in the order of their keys; raises TableUnavailable."""
+        target = f"/scan/{prefix}?after={after}&limit={limit}"
+        answer = await self._call("GET", target, changes=False)
+        return codecs.unpack(answer.body, list[platform.Row])
+
+    async def commit(self, transaction: platform.Transaction) -> platform.Committed:
+        """Apply a transaction; raises TableUnavailable or TableAnswerLost."""
+        answer = await self._call("POST", "/table", codecs.pack(transaction))
+        return codecs.unpack(answer.body, platform.Committed)
+
+    async def put_object(self, key: str, data: bytes) -> None:
+        """Store an object; a repeat is the same effect."""
+        await self._call("PUT", f"/objects/{key}", data)
+
+    async def get_object(self, key: str) -> bytes | None:
+        """Read an object, or none where there is none; raises TableUnavailable."""
+        answer = await self._call("GET", f"/objects/{key}", changes=False)
+        return None if answer.status == 404 else answer.body
+
+    async def fleet(self, after_revision: int = -1) -> platform.FleetList | None:
+        """Read the fleet list if it is newer than a revision; raises TableUnavailable."""
+        answer = await self._call("GET", f"/fleet?after={after_revision}", changes=False)
+        return None if answer.status == 204 else codecs.unpack(answer.body, platform.FleetList)
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b"", *, changes: bool = True
+    ) -> client.Response:
+        lost = exceptions.TableAnswerLost if changes else exceptions.TableUnavailable
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                answer = await self._client.request(method, target, body, _HEADERS)
+        except ConnectionRefusedError as error:
+            raise exceptions.TableUnavailable(str(error)) from error
+        except (OSError, h11.ProtocolError, TimeoutError) as error:
+            raise lost(f"{method} {target}: {error!r}") from error
+        if answer.status == 503:
+            raise exceptions.TableUnavailable(f"{method} {target}: the platform is down")
+        if answer.status >= 500:
+            raise lost(f"{method} {target}: status {answer.status}")
+        return answer
+
+    def close(self) -> None:
+        """End the connections."""
+        self._client.close()
+
+
+class Rows(typing.Protocol):
+    """Name what parts of the daemon need of the table, so that tests can fake it."""
+
+    async def read(self, key: str) -> platform.Row:
+        """Read a row."""
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[platform.Row]:
+        """Read rows by prefix."""
+
+    async def commit(self, transaction: platform.Transaction) -> platform.Committed:
+        """Apply a transaction."""
+
+    async def put_object(self, key: str, data: bytes) -> None:
+        """Store an object."""
+
+    async def get_object(self, key: str) -> bytes | None:
+        """Read an object."""
--- /dev/null
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -0,0 +1,106 @@
+"""Open connections to servers and send whole requests."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import h11
+
+from nutmegshelf_http import channel
+
+_MAX_ANSWER_BYTES = 256 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """Hold a whole answer."""
+
+    status: int
+    headers: channel.Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Give a header's value by its lower-case name."""
+        return next((value for key, value in self.headers if key.lower() == name), None)
+
+
+async def open_channel(host: str, port: int) -> channel.Channel:
+    """Connect; raises OSError where the server can't be reached."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader()
+    _, protocol = await loop.create_connection(lambda: channel.WatchedProtocol(reader), host, port)
+    assert protocol.writer is not None
+    return channel.Channel(h11.CLIENT, reader, protocol.writer, protocol.gone)
+
+
+async def receive_head(link: channel.Channel) -> h11.Response:
+    """Read the answer's head, passing over informational answers."""
+    while True:
+        event = await link.receive()
+        match event:
+            case h11.Response():
+                return event
+            case h11.InformationalResponse():
+                continue
+            case _:
+                raise h11.RemoteProtocolError("the connection ended before an answer")
+
+
+class Client:
+    """Keep connections to one server and send whole requests over them."""
+
+    def __init__(self, host: str, port: int, headers: channel.Headers | None = None) -> None:
+        self._host = host
+        self._port = port
+        self._headers = headers or []
+        self._idle: list[channel.Channel] = []
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: collections.abc.Iterable[tuple[bytes, bytes]] = (),
+    ) -> Response:
+        """Send a request and read its whole answer; raises OSError or h11.ProtocolError."""
+        link = await self._checkout()
+        try:
+            head = h11.Request(
+                method=method,
+                target=target,
+                headers=[
+                    (b"host", f"{self._host}:{self._port}".encode()),
+                    (b"content-length", str(len(body)).encode()),
+                    *self._headers,
+                    *headers,
+                ],
+            )
+            parts: list[h11.Event] = [head]
+            if body:
+                parts.append(h11.Data(data=body))
+            await link.send(*parts, h11.EndOfMessage())
+            answer = await receive_head(link)
+            data = await link.read_body(_MAX_ANSWER_BYTES)
+        except BaseException:
+            link.abort()
+            raise
+        if link.is_reusable():
+            link.start_next()
+            self._idle.append(link)
+        else:
+            link.close()
+        return Response(answer.status_code, list(answer.headers), data)
+
+    async def _checkout(self) -> channel.Channel:
+        while self._idle:
+            link = self._idle.pop()
+            if not link.gone.is_set():
+                return link
+            link.close()
+        return await open_channel(self._host, self._port)
+
+    def close(self) -> None:
+        """End all idle connections."""
+        for link in self._idle:
+            link.abort()
+        self._idle.clear()
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the declarations, messages and decisions of nutmegshelf, without any I/O."""
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -0,0 +1,143 @@
+"""List every kind of error once, with the answer that each one gets."""
+
+import dataclasses
+import enum
+import logging
+
+
+class Outcome(enum.Enum):
+    """Say what is known of a request that got no answer from a minion."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Close the list of what can go wrong with a request."""
+
+    BAD_REQUEST = "bad-request"
+    AMBIGUOUS_LENGTH = "ambiguous-length"
+    HEAD_TOO_LARGE = "head-too-large"
+    HEAD_TIMEOUT = "head-timeout"
+    BODY_TOO_LARGE = "body-too-large"
+    BODY_TIMEOUT = "body-timeout"
+    UNKNOWN_SERVICE = "unknown-service"
+    METHOD_NOT_SERVED = "method-not-served"
+    KEY_REQUIRED = "key-required"
+    KEY_REUSED = "key-reused"
+    KEY_RUNNING = "key-running"
+    KEY_UNSETTLED = "key-unsettled"
+    CALLER_GONE = "caller-gone"
+    NOT_READY = "not-ready"
+    SHUTTING_DOWN = "shutting-down"
+    OVERLOADED = "overloaded"
+    DEADLINE_TOO_SHORT = "deadline-too-short"
+    NO_MINION = "no-minion"
+    MINION_REFUSED = "minion-refused"
+    MINION_CUT = "minion-cut"
+    MINION_TIMEOUT = "minion-timeout"
+    MINION_BAD_ANSWER = "minion-bad-answer"
+    TABLE_UNAVAILABLE = "table-unavailable"
+    CONFIGURATION_STALE = "configuration-stale"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Describe the final answer to one kind of error."""
+
+    status: int
+    outcome: Outcome
+    title: str
+    retry_after_s: int | None = None
+    log_level: int = logging.INFO
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, Outcome.NOT_RUN, "The request can't be read."),
+    ErrorKind.AMBIGUOUS_LENGTH: Answer(
+        400, Outcome.NOT_RUN, "The request has both Content-Length and Transfer-Encoding."
+    ),
+    ErrorKind.HEAD_TOO_LARGE: Answer(431, Outcome.NOT_RUN, "The request's head is too large."),
+    ErrorKind.HEAD_TIMEOUT: Answer(408, Outcome.NOT_RUN, "The request's head came too slowly."),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, Outcome.NOT_RUN, "The request's body is too large."),
+    ErrorKind.BODY_TIMEOUT: Answer(408, Outcome.NOT_RUN, "The request's body came too slowly."),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, Outcome.NOT_RUN, "No service has this name."),
+    ErrorKind.METHOD_NOT_SERVED: Answer(405, Outcome.NOT_RUN, "This method is not served."),
+    ErrorKind.KEY_REQUIRED: Answer(400, Outcome.NOT_RUN, "This path needs an Idempotency-Key."),
+    ErrorKind.KEY_REUSED: Answer(
+        422, Outcome.NOT_RUN, "The Idempotency-Key was used with another request."
+    ),
+    ErrorKind.KEY_RUNNING: Answer(
+        409, Outcome.UNKNOWN, "A request with this key is still running.", retry_after_s=1
+    ),
+    ErrorKind.KEY_UNSETTLED: Answer(
+        409, Outcome.UNKNOWN, "A request with this key may have run; its answer is lost."
+    ),
+    ErrorKind.CALLER_GONE: Answer(499, Outcome.UNKNOWN, "The caller went away.", None, 10),
+    ErrorKind.NOT_READY: Answer(503, Outcome.NOT_RUN, "The entry is not ready.", 1),
+    ErrorKind.SHUTTING_DOWN: Answer(503, Outcome.NOT_RUN, "The entry is shutting down.", 1),
+    ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, "The service's queue is full.", 2),
+    ErrorKind.DEADLINE_TOO_SHORT: Answer(
+        503, Outcome.NOT_RUN, "The request can't start before its deadline.", 2
+    ),
+    ErrorKind.NO_MINION: Answer(503, Outcome.NOT_RUN, "No minion is available.", 2),
+    ErrorKind.MINION_REFUSED: Answer(
+        502, Outcome.NOT_RUN, "No minion took the request.", 1, logging.WARNING
+    ),
+    ErrorKind.MINION_CUT: Answer(
+        502, Outcome.UNKNOWN, "The minion ended before its answer.", None, logging.WARNING
+    ),
+    ErrorKind.MINION_TIMEOUT: Answer(
+        504, Outcome.UNKNOWN, "The minion did not answer in time.", None, logging.WARNING
+    ),
+    ErrorKind.MINION_BAD_ANSWER: Answer(
+        502, Outcome.UNKNOWN, "The minion's answer can't be read.", None, logging.WARNING
+    ),
+    ErrorKind.TABLE_UNAVAILABLE: Answer(
+        503, Outcome.NOT_RUN, "The table is unavailable.", 5, logging.WARNING
+    ),
+    ErrorKind.CONFIGURATION_STALE: Answer(
+        503, Outcome.NOT_RUN, "The entry can't confirm its configuration.", 5, logging.WARNING
+    ),
+    ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, "Internal error.", None, logging.ERROR),
+}
+
+
+class NutmegshelfError(Exception):
+    """Be the base of every error that nutmegshelf raises."""
+
+
+class RequestError(NutmegshelfError):
+    """End a request with the answer of its kind."""
+
+    def __init__(
+        self, kind: ErrorKind, detail: str = "", retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(detail or ANSWERS[kind].title)
+        self.kind = kind
+        self.detail = detail
+        self.retry_after_s = (
+            retry_after_s if retry_after_s is not None else ANSWERS[kind].retry_after_s
+        )
+
+    @property
+    def answer(self) -> Answer:
+        """Give the row of the table for this kind."""
+        return ANSWERS[self.kind]
+
+
+class TableError(NutmegshelfError):
+    """Report that the platform's table gave no usable answer."""
+
+
+class TableUnavailable(TableError):
+    """Report that the call surely had no effect."""
+
+
+class TableAnswerLost(TableError):
+    """Report that the call may have taken effect."""
+
+
+class DeclarationError(NutmegshelfError):
+    """Report that a declaration or a settings file can't be used."""
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/ids.py
@@ -0,0 +1,22 @@
+"""Name the kinds of identifier that messages and rows carry."""
+
+import typing
+
+ServiceName = typing.NewType("ServiceName", str)
+PoolName = typing.NewType("PoolName", str)
+BudgetName = typing.NewType("BudgetName", str)
+JobName = typing.NewType("JobName", str)
+TeamName = typing.NewType("TeamName", str)
+MinionId = typing.NewType("MinionId", str)
+WorkerId = typing.NewType("WorkerId", str)
+RackName = typing.NewType("RackName", str)
+ZoneName = typing.NewType("ZoneName", str)
+EntryId = typing.NewType("EntryId", str)
+RequestId = typing.NewType("RequestId", str)
+AttemptId = typing.NewType("AttemptId", str)
+PublishId = typing.NewType("PublishId", str)
+TaskId = typing.NewType("TaskId", str)
+Version = typing.NewType("Version", int)
+Epoch = typing.NewType("Epoch", int)
+
+NO_VERSION = Version(0)
--- /dev/null
+++ b/standins/src/nutmegshelf_standins/caller.py
@@ -0,0 +1,149 @@
+"""Call services through entries and keep what came of every request."""
+
+import asyncio
+import dataclasses
+import enum
+import random
+
+import h11
+from nutmegshelf_http import client
+
+from nutmegshelf_standins import minion
+
+
+class Result(enum.Enum):
+    """Say how a request ended for its caller."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    BROKEN = "broken"
+    WRONG = "wrong"
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """Describe one request."""
+
+    token: str
+    service: str
+    method: str = "GET"
+    path: str = "/"
+    answer_bytes: int = 64
+    chunked: bool = False
+    body: bytes = b""
+    key: str | None = None
+    timeout_ms: int = 5000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """Record how a request ended."""
+
+    call: Call
+    result: Result
+    status: int = 0
+    latency_s: float = 0.0
+    entry: int = 0
+    error: str = ""
+
+
+class Caller:
+    """Send calls to entries by port."""
+
+    def __init__(self, ports: list[int], rng: random.Random, host: str = "127.0.0.1") -> None:
+        self.ports = ports
+        self.done: list[Done] = []
+        self._rng = rng
+        self._host = host
+        self._clients: dict[int, client.Client] = {}
+
+    async def call(self, call: Call, port: int | None = None) -> Done:
+        """Send one call and keep its record."""
+        started_s = asyncio.get_running_loop().time()
+        port = port or self._rng.choice(self.ports)
+        result, status, error = await self._send(call, port)
+        latency_s = asyncio.get_running_loop().time() - started_s
+        done = Done(call, result, status, latency_s, port, error)
+        self.done.append(done)
+        return done
+
+    async def _send(self, call: Call, port: int) -> tuple[Result, int, str]:
+        link = self._clients.setdefault(port, client.Client(self._host, port))
+        headers = [
+            (b"x-token", call.token.encode()),
+            (b"x-answer-bytes", str(call.answer_bytes).encode()),
+            (b"request-timeout-ms", str(call.timeout_ms).encode()),
+        ]
+        if call.chunked:
+            headers.append((b"x-chunked", b"1"))
+        if call.key:
+            headers.append((b"idempotency-key", call.key.encode()))
+        try:
+            async with asyncio.timeout(call.timeout_ms / 1000 + 5):
+                answer = await link.request(
+                    call.method, f"/{call.service}{call.path}", call.body, headers
+                )
+        except ConnectionRefusedError:
+            # No entry listens here: the platform's balancer would have chosen another one.
+            return Result.NOT_RUN, 0, ""
+        except (OSError, h11.ProtocolError) as error:
+            return Result.BROKEN, 0, repr(error)
+        except TimeoutError:
+            return Result.SILENT, 0, ""
+        outcome = answer.header(b"nutmegshelf-outcome")
+        if outcome is not None:
+            kind = (answer.header(b"nutmegshelf-error") or b"").decode()
+            return Result(outcome.decode()), answer.status, kind
+        whole = answer.body == minion.answer_for(call.token, call.answer_bytes)
+        return (Result.WHOLE if whole else Result.WRONG), answer.status, ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Compare the callers' records with the minions'."""
+
+    requests: int
+    whole: int
+    refused: int
+    unknown: int
+    lost: int
+    doubled: int
+    cut_short: int
+    false_refusals: int
+
+    @property
+    def is_kept(self) -> bool:
+        """Say whether every promise was kept."""
+        return not (self.lost or self.doubled or self.cut_short or self.false_refusals)
+
+    def __str__(self) -> str:
+        return (
+            f"{self.requests} requests, {self.whole} whole answers, "
+            f"{self.refused} refused not-run, {self.unknown} unknown, {self.lost} lost, "
+            f"{self.doubled} doubled, {self.cut_short} cut short"
+        )
+
+
+def judge(done: list[Done], records: list[minion.Records]) -> Verdict:
+    """Count kept and broken promises; only the records of both sides count."""
+    runs: dict[str, int] = {}
+    for record in records:
+        for run in record.runs:
+            runs[run.token] = runs.get(run.token, 0) + 1
+    count = {result: sum(d.result is result for d in done) for result in Result}
+    not_idempotent = {d.call.token for d in done if d.call.method in ("POST", "PATCH")}
+    never_run = sum(d.result is Result.WHOLE and not runs.get(d.call.token) for d in done)
+    refused = {d.call.token for d in done if d.result is Result.NOT_RUN}
+    answered = {d.call.token for d in done if d.result is not Result.NOT_RUN}
+    return Verdict(
+        requests=len(done),
+        whole=count[Result.WHOLE],
+        refused=count[Result.NOT_RUN],
+        unknown=count[Result.UNKNOWN] + count[Result.BROKEN],
+        lost=count[Result.SILENT] + never_run,
+        doubled=sum(runs.get(token, 0) > 1 for token in not_idempotent),
+        cut_short=count[Result.WRONG],
+        false_refusals=sum(bool(runs.get(token)) for token in refused - answered),
+    )
--- /dev/null
+++ b/standins/src/nutmegshelf_standins/demo.py
@@ -0,0 +1,224 @@
+"""Run a deployment as processes, disturb it and count what its callers got."""
+
+import argparse
+import asyncio
+import dataclasses
+import pathlib
+import random
+import signal
+import sys
+import tomllib
+
+import msgspec
+from nutmegshelf import codecs, declarations, ids, platform
+from nutmegshelf_http import client
+
+from nutmegshelf_standins import caller, minion, process
+
+_ENTRIES = 3
+_CALLERS = 24
+_CALLS_EACH = 60
+_HOST = "127.0.0.1"
+EXAMPLES = pathlib.Path("examples")
+
+
+@dataclasses.dataclass(slots=True)
+class _Ports:
+    callers: int
+    operators: int
+    peers: int
+
+
+class Deployment:
+    """Own the processes of one example deployment."""
+
+    def __init__(
+        self, group: process.Group, example: pathlib.Path, seed: int, minion_mean_s: float = 0.02
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.entries: dict[str, process.Process] = {}
+        self.ports: dict[str, _Ports] = {}
+        self.minions: dict[ids.MinionId, process.Process] = {}
+        self.records: list[platform.MinionRecord] = []
+        self._group = group
+        self._seed = seed
+        self._minion_mean_s = minion_mean_s
+        self._example = example
+        self._folder = pathlib.Path("out") / f"demo-{example.name}"
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._revision = 0
+        self._platform_port = 0
+        texts = {path.name: path.read_text() for path in example.glob("*.toml")}
+        self.declared = declarations.from_toml(texts)
+        self.zones = tomllib.loads((example / "site" / "zones.toml").read_text())["zones"]
+
+    async def start(self, entries: int = _ENTRIES) -> None:
+        """Start the platform, the minions and the entries, and publish the example."""
+        self._platform_port = (await self._group.start_standin("platform", "platform")).port
+        await asyncio.gather(
+            *(
+                self._start_minion(name, number)
+                for name, service in self.declared.services.items()
+                for number in range(service.wanted_minions)
+            )
+        )
+        await self.list_fleet()
+        names = [f"entry-{number}" for number in range(entries)]
+        for name in names:
+            await self.start_entry(name)
+        # The first publish goes to an entry that has no configuration yet.
+        await self.wait_for_port(self.ports[names[0]].operators)
+        await self.publish(self.ports[names[0]].operators)
+        for name in names:
+            await process.wait_until_ready(self.ports[name].operators)
+
+    async def _start_minion(self, service: ids.ServiceName, number: int) -> None:
+        name = ids.MinionId(f"{service}-{number}")
+        seed = str(self._seed * 1000 + len(self.minions))
+        started = await self._group.start_standin(
+            name, "minion", name, "--seed", seed, "--mean-s", str(self._minion_mean_s)
+        )
+        zone = self.zones[number % len(self.zones)]
+        self.minions[name] = started
+        self.records.append(
+            platform.MinionRecord(
+                minion=name,
+                service=service,
+                host=_HOST,
+                port=started.port,
+                zone=ids.ZoneName(zone),
+                rack=ids.RackName(f"{zone}-rack-{number // 4}"),
+                worker=ids.WorkerId(f"worker-{name}"),
+            )
+        )
+
+    async def list_fleet(self) -> None:
+        """Put the minions on the platform's list."""
+        self._revision += 1
+        listed = platform.FleetList(revision=self._revision, minions=tuple(self.records))
+        control = client.Client(_HOST, self._platform_port)
+        await control.request("PUT", "/control/fleet", codecs.pack(listed))
+        control.close()
+
+    async def start_entry(self, name: str) -> None:
+        """Start an entry in the next availability zone."""
+        zone = self.zones[len(self.ports) % len(self.zones)]
+        ports = self.ports[name] = _Ports(*process.free_ports(3))
+        text = (
+            f'entry = "{name}"\nzone = "{zone}"\nseed = {self._seed}\n'
+            f'[platform]\nhost = "{_HOST}"\nport = {self._platform_port}\n'
+            f"[callers]\nport = {ports.callers}\n[operators]\nport = {ports.operators}\n"
+            f"[peers]\nport = {ports.peers}\n"
+        )
+        path = self._folder / f"{name}.toml"
+        path.write_text(text)
+        log = self._group.enter_context((self._folder / f"{name}.log").open("wb"))
+        self.entries[name] = await self._group.start_entry(name, str(path), log)
+
+    async def wait_for_port(self, port: int) -> None:
+        """Wait until an entry answers its operators."""
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    await client.Client(_HOST, port).request("GET", "/ready")
+                    return
+                except OSError:
+                    await asyncio.sleep(0.05)
+
+    async def publish(self, port: int) -> None:
+        """Publish the example with the operators' command line."""
+        code = await self._group.run_to_end(
+            "nutmegshelf_cli", "publish", str(self._example), "--entry", f"{_HOST}:{port}"
+        )
+        if code:
+            raise SystemExit(f"demo: publish ended with {code}")
+
+    async def drain(self, name: ids.MinionId) -> None:
+        """Let the platform's list say that a minion leaves."""
+        self.records = [
+            (
+                msgspec.structs.replace(record, state=platform.HostState.LEAVING)
+                if record.minion == name
+                else record
+            )
+            for record in self.records
+        ]
+        await self.list_fleet()
+
+    async def collect(self) -> list[minion.Records]:
+        """Read all minions' own records."""
+        found = []
+        for started in self.minions.values():
+            link = client.Client(_HOST, started.port)
+            answer = await link.request("GET", "/_records")
+            link.close()
+            found.append(codecs.unpack(answer.body, minion.Records))
+        return found
+
+
+def _make_call(rng: random.Random, services: list[str], number: int) -> caller.Call:
+    method = rng.choice(["GET", "GET", "GET", "POST"])
+    return caller.Call(
+        token=f"t{number}",
+        service=rng.choice(services),
+        method=method,
+        path="/demo",
+        answer_bytes=rng.choice([0, 64, 2000, 200_000]),
+        chunked=rng.random() < 0.3,
+        body=b"x" * rng.choice([0, 10, 100_000]) if method == "POST" else b"",
+    )
+
+
+async def _call_for_a_while(
+    calls: caller.Caller, services: list[str], rng: random.Random, first: int
+) -> None:
+    for number in range(first, first + _CALLS_EACH):
+        await calls.call(_make_call(rng, services, number))
+        await asyncio.sleep(rng.expovariate(1 / 0.05))
+
+
+async def _disturb(site: Deployment, calls: caller.Caller) -> None:
+    await asyncio.sleep(1.0)
+    drained = next(iter(site.minions))
+    await site.drain(drained)
+    await asyncio.sleep(0.7)
+    killed = "entry-1"
+    site.entries[killed].send(signal.SIGKILL)
+    calls.ports.remove(site.ports[killed].callers)
+    await site.start_entry("entry-3")
+    await process.wait_until_ready(site.ports["entry-3"].operators)
+    calls.ports.append(site.ports["entry-3"].callers)
+
+
+async def run(example: pathlib.Path, seed: int) -> int:
+    """Run the demo and give its exit code."""
+    print(f"demo: seed {seed}, example {example.name}", flush=True)
+    async with process.Group() as group:
+        site = Deployment(group, example, seed)
+        await site.start()
+        ports = [entry.callers for entry in site.ports.values()]
+        calls = caller.Caller(ports, random.Random(seed))
+        services = [str(name) for name in site.declared.services]
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(_disturb(site, calls))
+            for number in range(_CALLERS):
+                rng = random.Random(seed * 1000 + number)
+                first = number * _CALLS_EACH
+                tasks.create_task(_call_for_a_while(calls, services, rng, first))
+        verdict = caller.judge(calls.done, await site.collect())
+    if verdict.false_refusals:
+        print(f"demo: {verdict.false_refusals} refused as not-run had run")
+    print(f"demo: {verdict}")
+    return 0 if verdict.is_kept and verdict.whole else 1
+
+
+def _main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--example", default="dorna")
+    parser.add_argument("--seed", type=int, default=7)
+    given = parser.parse_args()
+    sys.exit(asyncio.run(run(EXAMPLES / given.example, given.seed)))
+
+
+if __name__ == "__main__":
+    _main()
--- /dev/null
+++ b/standins/src/nutmegshelf_standins/minion.py
@@ -0,0 +1,106 @@
+"""Serve as a minion that records all that it ran."""
+
+import argparse
+import asyncio
+import hashlib
+import random
+
+import msgspec
+from nutmegshelf import codecs, ids
+from nutmegshelf_http import server
+
+from nutmegshelf_standins import process
+
+_CHUNK_BYTES = 16 * 1024
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class Run(msgspec.Struct, kw_only=True):
+    """Record one run of a request."""
+
+    token: str
+    method: str
+    started_s: float
+    finished: bool = False
+
+
+class Records(msgspec.Struct, kw_only=True):
+    """Hold what one minion saw."""
+
+    minion: ids.MinionId
+    runs: list[Run] = []
+    most_in_work: int = 0
+    most_connections: int = 0
+
+
+def answer_for(token: str, size_bytes: int) -> bytes:
+    """Make the one right answer to a token, so that a caller can tell a whole answer."""
+    seed = hashlib.sha256(token.encode()).hexdigest().encode()
+    return (seed * (size_bytes // len(seed) + 1))[:size_bytes]
+
+
+class Minion:
+    """Work on requests for a drawn time."""
+
+    def __init__(self, name: ids.MinionId, mean_s: float, rng: random.Random) -> None:
+        self.records = Records(minion=name)
+        self._mean_s = mean_s
+        self._rng = rng
+        self._in_work = 0
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Serve one request."""
+        if exchange.target == "/_records":
+            await exchange.respond(200, [], codecs.pack(self.records))
+            return
+        run = Run(
+            token=(exchange.header(b"x-token") or b"").decode(),
+            method=exchange.method,
+            started_s=asyncio.get_running_loop().time(),
+        )
+        self.records.runs.append(run)
+        self._in_work += 1
+        self.records.most_in_work = max(self.records.most_in_work, self._in_work)
+        try:
+            await exchange.link.read_body(_MAX_BODY_BYTES)
+            await asyncio.sleep(self._rng.expovariate(1 / self._mean_s) if self._mean_s else 0)
+            await self._answer(exchange, run.token)
+            run.finished = True
+        finally:
+            self._in_work -= 1
+
+    async def _answer(self, exchange: server.Exchange, token: str) -> None:
+        size_bytes = int(exchange.header(b"x-answer-bytes") or b"64")
+        whole = answer_for(token, size_bytes)
+        if exchange.header(b"x-chunked") is None:
+            await exchange.respond(200, [(b"x-token", token.encode())], whole)
+            return
+        await exchange.start(
+            200, [(b"x-token", token.encode()), (b"transfer-encoding", b"chunked")]
+        )
+        for start in range(0, size_bytes, _CHUNK_BYTES):
+            await exchange.write(whole[start : start + _CHUNK_BYTES])
+        await exchange.end()
+
+
+async def serve(name: str, mean_s: float, seed: int, port: int = 0) -> None:
+    """Run until SIGTERM, then finish what is in work."""
+    minion = Minion(ids.MinionId(name), mean_s, random.Random(seed))
+    listener = server.Server(minion.handle)
+    await process.announce(await listener.start("127.0.0.1", port))
+    listener.stop_listening()
+    await listener.wait_idle()
+
+
+def _main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("name")
+    parser.add_argument("--mean-s", type=float, default=0.02)
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--port", type=int, default=0)
+    given = parser.parse_args()
+    asyncio.run(serve(given.name, given.mean_s, given.seed, given.port))
+
+
+if __name__ == "__main__":
+    _main()
--- /dev/null
+++ b/standins/src/nutmegshelf_standins/platform.py
@@ -0,0 +1,106 @@
+"""Serve the platform's table, objects and fleet list, with faults on demand."""
+
+import asyncio
+import dataclasses
+import urllib.parse
+
+import msgspec
+from nutmegshelf import codecs, platform
+from nutmegshelf_http import server
+
+from nutmegshelf_standins import process, store
+
+_MAX_BYTES = 64 * 1024 * 1024
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """Say how the platform misbehaves."""
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    reads: int = 0
+    writes: int = 0
+
+
+class Platform:
+    """Answer as the platform would."""
+
+    def __init__(self) -> None:
+        self.store = store.Store()
+        self.fleet = platform.FleetList(revision=0)
+        self.faults = Faults()
+        self.counts = _Counts()
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Serve one call."""
+        url = urllib.parse.urlsplit(exchange.target)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        service, _, key = url.path.removeprefix("/").partition("/")
+        body = await exchange.link.read_body(_MAX_BYTES)
+        if service == "control":
+            await self._control(exchange, key, body)
+            return
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            await exchange.respond(503, [])
+            return
+        status, answer = self._serve(exchange.method, service, key, query, body)
+        if self.faults.lose_answers and exchange.method != "GET":
+            exchange.link.abort()
+            return
+        await exchange.respond(status, [], answer)
+
+    def _serve(  # noqa: PLR0911
+        self, method: str, service: str, key: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        if method == "GET":
+            self.counts.reads += 1
+        else:
+            self.counts.writes += 1
+        match method, service:
+            case "GET", "table":
+                return 200, codecs.pack(self.store.read(key))
+            case "GET", "scan":
+                rows = self.store.scan(key, query.get("after", ""), int(query.get("limit", 1000)))
+                return 200, codecs.pack(rows)
+            case "POST", "table":
+                transaction = codecs.unpack(body, platform.Transaction)
+                return 200, codecs.pack(self.store.commit(transaction))
+            case "PUT", "objects":
+                self.store.objects[key] = body
+                return 200, b""
+            case "GET", "objects":
+                found = self.store.objects.get(key)
+                return (404, b"") if found is None else (200, found)
+            case "GET", "fleet":
+                if int(query.get("after", -1)) >= self.fleet.revision:
+                    return 204, b""
+                return 200, codecs.pack(self.fleet)
+            case _:
+                return 404, b""
+
+    async def _control(self, exchange: server.Exchange, what: str, body: bytes) -> None:
+        match exchange.method, what:
+            case "PUT", "faults":
+                self.faults = codecs.unpack(body, Faults)
+            case "PUT", "fleet":
+                self.fleet = codecs.unpack(body, platform.FleetList)
+            case _:
+                pass
+        await exchange.respond(200, [], codecs.pack(dataclasses.asdict(self.counts)))
+
+
+async def serve() -> None:
+    """Run until ended."""
+    listener = server.Server(Platform().handle)
+    await process.announce(await listener.start("127.0.0.1", 0))
+
+
+if __name__ == "__main__":
+    asyncio.run(serve())
--- /dev/null
+++ b/standins/src/nutmegshelf_standins/process.py
@@ -0,0 +1,107 @@
+"""Start stand-ins and daemons as processes, and end just those."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import sys
+import typing
+
+from nutmegshelf_http import client
+
+_START_TIMEOUT_S = 20.0
+_END_TIMEOUT_S = 40.0
+
+
+async def announce(port: int) -> None:
+    """Print the port that a stand-in listens on, then wait for SIGTERM."""
+    print(port, flush=True)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    await stop.wait()
+
+
+class Process:
+    """Own one started process."""
+
+    def __init__(self, name: str, started: asyncio.subprocess.Process, port: int) -> None:
+        self.name = name
+        self.port = port
+        self._started = started
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self._started.send_signal(number)
+
+    async def wait(self) -> int:
+        """Give the exit code once the process has ended."""
+        return await self._started.wait()
+
+    async def end(self) -> int:
+        """Ask for a graceful end, and kill after a while."""
+        if self._started.returncode is None:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(_END_TIMEOUT_S):
+                return await self.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            return await self.wait()
+
+
+class Group(contextlib.AsyncExitStack):
+    """End every process that was started within it."""
+
+    async def start_standin(self, name: str, module: str, *arguments: str) -> Process:
+        """Start a stand-in that prints its port."""
+        started = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", f"nutmegshelf_standins.{module}", *arguments),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert started.stdout is not None
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            port = int(await started.stdout.readline())
+        return self._own(Process(name, started, port))
+
+    async def start_entry(self, name: str, settings_path: str, log: typing.IO[bytes]) -> Process:
+        """Start an entry with its settings file."""
+        started = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "nutmegshelf_entry", "--settings", settings_path),
+            stderr=log,
+        )
+        return self._own(Process(name, started, 0))
+
+    async def run_to_end(self, module: str, *arguments: str) -> int:
+        """Run a program of the workspace and give its exit code."""
+        started = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", module, *arguments), stdout=asyncio.subprocess.DEVNULL
+        )
+        return await started.wait()
+
+    def _own(self, process: Process) -> Process:
+        self.push_async_callback(process.end)
+        return process
+
+
+def free_ports(count: int) -> list[int]:
+    """Find ports that nothing listens on now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [int(found.getsockname()[1]) for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+async def wait_until_ready(port: int) -> None:
+    """Wait until an entry's operators' port says that it is ready."""
+    operators = client.Client("127.0.0.1", port)
+    async with asyncio.timeout(_START_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(OSError):
+                if (await operators.request("GET", "/ready")).status == 200:
+                    operators.close()
+                    return
+            await asyncio.sleep(0.05)
