Fake hosts on a paused clock, so that whole entries are tested at every step

Cause: fault cells with real processes need wall-clock luck. Found on the way: the caller stand-in took a timeout for a broken connection, since TimeoutError is an OSError; a silent entry was never counted as lost.

--- /dev/null
+++ b/features/paused_hosts.feature
@@ -0,0 +1,19 @@
+Feature: Whole entries run as hosts of a faked network on a paused clock
+
+  Scenario: An entry that ends at once breaks its callers' connections visibly
+    Given 2 entries and 3 minions on faked hosts
+    When the host "entry-0" is killed while it serves "t1"
+    Then the call "t1" ended as "broken"
+
+  Scenario: A frozen entry answers nothing, and serves again once it goes on
+    Given 2 entries and 3 minions on faked hosts
+    When the host "entry-1" is frozen while it serves "t2"
+    Then the call "t2" ended as "silent"
+    And a later call through "entry-1" is whole
+    And no token ran twice
+
+  Scenario: A planned stop cuts off no request in progress
+    Given 2 entries and 3 minions on faked hosts
+    When the host "entry-0" gets SIGTERM while it serves "t3"
+    Then the call "t3" ended as "whole"
+    And the entry "entry-0" has ended
--- /dev/null
+++ b/features/steps/hosts_steps.py
@@ -0,0 +1,58 @@
+"""Disturb faked hosts while they serve."""
+
+import asyncio
+import contextlib
+import signal
+
+import behave
+
+from features import hosts
+
+
+@behave.given("{entries:d} entries and {count:d} minions on faked hosts")
+def start_hosts(context, entries, count):
+    stack = contextlib.ExitStack()
+    context.hosts, context.run_hosts = stack.enter_context(hosts.hosts(context.seed, minions=count))
+    context.add_cleanup(stack.close)
+    context.run_hosts(context.hosts.start(entries))
+
+
+@behave.when('the host "{name}" {what} while it serves "{token}"')
+def disturb(context, name, what, token):
+    actions = {
+        "is killed": context.hosts.loop.kill,
+        "is frozen": context.hosts.loop.freeze,
+        "gets SIGTERM": lambda host: context.hosts.loop.send_signal(host, signal.SIGTERM),
+    }
+
+    async def main():
+        call = asyncio.create_task(context.hosts.call(token, entry=name))
+        while token not in context.hosts.runs():
+            await asyncio.sleep(0.001)
+        actions[what](name)
+        await call
+
+    context.run_hosts(main())
+
+
+@behave.then('the call "{token}" ended as "{result}"')
+def check_call(context, token, result):
+    found = [done.result.value for done in context.hosts.calls.done if done.call.token == token]
+    assert found == [result], found
+
+
+@behave.then('a later call through "{name}" is whole')
+def check_later(context, name):
+    context.hosts.loop.thaw(name)
+    done = context.run_hosts(context.hosts.call("later", entry=name))
+    assert done.result.value == "whole", done
+
+
+@behave.then("no token ran twice")
+def check_runs(context):
+    assert set(context.hosts.runs().values()) == {1}, context.hosts.runs()
+
+
+@behave.then('the entry "{name}" has ended')
+def check_ended(context, name):
+    context.run_hosts(asyncio.wait_for(context.hosts.entries[name], 20))
--- a/standins/src/nutmegshelf_standins/caller.py
+++ b/standins/src/nutmegshelf_standins/caller.py
@@ -88,10 +88,11 @@
         except ConnectionRefusedError:
             # No entry listens here: the platform's balancer would have chosen another one.
             return Result.NOT_RUN, 0, ""
-        except (OSError, h11.ProtocolError) as error:
-            return Result.BROKEN, 0, repr(error)
         except TimeoutError:
+            # This comes before OSError, of which it is a kind.
             return Result.SILENT, 0, ""
+        except (OSError, h11.ProtocolError) as error:
+            return Result.BROKEN, 0, repr(error)
         outcome = answer.header(b"nutmegshelf-outcome")
         if outcome is not None:
             kind = (answer.header(b"nutmegshelf-error") or b"").decode()
