Drive a fault matrix from two tables, and share the scenarios among processes

Cause: the promises need every fault at every step. Each cell watches deliveries between faked hosts, strikes at its step and checks from outside.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(strip $(ROOTS))))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup format check types test demo bench
+.PHONY: setup format check types test demo bench faults
 
 setup: $(READY)
 
@@ -39,3 +39,6 @@
 
 bench: setup
 	$(PY) -m nutmegshelf_bench --seed $(SEED)
+
+faults: setup
+	$(PY) -m features.faults.write --seed $(SEED)
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Give each scenario its own seeded randomness and event loop."""
 
 import asyncio
+import itertools
 import random
 
 from nutmegshelf_entry import logs
@@ -15,10 +16,17 @@
 
 def before_all(context):
     context.seed = int(context.config.userdata.get("seed", 7))
+    number, _, count = context.config.userdata.get("shard", "0/1").partition("/")
+    context.shard = int(number), int(count)
+    context.numbers = itertools.count()
     logs.configure("critical")
 
 
 def before_scenario(context, scenario):
+    number, count = context.shard
+    is_ours = next(context.numbers) % count == number
+    if not is_ours:
+        scenario.skip()
     context.rng = random.Random(f"{context.seed}:{scenario.name}")
     context.runner = asyncio.Runner()
     context.run = lambda work: context.runner.run(_limited(work))
--- /dev/null
+++ b/features/faults/tables.py
@@ -0,0 +1,69 @@
+"""List the steps and the faults of the matrix, and say which cells do not apply."""
+
+import dataclasses
+
+PATH_STEPS = (
+    "accept",
+    "queue",
+    "claim",
+    "connect",
+    "send head",
+    "send body",
+    "await",
+    "relay",
+    "store answer",
+)
+CONFIGURATION_STEPS = ("publish", "spread", "switch")
+MEMBER_STEPS = ("join", "leave")
+
+FAULTS = (
+    "entry killed",
+    "entry paused",
+    "entry cut from peers",
+    "entry cut from table",
+    "entry cut from minions",
+    "minion killed",
+    "minion paused",
+    "minion cut before first byte",
+    "minion cut after first byte",
+    "minion failing everything",
+    "table down",
+    "table slow",
+    "table answer lost",
+    "table stale read",
+    "list stale",
+    "message late",
+    "message twice",
+    "message out of order",
+    "racing operator",
+    "rack lost",
+    "zone lost",
+    "entry killed and table down",
+    "minion killed and table answer lost",
+)
+
+_MINION_FAULTS = frozenset(fault for fault in FAULTS if fault.startswith("minion"))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """Name one step under one fault, with the reason where the fault can't strike there."""
+
+    step: str
+    fault: str
+    reason: str = ""
+
+
+def _reason(step: str, fault: str) -> str:
+    if step in CONFIGURATION_STEPS and fault in _MINION_FAULTS | {"entry cut from minions"}:
+        return "no minion takes part in this step"
+    if step in ("relay", "store answer") and fault == "minion cut before first byte":
+        return "the first byte has arrived"
+    if step == "store answer" and fault == "minion cut after first byte":
+        return "the whole answer has arrived"
+    return ""
+
+
+def cells(steps: tuple[str, ...]) -> list[Cell]:
+    """Make every cell of the given steps."""
+    return [Cell(step, fault, _reason(step, fault)) for step in steps for fault in FAULTS]
--- a/features/hosts.py
+++ b/features/hosts.py
@@ -13,9 +13,12 @@
 from nutmegshelf_standins import platform as platform_standin
 
 SERVICE = "orders"
+ZONES = 3
 _PLATFORM_PORT = 10_000
 _ENTRY_PORTS = 11_000
 _READY_LIMIT_S = 30.0
+# Entries find each other by their heartbeats.
+_ACQUAINTANCE_S = 5.0
 
 
 class MemoryPeers:
@@ -39,9 +42,11 @@
     def send(self, address, message):
         source, target = network.HOST.get(), address.rpartition("/")[2]
         inbox = self._loop.peer_inboxes.get(address)
-        if inbox is None or not self._loop.network.reaches(source, target):
+        if inbox is None:
             return
         data = codecs.pack(message)
+        if not self._loop.network.fate_of(network.Delivery(source, target, data)).arrives:
+            return
         for delay_s in self._loop.message_delays_s():
             self._loop.call_later(delay_s, inbox.put_nowait, data)
 
@@ -82,20 +87,19 @@
 class Hosts:
     """Own the hosts of one test."""
 
-    def __init__(self, loop, seed, minions=3, service=None):
+    def __init__(self, loop, seed, minions=3):
         self.loop = loop
         self.network = loop.network
         self.platform = platform_standin.Platform()
         self.minions = {}
         self.records = []
         self.entries = {}
+        self.daemons = {}
+        self.dead_entries = set()
         self.ports = {}
         self.calls = caller.Caller([], random.Random(seed))
         self.seed = seed
         self._count = minions
-        self._service = service or declarations.Service(
-            pool=ids.PoolName("orders"), wanted_minions=minions, timeout_ms=5000
-        )
 
     async def start(self, entries=2):
         with network.on_host("platform"):
@@ -106,6 +110,7 @@
         self._accept_configuration()
         for number in range(entries):
             await self.start_entry(f"entry-{number}")
+        await asyncio.sleep(_ACQUAINTANCE_S)
 
     async def _start_minion(self, number):
         name = ids.MinionId(f"minion-{number}")
@@ -119,8 +124,8 @@
                 service=ids.ServiceName(SERVICE),
                 host="127.0.0.1",
                 port=port,
-                zone=ids.ZoneName(f"z{number}"),
-                rack=ids.RackName(f"r{number}"),
+                zone=ids.ZoneName(f"z{number % ZONES}"),
+                rack=ids.RackName(f"z{number % ZONES}-r{number // ZONES}"),
                 worker=ids.WorkerId(f"w{number}"),
             )
         )
@@ -129,20 +134,27 @@
         revision = self.platform.fleet.revision + 1
         self.platform.fleet = platform.FleetList(revision=revision, minions=tuple(self.records))
 
-    def declared(self, **changes):
-        pool = declarations.Pool(wanted_workers=3, worker_cores=8, worker_memory_gb=16)
-        service = declarations.Service(
-            **{
-                **{name: getattr(self._service, name) for name in self._service.__struct_fields__},
-                **changes,
-            }
-        )
-        return declarations.DeclarationSet(
-            pools={ids.PoolName("orders"): pool}, services={ids.ServiceName(SERVICE): service}
-        )
+    def declared_files(self, **changes):
+        """Give the texts of a set of declarations."""
+        fields = {
+            "wanted_minions": self._count,
+            "slots_per_minion": 8,
+            "connections_per_minion": 60,
+            "timeout_ms": 5000,
+            "queue_limit": 256,
+            **changes,
+        }
+        lines = [f"{name} = {value}" for name, value in fields.items()]
+        pool = "wanted_workers = 6\nworker_cores = 8\nworker_memory_gb = 16"
+        service = "\n".join(lines)
+        return {
+            "pools.toml": f"[pools.orders]\n{pool}\n",
+            "services.toml": f'[services.{SERVICE}]\npool = "orders"\n{service}\n',
+        }
 
     def _accept_configuration(self):
-        data, digest = configuration.encode_set(self.declared())
+        declared = declarations.from_toml(self.declared_files())
+        data, digest = configuration.encode_set(declared)
         head = configuration.Head(
             version=ids.Version(1), digest=digest, publish_id=ids.PublishId("first")
         )
@@ -154,11 +166,12 @@
         first = _ENTRY_PORTS + 10 * len(self.ports)
         own = settings.Settings(
             entry=ids.EntryId(name),
-            zone=ids.ZoneName(f"z{len(self.ports)}"),
+            zone=ids.ZoneName(f"z{len(self.ports) % ZONES}"),
             platform=settings.Platform(host="127.0.0.1", port=_PLATFORM_PORT),
             callers=settings.Listener(port=first),
             operators=settings.Operators(port=first + 1),
             seats=2,
+            heartbeat_interval_s=2.0,
             seed=self.seed,
         )
         self.ports[name] = own
@@ -166,10 +179,15 @@
             network.on_host(name),
             unittest.mock.patch.object(peers, "Peers", MemoryPeers),
         ):
-            self.entries[name] = asyncio.create_task(daemon.Daemon(own).run())
+            self.daemons[name] = daemon.Daemon(own)
+            self.entries[name] = asyncio.create_task(self.daemons[name].run())
         await self.until_ready(name)
         self.calls.ports.append(first)
 
+    def version(self, name):
+        """Give the version in force at an entry, as its operators see it."""
+        return self.daemons[name]._in_force.version
+
     async def until_ready(self, name):
         async with asyncio.timeout(_READY_LIMIT_S):
             while (await self.status(name, "/ready")) != 200:
--- a/features/run.py
+++ b/features/run.py
@@ -1,6 +1,9 @@
 """Run all features, print the seed, pass over known red scenarios and count the rest."""
 
 import argparse
+import concurrent.futures
+import dataclasses
+import multiprocessing
 import pathlib
 import sys
 
@@ -22,26 +25,67 @@
     return [scenario for feature in features for scenario in feature.walk_scenarios()]
 
 
-def run(seed: int, paths: list[str], tags: str) -> int:
-    """Run the features and give the exit code."""
-    print(f"seed {seed}", flush=True)
-    arguments = [*paths, "--format", "progress", "--no-capture", "--define", f"seed={seed}"]
-    if tags:
-        arguments += ["--tags", tags]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shard:
+    """Ask for every scenario whose number has this remainder."""
+
+    seed: int
+    paths: tuple[str, ...]
+    tags: str
+    number: int
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tally:
+    """Hold what came of one shard."""
+
+    passed: int
+    failed: tuple[str, ...]
+    red: tuple[str, ...]
+    broken_hooks: int
+
+
+def run_shard(shard: Shard) -> Tally:
+    """Run one share of the scenarios in this process."""
+    arguments = [*shard.paths, "--format", "progress", "--no-capture", "--no-summary"]
+    arguments += ["--define", f"seed={shard.seed}"]
+    arguments += ["--define", f"shard={shard.number}/{shard.count}"]
+    if shard.tags:
+        arguments += ["--tags", shard.tags]
     config = configuration.Configuration(arguments, load_config=False)
     tests = runner.Runner(config)
     tests.run()
     found = [one for one in scenarios(tests.features) if one.status.name not in _NOT_RUN]
-    red = [one for one in found if one.status.name != "passed"]
+    wrong = [one for one in found if one.status.name != "passed"]
     excused = known_red()
-    failed = [one for one in red if one.name not in excused]
-    for one in red:
-        word = "known red" if one.name in excused else "failed"
-        print(f"{word}: {one.name} ({one.location})")
-    broken_hooks = tests.hook_failures if hasattr(tests, "hook_failures") else 0
-    passed = len(found) - len(red)
-    print(f"{passed} passed, {len(failed) + broken_hooks} failed")
-    return 0 if passed and not failed and not broken_hooks else 1
+    return Tally(
+        passed=len(found) - len(wrong),
+        failed=tuple(f"{one.name} ({one.location})" for one in wrong if one.name not in excused),
+        red=tuple(f"{one.name} ({one.location})" for one in wrong if one.name in excused),
+        broken_hooks=getattr(tests, "hook_failures", 0),
+    )
+
+
+def run(seed: int, paths: tuple[str, ...], tags: str, jobs: int) -> int:
+    """Run the features and give the exit code."""
+    print(f"seed {seed}", flush=True)
+    shards = [Shard(seed, paths, tags, number, jobs) for number in range(jobs)]
+    if jobs == 1:
+        tallies = [run_shard(shards[0])]
+    else:
+        context = multiprocessing.get_context("spawn")
+        with concurrent.futures.ProcessPoolExecutor(jobs, mp_context=context) as pool:
+            tallies = list(pool.map(run_shard, shards))
+    for tally in tallies:
+        for name in tally.failed:
+            print(f"failed: {name}")
+        for name in tally.red:
+            print(f"known red: {name}")
+    passed = sum(tally.passed for tally in tallies)
+    failed = sum(len(tally.failed) + tally.broken_hooks for tally in tallies)
+    print(f"{passed} passed, {failed} failed")
+    return 0 if passed and not failed else 1
 
 
 _NOT_RUN = frozenset({"skipped", "untested"})
@@ -51,9 +95,10 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=7)
     parser.add_argument("--tags", default="not @soak")
+    parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("paths", nargs="*", default=["features"])
     given = parser.parse_args()
-    sys.exit(run(given.seed, given.paths, given.tags))
+    sys.exit(run(given.seed, tuple(given.paths), given.tags, given.jobs))
 
 
 if __name__ == "__main__":
--- a/standins/src/nutmegshelf_standins/caller.py
+++ b/standins/src/nutmegshelf_standins/caller.py
@@ -35,6 +35,7 @@
     body: bytes = b""
     key: str | None = None
     timeout_ms: int = 5000
+    work_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +79,8 @@
         ]
         if call.chunked:
             headers.append((b"x-chunked", b"1"))
+        if call.work_ms is not None:
+            headers.append((b"x-work-ms", str(call.work_ms).encode()))
         if call.key:
             headers.append((b"idempotency-key", call.key.encode()))
         try:
--- a/standins/src/nutmegshelf_standins/minion.py
+++ b/standins/src/nutmegshelf_standins/minion.py
@@ -46,6 +46,7 @@
         self.records = Records(minion=name)
         self._mean_s = mean_s
         self._rng = rng
+        self.is_failing = False
         self._in_work = 0
 
     async def handle(self, exchange: server.Exchange) -> None:
@@ -63,20 +64,23 @@
         self.records.most_in_work = max(self.records.most_in_work, self._in_work)
         try:
             await exchange.link.read_body(_MAX_BODY_BYTES)
-            await asyncio.sleep(self._rng.expovariate(1 / self._mean_s) if self._mean_s else 0)
+            work_ms = exchange.header(b"x-work-ms")
+            drawn_s = self._rng.expovariate(1 / self._mean_s) if self._mean_s else 0
+            await asyncio.sleep(int(work_ms) / 1000 if work_ms else drawn_s)
             await self._answer(exchange, run.token)
             run.finished = True
         finally:
             self._in_work -= 1
 
     async def _answer(self, exchange: server.Exchange, token: str) -> None:
+        status = 500 if self.is_failing else 200
         size_bytes = int(exchange.header(b"x-answer-bytes") or b"64")
         whole = answer_for(token, size_bytes)
         if exchange.header(b"x-chunked") is None:
-            await exchange.respond(200, [(b"x-token", token.encode())], whole)
+            await exchange.respond(status, [(b"x-token", token.encode())], whole)
             return
         await exchange.start(
-            200, [(b"x-token", token.encode()), (b"transfer-encoding", b"chunked")]
+            status, [(b"x-token", token.encode()), (b"transfer-encoding", b"chunked")]
         )
         for start in range(0, size_bytes, _CHUNK_BYTES):
             await exchange.write(whole[start : start + _CHUNK_BYTES])
--- a/standins/src/nutmegshelf_standins/network.py
+++ b/standins/src/nutmegshelf_standins/network.py
@@ -248,6 +248,8 @@
         fate = self.fate_of(Delivery(source, target, None))
         if not fate.arrives:
             await asyncio.Event().wait()
+        # The tap may have killed the listening host.
+        listener = self.listeners.get(port)
         if listener is None or fate.cut_after:
             raise ConnectionRefusedError(f"nobody listens on port {port}")
         near = _Transport(self, source, factory(), contextvars.copy_context())
@@ -259,13 +261,19 @@
         return near, near.protocol
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Parked:
-    """Hold a call with the context that it runs in."""
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """Hold a call, the context that it runs in, and the handle that may cancel it."""
 
     call: collections.abc.Callable[..., object]
     arguments: tuple[object, ...]
-    context: contextvars.Context
+    context: contextvars.Context | None = None
+    handle: asyncio.Handle | None = None
+
+    def run(self) -> None:
+        """Run unless it was cancelled while its host was frozen."""
+        if self.handle is None or not self.handle.cancelled():
+            self.call(*self.arguments)
 
 
 class NetworkLoop(clock.PausedLoop):
@@ -274,8 +282,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.network = Network(self)
-        self._frozen: dict[str, list[_Parked]] = {}
-        self._host_signals: dict[tuple[str, int], _Parked] = {}
+        self._frozen: dict[str, list[_Call]] = {}
+        self._host_signals: dict[tuple[str, int], _Call] = {}
 
     def freeze(self, host: str) -> None:
         """Let nothing of a host run, as a stopped process."""
@@ -284,7 +292,7 @@
     def thaw(self, host: str) -> None:
         """Run on, late, from where the host stood."""
         for parked in self._frozen.pop(host, []):
-            super().call_soon(parked.call, *parked.arguments, context=parked.context)
+            super().call_soon(parked.run, context=parked.context)
 
     def kill(self, host: str) -> None:
         """End a host at once: no code of it runs again, not even its cleanup."""
@@ -299,13 +307,13 @@
     def send_signal(self, host: str, number: int) -> None:
         """Run a host's signal handler."""
         handler = self._host_signals[host, number]
-        self.call_soon(handler.call, *handler.arguments, context=handler.context)
+        self.call_soon(handler.run, context=handler.context)
 
     def add_signal_handler(
         self, sig: int, callback: collections.abc.Callable[..., object], *args: object
     ) -> None:
         """Keep a handler for the running host only."""
-        parked = _Parked(callback, args, contextvars.copy_context())
+        parked = _Call(callback, args, contextvars.copy_context())
         self._host_signals[HOST.get(), int(sig)] = parked
 
     def call_soon(  # type: ignore[override]
@@ -315,7 +323,9 @@
         context: contextvars.Context | None = None,
     ) -> asyncio.Handle:
         """Schedule a call that is held while its host is frozen."""
-        return super().call_soon(self._run_or_park, callback, args, context=context)
+        held = _Call(callback, args)
+        held.handle = super().call_soon(self._run_or_park, held, context=context)
+        return held.handle
 
     def call_at(  # type: ignore[override]
         self,
@@ -325,16 +335,18 @@
         context: contextvars.Context | None = None,
     ) -> asyncio.TimerHandle:
         """Schedule a timed call that is held while its host is frozen."""
-        return super().call_at(when, self._run_or_park, callback, args, context=context)
+        held = _Call(callback, args)
+        timer = super().call_at(when, self._run_or_park, held, context=context)
+        held.handle = timer
+        return timer
 
-    def _run_or_park(
-        self, callback: collections.abc.Callable[..., object], arguments: tuple[object, ...]
-    ) -> None:
+    def _run_or_park(self, held: _Call) -> None:
         parked = self._frozen.get(HOST.get())
         if parked is None:
-            callback(*arguments)
+            held.call(*held.arguments)
         else:
-            parked.append(_Parked(callback, arguments, contextvars.copy_context()))
+            held.context = contextvars.copy_context()
+            parked.append(held)
 
     async def create_connection(  # type: ignore[override]
         self,
--- a/standins/src/nutmegshelf_standins/platform.py
+++ b/standins/src/nutmegshelf_standins/platform.py
@@ -19,6 +19,7 @@
     down: bool = False
     delay_s: float = 0.0
     lose_answers: bool = False
+    stale: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,6 +36,7 @@
         self.fleet = platform.FleetList(revision=0)
         self.faults = Faults()
         self.counts = _Counts()
+        self._snapshot = store.Store()
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Serve one call."""
@@ -63,11 +65,12 @@
             self.counts.reads += 1
         else:
             self.counts.writes += 1
+        readable = self._snapshot if self.faults.stale else self.store
         match method, service:
             case "GET", "table":
-                return 200, codecs.pack(self.store.read(key))
+                return 200, codecs.pack(readable.read(key))
             case "GET", "scan":
-                rows = self.store.scan(key, query.get("after", ""), int(query.get("limit", 1000)))
+                rows = readable.scan(key, query.get("after", ""), int(query.get("limit", 1000)))
                 return 200, codecs.pack(rows)
             case "POST", "table":
                 transaction = codecs.unpack(body, platform.Transaction)
@@ -85,6 +88,11 @@
             case _:
                 return 404, b""
 
+    def go_stale(self) -> None:
+        """Answer reads with what is there now, whatever is written later."""
+        self._snapshot.rows = dict(self.store.rows)
+        self.faults = Faults(stale=True)
+
     async def _control(self, exchange: server.Exchange, what: str, body: bytes) -> None:
         match exchange.method, what:
             case "PUT", "faults":
