Close minions at the first bad news and open them by evidence

Cause: bad news of a minion came from the list alone, was never spread, and the list was read whole at each change, one read after the other.

The list is read by pages of changes; reads start every 0.5 s and don't wait for slow ones. Peers greet each other without the table.

Seen to fail with the mechanism taken out: - no check of the list's revision: "list live, stale list leaving" closes m0 - reads one after the other: closed only after 2 s with answers 1 s late - no guard for the last open minion: one peer closes the whole service - old probe successes counted: a refused minion opens - every entry probes everything: 3,500 minions are not covered in 60 s

--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,84 @@
+Feature: No new work goes to a minion against which anything speaks
+
+  Scenario Outline: Each source closes a minion at once, and only its own evidence opens it again
+    Given the target state of entry "e1" with 3 listed minions
+    When the target events come: <events>
+    Then the minion "m0" is <state>
+    And the news spread for "m0" is "<spread>"
+
+    Examples:
+      | events                                                        | state  | spread        |
+      | none                                                          | open   |               |
+      | list leaving                                                  | closed | listed        |
+      | list leaving, list leaving                                    | closed | listed        |
+      | list leaving, probe ok, probe ok, probe ok                    | closed | listed        |
+      | list leaving, list live                                       | closed | listed        |
+      | list leaving, list live, probe ok                             | closed | listed        |
+      | list leaving, list live, probe ok, probe ok                   | open   | listed        |
+      | list leaving, stale list live, probe ok, probe ok             | closed | listed        |
+      | list live, stale list leaving                                 | open   |               |
+      | probe 503                                                     | closed | shutting-down |
+      | probe 503, list live                                          | closed | shutting-down |
+      | probe 503, probe ok, probe failed, probe ok                   | closed | shutting-down,failed |
+      | probe 503, probe ok, probe ok                                 | open   | shutting-down |
+      | refused                                                       | closed | failed        |
+      | refused, refused, probe failed                                | closed | failed        |
+      | refused, old probe ok, old probe ok                           | closed | failed        |
+      | refused, probe ok, probe ok                                   | open   | failed        |
+      | peer says listed                                              | closed |               |
+      | peer says listed, probe ok, probe ok                          | closed |               |
+      | peer says listed, list leaving, list live, probe ok, probe ok | open   |               |
+      | list leaving, list live, probe ok, probe ok, peer repeats old | open   | listed        |
+      | peer says shutting-down                                       | closed |               |
+      | peer says failed                                              | closed |               |
+      | peer says failed, peer says recovered                         | closed |               |
+      | peer says failed, probe ok, probe ok                          | open   |               |
+      | list gone                                                     | gone   |               |
+      | list gone, list live                                          | open   |               |
+
+  Scenario: News that comes before the list is kept for it
+    Given the target state of entry "e1" with 0 listed minions
+    When the target events come: peer says shutting-down, list live
+    Then the minion "m0" is closed
+
+  Scenario: One peer that is cut off does not close a whole service
+    Given the target state of entry "e1" with 3 listed minions
+    When a peer says that all of them failed
+    Then at least 1 of the minions is open
+    And all of them are due for a probe
+
+  Scenario Outline: Probing is spread over the live entries and bounded
+    Given <entries> entries that know <minions> minions
+    When each has probed for 60 seconds with <dead> entry dead
+    Then each minion was probed at least once
+    And no entry sent more than 10 probes a second
+
+    Examples:
+      | entries | minions | dead |
+      | 1       | 1       | 0    |
+      | 3       | 40      | 0    |
+      | 7       | 40      | 1    |
+      | 7       | 3500    | 0    |
+
+  Scenario Outline: A minion listed as leaving gets no new work within 2 s without any peer
+    Given a fleet list that answers after <delay> s and has taken its answer at the <point>
+    When a minion is listed as leaving at many moments of the poll
+    Then every one is closed within <limit> s
+
+    Examples:
+      | delay | point | limit |
+      | 0.0   | start | 0.6   |
+      | 0.4   | end   | 1.0   |
+      | 1.0   | start | 1.7   |
+      | 1.0   | end   | 1.7   |
+
+  Scenario: The fleet list is down and comes back
+    Given a fleet list that answers after 0.1 s and has taken its answer at the end
+    When the fleet list is down for 5 s while a minion is listed as leaving
+    Then the records were kept meanwhile and the minion is closed after it
+
+  Scenario: Entries find each other by their own word while the table is down
+    Given the entries "e1" and "e2" that know each other by the table
+    When "e3" says hello at 3 s and the table is silent for 60 s
+    Then the live entries are "e3" after 6 s and none after 20 s
+    And an entry that says that it leaves takes no new duties
--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,303 @@
+"""Feed events to the kernel's state of minions and entries, without any socket."""
+
+import asyncio
+
+import behave
+from nutmegshelf import exceptions, ids, members, platform, targets
+from nutmegshelf_entry import health
+from nutmegshelf_standins import clock, fleet
+
+_PEER = ids.EntryId("peer")
+
+
+def _record(number, state=platform.HostState.LIVE):
+    return platform.MinionRecord(
+        minion=ids.MinionId(f"m{number}"),
+        service=ids.ServiceName("orders"),
+        host="127.0.0.1",
+        port=1,
+        zone=ids.ZoneName("z"),
+        rack=ids.RackName("r"),
+        worker=ids.WorkerId("w"),
+        state=state,
+    )
+
+
+def _known(own, count):
+    known = targets.Targets(ids.EntryId(own))
+    records = tuple(_record(number) for number in range(count))
+    known.take_page(platform.FleetList(revision=10, minions=records), 0.0)
+    return known
+
+
+class _Events:
+    """Apply the events of a scenario to one state."""
+
+    def __init__(self, known):
+        self.known = known
+        self.now_s = 100.0
+        self.revision = 10
+        self.spread = []
+
+    def apply(self, event):
+        self.now_s += 1
+        step = self._step(event) or targets.Step()
+        self.spread += [news.cause.value for news in step.spread]
+
+    def _step(self, event):  # noqa: PLR0911
+        minion, now_s = ids.MinionId("m0"), self.now_s
+        match event.split():
+            case ["list", "gone"]:
+                self.revision += 1
+                page = platform.FleetList(revision=self.revision, gone=(minion,))
+                return self.known.take_page(page, now_s)
+            case ["list", state]:
+                self.revision += 1
+                return self.known.take_page(self._page(self.revision, state), now_s)
+            case ["stale", "list", state]:
+                return self.known.take_page(self._page(self.revision - 1, state), now_s)
+            case ["probe", found]:
+                return self.known.probed(minion, _PROBES[found], now_s, now_s)
+            case ["old", "probe", found]:
+                return self.known.probed(minion, _PROBES[found], now_s - 50, now_s)
+            case ["refused"]:
+                return self.known.take_news(self._news(targets.Cause.FAILED, self.known.own), now_s)
+            case ["peer", "says", "recovered"]:
+                return self.known.suspect(minion, now_s)
+            case ["peer", "says", cause]:
+                return self.known.take_news(self._news(targets.Cause(cause), _PEER), now_s)
+            case ["peer", "repeats", "old"]:
+                news = self._news(targets.Cause.LISTED, _PEER, 11)
+                return self.known.take_news(news, now_s)
+            case ["none"]:
+                return None
+        raise AssertionError(event)
+
+    def _page(self, revision, state):
+        return platform.FleetList(
+            revision=revision, minions=(_record(0, platform.HostState(state)),)
+        )
+
+    def _news(self, cause, source, revision=None):
+        revision = self.revision + 1 if revision is None else revision
+        listed = revision if cause is targets.Cause.LISTED else -1
+        return targets.News(minion=ids.MinionId("m0"), cause=cause, source=source, revision=listed)
+
+
+_PROBES = {
+    "ok": targets.Probe.HEALTHY,
+    "503": targets.Probe.SHUTTING_DOWN,
+    "failed": targets.Probe.FAILED,
+}
+
+
+def _state_of(known, minion):
+    states = {record.minion: record.state for record in known.records()}
+    if minion not in states:
+        return "gone"
+    closed = states[minion] is platform.HostState.LEAVING
+    assert closed == bool(known.why(minion)), known.why(minion)
+    return "closed" if closed else "open"
+
+
+@behave.given('the target state of entry "{own}" with {count:d} listed minions')
+def start_targets(context, own, count):
+    context.events = _Events(_known(own, count))
+
+
+@behave.when("the target events come: {events}")
+def apply_events(context, events):
+    for event in events.split(", "):
+        context.events.apply(event)
+
+
+@behave.then('the minion "{minion}" is {state}')
+def check_state(context, minion, state):
+    assert _state_of(context.events.known, minion) == state
+
+
+@behave.then('the news spread for "m0" is "{causes}"')
+@behave.then('the news spread for "m0" is ""')
+def check_spread(context, causes=""):
+    assert ",".join(context.events.spread) == causes, context.events.spread
+
+
+@behave.when("a peer says that all of them failed")
+def all_failed(context):
+    for number in range(3):
+        news = targets.News(
+            minion=ids.MinionId(f"m{number}"), cause=targets.Cause.FAILED, source=_PEER
+        )
+        context.events.known.take_news(news, 100.0)
+
+
+@behave.then("at least 1 of the minions is open")
+def check_any_open(context):
+    assert "open" in {_state_of(context.events.known, f"m{number}") for number in range(3)}
+
+
+@behave.then("all of them are due for a probe")
+def check_due(context):
+    found = {record.minion for record in context.events.known.due(100.0, 10)}
+    assert found == {"m0", "m1", "m2"}, found
+
+
+@behave.given("{entries:d} entries that know {minions:d} minions")
+def start_probers(context, entries, minions):
+    context.minion_count = minions
+    context.probers = [_known(f"e{number}", minions) for number in range(entries)]
+
+
+@behave.when("each has probed for {seconds:d} seconds with {dead:d} entry dead")
+def run_probers(context, seconds, dead):
+    live = context.probers[dead:]
+    context.probes = {known.own: [] for known in live}
+    for known in live:
+        known.set_entries([other.own for other in live], 0.0)
+    for tick in range(seconds * 10):
+        now_s = tick / 10
+        for known in live:
+            for record in known.due(now_s, health.MAX_PROBES_PER_TICK):
+                context.probes[known.own].append((now_s, record.minion))
+                known.probed(record.minion, targets.Probe.HEALTHY, now_s, now_s)
+
+
+@behave.then("each minion was probed at least once")
+def check_all_probed(context):
+    found = {minion for sent in context.probes.values() for _, minion in sent}
+    assert len(found) == context.minion_count, len(found)
+
+
+@behave.then("no entry sent more than {limit:d} probes a second")
+def check_probe_rate(context, limit):
+    for sent in context.probes.values():
+        by_second = {}
+        for at_s, _ in sent:
+            by_second[int(at_s)] = by_second.get(int(at_s), 0) + 1
+        assert max(by_second.values(), default=0) <= limit, max(by_second.values())
+
+
+class _SlowList:
+    """Answer late, with what was true when the answer began or ended."""
+
+    def __init__(self, delay_s, point):
+        self.list = fleet.Fleet()
+        self.list.put(tuple(_record(number) for number in range(40)))
+        self.down = False
+        self._delay_s = delay_s
+        self._point = point
+
+    async def fleet(self, after_revision=-1):
+        early = self.list.after(after_revision)
+        down = self.down
+        await asyncio.sleep(self._delay_s)
+        if down:
+            raise exceptions.TableUnavailable("down")
+        return early if self._point == "start" else self.list.after(after_revision)
+
+    def leave(self, number):
+        self.list.put(
+            tuple(
+                _record(other, platform.HostState.LEAVING if other <= number else _LIVE)
+                for other in range(40)
+            )
+        )
+
+
+_LIVE = platform.HostState.LIVE
+
+
+async def _watched(source, work):
+    changed = asyncio.Event()
+    own = health.Health(ids.EntryId("e1"), lambda message: None, lambda records: changed.set())
+    own.changed = changed
+    watch = asyncio.ensure_future(health.FleetWatch(source, own, 0.5).run())
+    await asyncio.sleep(5)
+    try:
+        return await work(own)
+    finally:
+        watch.cancel()
+        await asyncio.gather(watch, return_exceptions=True)
+
+
+@behave.given("a fleet list that answers after {delay:f} s and has taken its answer at the {point}")
+def start_list(context, delay, point):
+    context.source = _SlowList(delay, point)
+
+
+@behave.when("a minion is listed as leaving at many moments of the poll")
+def leave_often(context):
+    async def work(own):
+        loop, took = asyncio.get_running_loop(), []
+        for number in range(40):
+            await asyncio.sleep(context.rng.uniform(2.5, 3.5))
+            context.source.leave(number)
+            started_s = loop.time()
+            own.changed.clear()
+            await own.changed.wait()
+            assert _state_of(own.targets, f"m{number}") == "closed"
+            took.append(loop.time() - started_s)
+        return took
+
+    context.took = clock.run(_watched(context.source, work))
+
+
+@behave.then("every one is closed within {limit:f} s")
+def check_closed_soon(context, limit):
+    assert max(context.took) <= limit, f"{max(context.took):.2f} s"
+
+
+@behave.when("the fleet list is down for {seconds:d} s while a minion is listed as leaving")
+def list_down(context, seconds):
+    async def work(own):
+        context.source.down = True
+        context.source.leave(0)
+        await asyncio.sleep(seconds)
+        kept = len(own.targets.records()), _state_of(own.targets, "m0")
+        context.source.down = False
+        await asyncio.sleep(1)
+        return kept, _state_of(own.targets, "m0")
+
+    context.seen = clock.run(_watched(context.source, work))
+
+
+@behave.then("the records were kept meanwhile and the minion is closed after it")
+def check_kept(context):
+    assert context.seen == ((40, "open"), "closed"), context.seen
+
+
+def _row(entry, leaving=False, beat=1):
+    return members.EntryRow(
+        entry=ids.EntryId(entry),
+        zone=ids.ZoneName("z"),
+        peer_address="",
+        operator_address="",
+        leaving=leaving,
+        beat=beat,
+    )
+
+
+@behave.given('the entries "{first}" and "{second}" that know each other by the table')
+def start_members(context, first, second):
+    context.members = members.Members(ids.EntryId(first), 4.0)
+    context.members.take_rows([_row(first), _row(second)], 0.0)
+    assert [row.entry for row in context.members.live(1.0)] == [second]
+
+
+@behave.when('"{entry}" says hello at {at:d} s and the table is silent for {seconds:d} s')
+def say_hello(context, entry, at, seconds):
+    assert context.members.take_hello(_row(entry), at)
+    assert not context.members.take_hello(_row(entry), at)
+
+
+@behave.then('the live entries are "{entry}" after {at:d} s and none after {later:d} s')
+def check_live(context, entry, at, later):
+    assert [row.entry for row in context.members.live(at)] == [entry]
+    assert not context.members.live(later)
+
+
+@behave.then("an entry that says that it leaves takes no new duties")
+def check_leaving(context):
+    context.members.take_hello(_row("e3", leaving=True), 30.0)
+    assert [row.entry for row in context.members.live(30.0)] == ["e3"]
+    assert not context.members.staying(30.0)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -11,6 +11,7 @@
 from nutmegshelf_entry import (
     configurator,
     health,
+    heartbeat,
     logs,
     minions,
     operator,
@@ -45,9 +46,18 @@
         self._operator = operator.Operator(
             own, self._in_force, self._configurator, self._members, self._telemetry
         )
-        self._fleet = health.FleetWatch(self._table, self._slots, own.poll_interval_s)
-        self._heartbeat = health.Heartbeat(
-            self._table, self._members, self._peers, self._row, own.heartbeat_interval_s
+        self._health = health.Health(own.entry, self._peers.broadcast, self._slots.set_records)
+        self._pool.on_refused = self._health.refused
+        self._pool.on_ended = self._health.suspect
+        self._fleet = health.FleetWatch(self._table, self._health, own.fleet_interval_s)
+        self._prober = health.Prober(self._health, own.probe_path)
+        self._heartbeat = heartbeat.Heartbeat(
+            self._table,
+            self._members,
+            self._peers,
+            self._row,
+            own.heartbeat_interval_s,
+            on_entries=self._health.targets.set_entries,
         )
         self._operators_port = 0
         self._leaving = False
@@ -70,6 +80,7 @@
                 group.create_task(self._heartbeat.run()),
                 group.create_task(self._configurator.run()),
                 group.create_task(self._fleet.run()),
+                group.create_task(self._prober.run()),
             ]
             await stop.wait()
             await self._drain()
@@ -123,7 +134,8 @@
             case messages.HeadAccepted():
                 with contextlib.suppress(exceptions.TableError):
                     await self._configurator.take_head(message.head)
-            case messages.MinionLeaving():
-                self._slots.set_leaving(message.minion)
+            case messages.BadNews() | messages.MinionsRecovered():
+                self._health.take_message(message)
             case messages.Hello():
-                pass
+                if self._heartbeat.take_hello(message.row):
+                    self._health.greet()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/health.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/health.py
@@ -1,92 +1,177 @@
-"""Keep the lists of minions and entries fresh, and tell both who this entry is."""
+"""Follow the platform's list of minions, probe them, and share bad news with peers."""
 
 import asyncio
 import collections.abc
+import contextlib
+import typing
 
-from nutmegshelf import codecs, exceptions, ids, members, messages, platform
+import h11
+from nutmegshelf import exceptions, ids, messages, platform, targets
+from nutmegshelf_http import client
 
-from nutmegshelf_entry import logs, peers, slots, table
+from nutmegshelf_entry import logs
 
-_log = logs.part("membership")
+_TICK_S = 0.1
+MAX_PROBES_PER_TICK = 1
+_MAX_RUNNING_PROBES = 16
+_PROBE_TIMEOUT_S = 1.0
+_MAX_RUNNING_READS = 4
+_log = logs.part("health")
+
+Broadcast = collections.abc.Callable[[messages.Any], None]
+SetRecords = collections.abc.Callable[[tuple[platform.MinionRecord, ...]], None]
+
+
+class FleetSource(typing.Protocol):
+    """Name what is needed of the platform's list, so that tests can fake it."""
+
+    async def fleet(self, after_revision: int = -1) -> platform.FleetList | None:
+        """Read a page of changes after a revision."""
+
+
+class Health:
+    """Own the state of all minions: feed it events and carry out what changes."""
+
+    def __init__(self, own: ids.EntryId, broadcast: Broadcast, set_records: SetRecords) -> None:
+        self.targets = targets.Targets(own)
+        self._broadcast = broadcast
+        self._set_records = set_records
+
+    def take(self, step: targets.Step) -> None:
+        """Stop or start new work as a step says, and tell the peers."""
+        if step.changed:
+            self._set_records(self.targets.records())
+        if step.spread:
+            for news in step.spread:
+                _log.info(
+                    "Gave a minion no new work.",
+                    minion=news.minion,
+                    cause=news.cause.value,
+                    detail=news.detail,
+                )
+            self._broadcast(messages.BadNews(sender=self.targets.own, news=step.spread))
+        if step.recovered:
+            _log.info("Gave minions new work again.", minions=step.recovered)
+            recovered = messages.MinionsRecovered(sender=self.targets.own, minions=step.recovered)
+            self._broadcast(recovered)
+
+    def take_message(self, message: messages.BadNews | messages.MinionsRecovered) -> None:
+        """Take what a peer says of minions."""
+        now_s = asyncio.get_running_loop().time()
+        match message:
+            case messages.BadNews():
+                for news in message.news:
+                    self.take(self.targets.take_news(news, now_s))
+            case messages.MinionsRecovered():
+                for minion in message.minions:
+                    self.targets.suspect(minion, now_s)
+
+    def refused(self, minion: ids.MinionId, detail: str) -> None:
+        """Take it as failed that a minion refused a connection."""
+        news = targets.News(
+            minion=minion, cause=targets.Cause.FAILED, source=self.targets.own, detail=detail
+        )
+        self.take(self.targets.take_news(news, asyncio.get_running_loop().time()))
+
+    def suspect(self, minion: ids.MinionId) -> None:
+        """Probe soon a minion that ended a connection."""
+        self.targets.suspect(minion, asyncio.get_running_loop().time())
+
+    def greet(self) -> None:
+        """Tell all bad news to peers, as one of them is new."""
+        if news := self.targets.bad_news():
+            self._broadcast(messages.BadNews(sender=self.targets.own, news=news))
 
 
 class FleetWatch:
-    """Read the platform's list of minions."""
+    """Read the changes of the platform's list at a fixed rate, however slow the answers are."""
 
-    def __init__(self, source: table.Table, slot_owner: slots.Slots, poll_interval_s: float):
+    def __init__(self, source: FleetSource, health: Health, interval_s: float) -> None:
         self._source = source
-        self._slots = slot_owner
-        self._poll_interval_s = poll_interval_s
-        self._revision = -1
+        self._health = health
+        self._interval_s = interval_s
+        self._reads: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        """Poll the list for ever."""
-        while True:
-            try:
-                await self.refresh()
-            except exceptions.TableError as error:
-                _log.warning("Could not read the fleet list.", error=str(error))
-            await asyncio.sleep(self._poll_interval_s)
+        """Poll for ever; a slow read does not hold up the next one."""
+        try:
+            while True:
+                if len(self._reads) < _MAX_RUNNING_READS:
+                    task = asyncio.ensure_future(self._read())
+                    self._reads.add(task)
+                    task.add_done_callback(self._reads.discard)
+                await asyncio.sleep(self._interval_s)
+        finally:
+            for task in self._reads:
+                task.cancel()
+
+    async def _read(self) -> None:
+        try:
+            await self.refresh()
+        except exceptions.TableError as error:
+            _log.warning("Kept the last fleet list.", error=str(error))
 
     async def refresh(self) -> None:
-        """Take the list if it is newer; raises TableUnavailable."""
-        listed = await self._source.fleet(self._revision)
-        if listed is not None and listed.revision > self._revision:
-            self._revision = listed.revision
-            self._slots.set_records(listed.minions)
-
-
-class Heartbeat:
-    """Write this entry's row and read the others'."""
-
-    def __init__(
-        self,
-        rows: table.Rows,
-        known: members.Members,
-        sockets: peers.Peers,
-        make_row: collections.abc.Callable[[int], members.EntryRow],
-        interval_s: float,
-    ) -> None:
-        self._rows = rows
-        self._members = known
-        self._peers = sockets
-        self._make_row = make_row
-        self._interval_s = interval_s
-        self._beat = 0
+        """Take all changes after the own revision; raises TableUnavailable."""
+        own = self._health.targets
+        while page := await self._source.fleet(own.revision):
+            if page.revision <= own.revision:
+                return
+            self._health.take(own.take_page(page, asyncio.get_running_loop().time()))
+            if not page.more:
+                return
+
+
+class Prober:
+    """Probe the minions that are due, at a bounded rate."""
+
+    def __init__(self, health: Health, path: str) -> None:
+        self._health = health
+        self._path = path
+        self._running: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        """Beat for ever."""
-        while True:
-            try:
-                await self.beat()
-            except exceptions.TableError as error:
-                _log.warning("Could not write the heartbeat.", error=str(error))
-            await asyncio.sleep(self._interval_s)
-
-    async def beat(self) -> None:
-        """Tell peers, write the own row, read all rows; raises TableError."""
-        self._beat += 1
-        row = self._make_row(self._beat)
-        self._peers.broadcast(
-            messages.Hello(
-                sender=row.entry,
-                peer_address=row.peer_address,
-                zone=row.zone,
-                version=row.version,
-                leaving=row.leaving,
-            )
-        )
-        write = platform.Write(members.PREFIX + row.entry, codecs.pack(row))
-        await self._rows.commit(platform.Transaction(writes=(write,)))
-        rows = await self._rows.scan(members.PREFIX)
+        """Probe for ever."""
         loop = asyncio.get_running_loop()
-        self._members.take_rows(
-            [codecs.unpack(found.value, members.EntryRow) for found in rows], loop.time()
-        )
-        live = self._members.live(loop.time())
-        self._peers.set_addresses({peer.peer_address for peer in live})
+        try:
+            while True:
+                free = _MAX_RUNNING_PROBES - len(self._running)
+                limit = min(MAX_PROBES_PER_TICK, free)
+                for record in self._health.targets.due(loop.time(), limit):
+                    task = asyncio.ensure_future(self._probe(record))
+                    self._running.add(task)
+                    task.add_done_callback(self._running.discard)
+                await asyncio.sleep(_TICK_S)
+        finally:
+            for task in self._running:
+                task.cancel()
+
+    async def _probe(self, record: platform.MinionRecord) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        found, detail = await probe(record, self._path)
+        known = self._health.targets
+        self._health.take(known.probed(record.minion, found, started_s, loop.time(), detail))
+
 
-    async def leave(self, entry: ids.EntryId) -> None:
-        """Take the own row away."""
-        write = platform.Write(members.PREFIX + entry, None)
-        await self._rows.commit(platform.Transaction(writes=(write,)))
+async def probe(record: platform.MinionRecord, path: str) -> tuple[targets.Probe, str]:
+    """Ask a minion for its health over a connection of its own."""
+    link = None
+    try:
+        async with asyncio.timeout(_PROBE_TIMEOUT_S):
+            link = await client.open_channel(record.host, record.port)
+            headers = [(b"host", record.host.encode()), (b"connection", b"close")]
+            request = h11.Request(method="GET", target=path, headers=headers)
+            await link.send(request, h11.EndOfMessage())
+            head = await client.receive_head(link)
+    except (OSError, TimeoutError, h11.ProtocolError) as error:
+        return targets.Probe.FAILED, f"probe: {error!r}"
+    finally:
+        if link is not None:
+            with contextlib.suppress(OSError):
+                link.abort()
+    if head.status_code == 503:
+        return targets.Probe.SHUTTING_DOWN, "probe: status 503"
+    if head.status_code >= 500:
+        return targets.Probe.FAILED, f"probe: status {head.status_code}"
+    return targets.Probe.HEALTHY, ""
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/heartbeat.py
@@ -0,0 +1,74 @@
+"""Tell peers and the table that this entry lives, and read which others do."""
+
+import asyncio
+import collections.abc
+
+from nutmegshelf import codecs, exceptions, ids, members, messages, platform
+
+from nutmegshelf_entry import logs, peers, table
+
+_log = logs.part("membership")
+
+
+class Heartbeat:
+    """Write this entry's row and read the others'."""
+
+    def __init__(
+        self,
+        rows: table.Rows,
+        known: members.Members,
+        sockets: peers.Peers,
+        make_row: collections.abc.Callable[[int], members.EntryRow],
+        interval_s: float,
+        *,
+        on_entries: collections.abc.Callable[[list[ids.EntryId], float], None],
+    ) -> None:
+        self._rows = rows
+        self._members = known
+        self._peers = sockets
+        self._make_row = make_row
+        self._interval_s = interval_s
+        self._on_entries = on_entries
+        self._beat = 0
+
+    async def run(self) -> None:
+        """Beat for ever."""
+        while True:
+            try:
+                await self.beat()
+            except exceptions.TableError as error:
+                _log.warning("Could not write the heartbeat.", error=str(error))
+            await asyncio.sleep(self._interval_s)
+
+    async def beat(self) -> None:
+        """Tell peers, write the own row, read all rows; raises TableError."""
+        self._beat += 1
+        row = self._make_row(self._beat)
+        self._peers.broadcast(messages.Hello(sender=row.entry, row=row))
+        self._dial()
+        write = platform.Write(members.PREFIX + row.entry, codecs.pack(row))
+        await self._rows.commit(platform.Transaction(writes=(write,)))
+        rows = await self._rows.scan(members.PREFIX)
+        loop = asyncio.get_running_loop()
+        self._members.take_rows(
+            [codecs.unpack(found.value, members.EntryRow) for found in rows], loop.time()
+        )
+        self._dial()
+
+    def _dial(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        live = self._members.live(now_s)
+        self._peers.set_addresses({peer.peer_address for peer in live})
+        self._on_entries([peer.entry for peer in self._members.staying(now_s)], now_s)
+
+    def take_hello(self, row: members.EntryRow) -> bool:
+        """Take a peer's own word, so that peers find one another with the table down."""
+        new = self._members.take_hello(row, asyncio.get_running_loop().time())
+        if new:
+            self._dial()
+        return new
+
+    async def leave(self, entry: ids.EntryId) -> None:
+        """Take the own row away."""
+        write = platform.Write(members.PREFIX + entry, None)
+        await self._rows.commit(platform.Transaction(writes=(write,)))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 
 import h11
@@ -22,6 +23,8 @@
     """Own all connections to minions; at most one per granted slot is open."""
 
     def __init__(self) -> None:
+        self.on_refused: collections.abc.Callable[[ids.MinionId, str], None] | None = None
+        self.on_ended: collections.abc.Callable[[ids.MinionId], None] | None = None
         self._idle: dict[ids.MinionId, collections.deque[_Idle]] = collections.defaultdict(
             collections.deque
         )
@@ -48,6 +51,8 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 return await client.open_channel(record.host, record.port), False
         except (OSError, TimeoutError) as error:
+            if self.on_refused is not None:
+                self.on_refused(record.minion, repr(error))
             raise exceptions.RequestError(
                 exceptions.ErrorKind.MINION_REFUSED, f"{record.minion}: {error}"
             ) from error
@@ -59,6 +64,8 @@
             self._idle[minion].append(_Idle(link, asyncio.get_running_loop().time()))
         else:
             link.abort()
+            if self.on_ended is not None:
+                self.on_ended(minion)
 
     def forget(self, minion: ids.MinionId) -> None:
         """End the idle connections of a minion that left."""
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -43,7 +43,7 @@
         return None if answer.status == 404 else answer.body
 
     async def fleet(self, after_revision: int = -1) -> platform.FleetList | None:
-        """Read the fleet list if it is newer than a revision; raises TableUnavailable."""
+        """Read a page of the list's changes after a revision; raises TableUnavailable."""
         answer = await self._call("GET", f"/fleet?after={after_revision}", changes=False)
         return None if answer.status == 204 else codecs.unpack(answer.body, platform.FleetList)
 
--- a/packages/nutmegshelf/src/nutmegshelf/members.py
+++ b/packages/nutmegshelf/src/nutmegshelf/members.py
@@ -45,8 +45,7 @@
                 self.known[row.entry] = Member(row, now_s)
         listed = {row.entry for row in rows}
         for entry, member in list(self.known.items()):
-            silent = now_s - member.heard_s > self.silence_limit_s
-            if entry not in listed and silent:
+            if entry not in listed and not self._is_live(member, now_s):
                 del self.known[entry]
 
     def heard(self, entry: ids.EntryId, now_s: float) -> None:
@@ -54,10 +53,24 @@
         if member := self.known.get(entry):
             member.heard_s = now_s
 
+    def take_hello(self, row: EntryRow, now_s: float) -> bool:
+        """Take what an entry says of itself, and say whether it was not live before."""
+        member = self.known.get(row.entry)
+        new = member is None or not self._is_live(member, now_s)
+        self.known[row.entry] = Member(row, now_s)
+        return new
+
+    def _is_live(self, member: Member, now_s: float) -> bool:
+        return now_s - member.heard_s <= self.silence_limit_s
+
     def live(self, now_s: float) -> list[EntryRow]:
         """Give the other entries that were heard of lately."""
         return [
             member.row
             for member in self.known.values()
-            if member.row.entry != self.own and now_s - member.heard_s <= self.silence_limit_s
+            if member.row.entry != self.own and self._is_live(member, now_s)
         ]
+
+    def staying(self, now_s: float) -> list[EntryRow]:
+        """Give the other entries that live and take new duties."""
+        return [row for row in self.live(now_s) if not row.leaving]
--- a/packages/nutmegshelf/src/nutmegshelf/messages.py
+++ b/packages/nutmegshelf/src/nutmegshelf/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from nutmegshelf import configuration, ids
+from nutmegshelf import configuration, ids, members, targets
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -14,10 +14,7 @@
 class Hello(Message, frozen=True, kw_only=True):
     """Tell peers that an entry lives, and what it has in force."""
 
-    peer_address: str
-    zone: ids.ZoneName
-    version: ids.Version
-    leaving: bool = False
+    row: members.EntryRow
 
 
 class HeadAccepted(Message, frozen=True, kw_only=True):
@@ -26,16 +23,22 @@
     head: configuration.Head
 
 
-class MinionLeaving(Message, frozen=True, kw_only=True):
-    """Spread the news that a minion takes no new work."""
+class BadNews(Message, frozen=True, kw_only=True):
+    """Spread what is known against minions: they leave or fail."""
 
-    minion: ids.MinionId
-    reason: str
+    news: tuple[targets.News, ...]
+
+
+class MinionsRecovered(Message, frozen=True, kw_only=True):
+    """Tell peers that minions answered probes again, so that they probe too."""
+
+    minions: tuple[ids.MinionId, ...]
 
 
 Any = (
     Hello
     # One line a message keeps merges small.
     | HeadAccepted
-    | MinionLeaving
+    | BadNews
+    | MinionsRecovered
 )
--- a/packages/nutmegshelf/src/nutmegshelf/platform.py
+++ b/packages/nutmegshelf/src/nutmegshelf/platform.py
@@ -64,7 +64,9 @@
 
 
 class FleetList(msgspec.Struct, frozen=True, kw_only=True):
-    """Give the platform's list of minions, with a revision that grows with each change."""
+    """Give what changed on the platform's list after a revision, up to the page's own revision."""
 
     revision: int
     minions: tuple[MinionRecord, ...] = ()
+    gone: tuple[ids.MinionId, ...] = ()
+    more: bool = False
--- a/standins/src/nutmegshelf_standins/minion.py
+++ b/standins/src/nutmegshelf_standins/minion.py
@@ -44,6 +44,7 @@
 
     def __init__(self, name: ids.MinionId, mean_s: float, rng: random.Random) -> None:
         self.records = Records(minion=name)
+        self.leaving = False
         self._mean_s = mean_s
         self._rng = rng
         self._in_work = 0
@@ -53,6 +54,9 @@
         if exchange.target == "/_records":
             await exchange.respond(200, [], codecs.pack(self.records))
             return
+        if exchange.target == "/health":
+            await exchange.respond(503 if self.leaving else 200, [])
+            return
         run = Run(
             token=(exchange.header(b"x-token") or b"").decode(),
             method=exchange.method,
--- a/standins/src/nutmegshelf_standins/platform.py
+++ b/standins/src/nutmegshelf_standins/platform.py
@@ -8,7 +8,7 @@
 from nutmegshelf import codecs, platform
 from nutmegshelf_http import server
 
-from nutmegshelf_standins import process, store
+from nutmegshelf_standins import fleet, process, store
 
 _MAX_BYTES = 64 * 1024 * 1024
 
@@ -19,6 +19,8 @@
     down: bool = False
     delay_s: float = 0.0
     lose_answers: bool = False
+    fleet_down: bool = False
+    fleet_stale: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,7 +34,7 @@
 
     def __init__(self) -> None:
         self.store = store.Store()
-        self.fleet = platform.FleetList(revision=0)
+        self.fleet = fleet.Fleet()
         self.faults = Faults()
         self.counts = _Counts()
 
@@ -79,9 +81,10 @@
                 found = self.store.objects.get(key)
                 return (404, b"") if found is None else (200, found)
             case "GET", "fleet":
-                if int(query.get("after", -1)) >= self.fleet.revision:
-                    return 204, b""
-                return 200, codecs.pack(self.fleet)
+                if self.faults.fleet_down:
+                    return 503, b""
+                page = self.fleet.after(int(query.get("after", -1)), self.faults.fleet_stale)
+                return (204, b"") if page is None else (200, codecs.pack(page))
             case _:
                 return 404, b""
 
@@ -90,7 +93,7 @@
             case "PUT", "faults":
                 self.faults = codecs.unpack(body, Faults)
             case "PUT", "fleet":
-                self.fleet = codecs.unpack(body, platform.FleetList)
+                self.fleet.put(codecs.unpack(body, platform.FleetList).minions)
             case _:
                 pass
         await exchange.respond(200, [], codecs.pack(dataclasses.asdict(self.counts)))
