--- a/packages/nutmegshelf/src/nutmegshelf/targets.py
+++ b/packages/nutmegshelf/src/nutmegshelf/targets.py
@@ -18,6 +18,7 @@
 _MASK = _HASH_RANGE - 1
 _MIX = 0x9E3779B97F4A7C15
 _MAX_EARLY = 1000
+_MAX_LOOKS = 200
 
 
 class Cause(enum.Enum):
@@ -241,7 +242,7 @@
         if entries == self._entries:
             return
         self._entries = entries
-        self._due = [(t.probe_at_s, m) for m, t in self.known.items() if self._is_ours(t)]
+        self._due = [(target.probe_at_s, minion) for minion, target in self.known.items()]
         heapq.heapify(self._due)
 
     def _is_ours(self, target: Target) -> bool:
@@ -260,7 +261,10 @@
     def due(self, now_s: float, limit: int) -> list[platform.MinionRecord]:
         """Give at most so many minions to probe now; each comes back once it was probed."""
         found: list[platform.MinionRecord] = []
-        while self._due and self._due[0][0] <= now_s and len(found) < limit:
+        # A bounded look keeps a change of the entries from holding up everything else.
+        for _ in range(_MAX_LOOKS):
+            if not self._due or self._due[0][0] > now_s or len(found) >= limit:
+                break
             at_s, minion = heapq.heappop(self._due)
             target = self.known.get(minion)
             if target is None or target.probe_at_s != at_s:
