Bound what callers' bytes can cost, and lose no fault of a handler

Cause: heads over 32 KiB passed when they came in one read, slow bodies held a connection for ever, an answer to a body still being sent was destroyed by the reset of its connection, an exception in a handler was never seen, and every read of an idle connection set up a timer.

One stream class carries the bytes; one timer a server checks all waiting reads. Answers before the end of a body are followed by a lingering close.

Seen to fail with the mechanism taken out: the head's size check (two rows of 431 become 400 or 200), the head's time limit (the drip never ends), lingering (reset before the 413 was read), the connection limit, the fault hook, the 500.

--- a/features/hosts.py
+++ b/features/hosts.py
@@ -126,8 +126,7 @@
         )
 
     def list_minions(self):
-        revision = self.platform.fleet.revision + 1
-        self.platform.fleet = platform.FleetList(revision=revision, minions=tuple(self.records))
+        self.platform.fleet.put(tuple(self.records))
 
     def declared(self, **changes):
         pool = declarations.Pool(wanted_workers=3, worker_cores=8, worker_memory_gb=16)
--- /dev/null
+++ b/features/steps/bad_input_steps.py
@@ -0,0 +1,182 @@
+"""Send raw bytes to an entry's server and read what comes back."""
+
+import asyncio
+import re
+
+import behave
+from nutmegshelf_entry import relay
+from nutmegshelf_http import server
+
+_DRIP_S = 0.05
+_SHORT_S = 0.1
+_PIECE = re.compile(r"\{(pause|short|drip|eof|.+?\*\d+)\}|^(eof)$", re.DOTALL)
+
+
+@behave.given("the entry gives {limit:f} s for heads and bodies and holds {count:d} connections")
+def start_strict(context, limit, count):
+    async def replace():
+        await context.site.entry.close()
+        limits = server.Limits(limit, limit, limit, limit / 10, count)
+        context.site.entry = server.Server(
+            context.site.relay.handle, limits, bad_head=relay.bad_head
+        )
+        context.site.port = await context.site.entry.start("127.0.0.1", 0)
+
+    context.run(replace())
+
+
+@behave.given("a server whose handler fails {when}")
+def start_failing(context, when):
+    context.faults = []
+
+    async def handle(exchange):
+        if when == "inside its answer":
+            await exchange.start(200, [(b"content-length", b"100")])
+            await exchange.write(b"part")
+        raise LookupError("a fault of the test")
+
+    async def replace():
+        await context.site.entry.close()
+        context.site.entry = server.Server(handle, on_error=context.faults.append)
+        context.site.port = await context.site.entry.start("127.0.0.1", 0)
+
+    context.run(replace())
+
+
+@behave.then("the fault was reported once")
+def check_reported(context):
+    assert [type(fault) for fault in context.faults] == [LookupError], context.faults
+
+
+async def _send(writer, pieces):
+    start = 0
+    for found in [*_PIECE.finditer(pieces), None]:
+        end = found.start() if found else len(pieces)
+        writer.write(_unescape(pieces[start:end]))
+        if found:
+            start = found.end()
+            await _send_special(writer, found[1] or found[2])
+
+
+async def _send_special(writer, what):
+    match what:
+        case "pause":
+            return
+        case "short":
+            await asyncio.sleep(_SHORT_S)
+        case "eof":
+            writer.write_eof()
+        case "drip":
+            for _ in range(100):
+                writer.write(b"x")
+                await asyncio.sleep(_DRIP_S)
+                if writer.is_closing():
+                    return
+        case _:
+            text, _, times = what.rpartition("*")
+            writer.write(_unescape(text) * int(times))
+
+
+def _unescape(text):
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
+def _entry_tasks(site):
+    # The minions' servers run in this process too, and keep connections for later.
+    return len(asyncio.all_tasks()) - sum(listener.connections for listener in site.servers)
+
+
+async def _converse(site, pieces):
+    before = _entry_tasks(site)
+    reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+    sending = asyncio.ensure_future(_send(writer, pieces))
+    try:
+        async with asyncio.timeout(10):
+            return before, await reader.read(-1), True
+    except ConnectionResetError:
+        return before, b"", False
+    finally:
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        writer.close()
+
+
+@behave.when("raw bytes are sent: {pieces}")
+def send_raw(context, pieces):
+    context.pieces = pieces
+    context.tasks_before, context.raw, context.ended = context.run(_converse(context.site, pieces))
+
+
+def _answers(raw):
+    """Read all answers by their framing; a short body is told as cut."""
+    found = []
+    while raw:
+        head, _, raw = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+        found.append(lines[0].split()[1])
+        if outcome := headers.get("nutmegshelf-outcome"):
+            found.append(outcome)
+        size = int(headers.get("content-length", 0))
+        if "content-length" not in headers and found[-1] != "100":
+            size = len(raw)
+        if len(raw) < size:
+            found.append("cut")
+        raw = raw[size:]
+    return " ".join(found)
+
+
+@behave.then('the raw answers are "{expected}"')
+@behave.then('the raw answers are ""')
+def check_raw(context, expected=""):
+    answered = _answers(context.raw)
+    if context.pieces.startswith("HEAD"):
+        answered = answered.removesuffix(" cut")
+    assert context.ended and answered == expected, (answered, context.raw[:300])
+
+
+@behave.then("the raw answer is a 4xx")
+def check_4xx(context):
+    assert context.raw.startswith(b"HTTP/1.1 4"), context.raw[:300]
+
+
+@behave.then("the entry holds no connection and no task of it")
+def check_nothing_left(context):
+    async def settle():
+        while context.site.entry.connections:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        return _entry_tasks(context.site)
+
+    assert context.run(settle()) <= context.tasks_before
+
+
+@behave.when("{count:d} callers connect and wait")
+def connect_many(context, count):
+    async def connect():
+        context.tasks_before = _entry_tasks(context.site)
+        links = [
+            await asyncio.open_connection("127.0.0.1", context.site.port) for _ in range(count)
+        ]
+        context.answers = []
+        for reader, _ in links:
+            # Those within the limit are ended for being idle, without any bytes.
+            context.answers.append(await reader.read(-1))
+        for _, writer in links:
+            writer.close()
+
+    context.run(connect())
+
+
+@behave.then(
+    '{stay:d} of them stay connected and {refused:d} get the status {status:d} "{outcome}" '
+    "with Retry-After"
+)
+def check_many(context, stay, refused, status, outcome):
+    told = [answer.lower() for answer in context.answers if answer]
+    assert len(context.answers) - len(told) == stay, len(told)
+    assert len(told) == refused
+    for answer in told:
+        assert answer.startswith(f"http/1.1 {status} ".encode()), answer
+        assert b"retry-after: " in answer
+        assert f"nutmegshelf-outcome: {outcome}".encode() in answer
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -194,6 +194,9 @@
             (b"nutmegshelf-request", request.id.encode()),
             (b"request-timeout-ms", str(max(1, int(left_s * 1000))).encode()),
         ]
+        if not any(name.lower() == b"host" for name, _ in request.headers):
+            # Only HTTP/1.0 callers may leave it out.
+            headers.append((b"host", request.service_name.encode()))
         if traceparent:
             headers.append((b"traceparent", traceparent.encode()))
         return h11.Request(method=request.method, target=request.target, headers=headers)
@@ -255,6 +258,8 @@
     kinds = {
         431: exceptions.ErrorKind.HEAD_TOO_LARGE,
         408: exceptions.ErrorKind.HEAD_TIMEOUT,
+        500: exceptions.ErrorKind.INTERNAL,
+        503: exceptions.ErrorKind.OVERLOADED,
     }
     error = exceptions.RequestError(kinds.get(status, exceptions.ErrorKind.BAD_REQUEST), detail)
     headers, body = problem(error, None)
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
@@ -2,68 +2,63 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 import h11
 
+from nutmegshelf_http import stream
+
 MAX_HEAD_BYTES = 32 * 1024
-_READ_BYTES = 64 * 1024
+_LINGER_BYTES = 1024 * 1024
+_LINGER_S = 1.0
 
 Headers = list[tuple[bytes, bytes]]
 
 
-class WatchedProtocol(asyncio.StreamReaderProtocol):
-    """Tell at once when the other end closes, also while nobody reads."""
-
-    def __init__(self, reader: asyncio.StreamReader) -> None:
-        super().__init__(reader, self._keep_writer)
-        self.reader = reader
-        self.writer: asyncio.StreamWriter | None = None
-        self.gone = asyncio.Event()
-        self.on_connected: collections.abc.Callable[[WatchedProtocol], None] | None = None
-
-    def _keep_writer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writer = writer
-        if self.on_connected is not None:
-            self.on_connected(self)
-
-    def eof_received(self) -> bool | None:
-        """Note the end of the other side's stream."""
-        self.gone.set()
-        return super().eof_received()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Note the loss of the connection."""
-        self.gone.set()
-        super().connection_lost(exc)
-
-
 class Channel:
     """Own one connection: its streams and its h11 state."""
 
-    def __init__(
-        self,
-        role: type[h11.CLIENT] | type[h11.SERVER],
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        gone: asyncio.Event,
-    ) -> None:
+    def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER], carrier: stream.Stream) -> None:
         self.state = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self.reader = reader
-        self.gone = gone
+        self.gone = carrier.gone
         self.bytes_sent = 0
-        self._writer = writer
+        # A server that watches over slow callers limits each read, or all reads together.
+        self._read_limit_s: float | None = None
+        self._last_read_s: float | None = None
+        self._stream = carrier
+        self._time = asyncio.get_running_loop().time
 
     async def receive(self) -> h11.Event | type[h11.PAUSED]:
         """Give the next event; raises h11.RemoteProtocolError on a broken stream."""
         while True:
             event = self.state.next_event()
-            if not isinstance(event, type) or event is h11.PAUSED:
+            if event is not h11.NEED_DATA:
+                assert not isinstance(event, type) or event is h11.PAUSED
                 return event
-            try:
-                data = await self.reader.read(_READ_BYTES)
-            except ConnectionError as error:
-                raise h11.RemoteProtocolError(f"connection lost: {error}") from error
-            self.state.receive_data(data)
+            self.state.receive_data(await self.read())
+
+    async def read(self) -> bytes:
+        """Give the next bytes; raises h11.RemoteProtocolError where the connection breaks."""
+        before_s = self._last_read_s
+        if before_s is None and self._read_limit_s is not None:
+            before_s = self._time() + self._read_limit_s
+        try:
+            return await self._stream.read(before_s)
+        except ConnectionError as error:
+            raise h11.RemoteProtocolError(f"connection lost: {error}") from error
+
+    def limit_each_read(self, limit_s: float) -> None:
+        """End each read that waits longer."""
+        self._read_limit_s = limit_s
+        self._last_read_s = None
+
+    def limit_all_reads(self, limit_s: float) -> None:
+        """End reads that wait longer in all, however many they are."""
+        self._last_read_s = self._time() + limit_s
+
+    def check_read(self, now_s: float) -> None:
+        """End a read that waits beyond its limit with ReadTimeout."""
+        self._stream.check_read(now_s)
 
     async def send(self, *events: h11.Event) -> None:
         """Write events in one go, waiting while the other end is slow to read."""
@@ -71,8 +66,7 @@
         if not data:
             return
         self.bytes_sent += len(data)
-        self._writer.write(data)
-        await self._writer.drain()
+        await self._stream.write(data)
 
     async def body(self) -> collections.abc.AsyncIterator[bytes]:
         """Give the parts of the message's body up to its whole end."""
@@ -105,10 +99,25 @@
         self.state.start_next_cycle()
         self.bytes_sent = 0
 
+    async def linger(self) -> None:
+        """Close, but read on for a while, as unread bytes would destroy what was sent."""
+        left_bytes = _LINGER_BYTES
+        with contextlib.suppress(OSError, h11.RemoteProtocolError, TimeoutError):
+            if self._stream.transport.can_write_eof():
+                self._stream.transport.write_eof()
+            async with asyncio.timeout(_LINGER_S):
+                while left_bytes > 0 and (data := await self._stream.read()):
+                    left_bytes -= len(data)
+        self.close()
+
     def close(self) -> None:
         """End the connection after what was written is sent."""
-        self._writer.close()
+        self._stream.transport.close()
 
     def abort(self) -> None:
         """End the connection at once, so that the other end sees a break."""
-        self._writer.transport.abort()
+        self._stream.transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Wait until the connection has ended."""
+        await self._stream.wait_closed()
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from nutmegshelf_http import channel
+from nutmegshelf_http import channel, stream
 
 _MAX_ANSWER_BYTES = 256 * 1024 * 1024
 
@@ -27,10 +27,8 @@
 async def open_channel(host: str, port: int) -> channel.Channel:
     """Connect; raises OSError where the server can't be reached."""
     loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader()
-    _, protocol = await loop.create_connection(lambda: channel.WatchedProtocol(reader), host, port)
-    assert protocol.writer is not None
-    return channel.Channel(h11.CLIENT, reader, protocol.writer, protocol.gone)
+    _, carrier = await loop.create_connection(stream.Stream, host, port)
+    return channel.Channel(h11.CLIENT, carrier)
 
 
 async def receive_head(link: channel.Channel) -> h11.Response:
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
@@ -6,15 +6,18 @@
 
 import h11
 
-from nutmegshelf_http import channel
+from nutmegshelf_http import channel, stream
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Bound how long a connection may take for a request's head."""
+    """Bound what a connection may take, and how many there are."""
 
     head_timeout_s: float = 10.0
+    body_timeout_s: float = 20.0
     idle_timeout_s: float = 75.0
+    check_interval_s: float = 0.5
+    max_connections: int = 4096
 
 
 class Exchange:
@@ -75,18 +78,30 @@
 
 
 Handler = collections.abc.Callable[[Exchange], collections.abc.Awaitable[None]]
-BadHead = collections.abc.Callable[[int, str], tuple[int, channel.Headers, bytes]]
+ErrorAnswer = collections.abc.Callable[[int, str], tuple[int, channel.Headers, bytes]]
+OnError = collections.abc.Callable[[Exception], None]
 
 
 def _has_body(request: h11.Request) -> bool:
-    framing = dict(request.headers)
-    return b"transfer-encoding" in framing or framing.get(b"content-length", b"0") != b"0"
+    return any(
+        name == b"transfer-encoding" or (name == b"content-length" and value != b"0")
+        for name, value in request.headers
+    )
 
 
-def _plain_bad_head(status: int, detail: str) -> tuple[int, channel.Headers, bytes]:
+def _head_bytes(request: h11.Request) -> int:
+    lines = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    return len(request.method) + len(request.target) + lines
+
+
+def _plain_error(status: int, detail: str) -> tuple[int, channel.Headers, bytes]:
     return status, [(b"content-type", b"text/plain")], detail.encode()
 
 
+def _ignore(error: Exception) -> None:
+    pass
+
+
 class Server:
     """Own a listening socket and the tasks of its connections."""
 
@@ -94,27 +109,42 @@
         self,
         handler: Handler,
         limits: Limits | None = None,
-        bad_head: BadHead = _plain_bad_head,
+        bad_head: ErrorAnswer = _plain_error,
+        on_error: OnError = _ignore,
     ) -> None:
         self._handler = handler
         self._limits = limits or Limits()
-        self._bad_head = bad_head
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._error_answer = bad_head
+        self._on_error = on_error
+        self._links: dict[asyncio.Task[None], channel.Channel] = {}
         self._listener: asyncio.Server | None = None
+        self._checks: asyncio.TimerHandle | None = None
         self._closing = False
         self.in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
+    @property
+    def connections(self) -> int:
+        """Count the open connections."""
+        return len(self._links)
+
     async def start(self, host: str, port: int) -> int:
         """Listen and give the port."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._make_protocol, host, port, backlog=1024)
+        self._listener = await loop.create_server(
+            lambda: stream.Stream(self._connected), host, port, backlog=1024
+        )
+        self._check_reads()
         return int(self._listener.sockets[0].getsockname()[1])
 
+    def end_keep_alive(self) -> None:
+        """Go on serving, but end each connection with its next answer."""
+        self._closing = True
+
     def stop_listening(self) -> None:
         """Take no new connections; end each one after its running request."""
-        self._closing = True
+        self.end_keep_alive()
         if self._listener is not None:
             self._listener.close()
 
@@ -123,40 +153,60 @@
         await self._idle.wait()
 
     async def close(self) -> None:
-        """End all connections at once."""
+        """End all connections at once and wait for their ends."""
         self.stop_listening()
-        for task in self._tasks:
+        if self._checks is not None:
+            self._checks.cancel()
+        links = dict(self._links)
+        for task in links:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*links, return_exceptions=True)
+        for link in links.values():
+            await link.wait_closed()
 
-    def _make_protocol(self) -> channel.WatchedProtocol:
-        protocol = channel.WatchedProtocol(asyncio.StreamReader())
-        protocol.on_connected = self._connected
-        return protocol
+    def _check_reads(self) -> None:
+        # One timer for all connections costs less than one for each read.
+        loop = asyncio.get_running_loop()
+        for link in self._links.values():
+            link.check_read(loop.time())
+        self._checks = loop.call_later(self._limits.check_interval_s, self._check_reads)
 
-    def _connected(self, protocol: channel.WatchedProtocol) -> None:
-        assert protocol.writer is not None
-        link = channel.Channel(h11.SERVER, protocol.reader, protocol.writer, protocol.gone)
+    def _connected(self, carrier: stream.Stream) -> None:
+        link = channel.Channel(h11.SERVER, carrier)
         task = asyncio.ensure_future(self._serve(link))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._links[task] = link
+        task.add_done_callback(self._links.pop)
 
     async def _serve(self, link: channel.Channel) -> None:
         try:
+            if len(self._links) > self._limits.max_connections:
+                await self._answer_error(link, 503, "too many connections")
+                return
             while await self._serve_one(link):
                 link.start_next()
-            link.close()
-        except (h11.ProtocolError, ConnectionError, TimeoutError):
+            await self._end(link)
+        except stream.ReadTimeout as error:
+            await self._answer_failure(link, 408, str(error))
+        except (h11.RemoteProtocolError, OSError, TimeoutError):
             link.abort()
+        except Exception as error:
+            self._on_error(error)
+            await self._answer_failure(link, 500, "internal error")
         except BaseException:
             link.abort()
             raise
 
+    async def _end(self, link: channel.Channel) -> None:
+        if link.state.their_state is h11.SEND_BODY or link.state.their_state is h11.ERROR:
+            await link.linger()
+        else:
+            link.close()
+
     async def _serve_one(self, link: channel.Channel) -> bool:
         try:
             request = await self._read_head(link)
-        except (h11.RemoteProtocolError, TimeoutError) as error:
-            await self._answer_bad_head(link, error)
+        except h11.RemoteProtocolError as error:
+            await self._answer_error(link, error.error_status_hint, str(error))
             return False
         if request is None:
             return False
@@ -174,27 +224,36 @@
         # An idle connection may wait long for its next request, but a head that has begun
         # must come soon: a slow head would hold the connection for nothing.
         if not link.state.trailing_data[0]:
+            link.limit_each_read(self._limits.idle_timeout_s)
             try:
-                async with asyncio.timeout(self._limits.idle_timeout_s):
-                    first = await link.reader.read(channel.MAX_HEAD_BYTES)
-            except TimeoutError:
+                first = await link.read()
+            except stream.ReadTimeout:
                 return None
             if not first:
                 return None
             link.state.receive_data(first)
-        async with asyncio.timeout(self._limits.head_timeout_s):
-            event = await link.receive()
+        link.limit_all_reads(self._limits.head_timeout_s)
+        event = await link.receive()
         if not isinstance(event, h11.Request):
             return None
+        if _head_bytes(event) > channel.MAX_HEAD_BYTES:
+            raise h11.RemoteProtocolError("the head is too large", error_status_hint=431)
+        link.limit_each_read(self._limits.body_timeout_s)
         if not _has_body(event):
             await link.receive()
         return event
 
-    async def _answer_bad_head(self, link: channel.Channel, error: Exception) -> None:
+    async def _answer_failure(self, link: channel.Channel, status: int, detail: str) -> None:
+        try:
+            await self._answer_error(link, status, detail)
+        except (h11.ProtocolError, OSError):
+            link.abort()
+
+    async def _answer_error(self, link: channel.Channel, status: int, detail: str) -> None:
         if link.state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            link.abort()
             return
-        status = getattr(error, "error_status_hint", 408)
-        code, headers, body = self._bad_head(status, str(error) or "the head came too slowly")
+        code, headers, body = self._error_answer(status, detail)
         head = h11.Response(
             status_code=code,
             headers=[
@@ -204,3 +263,4 @@
             ],
         )
         await link.send(head, h11.Data(data=body), h11.EndOfMessage())
+        await link.linger()
