--- a/features/hosts.py
+++ b/features/hosts.py
@@ -131,8 +131,7 @@
         )
 
     def list_minions(self):
-        revision = self.platform.fleet.revision + 1
-        self.platform.fleet = platform.FleetList(revision=revision, minions=tuple(self.records))
+        self.platform.fleet.put(tuple(self.records))
 
     def declared_files(self, **changes):
         """Give the texts of a set of declarations."""
