Hold pools by fenced leases and step workers by resumable rows

One leased row a pool: every effect renews it and is conditional on its version, so a paused holder's transaction breaks. Steps are written before their order is sent, and a row moves on only when the platform confirmed the order, so a late or doubled order is a repeat of a finished one.

--- /dev/null
+++ b/features/leases.feature
@@ -0,0 +1,53 @@
+Feature: Leases of pools fence every effect of their holders
+
+  Scenario Outline: A <fault> at each step of <entry> harms nothing
+    Given two pools of 4 workers and two entries that move one worker and maintain another
+    When a "<fault>" is tried at each call of "<entry>"
+    Then every run ended with the worker moved, the other maintained and all leases held
+    And no worker served in a pool other than its row's at any step
+    And every budget held at every step
+
+    Examples:
+      | fault            | entry   |
+      | pause before     | entry-0 |
+      | pause before     | entry-1 |
+      | pause after      | entry-0 |
+      | pause after      | entry-1 |
+      | lost answer      | entry-0 |
+      | lost answer      | entry-1 |
+      | outage           | entry-0 |
+      | outage           | entry-1 |
+      | death            | entry-0 |
+      | death            | entry-1 |
+      | doubled call     | entry-0 |
+      | doubled call     | entry-1 |
+
+  Scenario Outline: Faults at random calls of all entries harm nothing
+    Given two pools of 4 workers and two entries that move one worker and maintain another
+    When <runs> runs meet a random fault at <percent> % of the calls of three entries
+    Then every run ended with the worker moved, the other maintained and all leases held
+    And no worker served in a pool other than its row's at any step
+    And every budget held at every step
+
+    Examples:
+      | runs | percent |
+      | 25   | 2       |
+      | 25   | 10      |
+
+  Scenario: A lease is taken over only when its row stood unchanged over the whole lease time
+    Given an entry that saw a lease of 10 s at second 0
+    Then it may not take it at second 9.9
+    When the lease's row changes at second 9.9
+    Then it may not take it at second 19.8
+    And it may take it at second 25
+
+  Scenario Outline: Leases spread evenly over the entries
+    Given <pools> pools and <entries> entries that start together
+    When they run for 60 s
+    Then each pool has one holder and no entry holds more than <share>
+
+    Examples:
+      | pools | entries | share |
+      | 5     | 6       | 1     |
+      | 5     | 2       | 3     |
+      | 50    | 7       | 8     |
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -4,8 +4,9 @@
 import contextlib
 import random
 import signal
+import uuid
 
-from nutmegshelf import configuration, exceptions, members, messages
+from nutmegshelf import configuration, exceptions, leases, members, messages
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
@@ -15,6 +16,7 @@
     minions,
     operator,
     peers,
+    pools,
     relay,
     settings,
     slots,
@@ -49,6 +51,14 @@
         self._heartbeat = health.Heartbeat(
             self._table, self._members, self._peers, self._row, own.heartbeat_interval_s
         )
+        self._pools = pools.Pools(
+            rows=self._table,
+            workforce=self._table,
+            in_force=self._in_force,
+            known=self._members,
+            book=leases.Leases(own.entry, uuid.uuid4().hex, own.pool_lease_s),
+            interval_s=own.poll_interval_s,
+        )
         self._operators_port = 0
         self._leaving = False
         self._callers = server.Server(self._relay.handle, bad_head=relay.bad_head)
@@ -70,6 +80,7 @@
                 group.create_task(self._heartbeat.run()),
                 group.create_task(self._configurator.run()),
                 group.create_task(self._fleet.run()),
+                group.create_task(self._pools.run()),
             ]
             await stop.wait()
             await self._drain()
@@ -93,6 +104,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._own.drain_timeout_s):
                 await self._callers.wait_idle()
+        with contextlib.suppress(exceptions.TableError):
+            await self._pools.release_all()
         with contextlib.suppress(exceptions.TableError):
             await self._heartbeat.leave(self._own.entry)
 
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -0,0 +1,267 @@
+"""Hold leases of pools and run the steps of their workers."""
+
+import asyncio
+import collections.abc
+import time
+
+from nutmegshelf import (
+    budgets,
+    configuration,
+    decisions,
+    drains,
+    exceptions,
+    hosts,
+    ids,
+    leases,
+    maintenance,
+    members,
+    moves,
+    platform,
+    workers,
+)
+
+from nutmegshelf_entry import logs, table
+
+_SCAN_ROWS = 1000
+_log = logs.part("pools")
+
+Plan = collections.abc.Callable[[drains.View, ids.PoolName], list[moves.Transfer]]
+
+
+class Conflict(exceptions.NutmegshelfError):
+    """Report that a row of a fenced transaction changed: the lease or what it was decided on."""
+
+
+class Pools:
+    """Own this entry's pool leases; every pass starts from the rows, so it resumes anyone's work.
+
+    A pass that meets an error ends there: the next one reads again what has come of it.
+    """
+
+    def __init__(
+        self,
+        *,
+        rows: table.Rows,
+        workforce: table.Workforce,
+        in_force: configuration.InForce,
+        known: members.Members,
+        book: leases.Leases,
+        interval_s: float,
+        plan: Plan | None = None,
+        wall_clock: collections.abc.Callable[[], float] = time.time,
+    ) -> None:
+        self.decisions = decisions.ring()
+        self._last_told: dict[str, tuple[decisions.Action, str]] = {}
+        self._rows = rows
+        self._workforce = workforce
+        self._in_force = in_force
+        self._members = known
+        self._book = book
+        self._interval_s = interval_s
+        self._plan = plan
+        self._wall_clock = wall_clock
+        self._workers: dict[ids.WorkerId, workers.WorkerRecord] = {}
+        self._workers_revision = -1
+        self._minions: tuple[platform.MinionRecord, ...] = ()
+        self._minions_revision = -1
+
+    async def run(self) -> None:
+        """Run passes for ever."""
+        while True:
+            try:
+                await self.run_pass()
+            except (exceptions.TableError, Conflict) as error:
+                _log.warning("Ended a pass early.", error=str(error))
+            await asyncio.sleep(self._interval_s)
+
+    async def run_pass(self) -> None:
+        """Take and renew leases, then run the held pools' steps; raises TableError."""
+        accepted = self._in_force.accepted
+        if accepted is None:
+            return
+        pools = sorted(accepted.declarations.pools)
+        await self._keep_leases(pools)
+        for pool in sorted(self._book.held.keys() & set(pools)):
+            try:
+                await self._run_pool(accepted, pool)
+            except Conflict as error:
+                _log.info("Left a pool.", pool=pool, error=str(error))
+
+    async def release_all(self) -> None:
+        """Give every lease back, for a graceful stop; raises TableError."""
+        for pool in sorted(self._book.held):
+            await self._rows.commit(self._book.releasing(pool))
+
+    async def _keep_leases(self, pools: list[ids.PoolName]) -> None:
+        now_s = asyncio.get_running_loop().time()
+        found = await self._scan(leases.PREFIX)
+        for pool in self._book.observe(found, now_s):
+            self._decide(pool, decisions.Action.LOSE_LEASE, "another entry holds it")
+        entries = [self._members.own, *(row.entry for row in self._members.live(now_s))]
+        for pool in self._book.to_release(pools, entries, now_s):
+            await self._rows.commit(self._book.releasing(pool))
+            del self._book.held[pool]
+            self._decide(pool, decisions.Action.RELEASE_LEASE, "above the even share")
+        for pool in self._book.to_take(pools, entries, now_s):
+            committed = await self._rows.commit(self._book.taking(pool))
+            if committed.ok:
+                self._book.observe_own(committed.rows[0], now_s)
+                self._decide(pool, decisions.Action.TAKE_LEASE, "it was free or had lapsed")
+
+    async def _run_pool(self, accepted: configuration.Accepted, pool: ids.PoolName) -> None:
+        view = await self._read(accepted)
+        if self._book.is_renewal_due(pool, asyncio.get_running_loop().time()):
+            await self._commit(pool, view, leases.fenced(self._book.held[pool]))
+        await self._enrol(pool, view)
+        rows = sorted(
+            (host.row for host in view.host_of.values() if host.row.pool == pool),
+            key=lambda row: row.worker,
+        )
+        for row in rows:
+            await self._run_step(pool, view, row)
+        await self._move(pool, view)
+        await self._maintain(pool, view)
+
+    async def _read(self, accepted: configuration.Accepted) -> drains.View:
+        # Budgets go first: what freed them is then surely seen in the workers' rows.
+        found = {row.key: row for row in await self._scan(budgets.PREFIX)}
+        rows = [hosts.read(row) for row in await self._scan(hosts.PREFIX)]
+        await self._refresh_lists()
+        declared = accepted.declarations
+        return drains.View(
+            declared=declared,
+            budget_of={
+                service: budgets.read(
+                    found.get(budgets.key(service), platform.Row(budgets.key(service), 0)), service
+                )
+                for service in declared.services
+            },
+            host_of={host.row.worker: host for host in rows},
+            minions=self._minions,
+            failed=frozenset(
+                worker
+                for worker, record in self._workers.items()
+                if record.state is not workers.WorkerState.READY
+            ),
+        )
+
+    async def _refresh_lists(self) -> None:
+        listed = await self._workforce.list_workers(self._workers_revision)
+        if listed is not None and listed.revision > self._workers_revision:
+            self._workers_revision = listed.revision
+            self._workers = {record.worker: record for record in listed.workers}
+        fleet = await self._workforce.fleet(self._minions_revision)
+        if fleet is not None and fleet.revision > self._minions_revision:
+            self._minions_revision, self._minions = fleet.revision, fleet.minions
+
+    async def _enrol(self, pool: ids.PoolName, view: drains.View) -> None:
+        new = [
+            record
+            for record in self._workers.values()
+            if record.pool == pool and record.worker not in view.host_of
+        ]
+        for record in new:
+            row = hosts.enrolled(record, self._wall_clock())
+            absent = platform.Condition(hosts.key(record.worker), 0)
+            await self._commit(
+                pool, view, leases.fenced(self._book.held[pool], (absent,), (hosts.write(row),))
+            )
+
+    async def _run_step(self, pool: ids.PoolName, view: drains.View, row: hosts.HostRow) -> None:
+        lease = self._book.held[pool].lease
+        record = self._workers.get(row.worker)
+        gone = record is None or record.state is workers.WorkerState.GONE
+        if gone and row.step is not hosts.HostStep.WITHDRAWN:
+            await self._advance(pool, view, hosts.withdrawn(row, lease))
+            self._decide(row.worker, decisions.Action.WITHDRAWN, "the platform took it back")
+        elif not gone and row.step is hosts.HostStep.WITHDRAWN:
+            await self._advance(pool, view, hosts.returned(row, lease))
+            self._decide(row.worker, decisions.Action.START, "the platform lists it again")
+        elif not gone and await self._order(row) is workers.Outcome.DONE:
+            await self._finish_step(pool, view, row)
+
+    async def _order(self, row: hosts.HostRow) -> workers.Outcome | None:
+        # The order of a row goes before any next row, also before a recall: whoever sends it
+        # again late finds it done already, and it does nothing.
+        order = hosts.order(row)
+        return None if order is None else await self._workforce.order(order)
+
+    async def _finish_step(self, pool: ids.PoolName, view: drains.View, row: hosts.HostRow) -> None:
+        lease = self._book.held[pool].lease
+        draining = row.step is hosts.HostStep.DRAINING
+        recall = draining and drains.should_recall(view, row.worker)
+        following = hosts.next_row(row, lease, recall, self._wall_clock())
+        await self._advance(pool, view, following)
+        if recall:
+            self._decide(row.worker, decisions.Action.RECALL, "a budget no longer holds")
+        elif following.pool != row.pool:
+            self._decide(row.worker, decisions.Action.MOVE, f"from {row.pool} to {following.pool}")
+
+    async def _advance(
+        self, pool: ids.PoolName, view: drains.View, following: hosts.HostRow
+    ) -> None:
+        transaction = drains.advance(view, self._book.held[pool], following.worker, following)
+        await self._commit(pool, view, transaction)
+
+    async def _move(self, pool: ids.PoolName, view: drains.View) -> None:
+        for transfer in self._plan(view, pool) if self._plan else []:
+            await self.drain(
+                pool, view, transfer.worker, hosts.Purpose.MOVE, to_pool=transfer.to_pool
+            )
+
+    async def _maintain(self, pool: ids.PoolName, view: drains.View) -> None:
+        rows = [host.row for host in view.host_of.values() if host.row.pool == pool]
+        for rule in view.declared.maintenance.values():
+            if rule.pool != pool:
+                continue
+            for row in maintenance.candidates(rule, rows, self._wall_clock()):
+                await self.drain(pool, view, row.worker, hosts.Purpose.MAINTENANCE)
+
+    async def drain(
+        self,
+        pool: ids.PoolName,
+        view: drains.View,
+        worker: ids.WorkerId,
+        purpose: hosts.Purpose,
+        *,
+        to_pool: ids.PoolName | None = None,
+    ) -> bool:
+        """Ask the budgets for a drain and write it down; raises TableError or Conflict."""
+        match drains.grant(view, self._book.held[pool], worker, purpose, to_pool=to_pool):
+            case drains.Refused() as refused:
+                self._decide(worker, decisions.Action.REFUSE_DRAIN, str(refused))
+                return False
+            case drains.Granted() as granted:
+                await self._commit(pool, view, granted.transaction)
+                self._decide(worker, decisions.Action.DRAIN, purpose.value)
+                return True
+
+    async def _commit(
+        self, pool: ids.PoolName, view: drains.View, transaction: platform.Transaction
+    ) -> None:
+        committed = await self._rows.commit(transaction)
+        own = next((row for row in committed.rows if row.key == leases.key(pool)), None)
+        if not committed.ok:
+            raise Conflict(f"{pool}: {', '.join(row.key for row in committed.rows)} changed")
+        assert own is not None
+        self._book.observe_own(own, asyncio.get_running_loop().time())
+        view.take_rows(committed.rows)
+
+    async def _scan(self, prefix: str) -> list[platform.Row]:
+        found: list[platform.Row] = []
+        after = ""
+        while True:
+            rows = await self._rows.scan(prefix, after, _SCAN_ROWS)
+            found += rows
+            if len(rows) < _SCAN_ROWS:
+                return found
+            after = rows[-1].key
+
+    def _decide(self, name: str, action: decisions.Action, reason: str) -> None:
+        # A refusal that only repeats itself each pass is told once.
+        if self._last_told.get(name) == (action, reason):
+            return
+        self._last_told[name] = (action, reason)
+        now_s = asyncio.get_running_loop().time()
+        self.decisions.append(decisions.Decision(name, action, reason, now_s))
+        _log.info("Decided.", name=name, action=action.value, reason=reason)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -46,6 +46,7 @@
     seats: int = 7
     heartbeat_interval_s: float = 1.0
     poll_interval_s: float = 1.0
+    pool_lease_s: float = 10.0
     drain_timeout_s: float = 30.0
     trace_fraction: float = 0.01
     log_level: str = "info"
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -4,7 +4,7 @@
 import typing
 
 import h11
-from nutmegshelf import codecs, exceptions, platform
+from nutmegshelf import codecs, exceptions, platform, workers
 from nutmegshelf_http import client
 
 _HEADERS = [(b"content-type", b"application/msgpack")]
@@ -47,6 +47,21 @@
         answer = await self._call("GET", f"/fleet?after={after_revision}", changes=False)
         return None if answer.status == 204 else codecs.unpack(answer.body, platform.FleetList)
 
+    async def list_workers(self, after_revision: int = -1) -> workers.WorkerList | None:
+        """Read the list of workers if it is newer than a revision; raises TableUnavailable."""
+        answer = await self._call("GET", f"/workers?after={after_revision}", changes=False)
+        return None if answer.status == 204 else codecs.unpack(answer.body, workers.WorkerList)
+
+    async def order(self, order: workers.AnyOrder) -> workers.Outcome:
+        """Send an order; raises TableUnavailable or TableAnswerLost."""
+        answer = await self._call("POST", "/orders", codecs.pack(order))
+        return codecs.unpack(answer.body, workers.Outcome)
+
+    async def usage(self) -> list[workers.TaskUsage]:
+        """Read the lagged usage of tasks; raises TableUnavailable."""
+        answer = await self._call("GET", "/usage", changes=False)
+        return codecs.unpack(answer.body, list[workers.TaskUsage])
+
     async def _call(
         self, method: str, target: str, body: bytes = b"", *, changes: bool = True
     ) -> client.Response:
@@ -69,6 +84,19 @@
         self._client.close()
 
 
+class Workforce(typing.Protocol):
+    """Name what parts of the daemon need of the workers service, so that tests can fake it."""
+
+    async def list_workers(self, after_revision: int = -1) -> workers.WorkerList | None:
+        """Read the list of workers."""
+
+    async def fleet(self, after_revision: int = -1) -> platform.FleetList | None:
+        """Read the list of minions."""
+
+    async def order(self, order: workers.AnyOrder) -> workers.Outcome:
+        """Send an order."""
+
+
 class Rows(typing.Protocol):
     """Name what parts of the daemon need of the table, so that tests can fake it."""
 
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/budgets.py
@@ -0,0 +1,121 @@
+"""Count what of a service may still be taken away."""
+
+import collections
+import dataclasses
+import math
+
+import msgspec
+
+from nutmegshelf import codecs, declarations, ids, platform
+
+PREFIX = "budgets/"
+_WAVE_RACKS = 2
+_ROUNDING = 1e-9
+
+
+class BudgetRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the workers that drain at a service's cost; every grant and return goes through it."""
+
+    service: ids.ServiceName
+    draining: tuple[ids.WorkerId, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Budget:
+    """Pair a budget's row with the version that it was read at."""
+
+    row: BudgetRow
+    version: int
+
+    @property
+    def condition(self) -> platform.Condition:
+        """Demand that the row did not change since it was read."""
+        return platform.Condition(key(self.row.service), self.version)
+
+    def taking(self, worker: ids.WorkerId) -> platform.Write:
+        """Count one more worker as draining."""
+        row = BudgetRow(
+            service=self.row.service, draining=tuple(sorted({*self.row.draining, worker}))
+        )
+        return platform.Write(key(self.row.service), codecs.pack(row))
+
+    def returning(self, worker: ids.WorkerId) -> platform.Write:
+        """Count a worker as draining no longer."""
+        left = tuple(other for other in self.row.draining if other != worker)
+        row = BudgetRow(service=self.row.service, draining=left)
+        return platform.Write(key(self.row.service), codecs.pack(row))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Say where one minion runs, and whether it may be counted on."""
+
+    minion: ids.MinionId
+    worker: ids.WorkerId
+    rack: ids.RackName
+    zone: ids.ZoneName
+    up: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """Say what a budget demands, what is up, and what would be after the worst rack is lost."""
+
+    required: int
+    available: int
+    after_rack_loss: int
+
+    @property
+    def holds(self) -> bool:
+        """Say whether the budget holds now."""
+        return self.available >= self.required
+
+    @property
+    def spare(self) -> int:
+        """Count the minions that may still go with one more rack lost."""
+        return self.after_rack_loss - self.required
+
+
+def key(service: ids.ServiceName) -> str:
+    """Name the row of a service's budget."""
+    return PREFIX + service
+
+
+def read(row: platform.Row, service: ids.ServiceName) -> Budget:
+    """Decode a budget's row; one that does not exist drains nothing."""
+    if not row.version:
+        return Budget(BudgetRow(service=service), 0)
+    return Budget(codecs.unpack(row.value, BudgetRow), row.version)
+
+
+def required(declared: declarations.DeclarationSet, service: ids.ServiceName) -> int:
+    """Count the minions that a service's strictest budget demands."""
+    wanted = declared.services[service].wanted_minions
+    fractions = [
+        budget.min_available_fraction
+        for budget in declared.budgets.values()
+        if budget.service == service
+    ]
+    return math.ceil(wanted * max(fractions, default=0.0) - _ROUNDING)
+
+
+def standing(demanded: int, places: list[Place], away: frozenset[ids.WorkerId]) -> Standing:
+    """Count what is up without the workers that are away, and with the worst rack lost too."""
+    waves = _wave_zones(places)
+    up = [
+        place
+        for place in places
+        if place.up and place.worker not in away and place.zone not in waves
+    ]
+    by_rack = collections.Counter(place.rack for place in up)
+    worst = max(by_rack.values(), default=0)
+    return Standing(demanded, len(up), len(up) - worst)
+
+
+def _wave_zones(places: list[Place]) -> set[ids.ZoneName]:
+    # Two racks of a zone failing together may be a wave that the lagging list shows in part.
+    racks: dict[ids.ZoneName, set[ids.RackName]] = collections.defaultdict(set)
+    for place in places:
+        if not place.up:
+            racks[place.zone].add(place.rack)
+    return {zone for zone, failed in racks.items() if len(failed) >= _WAVE_RACKS}
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/drains.py
@@ -0,0 +1,136 @@
+"""Grant or refuse drains by the budgets of all services at a worker."""
+
+import dataclasses
+import typing
+
+from nutmegshelf import budgets, declarations, hosts, ids, leases, platform
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """Hold what was read in one pass: budgets before workers, workers before minions."""
+
+    declared: declarations.DeclarationSet
+    budget_of: dict[ids.ServiceName, budgets.Budget]
+    host_of: dict[ids.WorkerId, hosts.Host]
+    minions: tuple[platform.MinionRecord, ...]
+    suspects: frozenset[ids.MinionId] = frozenset()
+    failed: frozenset[ids.WorkerId] = frozenset()
+
+    def take_rows(self, rows: tuple[platform.Row, ...]) -> None:
+        """Take rows as an own transaction wrote them."""
+        for row in rows:
+            if row.key.startswith(hosts.PREFIX):
+                host = hosts.read(row)
+                self.host_of[host.row.worker] = host
+            elif row.key.startswith(budgets.PREFIX):
+                service = ids.ServiceName(row.key.removeprefix(budgets.PREFIX))
+                self.budget_of[service] = budgets.read(row, service)
+
+    def services_at(self, worker: ids.WorkerId) -> list[ids.ServiceName]:
+        """Name the declared services with a minion at a worker."""
+        found = {record.service for record in self.minions if record.worker == worker}
+        return sorted(found & self.budget_of.keys())
+
+    def places(self, service: ids.ServiceName) -> list[budgets.Place]:
+        """Give the places of a service's minions, with those that may have failed as down."""
+        return [
+            budgets.Place(
+                record.minion, record.worker, record.rack, record.zone, self._is_up(record)
+            )
+            for record in self.minions
+            if record.service == service
+        ]
+
+    def standing(
+        self, service: ids.ServiceName, also: frozenset[ids.WorkerId] = frozenset()
+    ) -> budgets.Standing:
+        """Count a service's budget with all that is draining and some more workers away."""
+        budget = self.budget_of.get(service)
+        draining = frozenset(budget.row.draining) if budget else frozenset()
+        rows = frozenset(worker for worker, host in self.host_of.items() if hosts.is_away(host.row))
+        away = draining | rows | also
+        return budgets.standing(
+            budgets.required(self.declared, service), self.places(service), away
+        )
+
+    def _is_up(self, record: platform.MinionRecord) -> bool:
+        # A minion that is still listed at a worker of another pool is news of before the move.
+        host = self.host_of.get(record.worker)
+        pool = self.declared.services[record.service].pool
+        if host is None or host.row.pool != pool or record.worker in self.failed:
+            return False
+        return record.state is platform.HostState.LIVE and record.minion not in self.suspects
+
+
+class Granted(typing.NamedTuple):
+    """Carry the transaction that grants a drain."""
+
+    transaction: platform.Transaction
+    row: hosts.HostRow
+
+
+class Refused(typing.NamedTuple):
+    """Say which budget a drain would break."""
+
+    service: ids.ServiceName
+    standing: budgets.Standing
+
+    def __str__(self) -> str:
+        found = self.standing
+        return (
+            f"{self.service} needs {found.required} minions and would have "
+            f"{found.after_rack_loss} of {found.available} with one more rack lost"
+        )
+
+
+def grant(
+    view: View,
+    held: leases.Held,
+    worker: ids.WorkerId,
+    purpose: hosts.Purpose,
+    *,
+    to_pool: ids.PoolName | None = None,
+) -> Granted | Refused:
+    """Grant a drain when every budget at the worker holds with one more rack lost."""
+    services = view.services_at(worker)
+    for service in services:
+        found = view.standing(service, frozenset({worker}))
+        if found.spare < 0:
+            return Refused(service, found)
+    host = view.host_of[worker]
+    row = hosts.drained_for(host.row, held.lease, purpose, to_pool)
+    taken = [view.budget_of[service] for service in services]
+    transaction = leases.fenced(
+        held,
+        (host.condition, *(budget.condition for budget in taken)),
+        (hosts.write(row), *(budget.taking(worker) for budget in taken)),
+    )
+    return Granted(transaction, row)
+
+
+def advance(
+    view: View, held: leases.Held, worker: ids.WorkerId, row: hosts.HostRow
+) -> platform.Transaction:
+    """Write a worker's next row; its budgets count a withdrawal, and its return to serving."""
+    host = view.host_of[worker]
+    changed: list[tuple[budgets.Budget, platform.Write]] = []
+    if row.step is hosts.HostStep.SERVING:
+        debited = [one for one in view.budget_of.values() if worker in one.row.draining]
+        changed = [(budget, budget.returning(worker)) for budget in debited]
+    elif row.step is hosts.HostStep.WITHDRAWN:
+        hit = [view.budget_of[service] for service in view.services_at(worker)]
+        changed = [(budget, budget.taking(worker)) for budget in hit]
+    return leases.fenced(
+        held,
+        (host.condition, *(budget.condition for budget, _ in changed)),
+        (hosts.write(row), *(write for _, write in changed)),
+    )
+
+
+def should_recall(view: View, worker: ids.WorkerId) -> bool:
+    """Say whether a drain is to be called back, as its services' budgets no longer hold."""
+    services = [
+        service for service, budget in view.budget_of.items() if worker in budget.row.draining
+    ]
+    return any(not view.standing(service).holds for service in services)
--- a/packages/nutmegshelf/src/nutmegshelf/ids.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ids.py
@@ -16,6 +16,7 @@
 AttemptId = typing.NewType("AttemptId", str)
 PublishId = typing.NewType("PublishId", str)
 TaskId = typing.NewType("TaskId", str)
+OperationId = typing.NewType("OperationId", str)
 Version = typing.NewType("Version", int)
 Epoch = typing.NewType("Epoch", int)
 
--- a/standins/src/nutmegshelf_standins/platform.py
+++ b/standins/src/nutmegshelf_standins/platform.py
@@ -5,10 +5,10 @@
 import urllib.parse
 
 import msgspec
-from nutmegshelf import codecs, platform
+from nutmegshelf import codecs, platform, workers
 from nutmegshelf_http import server
 
-from nutmegshelf_standins import process, store
+from nutmegshelf_standins import process, store, workforce
 
 _MAX_BYTES = 64 * 1024 * 1024
 
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.store = store.Store()
         self.fleet = platform.FleetList(revision=0)
+        self.workforce = workforce.Workforce()
         self.faults = Faults()
         self.counts = _Counts()
 
@@ -82,6 +83,21 @@
                 if int(query.get("after", -1)) >= self.fleet.revision:
                     return 204, b""
                 return 200, codecs.pack(self.fleet)
+            case _:
+                return self._serve_workers(method, service, query, body)
+
+    def _serve_workers(
+        self, method: str, service: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        match method, service:
+            case "GET", "workers":
+                listed = self.workforce.listed(int(query.get("after", -1)))
+                return (204, b"") if listed is None else (200, codecs.pack(listed))
+            case "GET", "usage":
+                return 200, codecs.pack(self.workforce.usage())
+            case "POST", "orders":
+                order: workers.AnyOrder = codecs.CODECS["msgpack"].decode(body, workers.AnyOrder)
+                return 200, codecs.pack(self.workforce.take(order))
             case _:
                 return 404, b""
 
@@ -91,6 +107,8 @@
                 self.faults = codecs.unpack(body, Faults)
             case "PUT", "fleet":
                 self.fleet = codecs.unpack(body, platform.FleetList)
+            case "PUT", "workers":
+                self.workforce.enlist(codecs.unpack(body, list[workers.WorkerRecord]))
             case _:
                 pass
         await exchange.respond(200, [], codecs.pack(dataclasses.asdict(self.counts)))
--- /dev/null
+++ b/standins/src/nutmegshelf_standins/workforce.py
@@ -0,0 +1,91 @@
+"""Keep workers and their tasks in memory, with orders that are idempotent by operation."""
+
+import asyncio
+
+import msgspec
+from nutmegshelf import ids, workers
+
+
+class Workforce:
+    """Take orders as the platform's workers service would."""
+
+    def __init__(self, drain_s: float = 0.5, boot_s: float = 0.5) -> None:
+        self.workers: dict[ids.WorkerId, workers.WorkerRecord] = {}
+        self.tasks: dict[ids.TaskId, workers.StartTask] = {}
+        self.effects: list[workers.AnyOrder] = []
+        self.revision = 0
+        self._drain_s = drain_s
+        self._boot_s = boot_s
+        self._due: dict[ids.OperationId, tuple[float, workers.AnyOrder]] = {}
+        self._finished: dict[ids.OperationId, workers.Outcome] = {}
+
+    def enlist(self, records: list[workers.WorkerRecord]) -> None:
+        """Set the workers that exist."""
+        self.workers = {record.worker: record for record in records}
+        self.revision += 1
+
+    def withdraw(self, worker: ids.WorkerId) -> None:
+        """Take a worker back without asking."""
+        self._set(worker, workers.WorkerState.GONE)
+
+    def listed(self, after_revision: int) -> workers.WorkerList | None:
+        """List the workers if anything changed."""
+        self._settle()
+        if after_revision >= self.revision:
+            return None
+        return workers.WorkerList(revision=self.revision, workers=tuple(self.workers.values()))
+
+    def usage(self) -> list[workers.TaskUsage]:
+        """Report what the running tasks use."""
+        return [
+            workers.TaskUsage(
+                task=task.task, job=task.job, worker=task.worker, cores=1.0, memory_gb=1.0
+            )
+            for task in self.tasks.values()
+        ]
+
+    def take(self, order: workers.AnyOrder) -> workers.Outcome:
+        """Apply an order once; a repeat only asks how far it has come."""
+        self._settle()
+        if order.operation in self._finished:
+            return self._finished[order.operation]
+        if order.operation in self._due:
+            return workers.Outcome.PENDING
+        record = self.workers.get(order.worker)
+        if record is None or record.state is workers.WorkerState.GONE:
+            return workers.Outcome.REFUSED
+        self.effects.append(order)
+        now_s = asyncio.get_running_loop().time()
+        match order:
+            case workers.Drain():
+                self._set(order.worker, workers.WorkerState.DRAINING)
+                self._due[order.operation] = (now_s + self._drain_s, order)
+            case workers.Start():
+                self._due[order.operation] = (now_s + self._boot_s, order)
+            case workers.StartTask():
+                self.tasks[order.task] = order
+                self._finished[order.operation] = workers.Outcome.DONE
+            case workers.StopTask() | workers.CheckpointTask():
+                self.tasks.pop(order.task, None)
+                self._finished[order.operation] = workers.Outcome.DONE
+        return self._finished.get(order.operation, workers.Outcome.PENDING)
+
+    def _settle(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for operation, (due_s, order) in list(self._due.items()):
+            if due_s > now_s:
+                continue
+            del self._due[operation]
+            self._finished[operation] = workers.Outcome.DONE
+            record = self.workers.get(order.worker)
+            if record is None or record.state is workers.WorkerState.GONE:
+                continue
+            if isinstance(order, workers.Start):
+                self.workers[order.worker] = msgspec.structs.replace(record, pool=order.pool)
+                self._set(order.worker, workers.WorkerState.READY)
+            else:
+                self._set(order.worker, workers.WorkerState.DRAINED)
+
+    def _set(self, worker: ids.WorkerId, state: workers.WorkerState) -> None:
+        self.workers[worker] = msgspec.structs.replace(self.workers[worker], state=state)
+        self.revision += 1
