--- a/features/leases.feature
+++ b/features/leases.feature
@@ -5,6 +5,7 @@
     When a "<fault>" is tried at each call of "<entry>"
     Then every run ended with the worker moved, the other maintained and all leases held
     And no worker served in a pool other than its row's at any step
+    And every step was taken once by the holder of the lease
     And every budget held at every step
 
     Examples:
@@ -27,6 +28,7 @@
     When <runs> runs meet a random fault at <percent> % of the calls of three entries
     Then every run ended with the worker moved, the other maintained and all leases held
     And no worker served in a pool other than its row's at any step
+    And every step was taken once by the holder of the lease
     And every budget held at every step
 
     Examples:
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -54,7 +54,7 @@
         ]
         known.take_rows(rows, 0.0)
         head = configuration.Head(version=ids.Version(1), digest="", publish_id=ids.PublishId("p"))
-        port = Port(self, gate)
+        port = Port(self, name, gate)
         self.entries[name] = pools.Pools(
             rows=port,
             workforce=port,
@@ -85,6 +85,22 @@
         found = self.store.scan(leases.PREFIX, "", 10_000)
         return [codecs.unpack(row.value, leases.LeaseRow) for row in found]
 
+    def commit(self, entry, transaction):
+        """Apply a transaction, and note effects on workers by any but their lease's holder."""
+        before = self.rows()
+        holders = {lease.pool: lease.holder for lease in self.leases()}
+        committed = self.store.commit(transaction)
+        after = self.rows() if committed.ok else before
+        for worker, row in after.items():
+            old = before.get(worker)
+            if old == row:
+                continue
+            if holders.get(old.pool if old else row.pool) != entry:
+                self.wrong.append(("fence", entry, holders, row))
+            if old and row.number != old.number + 1:
+                self.wrong.append(("fence", "a step was lost or repeated", old, row))
+        return committed
+
     def check(self, what):
         ready = dict.fromkeys(self.required, 0)
         for worker, row in self.rows().items():
@@ -130,8 +146,9 @@
 class Port:
     """Be one entry's way to the table and the workers."""
 
-    def __init__(self, site, gate):
+    def __init__(self, site, name, gate):
         self.site = site
+        self.name = name
         self.gate = gate
 
     async def read(self, key):
@@ -141,7 +158,7 @@
         return await self._call(lambda: self.site.store.scan(prefix, after, limit))
 
     async def commit(self, transaction):
-        return await self._call(lambda: self.site.store.commit(transaction), changes=True)
+        return await self._call(lambda: self.site.commit(self.name, transaction), changes=True)
 
     async def list_workers(self, after_revision=-1):
         return await self._call(lambda: self.site.workforce.listed(after_revision))
@@ -336,6 +353,12 @@
     assert not wrong, (len(wrong), wrong[0])
 
 
+@behave.then("every step was taken once by the holder of the lease")
+def check_fences(context):
+    wrong = [(at, w) for at, site, _, _ in context.runs for w in site.wrong if w[0] == "fence"]
+    assert not wrong, (len(wrong), wrong[0])
+
+
 @behave.then("every budget held at every step")
 def check_budgets(context):
     wrong = [(at, w) for at, site, _, _ in context.runs for w in site.wrong if w[0] == "budget"]
