--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,177 @@
+"""Sweep faults over the calls of entries that hold pools."""
+
+import asyncio
+import random
+
+import behave
+from nutmegshelf import codecs, declarations, hosts, leases, moves, platform
+from nutmegshelf_standins import clock
+
+from features import fleet
+
+
+def plan_one_move(view, pool):
+    row = view.host_of["a-w0"].row if "a-w0" in view.host_of else None
+    if row and row.pool == pool == "a" and row.step is hosts.HostStep.SERVING:
+        return [moves.Transfer("a-w0", "b")]
+    return []
+
+
+def build(names, gates):
+    declared = fleet.declare(["a", "b"], 4, 0.5)
+    rule = declarations.Maintenance(pool="b")
+    declared = declarations.DeclarationSet(
+        pools=declared.pools,
+        services=declared.services,
+        budgets=declared.budgets,
+        maintenance={"b": rule},
+    )
+    records = fleet.records_of(["a", "b"], 4)
+    site = fleet.Site(declared, records, fleet.fleet_of(records), plan_one_move)
+    site.required = {"a": 2, "b": 2}
+    # One worker of the second pool is old; all others are new.
+    for record in records:
+        row = hosts.enrolled(record, fleet.OLD_S if record.worker == "b-w1" else 0.0)
+        site.store.commit(platform.Transaction(writes=(hosts.write(row),)))
+    for name in names:
+        site.add(name, names, gates.get(name))
+    return site
+
+
+async def run_one(fault, entry, at):
+    names = ["entry-0", "entry-1"]
+    gate = fleet.Gate(fault, at)
+    site = build(names, {entry: gate})
+    site.start()
+    for _ in range(120):
+        await asyncio.sleep(1.0)
+        if is_done(site) and (gate.calls > at or at < 0):
+            break
+    site.calls_until_done = gate.calls
+    # A paused holder wakes up after all is done.
+    await asyncio.sleep(fleet.PAUSE_S + 2 * fleet.LEASE_S)
+    site.check("end")
+    done = is_done(site)
+    await site.stop()
+    return site, gate, done
+
+
+def is_done(site):
+    rows = site.rows()
+    return (
+        rows["a-w0"].pool == "b"
+        and rows["b-w1"].maintained_at_s > 0
+        and all(row.step is hosts.HostStep.SERVING for row in rows.values())
+        and len(site.leases()) == 2
+    )
+
+
+@behave.given("two pools of 4 workers and two entries that move one worker and maintain another")
+def prepare(context):
+    context.runs = []
+
+
+@behave.when('a "{fault}" is tried at each call of "{entry}"')
+def sweep(context, fault, entry):
+    site, gate, done = clock.run(run_one("none", entry, -1))
+    assert done and not site.wrong, (done, site.wrong)
+    assert site.calls_until_done > 20, gate.calls
+    for at in range(site.calls_until_done):
+        context.runs.append((at, *clock.run(run_one(fault, entry, at))))
+
+
+async def run_random(rng, share):
+    names = ["entry-0", "entry-1", "entry-2"]
+    site = build(names, {name: fleet.RandomGate(rng, share) for name in names})
+    site.start()
+    for _ in range(900):
+        await asyncio.sleep(1.0)
+        if is_done(site):
+            break
+    done = is_done(site)
+    await site.stop()
+    return site, None, done
+
+
+@behave.when("{count:d} runs meet a random fault at {percent:d} % of the calls of three entries")
+def run_random_faults(context, count, percent):
+    for number in range(count):
+        found = clock.run(run_random(random.Random(context.rng.random()), percent / 100))
+        context.runs.append((number, *found))
+
+
+@behave.then("every run ended with the worker moved, the other maintained and all leases held")
+def check_done(context):
+    assert context.runs
+    left = [(at, site.rows(), site.leases()) for at, site, _, done in context.runs if not done]
+    assert not left, (len(left), left[0])
+
+
+@behave.then("no worker served in a pool other than its row's at any step")
+def check_pools(context):
+    wrong = [(at, w) for at, site, _, _ in context.runs for w in site.wrong if w[0] == "pool"]
+    assert not wrong, (len(wrong), wrong[0])
+
+
+@behave.then("every step was taken once by the holder of the lease")
+def check_fences(context):
+    wrong = [(at, w) for at, site, _, _ in context.runs for w in site.wrong if w[0] == "fence"]
+    assert not wrong, (len(wrong), wrong[0])
+
+
+@behave.then("every budget held at every step")
+def check_budgets(context):
+    wrong = [(at, w) for at, site, _, _ in context.runs for w in site.wrong if w[0] == "budget"]
+    assert not wrong, (len(wrong), wrong[0])
+
+
+def lease_row(version, beat):
+    lease = leases.LeaseRow(pool="a", holder="other", incarnation="x", epoch=1, beat=beat)
+    return platform.Row(leases.key("a"), version, codecs.pack(lease))
+
+
+@behave.given("an entry that saw a lease of {duration_s:g} s at second {at_s:g}")
+def see_lease(context, duration_s, at_s):
+    context.book = leases.Leases("own", "own-1", duration_s)
+    context.book.observe([lease_row(1, 0)], at_s)
+
+
+@behave.when("the lease's row changes at second {at_s:g}")
+def change_lease(context, at_s):
+    context.book.observe([lease_row(2, 1)], at_s)
+
+
+@behave.then("it may not take it at second {at_s:g}")
+def check_not_takeable(context, at_s):
+    assert not context.book.to_take(["a"], ["own", "other"], at_s)
+
+
+@behave.then("it may take it at second {at_s:g}")
+def check_takeable(context, at_s):
+    assert context.book.to_take(["a"], ["own", "other"], at_s) == ["a"]
+
+
+@behave.given("{count:d} pools and {entries:d} entries that start together")
+def many_pools(context, count, entries):
+    names = [f"entry-{number}" for number in range(entries)]
+    pool_names = [f"p{number}" for number in range(count)]
+    context.site = fleet.Site(fleet.declare(pool_names, 0, 0.0), [], fleet.fleet_of([]))
+    for name in names:
+        context.site.add(name, names)
+
+
+@behave.when("they run for {seconds:g} s")
+def run_for(context, seconds):
+    async def work():
+        context.site.start()
+        await asyncio.sleep(seconds)
+        await context.site.stop()
+
+    clock.run(work())
+
+
+@behave.then("each pool has one holder and no entry holds more than {share:d}")
+def check_share(context, share):
+    held = [lease.holder for lease in context.site.leases()]
+    assert len(held) == len(context.site.declared.pools) and None not in held
+    assert max(held.count(name) for name in held) <= share, held
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -48,6 +48,7 @@
     poll_interval_s: float = 1.0
     fleet_interval_s: float = 0.5
     probe_path: str = "/health"
+    pool_lease_s: float = 10.0
     drain_timeout_s: float = 30.0
     trace_fraction: float = 0.01
     log_level: str = "info"
