Claim keys in the table, so that a keyed request runs at most once at any entry

Cause: Idempotency-Key was read and then ignored; a repeat at another entry ran again. A claim is a create-only row with its attempt's id, written before a byte goes to a minion. Claims, releases and settlements of one entry share commits; a change whose row broke a commit is decided on, and the others go on without it. A lost answer is settled by sending the same commit again: its conditions make it harmless, and the rows that it gives back show the attempt. This needs no separate read, so no stale read can decide. A claim given back leaves its row, so that a late copy of its write meets a broken condition. One rule now turns any refusal into unknown once bytes went out. Found on the way: a repeat that waited for its key until its deadline was told not-run (deadline-too-short) though the key's request may have run; the paused hosts showed it.

--- /dev/null
+++ b/features/steps/claims_steps.py
@@ -0,0 +1,359 @@
+"""Claim keys against a faulty table, and disturb entries that hold claims."""
+
+import asyncio
+import collections
+import contextlib
+import functools
+
+import behave
+from nutmegshelf import claims, exceptions, ids
+from nutmegshelf_entry import claim_sweeper, claimant
+from nutmegshelf_standins import clock, network
+
+from features import fakes
+
+_SERVICE = ids.ServiceName("payouts")
+_HOUR_S = 3600.0
+
+
+class Keys:
+    """Run keyed requests through claimants; the run itself is only counted."""
+
+    def __init__(self, faults=()):
+        self.rows = fakes.Rows()
+        self.rows.faults = list(faults)
+        self.runs = collections.Counter()
+        self.ended = []
+        self.age_s = 0.0
+
+    def wall_s(self):
+        return asyncio.get_running_loop().time() + self.age_s
+
+    @contextlib.asynccontextmanager
+    async def claimants(self, count):
+        made = [
+            claimant.Claimant(self.rows, ids.EntryId(f"e{number}"), self.wall_s)
+            for number in range(count)
+        ]
+        tasks = [asyncio.ensure_future(one.run()) for one in made]
+        yield made
+        for one in made:
+            await one.wait_settled()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def serve(self, keys, key, end="answered", body=b"b", patience_s=5.0):
+        deadline_s = asyncio.get_running_loop().time() + patience_s
+        wanted = claims.fingerprint("POST", "/runs", body)
+        try:
+            claimed = await keys.claim(_SERVICE, key, wanted, deadline_s)
+        except exceptions.RequestError as error:
+            self.ended.append(error.kind.value)
+            return error
+        if isinstance(claimed, claims.KeptAnswer):
+            self.ended.append("answer" if claimed.body == _answer(key, end).body else "wrong")
+            return None
+        if end == "refused":
+            keys.release(claimed)
+            self.ended.append("refused")
+            return None
+        self.runs[key] += 1
+        await asyncio.sleep(0.03)
+        if end != "forgotten":
+            keys.settle(claimed, None if end == "cut" else _answer(key, end))
+        self.ended.append("ran")
+        return None
+
+
+def _answer(key, end):
+    size = 50_000 if end == "large" else 5
+    return claims.KeptAnswer(status=201, headers=((b"x-a", b"1"),), body=key.encode() * size)
+
+
+def _paused(test):
+    """Run a step's coroutine on a paused clock of its own."""
+
+    @functools.wraps(test)
+    def run(context, *given, **named):
+        clock.run(test(context, *given, **named))
+
+    return run
+
+
+@behave.given('two claimants on a table whose commits meet "{faults}"')
+def start_faulty(context, faults):
+    context.keys = Keys(faults.split("; "))
+
+
+@behave.given("{count:d} claimants on a table")
+def start_plain(context, count):
+    context.keys = Keys()
+    context.count = count
+
+
+@behave.when("one claims a key and its request is {end}, and the other repeats it")
+@_paused
+async def claim_and_repeat(context, end):
+    keys = context.keys
+    async with keys.claimants(2) as (one, other):
+        await keys.serve(one, "k", end)
+        # By then every late or doubled write has landed; a repeat after a refusal runs.
+        await asyncio.sleep(2.0)
+        patience_s = 20.0 if end == "forgotten" else 5.0
+        body = b"another" if end == "reused" else b"b"
+        repeat = "answered" if end in ("refused", "forgotten", "cut") else end
+        await keys.serve(other, "k", repeat, body, patience_s)
+
+
+@behave.then('the claims ended as "{first}" and "{repeat}"')
+def check_ends(context, first, repeat):
+    assert context.keys.ended == [first, repeat], context.keys.ended
+
+
+@behave.then("no keyed request ran twice")
+def check_once(context):
+    assert context.keys.runs, "nothing ran"
+    assert max(context.keys.runs.values()) == 1, context.keys.runs
+
+
+@behave.when("they race in {rounds:d} rounds of faults and cancelled callers")
+@_paused
+async def race(context, rounds):
+    keys, rng = context.keys, context.rng
+    kinds = [
+        *("fine", "slow", "down", "doubled"),
+        *("lost after the write", "lost without the write", "lost, written late"),
+    ]
+
+    async def caller(one, key):
+        await asyncio.sleep(rng.uniform(0, 0.05))
+        end = rng.choice(["answered", "answered", "refused", "cut"])
+        serving = asyncio.ensure_future(keys.serve(one, key, end, patience_s=rng.uniform(0.1, 5)))
+        if rng.random() < 0.2:
+            await asyncio.sleep(rng.uniform(0, 0.3))
+            serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+
+    async with keys.claimants(context.count) as made:
+        for number in range(rounds):
+            keys.rows.faults = [rng.choice(kinds) for _ in range(4)]
+            key = f"k{number}"
+            await asyncio.gather(*(caller(one, key) for one in made for _ in range(3)))
+        keys.rows.faults = []
+
+
+@behave.when("{count:d} keys are claimed together with one that another entry holds")
+@_paused
+async def claim_group(context, count):
+    keys = context.keys
+    async with keys.claimants(2) as (one, other):
+        await keys.serve(other, "k0", "cut")
+        await other.wait_settled()
+        before = keys.rows.commits
+        wanted = claims.fingerprint("POST", "/runs", b"b")
+        found = await asyncio.gather(
+            *(one.claim(_SERVICE, f"k{number}", wanted, 5.0) for number in range(count)),
+            return_exceptions=True,
+        )
+        context.group_commits = keys.rows.commits - before
+        context.group = found
+        # Settlements go on too when a claim in their commit meets a conflict.
+        for number, claimed in enumerate(found[1:], 1):
+            one.settle(claimed, _answer(f"k{number}", "answered"))
+        await keys.serve(one, "k0")
+    context.group_rows = [
+        claims.codecs.unpack(row.value, claims.ClaimRow).state
+        for key, row in keys.rows.store.rows.items()
+        if key.startswith(claims.PREFIX)
+    ]
+
+
+@behave.then("all but that one were claimed, in at most {commits:d} commits")
+def check_group(context, commits):
+    claimed = [one for one in context.group if isinstance(one, claimant.Claim)]
+    assert len(claimed) == len(context.group) - 1, context.group
+    assert context.group[0].kind is exceptions.ErrorKind.KEY_UNSETTLED
+    assert context.group_commits <= commits, context.group_commits
+
+
+@behave.then("all of those were settled")
+def check_group_settled(context):
+    states = collections.Counter(context.group_rows)
+    assert states == {claims.State.ANSWERED: len(context.group) - 1, claims.State.UNSETTLED: 1}
+
+
+@behave.when("the table goes down and {count:d} keys are claimed one after another")
+@_paused
+async def claim_down(context, count):
+    keys = context.keys
+    async with keys.claimants(1) as (one,):
+        keys.rows.always = "down"
+        loop = asyncio.get_running_loop()
+        context.refusals = [await keys.serve(one, f"k{number}") for number in range(count)]
+        context.took_s = loop.time()
+        keys.rows.always = None
+        await asyncio.sleep(context.refusals[-1].retry_after_s)
+        await keys.serve(one, "k0")
+
+
+@behave.then('all were refused "{kind}" within {limit_s:g} s, with a time to come back')
+def check_refusals(context, kind, limit_s):
+    assert {error.kind.value for error in context.refusals} == {kind}
+    assert all(
+        error.retry_after_s and error.outcome.value == "not-run" for error in context.refusals
+    )
+    assert context.took_s <= limit_s, context.took_s
+
+
+@behave.then("once the table is back a key can be claimed after that time")
+def check_back(context):
+    assert context.keys.ended[-1] == "ran", context.keys.ended[-1]
+
+
+@behave.when("a repeat waits on a table that reads back as it was before")
+@_paused
+async def read_stale(context):
+    keys = context.keys
+    keys.rows.stale = fakes.store.Store()
+    async with keys.claimants(2) as (one, other):
+        await asyncio.gather(keys.serve(one, "k"), keys.serve(other, "k"))
+    assert sorted(keys.ended) == ["answer", "ran"], keys.ended
+
+
+@behave.when("{settled:d} settled and {unsettled:d} unsettled claims grow old")
+@_paused
+async def grow_old(context, settled, unsettled):
+    keys = context.keys
+    sweeper = claim_sweeper.ClaimSweeper(keys.rows, context.rng, keys.wall_s)
+    async with keys.claimants(1) as (one,):
+        ends = ["large"] * settled + ["cut"] * unsettled
+        await asyncio.gather(*(keys.serve(one, f"k{n}", end) for n, end in enumerate(ends)))
+    context.left = []
+    for age_s in (20 * _HOUR_S, 26 * _HOUR_S, 29 * 24 * _HOUR_S, 32 * 24 * _HOUR_S):
+        keys.age_s = age_s
+        while await sweeper.sweep_once():
+            pass
+        found = [key for key in keys.rows.store.rows if key.startswith(claims.PREFIX)]
+        context.left.append((len(found), len(keys.rows.store.objects)))
+    context.all_left = dict(keys.rows.store.rows)
+    context.grown = (settled, unsettled)
+
+
+@behave.then("after a day only the unsettled ones are left")
+def check_day(context):
+    settled, unsettled = context.grown
+    assert context.left[0] == (settled + unsettled, settled), context.left
+    assert context.left[1] == (unsettled, 0) and context.left[2] == (unsettled, 0), context.left
+
+
+@behave.then("after a month none is left")
+def check_month(context):
+    assert context.left[3] == (0, 0) and not context.all_left, (context.left, context.all_left)
+
+
+@behave.when("a key is claimed anew between the sweeper's read and its commit")
+@_paused
+async def sweep_race(context):
+    keys = context.keys
+    async with keys.claimants(1) as (one,):
+        await keys.serve(one, "k", "refused")
+        await one.wait_settled()
+        keys.age_s = 26 * _HOUR_S
+        plain_commit = keys.rows.commit
+
+        async def commit_late(transaction):
+            keys.rows.commit = plain_commit
+            await keys.serve(one, "k", "cut")
+            await one.wait_settled()
+            return await plain_commit(transaction)
+
+        keys.rows.commit = commit_late
+        await claim_sweeper.ClaimSweeper(keys.rows, context.rng, keys.wall_s).sweep_once()
+
+
+@behave.then("its new claim stands")
+def check_stands(context):
+    row = context.keys.rows.store.read(claims.row_key(_SERVICE, "k"))
+    assert row.version, "the new claim was deleted"
+    assert context.keys.ended == ["refused", "ran"], context.keys.ended
+
+
+_STEPS = {
+    # Who sends to whom, what the bytes hold, which such delivery it is, whether it arrives.
+    "its claim is lost": ("entry-0", "platform", b"claims/", 1, False),
+    "its claim is written": ("entry-0", "platform", b"claims/", 1, True),
+    "its claim is confirmed": ("platform", "entry-0", b"claims/", 1, True),
+    "its request is sent": ("entry-0", "minion", b"POST", 1, True),
+    "its minion answers": ("minion", "entry-0", b"200", 1, True),
+    "its settlement is lost": ("entry-0", "platform", b"claims/", 2, False),
+    "its settlement is written": ("entry-0", "platform", b"claims/", 2, True),
+    "its answer is given": ("entry-0", "outside", b"200", 1, True),
+}
+
+
+@behave.when('"{name}" is {fault} as {step}, and the caller repeats its key at "{other}"')
+def disturb_holder(context, name, fault, step, other):
+    source, target, part, wanted, arrives = _STEPS[step]
+    seen = collections.Counter()
+    loop = context.hosts.loop
+
+    def tap(delivery):
+        ends = (delivery.source, delivery.target)
+        if fault == "killed" and seen["found"] >= wanted and name in ends:
+            return network.Fate(arrives=False)
+        is_between = delivery.source.startswith(source) and delivery.target.startswith(target)
+        if not is_between or delivery.data is None or part not in delivery.data:
+            return network.Fate()
+        seen["found"] += 1
+        if seen["found"] == wanted:
+            # What was sent takes its effect, and nothing after it.
+            if fault == "killed":
+                loop.call_later(0.0005, loop.kill, name)
+            else:
+                loop.call_soon(loop.freeze, name)
+        return network.Fate(arrives=arrives or seen["found"] != wanted)
+
+    async def main():
+        await asyncio.sleep(1.0)
+        context.hosts.network.tap = tap
+        await context.hosts.call("t", entry=name, key="k", timeout_ms=2000)
+        assert seen["found"] >= wanted, f"the step was not reached: {seen}"
+        context.hosts.network.tap = None
+        context.repeat = await context.hosts.call("t", entry=other, key="k", timeout_ms=9000)
+        context.hosts.loop.thaw(name) if fault == "frozen" else None
+        await asyncio.sleep(10.0)
+        await context.hosts.call("t", entry=other, key="k", timeout_ms=9000)
+
+    context.run_hosts(main())
+
+
+@behave.then('the repeat ended as "{result}"')
+def check_repeat(context, result):
+    assert context.repeat.result.value == result, context.hosts.calls.done
+
+
+@behave.then("no keyed token ran twice")
+def check_token_runs(context):
+    assert context.hosts.runs()["t"] <= 1, context.hosts.runs()
+    assert context.hosts.verdict().is_kept or context.hosts.calls.done[0].result.value in (
+        "silent",
+        "broken",
+    ), context.hosts.calls.done
+
+
+@behave.when("the faked platform goes down")
+def stop_platform(context):
+    context.hosts.platform.faults.down = True
+
+
+@behave.then('a keyed POST is refused "{kind}" and an unkeyed POST and a GET are whole')
+def check_outage(context, kind):
+    async def main():
+        keyed = await context.hosts.call("keyed", key="k")
+        assert (keyed.result.value, keyed.error) == ("not-run", kind), keyed
+        plain = [await context.hosts.call(f"p{m}", method=m) for m in ("POST", "GET")]
+        assert {done.result.value for done in plain} == {"whole"}, plain
+
+    context.run_hosts(main())
+    assert "keyed" not in context.hosts.runs()
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -5,10 +5,12 @@
 
 import behave
 from nutmegshelf import configuration, declarations, ids, platform
-from nutmegshelf_entry import minions, relay, slots, telemetry
+from nutmegshelf_entry import claimant, minions, relay, slots, telemetry
 from nutmegshelf_http import server
 from nutmegshelf_standins import caller, minion
 
+from features import fakes
+
 
 class Site:
     """Hold one entry's path and its minions."""
@@ -22,6 +24,7 @@
         self.port = 0
 
     async def start(self, count, seats=1, **declared):
+        self.rows = fakes.Rows()
         records = [await self._start_minion(number) for number in range(count)]
         service = declarations.Service(
             pool=ids.PoolName("p"), wanted_minions=count, hosts=("orders.example",), **declared
@@ -32,8 +35,15 @@
         self.slots = slots.Slots(ids.ZoneName("z0"), seats, self.rng)
         self.slots.set_declared(sets)
         self.slots.set_records(tuple(records))
+        keys = claimant.Claimant(self.rows, ids.EntryId("e0"))
+        committing = asyncio.ensure_future(keys.run())
+        self.committing = committing
         self.relay = relay.Relay(
-            in_force, self.slots, minions.MinionPool(), telemetry.Telemetry(0.0)
+            in_force,
+            self.slots,
+            minions.MinionPool(),
+            keys,
+            telemetry.Telemetry(0.0),
         )
         self.relay.refusing = None
         self.entry = server.Server(self.relay.handle, bad_head=relay.bad_head)
@@ -59,6 +69,7 @@
 
     async def close(self):
         await self.entry.close()
+        self.committing.cancel()
         for listener in self.servers:
             await listener.close()
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -10,6 +10,8 @@
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
+    claimant,
+    claim_sweeper,
     configurator,
     health,
     heartbeat,
@@ -44,7 +46,11 @@
         self._configurator = configurator.Configurator(
             self._table, self._in_force, self._spread, self._switched, own.poll_interval_s
         )
-        self._relay = relay.Relay(self._in_force, self._slots, self._pool, self._telemetry)
+        self._claimant = claimant.Claimant(self._table, own.entry)
+        self._claim_sweeper = claim_sweeper.ClaimSweeper(self._table, random.Random(own.seed))
+        self._relay = relay.Relay(
+            self._in_force, self._slots, self._pool, self._claimant, self._telemetry
+        )
         self._operator = operator.Operator(
             own, self._in_force, self._configurator, self._members, self._telemetry
         )
@@ -92,6 +98,8 @@
                 group.create_task(self._fleet.run()),
                 group.create_task(self._prober.run()),
                 group.create_task(self._pools.run()),
+                group.create_task(self._claimant.run()),
+                group.create_task(self._claim_sweeper.run()),
             ]
             await stop.wait()
             await self._drain()
@@ -115,6 +123,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._own.drain_timeout_s):
                 await self._callers.wait_idle()
+                await self._claimant.wait_settled()
         with contextlib.suppress(exceptions.TableError):
             await self._pools.release_all()
         with contextlib.suppress(exceptions.TableError):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
@@ -78,14 +78,16 @@
             self.forget(minion)
 
 
-async def receive_answer_head(link: channel.Channel, record: platform.MinionRecord) -> h11.Response:
+async def receive_answer_head(
+    link: channel.Channel, record: platform.MinionRecord, method: str
+) -> h11.Response:
     """Read an answer's head; raises RequestError unknown where it can't be read."""
     try:
         head = await client.receive_head(link)
     except h11.RemoteProtocolError as error:
         kind = exceptions.ErrorKind.MINION_CUT
         raise exceptions.RequestError(kind, f"{record.minion}: {error}") from error
-    if not _has_known_end(head):
+    if method != "HEAD" and not _has_known_end(head):
         # A body that ends with its connection can't be told from one that was cut short.
         kind = exceptions.ErrorKind.MINION_BAD_ANSWER
         raise exceptions.RequestError(kind, f"{record.minion}: the answer has no length")
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/patience.py
@@ -0,0 +1,51 @@
+"""End work at its caller's deadline, or when its caller goes away."""
+
+import asyncio
+import types
+
+from nutmegshelf import exceptions
+from nutmegshelf_http import server
+
+
+class Patience:
+    """Hold one caller's patience and how far its request has come."""
+
+    def __init__(self, exchange: server.Exchange, deadline_s: float) -> None:
+        self.timeout_kind = exceptions.ErrorKind.BODY_TIMEOUT
+        self.perhaps_ran = False
+        self._outlasts_caller = False
+        self._caller_left = False
+        self._gone = exchange.link.gone
+        self._scope = asyncio.timeout_at(deadline_s)
+
+    async def __aenter__(self) -> "Patience":
+        await self._scope.__aenter__()
+        self._gone.watcher = self._leave
+        if self._gone.is_set():
+            self._leave()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._gone.watcher = None
+        try:
+            await self._scope.__aexit__(kind, error, trace)
+        except TimeoutError as timeout:
+            left = exceptions.ErrorKind.CALLER_GONE
+            raise exceptions.RequestError(
+                left if self._caller_left else self.timeout_kind
+            ) from timeout
+
+    def start_sending(self, *, outlasts_caller: bool) -> None:
+        """Note that bytes go to a minion now; some work goes on without its caller."""
+        self.perhaps_ran = True
+        self._outlasts_caller = outlasts_caller
+
+    def _leave(self) -> None:
+        if not self._outlasts_caller and not self._scope.expired():
+            self._caller_left = True
+            self._scope.reschedule(asyncio.get_running_loop().time())
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/requests.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/requests.py
@@ -43,6 +43,11 @@
     body_bytes: int | None
     deadline_s: float
 
+    @property
+    def is_keyed(self) -> bool:
+        """Say whether the request must claim its key before it is sent."""
+        return self.key is not None and not self.idempotent
+
 
 def read(exchange: server.Exchange, accepted: configuration.Accepted, now_s: float) -> Request:
     """Check a request's head; raises RequestError with a 4xx kind."""
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections.abc
 import contextlib
+import socket
+import struct
 
 import h11
 
@@ -11,6 +13,7 @@
 MAX_HEAD_BYTES = 32 * 1024
 _LINGER_BYTES = 1024 * 1024
 _LINGER_S = 1.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -114,6 +117,13 @@
         """End the connection after what was written is sent."""
         self._stream.transport.close()
 
+    def reset(self) -> None:
+        """End the connection so that the other end can't take it for an orderly end."""
+        raw = self._stream.transport.get_extra_info("socket")
+        if raw is not None and raw.fileno() >= 0:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.abort()
+
     def abort(self) -> None:
         """End the connection at once, so that the other end sees a break."""
         self._stream.transport.abort()
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/stream.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/stream.py
@@ -15,13 +15,26 @@
         super().__init__(detail, error_status_hint=408)
 
 
+class Gone(asyncio.Event):
+    """Note that the other end is gone and tell one watcher."""
+
+    watcher: collections.abc.Callable[[], None] | None = None
+
+    def set(self) -> None:
+        """Note it and tell the watcher, the first time only."""
+        is_news = not self.is_set()
+        super().set()
+        if is_news and self.watcher is not None:
+            self.watcher()
+
+
 class Stream(asyncio.Protocol):
     """Own one transport; tell at once when the other end closes, also while nobody reads."""
 
     def __init__(
         self, on_connected: collections.abc.Callable[["Stream"], None] | None = None
     ) -> None:
-        self.gone = asyncio.Event()
+        self.gone = Gone()
         self.transport: asyncio.Transport
         self._on_connected = on_connected
         self._loop = asyncio.get_running_loop()
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/claims.py
@@ -0,0 +1,271 @@
+"""Decide what a keyed request may do, from the row that claims its key."""
+
+import collections.abc
+import dataclasses
+import enum
+
+import msgspec
+
+from nutmegshelf import codecs, exceptions, ids, platform
+
+PREFIX = "claims/"
+EXPIRY_PREFIX = "claims-expiry/"
+ANSWER_PREFIX = "claims-answers/"
+KEPT_S = 24 * 3600.0
+UNSETTLED_KEPT_S = 30 * 24 * 3600.0
+_BUCKET_S = 3600
+# Clocks differ between entries; a holder within this of its deadline may still answer.
+HOLDER_GRACE_S = 5.0
+
+
+class State(enum.Enum):
+    """Say what a claim's row proves of its request."""
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    RELEASED = "released"
+    UNSETTLED = "unsettled"
+
+
+class KeptAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a whole answer, its body in an object where it is large."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+    object_key: str = ""
+
+
+class ClaimRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the claim of one attempt on one key."""
+
+    attempt: ids.AttemptId
+    entry: ids.EntryId
+    fingerprint: str
+    state: State
+    claimed_at_s: float
+    deadline_at_s: float
+    answer: KeptAnswer | None = None
+
+
+class ExpiryRow(msgspec.Struct, frozen=True):
+    """List the claims that were made together, so that they expire together."""
+
+    keys: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Set a claim's row if it still has a version."""
+
+    key: str
+    version: int
+    row: ClaimRow
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Landed:
+    """Tell that a change is in the table."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Tell that a change is not in the table and never will be."""
+
+    found: platform.Row
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MayClaim:
+    """Let a request claim the key over a version of its row."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """Give a repeat the answer of the request that ran."""
+
+    answer: KeptAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Let a repeat wait for the request that runs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Refuse a request with a kind of error."""
+
+    kind: exceptions.ErrorKind
+
+
+Decision = MayClaim | Replay | Wait | Refuse
+
+
+def row_key(service: ids.ServiceName, key: str) -> str:
+    """Name the row of a key; keys of different services never meet."""
+    return PREFIX + codecs.digest(codecs.pack((service, key)))
+
+
+def answer_key(key: str, attempt: ids.AttemptId) -> str:
+    """Name the object that holds a large answer."""
+    return f"{ANSWER_PREFIX}{key.removeprefix(PREFIX)}-{attempt}"
+
+
+def fingerprint(method: str, target: str, body: bytes) -> str:
+    """Tell whether two requests with one key are the same request."""
+    return codecs.digest(codecs.pack((method, target, body)))
+
+
+def decide(found: platform.Row, wanted: str, now_s: float) -> Decision:
+    """Decide what a request with a fingerprint may do, given the row of its key."""
+    if not found.version:
+        return MayClaim(0)
+    row = codecs.unpack(found.value, ClaimRow)
+    if row.state is State.RELEASED:
+        return MayClaim(found.version)
+    if row.fingerprint != wanted:
+        return Refuse(exceptions.ErrorKind.KEY_REUSED)
+    match row.state:
+        case State.ANSWERED if row.answer is not None:
+            return Replay(row.answer)
+        case State.CLAIMED if now_s <= row.deadline_at_s + HOLDER_GRACE_S:
+            return Wait()
+        case _:
+            # The holder may have sent the request before it vanished: nothing proves otherwise.
+            return Refuse(exceptions.ErrorKind.KEY_UNSETTLED)
+
+
+def release(change: Change) -> Change:
+    """Make the change that gives a claim back, whether or not the claim has landed.
+
+    The row stays, so that a late copy of the claim's write finds its condition broken.
+    """
+    return dataclasses.replace(change, row=_in_state(change.row, State.RELEASED))
+
+
+def settle(change: Change, answer: KeptAnswer | None) -> Change:
+    """Make the change that stores the answer, or that says that it is lost."""
+    state = State.UNSETTLED if answer is None else State.ANSWERED
+    return dataclasses.replace(change, row=_in_state(change.row, state, answer))
+
+
+def after_conflict(change: Change, found: platform.Row) -> Landed | Lost | Change:
+    """Decide how a change goes on whose condition was broken by a row."""
+    row = codecs.unpack(found.value, ClaimRow) if found.version else None
+    if row == change.row:
+        # An earlier copy of this very change has landed and its answer was lost.
+        return Landed(found.version)
+    if change.row.state is State.CLAIMED:
+        return Lost(found)
+    if row is None:
+        is_fence = change.row.state is State.RELEASED
+        return dataclasses.replace(change, version=0) if is_fence else Lost(found)
+    if row.attempt == change.row.attempt and row.state is State.CLAIMED:
+        return dataclasses.replace(change, version=found.version)
+    return Lost(found)
+
+
+def transaction(
+    changes: collections.abc.Sequence[Change], batch: str, now_s: float
+) -> platform.Transaction:
+    """Join changes of different rows into one commit; new claims get an expiry row."""
+    conditions = [platform.Condition(change.key, change.version) for change in changes]
+    writes = [platform.Write(change.key, codecs.pack(change.row)) for change in changes]
+    created = tuple(change.key for change in changes if not change.version)
+    if created:
+        writes.append(platform.Write(expiry_key(now_s, batch), codecs.pack(ExpiryRow(created))))
+    return platform.Transaction(tuple(conditions), tuple(writes))
+
+
+def expiry_key(now_s: float, batch: str) -> str:
+    """Name an expiry row, so that the oldest come first."""
+    return f"{EXPIRY_PREFIX}{int(now_s) // _BUCKET_S:010d}/{batch}"
+
+
+def is_due(expiry_row_key: str, now_s: float) -> bool:
+    """Say whether the claims of an expiry row may be deleted now."""
+    bucket = int(expiry_row_key.removeprefix(EXPIRY_PREFIX).partition("/")[0])
+    return (bucket + 1) * _BUCKET_S + KEPT_S <= now_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sweep:
+    """Delete expired claims: the objects first, then the rows in one commit."""
+
+    objects: tuple[str, ...]
+    transaction: platform.Transaction
+
+
+def sweep(
+    listed: platform.Row, found: collections.abc.Sequence[platform.Row], now_s: float
+) -> Sweep:
+    """Decide what of one expiry row goes; unsettled claims are kept longer."""
+    conditions = [platform.Condition(listed.key, listed.version)]
+    writes = [platform.Write(listed.key, None)]
+    objects: list[str] = []
+    kept: list[str] = []
+    for one in found:
+        if not one.version:
+            continue
+        row = codecs.unpack(one.value, ClaimRow)
+        if now_s - row.claimed_at_s < _kept_s(row):
+            kept.append(one.key)
+            continue
+        # The version guards a key that was claimed anew since it was read.
+        conditions.append(platform.Condition(one.key, one.version))
+        writes.append(platform.Write(one.key, None))
+        if row.state is not State.RELEASED and not (row.answer and not row.answer.object_key):
+            objects.append(answer_key(one.key, row.attempt))
+    if kept:
+        later_s = now_s + KEPT_S
+        batch = listed.key.rpartition("/")[2]
+        value = codecs.pack(ExpiryRow(tuple(kept)))
+        writes.append(platform.Write(expiry_key(later_s, batch), value))
+    return Sweep(tuple(objects), platform.Transaction(tuple(conditions), tuple(writes)))
+
+
+def _kept_s(row: ClaimRow) -> float:
+    return KEPT_S if row.state in (State.ANSWERED, State.RELEASED) else UNSETTLED_KEPT_S
+
+
+def _in_state(row: ClaimRow, state: State, answer: KeptAnswer | None = None) -> ClaimRow:
+    return msgspec.structs.replace(row, state=state, answer=answer)
+
+
+class Breaker:
+    """Refuse claims at once while the table fails, but for one probe at a time."""
+
+    def __init__(self, probe_interval_s: float) -> None:
+        self._probe_interval_s = probe_interval_s
+        self._next_probe_s: float | None = None
+
+    @property
+    def is_failing(self) -> bool:
+        """Say whether the last commit failed."""
+        return self._next_probe_s is not None
+
+    def admits(self, now_s: float) -> bool:
+        """Say whether a claim may be tried now; a probe counts as tried."""
+        if self._next_probe_s is None:
+            return True
+        if now_s < self._next_probe_s:
+            return False
+        self._next_probe_s = now_s + self._probe_interval_s
+        return True
+
+    def retry_after_s(self, now_s: float) -> float:
+        """Give the time after which a claim may be tried again."""
+        return max(self._probe_interval_s, (self._next_probe_s or now_s) - now_s)
+
+    def failed(self, now_s: float) -> None:
+        """Note a failed commit."""
+        self._next_probe_s = now_s + self._probe_interval_s
+
+    def worked(self) -> None:
+        """Note a commit that was answered."""
+        self._next_probe_s = None
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -44,7 +44,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Describe the final answer to one kind of error."""
+    """Describe the final answer to one kind of error.
+
+    The outcome is that of a request of which no byte went to a minion.
+    """
 
     status: int
     outcome: Outcome
@@ -74,7 +77,7 @@
     ErrorKind.KEY_UNSETTLED: Answer(
         409, Outcome.UNKNOWN, "A request with this key may have run; its answer is lost."
     ),
-    ErrorKind.CALLER_GONE: Answer(499, Outcome.UNKNOWN, "The caller went away.", None, 10),
+    ErrorKind.CALLER_GONE: Answer(499, Outcome.NOT_RUN, "The caller went away.", None, 10),
     ErrorKind.NOT_READY: Answer(503, Outcome.NOT_RUN, "The entry is not ready.", 1),
     ErrorKind.SHUTTING_DOWN: Answer(503, Outcome.NOT_RUN, "The entry is shutting down.", 1),
     ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, "The service's queue is full.", 2),
@@ -100,7 +103,7 @@
     ErrorKind.CONFIGURATION_STALE: Answer(
         503, Outcome.NOT_RUN, "The entry can't confirm its configuration.", 5, logging.WARNING
     ),
-    ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, "Internal error.", None, logging.ERROR),
+    ErrorKind.INTERNAL: Answer(500, Outcome.NOT_RUN, "Internal error.", None, logging.ERROR),
 }
 
 
@@ -117,6 +120,7 @@
         super().__init__(detail or ANSWERS[kind].title)
         self.kind = kind
         self.detail = detail
+        self.perhaps_ran = False
         self.retry_after_s = (
             retry_after_s if retry_after_s is not None else ANSWERS[kind].retry_after_s
         )
@@ -126,6 +130,16 @@
         """Give the row of the table for this kind."""
         return ANSWERS[self.kind]
 
+    @property
+    def outcome(self) -> Outcome:
+        """Say what is known of the request."""
+        return Outcome.UNKNOWN if self.perhaps_ran else self.answer.outcome
+
+    def mark_sent(self) -> None:
+        """Note that some of the request went to a minion, so that it may have run."""
+        self.perhaps_ran = True
+        self.retry_after_s = None
+
 
 class TableError(NutmegshelfError):
     """Report that the platform's table gave no usable answer."""
