--- /dev/null
+++ b/features/steps/outcomes_steps.py
@@ -0,0 +1,479 @@
+"""Cut, slow and overfill both sides of an entry, over loopback sockets."""
+
+import asyncio
+import contextlib
+import tracemalloc
+import unittest.mock
+
+import behave
+from nutmegshelf import declarations
+from nutmegshelf_entry import attempts
+from nutmegshelf_http import client
+from nutmegshelf_standins import caller, minion
+
+from features import sites
+
+_PART = b"p" * 65536
+_LARGE_BYTES = 600_000
+_PATIENCE_MS = 600
+
+
+async def _until_closed(reader):
+    with contextlib.suppress(ConnectionError):
+        while await reader.read(65536):
+            pass
+
+
+def _script(before=b"", reads="head", after="close", repeat=False):
+    """Make a minion's script: what it reads, what it says, how it ends."""
+
+    async def serve(reader, writer):
+        _SENT["deaf"] = writer
+        with contextlib.suppress(
+            ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
+            while True:
+                if reads == "head":
+                    await reader.readuntil(b"\r\n\r\n")
+                writer.write(before)
+                await writer.drain()
+                if not repeat:
+                    break
+            if after == "stay":
+                await _until_closed(reader)
+            if after == "deaf":
+                await asyncio.sleep(30)
+        writer.close()
+
+    return serve
+
+
+async def _send_without_end(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n")
+    writer.sent_bytes = 0
+    _SENT["writer"] = writer
+    with contextlib.suppress(ConnectionError):
+        for _ in range(1024):
+            writer.write(_PART)
+            await writer.drain()
+            writer.sent_bytes += len(_PART)
+    writer.close()
+
+
+_SENT = {}
+_OK = b"HTTP/1.1 200 OK\r\n"
+_DONE = _OK + b"Content-Length: 4\r\n\r\ndone"
+_TOO_MUCH = b"HTTP/1.1 413 No\r\nContent-Length: 8\r\n\r\ntoo much"
+_HALF_LARGE = _OK + b"Content-Length: 1200000\r\n\r\n" + b"h" * _LARGE_BYTES
+_SCRIPTS = {
+    "closes at once": _script(reads=""),
+    "closes after the head": _script(),
+    "sends half a head": _script(b"HTTP/1.1 200 OK\r\nContent-Le"),
+    "answers nonsense": _script(b"\x00\x01nonsense\r\n\r\n"),
+    "sends half of a small body": _script(_OK + b"Content-Length: 10\r\n\r\nhalf-"),
+    "gives no length": _script(_OK + b"\r\nbody"),
+    "never answers": _script(after="stay"),
+    "never reads": _script(reads="", after="deaf"),
+    "sends half of a large body": _script(_HALF_LARGE),
+    "sends half of a chunked body": _script(
+        _OK + b"Transfer-Encoding: chunked\r\n\r\n927c0\r\n" + b"h" * _LARGE_BYTES + b"\r\n"
+    ),
+    "stops in a large body": _script(_HALF_LARGE, after="stay"),
+    "answers 100 and 103 first": _script(
+        b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + _DONE, after="stay"
+    ),
+    "answers 204": _script(b"HTTP/1.1 204 None\r\n\r\n", after="stay"),
+    "answers 304": _script(b"HTTP/1.1 304 Same\r\nETag: a\r\n\r\n", after="stay"),
+    "answers HEAD with a length": _script(_OK + b"Content-Length: 99\r\n\r\n", after="stay"),
+    "answers HEAD without a length": _script(_OK + b"\r\n", after="stay"),
+    "answers 413 before the body ended": _script(_TOO_MUCH, after="deaf"),
+    "answers 413 and closes": _script(_TOO_MUCH, after="stay"),
+    "answers twice": _script(
+        _DONE + _OK + b"X-Stray: 1\r\nContent-Length: 5\r\n\r\nstray", repeat=True
+    ),
+    "sends without end": _send_without_end,
+}
+
+
+async def _send_while_reading(method, path, body, headers):
+    """Upload as careful callers do: an answer that comes early ends the upload."""
+    fields = dict(headers)
+    reader, writer = await asyncio.open_connection("127.0.0.1", int(fields.pop(b"x-port")))
+    lines = [b"%s %s HTTP/1.1" % (method.encode(), path.encode()), b"host: a"]
+    lines += [b"%s: %s" % field for field in fields.items()]
+    lines.append(b"content-length: %d\r\n\r\n" % len(body))
+
+    async def upload():
+        with contextlib.suppress(ConnectionError):
+            writer.write(b"\r\n".join(lines))
+            for start in range(0, len(body), len(_PART)):
+                writer.write(body[start : start + len(_PART)])
+                await writer.drain()
+
+    task = asyncio.ensure_future(upload())
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
+        found = [tuple(line.lower().split(b": ", 1)) for line in head[1:] if b": " in line]
+        answer = await reader.readexactly(int(dict(found)[b"content-length"]))
+        return client.Response(int(head[0].split()[1]), found, answer)
+    except asyncio.IncompleteReadError as error:
+        raise ConnectionResetError("cut") from error
+    finally:
+        task.cancel()
+        writer.close()
+
+
+async def _exchange(port, method, body=b"", patience_ms=_PATIENCE_MS, path="/orders/", **headers):
+    """Send one request and give what a caller makes of the answer."""
+    link = client.Client("127.0.0.1", port)
+    named = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
+    named.append((b"request-timeout-ms", str(patience_ms).encode()))
+    send = _send_while_reading if len(body) > _LARGE_BYTES else link.request
+    try:
+        async with asyncio.timeout(20):
+            answer = await send(method, path, body, [*named, (b"x-port", str(port).encode())])
+    except (OSError, client.h11.ProtocolError) as error:
+        return f"a broken answer ({error})", None
+    finally:
+        link.close()
+    outcome = answer.header(b"nutmegshelf-outcome")
+    if outcome is None:
+        return "status", answer
+    return f"{outcome.decode()} {(answer.header(b'nutmegshelf-error') or b'').decode()}", answer
+
+
+def _start(context, count, scripts=(), **declared):
+    declared.setdefault("rules", (declarations.PathRule(max_body_bytes=100_000_000),))
+    context.site = sites.Site("orders", context.rng)
+    context.site.scripts = list(scripts)
+    context.cleanup.append(context.site.close)
+    context.run(context.site.start(count, **declared))
+
+
+@behave.given("a minion that {does}, and a sound one")
+def start_unsound(context, does):
+    _start(context, 2, [_SCRIPTS[does]])
+    # The sound one is shut out until the other one has failed.
+    context.shut_out = True
+
+
+@behave.given("a minion that {does}, and no other")
+def start_alone(context, does):
+    _start(context, 1, [_SCRIPTS[does]], slots_per_minion=2)
+
+
+@behave.given("{count:d} slow minions behind an entry")
+def start_slow(context, count):
+    _start(context, count, slots_per_minion=64)
+    for one in context.site.minions:
+        one._mean_s = 0.05
+
+
+@behave.given("{count:d} minions that record, with a limit of {limit:d} bytes a body")
+def start_limited(context, count, limit):
+    rule = declarations.PathRule(max_body_bytes=limit)
+    _start(context, count, rules=(rule,))
+
+
+@behave.when("a caller sends {method} with {sent:d} bytes to it first")
+def send_first(context, method, sent):
+    site = context.site
+    scripted, sound = [target for target in site.slots._services["orders"].targets.values()]
+    sound.in_flight += sound.slots
+
+    async def send():
+        exchange = asyncio.ensure_future(
+            _exchange(site.port, method, b"b" * sent, x_token="t", x_answer_bytes="64")
+        )
+        # Once the scripted one has been set apart, the sound one takes what is retried.
+        while not exchange.done() and not scripted.away_until_s:
+            await asyncio.sleep(0.005)
+        site.slots.release("orders", sound.record.minion)
+        return await exchange
+
+    context.result, context.answer = context.run(send())
+
+
+@behave.then("the caller got a whole answer")
+def check_got_whole(context):
+    assert context.result == "status", context.result
+    assert context.answer.body == minion.answer_for("t", 64), context.answer
+
+
+@behave.then("the caller got a broken answer")
+def check_got_broken(context):
+    assert context.result.startswith("a broken answer"), (context.result, context.answer)
+
+
+@behave.then('the caller got status {status:d} with "{body}"')
+def check_got_status(context, status, body):
+    assert context.result == "status", (context.result, context.answer)
+    assert (context.answer.status, context.answer.body.decode()) == (status, body), context.answer
+    assert not any(one.records.runs for one in context.site.minions), "the sound one answered"
+
+
+@behave.then('the caller got status {status:d} with ""')
+def check_got_empty(context, status):
+    check_got_status(context, status, "")
+
+
+@behave.then("the caller got {outcome:S} {kind:S}")
+def check_got_error(context, outcome, kind):
+    assert context.result == f"{outcome} {kind}", (context.result, context.answer)
+    if outcome == "unknown":
+        assert context.answer.header(b"retry-after") is None, context.answer
+
+
+@behave.when("an HTTP/1.0 caller sends GET")
+def send_old(context):
+    async def main():
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
+        writer.write(b"GET /orders/ HTTP/1.0\r\n\r\n")
+        try:
+            data = await reader.read()
+        except ConnectionResetError:
+            return "reset"
+        finally:
+            writer.close()
+        return f"{len(data)} bytes and an orderly end"
+
+    context.result = context.run(main())
+
+
+@behave.then("its connection is reset")
+def check_reset(context):
+    assert context.result == "reset", context.result
+
+
+@behave.when("callers send GET one after another on kept connections")
+def send_kept(context):
+    async def send():
+        return [await _exchange(context.site.port, "GET") for _ in range(20)]
+
+    context.results = context.run(send())
+
+
+@behave.then("each got the answer to its own request")
+def check_own(context):
+    found = [(result, answer and answer.body) for result, answer in context.results]
+    assert found == [("status", b"done")] * 20, found
+
+
+@behave.when("{count:d} callers with short and long patience send mixed requests")
+def send_mixed(context, count):
+    rng, calls = context.rng, context.site.calls
+
+    async def one(number):
+        await asyncio.sleep(rng.uniform(0, 1.0))
+        call = caller.Call(
+            token=f"t{number}",
+            service="orders",
+            method=rng.choice(["GET", "POST", "PUT"]),
+            answer_bytes=rng.choice([0, 64, 2000, 100_000]),
+            chunked=rng.random() < 0.5,
+            timeout_ms=rng.choice([20, 60, 100, 3000]),
+        )
+        await calls.call(call)
+
+    async def main():
+        await asyncio.gather(*(one(number) for number in range(count)))
+        await asyncio.sleep(0.3)
+
+    context.run(main())
+
+
+@behave.then("no caller got another's answer, and none was refused not-run that ran")
+def check_crossed(context):
+    verdict = context.site.verdict()
+    assert verdict.is_kept, str(verdict)
+    assert verdict.whole > 100 and verdict.unknown > 20, str(verdict)
+
+
+_CHUNKED = (
+    b"POST /orders/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+    b"Request-Timeout-Ms: 400\r\nX-Token: t\r\n"
+)
+
+
+def _chunk(size):
+    return b"%x\r\n" % size + b"c" * size + b"\r\n"
+
+
+_CALLERS = {
+    "is slow within the first bytes of its body": (_CHUNKED + b"\r\n" + _chunk(100),),
+    "is slow after 90000 bytes of its body": (_CHUNKED + b"\r\n" + _chunk(90_000),),
+    "sends 200000 bytes in chunks": (_CHUNKED + b"\r\n", *[_chunk(20_000)] * 10, b"0\r\n\r\n"),
+    "sends 120000 bytes in chunks at once with key": (
+        _CHUNKED + b"Idempotency-Key: k\r\n\r\n" + _chunk(120_000) + b"0\r\n\r\n",
+    ),
+    "breaks its chunks at once": (_CHUNKED + b"\r\nnonsense\r\n",),
+}
+
+
+@behave.when("a clumsy caller {does}")
+def call_badly(context, does):
+    async def main():
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
+        for part in _CALLERS[does]:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(5):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        writer.close()
+        return head
+
+    fields = dict(line.split(": ", 1) for line in context.run(main()).splitlines() if ": " in line)
+    context.result = f"{fields['nutmegshelf-outcome']} {fields['nutmegshelf-error']}"
+    context.answer = client.Response(0, [(b"x", str(fields).encode())], b"")
+
+
+@behave.then("the minions saw {count:d} runs")
+def check_seen(context, count):
+    runs = sum(len(one.records.runs) for one in context.site.minions)
+    assert runs == count, runs
+
+
+@behave.when("a GET's caller goes away while it runs, and another's while it waits for a slot")
+def leave_early(context):
+    async def main():
+        links = []
+        for _ in range(4):
+            _, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
+            writer.write(b"GET /orders/ HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: 60000\r\n\r\n")
+            links.append(writer)
+        dispatcher = context.site.slots._services["orders"]
+        async with asyncio.timeout(5):
+            while dispatcher.queued < 2:
+                await asyncio.sleep(0.01)
+        for writer in links:
+            writer.close()
+
+    context.run(main())
+
+
+@behave.then("both slots and both places in the queue are free within {limit_s:g} s")
+def check_freed(context, limit_s):
+    async def main():
+        dispatcher = context.site.slots._services["orders"]
+        until_s = asyncio.get_running_loop().time() + limit_s
+        while dispatcher.queued or any(t.in_flight for t in dispatcher.targets.values()):
+            assert asyncio.get_running_loop().time() < until_s, (
+                dispatcher.queued,
+                dispatcher.targets,
+            )
+            await asyncio.sleep(0.01)
+
+    context.run(main())
+
+
+@behave.when("the caller of a running POST goes away")
+def leave_post(context):
+    for one in context.site.minions:
+        one._mean_s = 0.3
+
+    async def main():
+        _, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
+        writer.write(b"POST /orders/ HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+        while not any(one.records.runs for one in context.site.minions):
+            await asyncio.sleep(0.005)
+        writer.close()
+
+    context.run(main())
+
+
+@behave.then("the minion finishes it")
+def check_finished(context):
+    async def main():
+        async with asyncio.timeout(10):
+            while not any(run.finished for one in context.site.minions for run in one.records.runs):
+                await asyncio.sleep(0.01)
+
+    context.run(main())
+
+
+@behave.when("a caller sends GET with {patience_ms:d} ms of patience")
+def send_patience(context, patience_ms):
+    told = context.told = []
+    for one in context.site.minions:
+        plain = one.handle
+
+        async def handle(exchange, plain=plain):
+            told.append(int(exchange.header(b"request-timeout-ms")))
+            await plain(exchange)
+
+        one.handle = handle
+    for listener, one in zip(context.site.servers, context.site.minions, strict=True):
+        listener._handler = one.handle
+    context.run(_exchange(context.site.port, "GET", patience_ms=patience_ms))
+
+
+@behave.then("the minion was told between {least:d} and {most:d} ms")
+def check_told(context, least, most):
+    assert len(context.told) == 1 and least <= context.told[0] <= most, context.told
+
+
+@behave.when("the relay fails within {count:d} requests one after another")
+def fail_inside(context, count):
+    async def main():
+        broken = unittest.mock.patch.object(attempts.Attempt, "_head", side_effect=KeyError("x"))
+        with broken:
+            return [await _exchange(context.site.port, "POST", b"x") for _ in range(count)]
+
+    context.results = context.run(main())
+
+
+@behave.then('each got "{kind}" and later requests are whole')
+def check_failed_inside(context, kind):
+    assert {result for result, _ in context.results} == {f"not-run {kind}"}, context.results
+    later, answer = context.run(_exchange(context.site.port, "POST", b"x"))
+    assert later == "status", (later, answer)
+
+
+@behave.when("64 MB pass while the slow {end} stands still")
+def stall(context, end):
+    async def main():
+        _, writer = await asyncio.open_connection("127.0.0.1", context.site.port, limit=65536)
+        writer.transport.pause_reading()
+        sent = [0]
+        tracemalloc.start()
+        if end == "caller":
+            writer.write(b"GET /orders/ HTTP/1.1\r\nHost: a\r\n\r\n")
+            await _until_still(lambda: getattr(_SENT.get("writer"), "sent_bytes", 0))
+            sent[0] = _SENT.pop("writer").sent_bytes
+        else:
+            uploading = asyncio.ensure_future(_upload_without_end(writer, sent))
+            await _until_still(lambda: sent[0])
+            uploading.cancel()
+        context.passed_bytes = sent[0]
+        context.peak_bytes = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        writer.transport.abort()
+
+    context.run(main())
+
+
+async def _upload_without_end(writer, sent):
+    writer.write(b"POST /orders/ HTTP/1.1\r\nHost: a\r\nContent-Length: 67108864\r\n\r\n")
+    for _ in range(1024):
+        writer.write(_PART)
+        await writer.drain()
+        sent[0] += len(_PART)
+
+
+async def _until_still(count):
+    """Wait until a count that has begun has not grown for a while."""
+    seen, still = 0, 0
+    while still < 5:
+        await asyncio.sleep(0.05)
+        now = count()
+        still = still + 1 if now == seen and now else 0
+        seen = now
+
+
+@behave.then("the entry held at most {limit_mb:d} MB and the source had to wait")
+def check_bounded(context, limit_mb):
+    # What the kernel's own buffers take is not the entry's memory.
+    assert context.peak_bytes <= limit_mb * 1024 * 1024, context.peak_bytes
+    assert 0 < context.passed_bytes < 48 * 1024 * 1024, context.passed_bytes
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/attempts.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/attempts.py
@@ -71,10 +71,12 @@
         await self._send(head)
         async for part in self._body.parts():
             await self._send(h11.Data(data=part))
-        self._patience.timeout_kind = exceptions.ErrorKind.MINION_TIMEOUT
+            if not self._body.is_complete:
+                self._patience.timeout_kind = exceptions.ErrorKind.BODY_TIMEOUT
         await self._send(h11.EndOfMessage())
 
     async def _send(self, event: h11.Event) -> None:
+        self._patience.timeout_kind = exceptions.ErrorKind.MINION_TIMEOUT
         # A minion that stopped reading may have answered before: what it said decides.
         with contextlib.suppress(ConnectionError):
             await self._link.send(event)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -10,8 +10,8 @@
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
-    claimant,
     claim_sweeper,
+    claimant,
     configurator,
     health,
     heartbeat,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
@@ -41,7 +41,7 @@
         idle = self._idle[record.minion]
         while idle:
             kept = idle.pop()
-            stale = now_s - kept.since_s > _IDLE_LIMIT_S or kept.link.gone.is_set()
+            stale = now_s - kept.since_s > _IDLE_LIMIT_S or not kept.link.is_quiet()
             if not fresh and not stale:
                 return kept.link, True
             kept.link.abort()
@@ -59,7 +59,7 @@
 
     def checkin(self, minion: ids.MinionId, link: channel.Channel) -> None:
         """Keep a connection for later, or end it where it can't be used again."""
-        if link.is_reusable():
+        if link.is_reusable() and link.is_quiet():
             link.start_next()
             self._idle[minion].append(_Idle(link, asyncio.get_running_loop().time()))
         else:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -221,6 +221,9 @@
         503: exceptions.ErrorKind.OVERLOADED,
     }
     error = exceptions.RequestError(kinds.get(status, exceptions.ErrorKind.BAD_REQUEST), detail)
+    if error.kind is exceptions.ErrorKind.INTERNAL:
+        # Nothing is known here of how far the request had come.
+        error.mark_sent()
     headers, body = problem(error, None)
     return error.answer.status, headers, body
 
@@ -239,4 +242,3 @@
         await exchange.start(kept.status, headers, b"")
     else:
         await exchange.respond(kept.status, headers, kept.body)
-
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
@@ -100,6 +100,9 @@
                 case dispatch.Grant():
                     if future is not None and not future.done():
                         future.set_result(decision)
+                    else:
+                        # Its request was cancelled as it was granted; the slot must not be lost.
+                        self.release(decision.minion.service, decision.minion.minion)
                 case dispatch.Refusal():
                     if future is not None and not future.done():
                         future.set_exception(_error(decision))
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
@@ -97,6 +97,11 @@
         ours, theirs = self.state.our_state, self.state.their_state
         return ours is h11.DONE and theirs is h11.DONE and not self.gone.is_set()
 
+    def is_quiet(self) -> bool:
+        """Say whether the connection stands and the other end has said nothing unasked."""
+        has_bytes = bool(self.state.trailing_data[0]) or self._stream.has_bytes
+        return not has_bytes and not self.gone.is_set()
+
     def start_next(self) -> None:
         """Prepare for the next message on the same connection."""
         self.state.start_next_cycle()
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/stream.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/stream.py
@@ -48,6 +48,11 @@
         self._is_full = False
         self._reading_paused = False
 
+    @property
+    def has_bytes(self) -> bool:
+        """Say whether bytes came that nobody has read."""
+        return bool(self._received)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport (asyncio.Protocol)."""
         assert isinstance(transport, asyncio.Transport)
