--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
@@ -41,7 +41,7 @@
         idle = self._idle[record.minion]
         while idle:
             kept = idle.pop()
-            stale = now_s - kept.since_s > _IDLE_LIMIT_S or kept.link.gone.is_set()
+            stale = now_s - kept.since_s > _IDLE_LIMIT_S or not kept.link.is_quiet()
             if not fresh and not stale:
                 return kept.link, True
             kept.link.abort()
@@ -59,7 +59,7 @@
 
     def checkin(self, minion: ids.MinionId, link: channel.Channel) -> None:
         """Keep a connection for later, or end it where it can't be used again."""
-        if link.is_reusable():
+        if link.is_reusable() and link.is_quiet():
             link.start_next()
             self._idle[minion].append(_Idle(link, asyncio.get_running_loop().time()))
         else:
@@ -78,14 +78,16 @@
             self.forget(minion)
 
 
-async def receive_answer_head(link: channel.Channel, record: platform.MinionRecord) -> h11.Response:
+async def receive_answer_head(
+    link: channel.Channel, record: platform.MinionRecord, method: str
+) -> h11.Response:
     """Read an answer's head; raises RequestError unknown where it can't be read."""
     try:
         head = await client.receive_head(link)
     except h11.RemoteProtocolError as error:
         kind = exceptions.ErrorKind.MINION_CUT
         raise exceptions.RequestError(kind, f"{record.minion}: {error}") from error
-    if not _has_known_end(head):
+    if method != "HEAD" and not _has_known_end(head):
         # A body that ends with its connection can't be told from one that was cut short.
         kind = exceptions.ErrorKind.MINION_BAD_ANSWER
         raise exceptions.RequestError(kind, f"{record.minion}: the answer has no length")
