Stop entries in steps: not ready, serving out the grace, refusing, drained

Cause: SIGTERM refused every new request at once while the balancer still sent them, and waited for the table before it went on.

A planned stop now serves on for shutdown_grace_s with Connection: close, then refuses not-run on kept connections, finishes what runs and exits 0; a second signal ends the grace only. Entries greet peers that they first see in the table, else a peer heard of a leaving entry only by its own next poll.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import signal
 import uuid
 
 from nutmegshelf import configuration, exceptions, leases, members, messages
@@ -20,6 +19,7 @@
     pools,
     relay,
     settings,
+    shutdown,
     slots,
     table,
     telemetry,
@@ -70,16 +70,18 @@
             interval_s=own.poll_interval_s,
         )
         self._operators_port = 0
-        self._leaving = False
-        self._callers = server.Server(self._relay.handle, bad_head=relay.bad_head)
-        self._operators = server.Server(self._operator.handle)
+        self._shutdown = shutdown.Shutdown(own.shutdown_grace_s, own.drain_timeout_s)
+        self._callers = server.Server(
+            self._relay.handle,
+            server.Limits(max_connections=own.max_connections),
+            bad_head=relay.bad_head,
+            on_error=_report,
+        )
+        self._operators = server.Server(self._operator.handle, on_error=_report)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; ends when all work is done."""
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        self._shutdown.watch_signals()
         own = self._own
         self._operators_port = await self._operators.start(own.operators.host, own.operators.port)
         callers_port = await self._callers.start(own.callers.host, own.callers.port)
@@ -93,8 +95,14 @@
                 group.create_task(self._prober.run()),
                 group.create_task(self._pools.run()),
             ]
-            await stop.wait()
-            await self._drain()
+            await self._shutdown.wait_asked()
+            self._operator.ready = False
+            await self._shutdown.run(
+                [self._callers, self._operators],
+                self._refuse,
+                self._heartbeat.beat,
+                [self._pools.release_all, self._heartbeat.leave],
+            )
             for task in tasks:
                 task.cancel()
         await self._callers.close()
@@ -104,21 +112,8 @@
         self._table.close()
         _log.info("Stopped.")
 
-    async def _drain(self) -> None:
-        _log.info("Draining.", in_progress=self._callers.in_progress)
-        self._leaving = True
-        self._operator.ready = False
+    def _refuse(self) -> None:
         self._relay.refusing = exceptions.ErrorKind.SHUTTING_DOWN
-        self._callers.stop_listening()
-        with contextlib.suppress(exceptions.TableError):
-            await self._heartbeat.beat()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._own.drain_timeout_s):
-                await self._callers.wait_idle()
-        with contextlib.suppress(exceptions.TableError):
-            await self._pools.release_all()
-        with contextlib.suppress(exceptions.TableError):
-            await self._heartbeat.leave(self._own.entry)
 
     def _row(self, beat: int) -> members.EntryRow:
         own = self._own
@@ -128,7 +123,7 @@
             peer_address=self._peers.address,
             operator_address=f"{own.operators.host}:{self._operators_port}",
             version=self._in_force.version,
-            leaving=self._leaving,
+            leaving=self._shutdown.leaving,
             beat=beat,
         )
 
@@ -137,7 +132,7 @@
 
     def _switched(self, accepted: configuration.Accepted) -> None:
         self._slots.set_declared(accepted.declarations)
-        if not self._leaving:
+        if not self._shutdown.leaving:
             self._relay.refusing = None
             self._operator.ready = True
 
@@ -152,3 +147,7 @@
             case messages.Hello():
                 if self._heartbeat.take_hello(message.row):
                     self._health.greet()
+
+
+def _report(error: Exception) -> None:
+    _log.error("A handler failed.", exc_info=error)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/heartbeat.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/heartbeat.py
@@ -30,6 +30,7 @@
         self._interval_s = interval_s
         self._on_entries = on_entries
         self._beat = 0
+        self._dialed: set[str] = set()
 
     async def run(self) -> None:
         """Beat for ever."""
@@ -44,8 +45,8 @@
         """Tell peers, write the own row, read all rows; raises TableError."""
         self._beat += 1
         row = self._make_row(self._beat)
-        self._peers.broadcast(messages.Hello(sender=row.entry, row=row))
         self._dial()
+        self._peers.broadcast(messages.Hello(sender=row.entry, row=row))
         write = platform.Write(members.PREFIX + row.entry, codecs.pack(row))
         await self._rows.commit(platform.Transaction(writes=(write,)))
         rows = await self._rows.scan(members.PREFIX)
@@ -53,13 +54,18 @@
         self._members.take_rows(
             [codecs.unpack(found.value, members.EntryRow) for found in rows], loop.time()
         )
-        self._dial()
+        if self._dial():
+            self._peers.broadcast(messages.Hello(sender=row.entry, row=row))
 
-    def _dial(self) -> None:
+    def _dial(self) -> bool:
         now_s = asyncio.get_running_loop().time()
         live = self._members.live(now_s)
-        self._peers.set_addresses({peer.peer_address for peer in live})
+        addresses = {peer.peer_address for peer in live}
+        new = bool(addresses - self._dialed)
+        self._dialed = addresses
+        self._peers.set_addresses(addresses)
         self._on_entries([peer.entry for peer in self._members.staying(now_s)], now_s)
+        return new
 
     def take_hello(self, row: members.EntryRow) -> bool:
         """Take a peer's own word, so that peers find one another with the table down."""
@@ -68,7 +74,7 @@
             self._dial()
         return new
 
-    async def leave(self, entry: ids.EntryId) -> None:
-        """Take the own row away."""
-        write = platform.Write(members.PREFIX + entry, None)
+    async def leave(self) -> None:
+        """Take the own row away; raises TableError."""
+        write = platform.Write(members.PREFIX + self._members.own, None)
         await self._rows.commit(platform.Transaction(writes=(write,)))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -49,6 +49,8 @@
     fleet_interval_s: float = 0.5
     probe_path: str = "/health"
     pool_lease_s: float = 10.0
+    max_connections: int = 4096
+    shutdown_grace_s: float = 2.0
     drain_timeout_s: float = 30.0
     trace_fraction: float = 0.01
     log_level: str = "info"
