--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import logging
 import random
 
 from nutmegshelf_entry import logs
@@ -20,6 +21,8 @@
     context.shard = int(number), int(count)
     context.numbers = itertools.count()
     logs.configure("critical")
+    # Hosts that were killed leave spans open, as a killed process would.
+    logging.getLogger("opentelemetry").setLevel(logging.CRITICAL)
 
 
 def before_scenario(context, scenario):
--- a/features/faults/actions.py
+++ b/features/faults/actions.py
@@ -156,3 +156,8 @@
     "rack lost": lambda d: d.lose("rack"),
     "zone lost": lambda d: d.lose("zone"),
 }
+
+
+def published_version(body: bytes) -> int:
+    """Read the version from a publish's answer."""
+    return int(codecs.CODECS["json"].decode(body, dict)["head"]["version"])
--- a/features/faults/control_cells.py
+++ b/features/faults/control_cells.py
@@ -91,7 +91,7 @@
         except (OSError, h11.ProtocolError, TimeoutError):
             continue
         if answer.status == 200:
-            return int(codecs.CODECS["json"].decode(answer.body, dict)["head"]["version"])
+            return actions.published_version(answer.body)
         await asyncio.sleep(1.0)
     return 0
 
