Check the whole declaration set and name every fault at once

Cause: from_toml stopped at the first fault and lost the file; nothing looked across files. Kinds, fields and required values come from the types, so a new field needs no line in the check. References are read from the tables as written, so that a faulty declaration still shows its broken references.

--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/check.py
@@ -0,0 +1,234 @@
+"""Check a whole declaration set, also against what is in force and the fleet list."""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+
+from nutmegshelf import declarations, faults, ids, platform
+
+Faults = collections.abc.Iterator[faults.Fault]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Subject:
+    """Hold what the checks see: the set read, the set in force and the fleet list."""
+
+    reading: declarations.Reading
+    in_force: declarations.DeclarationSet | None = None
+    fleet: platform.FleetList | None = None
+
+    @property
+    def declared(self) -> declarations.DeclarationSet:
+        """Give the set to check."""
+        return self.reading.declared
+
+
+Check = collections.abc.Callable[[Subject], Faults]
+
+
+def check(
+    texts: collections.abc.Mapping[str, str],
+    in_force: declarations.DeclarationSet | None = None,
+    fleet: platform.FleetList | None = None,
+) -> tuple[declarations.DeclarationSet, list[faults.Fault]]:
+    """Read a set and run every check; the set may be used only if no fault is given."""
+    reading = declarations.read(texts)
+    subject = Subject(reading, in_force, fleet)
+    found = list(reading.found)
+    for one in CHECKS.values():
+        found += one(subject)
+    return reading.declared, sorted(found)
+
+
+def needed_minions(service: declarations.Service, budget: declarations.Budget) -> int:
+    """Give how many minions of a service its budget needs available."""
+    # The product may miss a whole number by a rounding error of the fraction.
+    return math.ceil(service.wanted_minions * budget.min_available_fraction - 1e-9)
+
+
+def _references(subject: Subject) -> Faults:
+    # The tables as written are looked at, so that a faulty declaration shows its references too.
+    reading = subject.reading
+    for (kind, name), table in reading.tables.items():
+        for (from_kind, field), target_kind in declarations.REFERENCES.items():
+            target = table.get(field) if kind == from_kind and isinstance(table, dict) else None
+            known = reading.names(target_kind)
+            if isinstance(target, str) and target not in known:
+                wrong = f'{target_kind} has no "{target}"'
+                yield reading.blame(kind, name, field, wrong, faults.suggest(target, known))
+
+
+def _hosts(subject: Subject) -> Faults:
+    owners: dict[str, str] = {}
+    for name, service in subject.declared.services.items():
+        for host in service.hosts:
+            first = owners.setdefault(host, name)
+            if first != name or service.hosts.count(host) > 1:
+                wrong = f'"{host}" is also a host of {first}'
+                remedy = "give each host to one service, once"
+                yield subject.reading.blame("services", name, "hosts", wrong, remedy)
+                break
+
+
+def _connections(subject: Subject) -> Faults:
+    for name, service in subject.declared.services.items():
+        if service.slots_per_minion > service.connections_per_minion:
+            wrong = (
+                f"{service.slots_per_minion} slots need more than "
+                f"{service.connections_per_minion} connections"
+            )
+            remedy = f"set at most {service.connections_per_minion}"
+            yield subject.reading.blame("services", name, "slots_per_minion", wrong, remedy)
+
+
+def _rules(subject: Subject) -> Faults:
+    for name, service in subject.declared.services.items():
+        seen: set[tuple[str, str]] = set()
+        for at, rule in enumerate(service.rules):
+            pairs = {(rule.path_prefix, method) for method in rule.methods or ("*",)}
+            if pairs & seen:
+                wrong = f'"{rule.path_prefix}" has an earlier rule for the same methods'
+                yield subject.reading.blame(
+                    "services", name, f"rules[{at}]", wrong, "join the two rules"
+                )
+            seen |= pairs
+
+
+def _empty_pools(subject: Subject) -> Faults:
+    for name, pool in subject.declared.pools.items():
+        users = [
+            *(f"service {one}" for one, it in subject.declared.services.items() if it.pool == name),
+            *(f"job {one}" for one, it in subject.declared.jobs.items() if it.pool == name),
+        ]
+        if not pool.wanted_workers and users:
+            wrong = f"the pool has no worker for {', '.join(users)}"
+            yield subject.reading.blame(
+                "pools", name, "wanted_workers", wrong, "set at least 1, or move its users"
+            )
+
+
+def _undrainable_budgets(subject: Subject) -> Faults:
+    declared = subject.declared
+    for name, budget in declared.budgets.items():
+        service = declared.services.get(budget.service)
+        pool = declared.pools.get(service.pool) if service else None
+        if service is None or pool is None or not pool.wanted_workers:
+            continue
+        spare = service.wanted_minions - needed_minions(service, budget)
+        lost = math.ceil(service.wanted_minions / pool.wanted_workers)
+        if lost > spare:
+            most = (service.wanted_minions - lost) / service.wanted_minions
+            wrong = (
+                f"no drain can ever be granted: it takes {lost} of {service.wanted_minions} "
+                f"minions, and {spare} may be away"
+            )
+            remedy = f"set at most {math.floor(most * 100) / 100}, or want more minions"
+            yield subject.reading.blame("budgets", name, "min_available_fraction", wrong, remedy)
+
+
+def _twice_governed(subject: Subject) -> Faults:
+    declared = subject.declared
+    governed = (
+        ("budgets", "service", {name: one.service for name, one in declared.budgets.items()}),
+        ("maintenance", "pool", {name: one.pool for name, one in declared.maintenance.items()}),
+    )
+    for kind, field, targets in governed:
+        first: dict[str, str] = {}
+        for name, target in targets.items():
+            if first.setdefault(target, name) != name:
+                wrong = f'{kind} "{first[target]}" is already for {field} "{target}"'
+                yield subject.reading.blame(kind, name, field, wrong, "keep one of the two")
+
+
+def _large_jobs(subject: Subject) -> Faults:
+    declared = subject.declared
+    for name, job in declared.jobs.items():
+        if pool := declared.pools.get(job.pool):
+            sizes = (
+                ("cores", job.cores, pool.worker_cores),
+                ("memory_gb", job.memory_gb, pool.worker_memory_gb),
+                ("accelerators", job.accelerators, pool.worker_accelerators),
+            )
+            for field, wanted, most in sizes:
+                if wanted > most:
+                    wrong = f"{wanted:g} is more than a worker of {job.pool} has"
+                    yield subject.reading.blame("jobs", name, field, wrong, f"set at most {most:g}")
+        if team := declared.teams.get(job.team):
+            quotas = (
+                ("cores", job.cores, team.quota_cores),
+                ("memory_gb", job.memory_gb, team.quota_memory_gb),
+                ("accelerators", job.accelerators, team.quota_accelerators),
+            )
+            for field, wanted, quota in quotas:
+                if wanted > quota:
+                    wrong = f"{wanted:g} for one task is over the quota of team {job.team}"
+                    yield subject.reading.blame(
+                        "jobs", name, field, wrong, f"set at most {quota:g}, or raise the quota"
+                    )
+
+
+def _quotas(subject: Subject) -> Faults:
+    pools, teams = subject.declared.pools.values(), subject.declared.teams
+    if len(pools) < len(subject.reading.names("pools")):
+        return  # The whole is not known while a pool is faulty.
+    wholes = {
+        "quota_cores": sum(pool.wanted_workers * pool.worker_cores for pool in pools),
+        "quota_memory_gb": sum(pool.wanted_workers * pool.worker_memory_gb for pool in pools),
+        "quota_accelerators": sum(pool.wanted_workers * pool.worker_accelerators for pool in pools),
+    }
+    for field, whole in wholes.items():
+        shares = {name: float(getattr(team, field)) for name, team in teams.items()}
+        total = sum(shares.values())
+        if total > whole:
+            largest = max(shares, key=lambda name: shares[name])
+            wrong = f"the teams' quotas add up to {total:g} and all pools have {whole:g}"
+            remedy = f"lower quotas by {total - whole:g} in all"
+            yield subject.reading.blame("teams", largest, field, wrong, remedy)
+
+
+def _broken_budgets(subject: Subject) -> Faults:
+    if subject.in_force is None or subject.fleet is None:
+        return
+    live = collections.Counter(
+        record.service
+        for record in subject.fleet.minions
+        if record.state is platform.HostState.LIVE
+    )
+    before = _needed(subject.in_force)
+    names = {one.service: name for name, one in subject.declared.budgets.items()}
+    for service, needed in _needed(subject.declared).items():
+        # A budget that is broken already must not stop a publish that leaves it as it is.
+        if service not in subject.in_force.services or needed <= before.get(service, 0):
+            continue
+        if live[service] < needed:
+            wrong = (
+                f"it would be broken at once: it needs {needed} minions of {service}, "
+                f"and {live[service]} are live"
+            )
+            remedy = "publish it once enough minions are live, or lower it"
+            yield subject.reading.blame(
+                "budgets", names[service], "min_available_fraction", wrong, remedy
+            )
+
+
+def _needed(declared: declarations.DeclarationSet) -> dict[ids.ServiceName, int]:
+    return {
+        budget.service: needed_minions(declared.services[budget.service], budget)
+        for budget in declared.budgets.values()
+        if budget.service in declared.services
+    }
+
+
+CHECKS: dict[str, Check] = {
+    "references": _references,
+    "hosts": _hosts,
+    "connections": _connections,
+    "rules": _rules,
+    "empty-pools": _empty_pools,
+    "undrainable-budgets": _undrainable_budgets,
+    "twice-governed": _twice_governed,
+    "large-jobs": _large_jobs,
+    "quotas": _quotas,
+    "broken-budgets": _broken_budgets,
+}
--- a/packages/nutmegshelf/src/nutmegshelf/declarations.py
+++ b/packages/nutmegshelf/src/nutmegshelf/declarations.py
@@ -1,12 +1,23 @@
 """Type the declarations that operators write, and read them from TOML."""
 
+import dataclasses
 import enum
+import re
 import tomllib
 import typing
 
 import msgspec
 
-from nutmegshelf import exceptions, ids
+from nutmegshelf import decoding, exceptions, faults, ids
+
+Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+Positive = typing.Annotated[int, msgspec.Meta(ge=1)]
+Amount = typing.Annotated[float, msgspec.Meta(ge=0)]
+PositiveAmount = typing.Annotated[float, msgspec.Meta(gt=0)]
+Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+Path = typing.Annotated[str, msgspec.Meta(pattern="^/")]
+Method = typing.Annotated[str, msgspec.Meta(pattern="^[A-Z]+$")]
+HostName = typing.Annotated[str, msgspec.Meta(pattern="^[a-z0-9.-]+$")]
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 
@@ -28,38 +39,38 @@
 class Pool(Declaration, frozen=True, kw_only=True):
     """Declare a set of like workers."""
 
-    wanted_workers: int
-    worker_cores: int
-    worker_memory_gb: int
-    worker_accelerators: int = 0
+    wanted_workers: Count
+    worker_cores: Positive
+    worker_memory_gb: Positive
+    worker_accelerators: Count = 0
     spare: bool = False
     lends: bool = True
-    move_cost: float = 10.0
-    idle_worker_hour_cost: float = 1.0
+    move_cost: Amount = 10.0
+    idle_worker_hour_cost: Amount = 1.0
 
 
 class PathRule(Declaration, frozen=True, kw_only=True):
     """Declare how requests below a path of a service are treated."""
 
-    path_prefix: str = "/"
-    methods: tuple[str, ...] = ()
+    path_prefix: Path = "/"
+    methods: tuple[Method, ...] = ()
     idempotent: bool | None = None
     key_required: bool = False
     request_class: RequestClass = RequestClass.NORMAL
-    max_body_bytes: int = 16 * 1024 * 1024
-    timeout_ms: int | None = None
+    max_body_bytes: Count = 16 * 1024 * 1024
+    timeout_ms: Positive | None = None
 
 
 class Service(Declaration, frozen=True, kw_only=True):
     """Declare a service, its minions' limits and its rules by path."""
 
     pool: ids.PoolName
-    wanted_minions: int
-    hosts: tuple[str, ...] = ()
-    slots_per_minion: int = 8
-    connections_per_minion: int = 60
-    timeout_ms: int = 10_000
-    queue_limit: int = 256
+    wanted_minions: Positive
+    hosts: tuple[HostName, ...] = ()
+    slots_per_minion: Positive = 8
+    connections_per_minion: Positive = 60
+    timeout_ms: Positive = 10_000
+    queue_limit: Count = 256
     guarded: bool = False
     rules: tuple[PathRule, ...] = ()
 
@@ -68,7 +79,7 @@
     """Declare how much of a service may be away at once."""
 
     service: ids.ServiceName
-    min_available_fraction: float
+    min_available_fraction: Fraction
 
 
 class Job(Declaration, frozen=True, kw_only=True):
@@ -76,10 +87,10 @@
 
     pool: ids.PoolName
     team: ids.TeamName
-    cores: float
-    memory_gb: float
-    accelerators: int = 0
-    tasks: int = 1
+    cores: PositiveAmount
+    memory_gb: PositiveAmount
+    accelerators: Count = 0
+    tasks: Positive = 1
     request_class: RequestClass = RequestClass.NORMAL
     guarded: bool = False
 
@@ -87,17 +98,17 @@
 class Team(Declaration, frozen=True, kw_only=True):
     """Declare a customer's quota."""
 
-    quota_cores: float
-    quota_memory_gb: float
-    quota_accelerators: int = 0
+    quota_cores: Amount
+    quota_memory_gb: Amount
+    quota_accelerators: Count = 0
 
 
 class Maintenance(Declaration, frozen=True, kw_only=True):
     """Declare how the workers of a pool are maintained."""
 
     pool: ids.PoolName
-    every_days: int = 28
-    at_most_at_once: int = 1
+    every_days: Positive = 28
+    at_most_at_once: Positive = 1
 
 
 class DeclarationSet(Declaration, frozen=True, kw_only=True):
@@ -111,23 +122,111 @@
     maintenance: dict[str, Maintenance] = {}
 
 
-def from_toml(texts: typing.Mapping[str, str]) -> DeclarationSet:
-    """Read a declaration set from the texts of its files, by file name."""
-    merged: dict[str, dict[str, object]] = {}
-    for name, text in sorted(texts.items()):
+KINDS: dict[str, type[Declaration]] = {
+    "pools": Pool,
+    "services": Service,
+    "budgets": Budget,
+    "jobs": Job,
+    "teams": Team,
+    "maintenance": Maintenance,
+}
+REFERENCES: dict[tuple[str, str], str] = {
+    ("services", "pool"): "pools",
+    ("budgets", "service"): "services",
+    ("jobs", "pool"): "pools",
+    ("jobs", "team"): "teams",
+    ("maintenance", "pool"): "pools",
+}
+_NAME = re.compile(r"[a-z0-9][a-z0-9_-]*")
+
+
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """Hold what was read of a set: its declarations, the file of each, and the faults."""
+
+    declared: DeclarationSet = dataclasses.field(default_factory=DeclarationSet)
+    files: dict[tuple[str, str], str] = dataclasses.field(default_factory=dict)
+    tables: dict[tuple[str, str], object] = dataclasses.field(default_factory=dict)
+    found: list[faults.Fault] = dataclasses.field(default_factory=list)
+
+    def names(self, kind: str) -> set[str]:
+        """Give all names of a kind, also of declarations that are faulty."""
+        return {name for found, name in self.files if found == kind}
+
+    def blame(self, kind: str, name: str, field: str, wrong: str, remedy: str) -> faults.Fault:
+        """Make a fault of one declaration with the file that it came from."""
+        place = f"{kind}.{name}.{field}" if field else f"{kind}.{name}"
+        file = self.files.get((kind, name), "?")
+        return faults.Fault(file=file, field=place, wrong=wrong, remedy=remedy)
+
+
+def read(texts: typing.Mapping[str, str]) -> Reading:
+    """Read the files of a set by their names, and collect every fault of a single file."""
+    reading = Reading()
+    found: dict[str, dict[str, object]] = {}
+    for file, text in sorted(texts.items()):
         try:
             tables = tomllib.loads(text)
         except tomllib.TOMLDecodeError as error:
-            raise exceptions.DeclarationError(f"{name}: {error}") from error
+            reading.found.append(
+                faults.Fault(
+                    file=file, field="(whole file)", wrong=str(error), remedy="write valid TOML"
+                )
+            )
+            continue
         for kind, entries in tables.items():
-            for key, value in entries.items():
-                if key in merged.setdefault(kind, {}):
-                    raise exceptions.DeclarationError(f"{name}: {kind}.{key} is declared twice")
-                merged[kind][key] = value
-    try:
-        return msgspec.convert(merged, DeclarationSet)
-    except msgspec.ValidationError as error:
-        raise exceptions.DeclarationError(str(error)) from error
+            _read_kind(reading, found, file, kind, entries)
+    reading.declared = msgspec.convert(found, DeclarationSet)
+    return reading
+
+
+def _read_kind(
+    reading: Reading, found: dict[str, dict[str, object]], file: str, kind: str, entries: object
+) -> None:
+    if kind not in KINDS:
+        reading.found.append(
+            faults.Fault(
+                file=file,
+                field=kind,
+                wrong=f'there is no kind "{kind}"',
+                remedy=faults.suggest(kind, KINDS),
+            )
+        )
+        return
+    if not isinstance(entries, dict):
+        reading.found.append(
+            faults.Fault(
+                file=file, field=kind, wrong="this is not a table", remedy=f"write [{kind}.NAME]"
+            )
+        )
+        return
+    for name, value in entries.items():
+        if first := reading.files.get((kind, name)):
+            remedy = f"keep this one or the one in {first}"
+            reading.found.append(
+                faults.Fault(
+                    file=file, field=f"{kind}.{name}", wrong="it is declared twice", remedy=remedy
+                )
+            )
+            continue
+        reading.files[kind, name] = file
+        reading.tables[kind, name] = value
+        if not _NAME.fullmatch(name):
+            remedy = "use lower-case letters, digits, - and _"
+            reading.found.append(reading.blame(kind, name, "", "the name can't be used", remedy))
+            continue
+        decoded, wrong = decoding.decode(value, KINDS[kind], file, f"{kind}.{name}")
+        reading.found += wrong
+        if decoded is not None:
+            found.setdefault(kind, {})[name] = decoded
+
+
+def from_toml(texts: typing.Mapping[str, str]) -> DeclarationSet:
+    """Read a declaration set; raises DeclarationError with every fault of a single file."""
+    reading = read(texts)
+    if reading.found:
+        raise exceptions.DeclarationError.of(reading.found)
+    return reading.declared
 
 
 def rule_for(service: Service, method: str, path: str) -> PathRule:
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -1,9 +1,12 @@
 """List every kind of error once, with the answer that each one gets."""
 
+import collections.abc
 import dataclasses
 import enum
 import logging
 
+from nutmegshelf import faults
+
 
 class Outcome(enum.Enum):
     """Say what is known of a request that got no answer from a minion."""
@@ -141,3 +144,12 @@
 
 class DeclarationError(NutmegshelfError):
     """Report that a declaration or a settings file can't be used."""
+
+    found: tuple[faults.Fault, ...] = ()
+
+    @classmethod
+    def of(cls, found: collections.abc.Iterable[faults.Fault]) -> "DeclarationError":
+        """Make the error that names every fault, a line each."""
+        error = cls("\n".join(str(fault) for fault in found))
+        error.found = tuple(found)
+        return error
