Accept by publish id, spread changes, and refuse on a configuration that nothing confirms

Cause: a publish repeated after other publishes was accepted twice, a head was only followed by whole sets, and an entry cut off from everything served its old set for ever. - One transaction swaps the head, writes the history row (with the changes), the row that settles the publish id, and ends the intent that keeps the set from the collector; old history goes in the same transaction. - Entries push changes by digest, poll by a transaction of conditions alone (never a stale read), and ask peers for the set when the objects are away. - A version is confirmed by the table, by a peer's proof dated with the own echoed stamp, or, with no table, by a majority of the entries that were listed; else after 5 s callers get configuration-stale. Tests changed: the publish trigger of the matrix looks for the publish's own row, as polls name the head too; the frozen entry's later call comes 1.5 s after it goes on, as an entry frozen for over 5 s first confirms (ruled out: serving at once, which may serve a superseded set).

--- a/features/faults/control_cells.py
+++ b/features/faults/control_cells.py
@@ -53,7 +53,9 @@
     def _is_reached(self, delivery: network.Delivery) -> bool:
         data = delivery.data or b""
         if self._step == "publish":
-            return data.startswith(b"POST /table") and configuration.HEAD_KEY.encode() in data
+            # Polls name the head too; only the accepting transaction names the publish row.
+            written = configuration.publish_key(_PUBLISH_ID).encode()
+            return data.startswith(b"POST /table") and written in data
         return b"HeadAccepted" in data and delivery.target == "entry-1"
 
 
--- a/features/hosts.py
+++ b/features/hosts.py
@@ -157,7 +157,7 @@
         head = configuration.Head(
             version=ids.Version(1), digest=digest, publish_id=ids.PublishId("first")
         )
-        self.platform.store.objects[configuration.set_key(digest)] = data
+        self.platform.store.objects[configuration.set_key(head)] = data
         write = platform.Write(configuration.HEAD_KEY, codecs.pack(head))
         self.platform.store.commit(platform.Transaction(writes=(write,)))
 
--- a/features/steps/hosts_steps.py
+++ b/features/steps/hosts_steps.py
@@ -8,6 +8,8 @@
 
 from features import hosts
 
+_CONFIRM_LIMIT_S = 1.5
+
 
 @behave.given("{entries:d} entries and {count:d} minions on faked hosts")
 def start_hosts(context, entries, count):
@@ -44,7 +46,13 @@
 @behave.then('a later call through "{name}" is whole')
 def check_later(context, name):
     context.hosts.loop.thaw(name)
-    done = context.run_hosts(context.hosts.call("later", entry=name))
+
+    async def call_later():
+        # A thawed entry first confirms that its configuration was not superseded meanwhile.
+        await asyncio.sleep(_CONFIRM_LIMIT_S)
+        return await context.hosts.call("later", entry=name)
+
+    done = context.run_hosts(call_later())
     assert done.result.value == "whole", done
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/configurator.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/configurator.py
@@ -1,25 +1,53 @@
-"""Bring accepted configurations into force and publish new ones."""
+"""Bring accepted configurations into force: pushed by peers, polled from the table."""
 
 import asyncio
+import collections
 import collections.abc
+import math
 import time
+import typing
 
-from nutmegshelf import codecs, configuration, declarations, exceptions, ids, platform
+from nutmegshelf import (
+    codecs,
+    configuration,
+    confirmation,
+    exceptions,
+    explain,
+    ids,
+    messages,
+    platform,
+)
 
 from nutmegshelf_entry import logs, table
 
+_CHECK_INTERVAL_S = 0.25
+_BEAT_INTERVAL_S = 1.0
+_MAX_REVISIONS = 32
+_RECENT_REVISIONS = 64
 _log = logs.part("configuration")
 
-Spread = collections.abc.Callable[[configuration.Head], None]
 Switched = collections.abc.Callable[[configuration.Accepted], None]
+Confirmed = collections.abc.Callable[[bool], None]
 
 
-class Conflict(exceptions.NutmegshelfError):
-    """Report that another configuration was accepted first."""
+class Peers(typing.Protocol):
+    """Name what is needed of the other entries, so that tests can fake it."""
 
-    def __init__(self, current: configuration.Head) -> None:
-        super().__init__(f"version {current.version} by {current.operator!r} is in the table")
-        self.current = current
+    def broadcast(self, message: messages.Any) -> None:
+        """Send to every peer."""
+
+    def send(self, address: str, message: messages.Any) -> None:
+        """Send to one peer."""
+
+
+class Known(typing.Protocol):
+    """Name what is needed of the list of entries."""
+
+    def counted(self) -> frozenset[ids.EntryId]:
+        """Give the entries that were heard of within the counting limit."""
+
+    def addresses(self) -> dict[ids.EntryId, str]:
+        """Give the live peers' addresses."""
 
 
 class Configurator:
@@ -27,83 +55,256 @@
 
     def __init__(
         self,
+        *,
+        own: ids.EntryId,
         rows: table.Rows,
         in_force: configuration.InForce,
-        spread: Spread,
+        peers: Peers,
+        known: Known,
         switched: Switched,
+        confirmed: Confirmed,
         poll_interval_s: float,
+        decisions: explain.Decisions | None = None,
+        clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
+        self._own = own
         self._rows = rows
         self._in_force = in_force
-        self._spread = spread
+        self._peers = peers
+        self._known = known
         self._switched = switched
+        self._confirmed = confirmed
         self._poll_interval_s = poll_interval_s
+        self._head_row = platform.Row(configuration.HEAD_KEY, 0)
+        self._head: configuration.Head | None = None
+        self._read_s = -math.inf
+        self._newest: configuration.Head | None = None
+        self._behind = asyncio.Event()
+        self._stamps_s: dict[ids.EntryId, float] = {}
+        self._decisions = decisions
+        self._clock = clock
+        self.versions: dict[ids.EntryId, ids.Version] = {}
+        self.recent: collections.deque[configuration.Revision] = collections.deque(
+            maxlen=_RECENT_REVISIONS
+        )
+        self.confirmation = confirmation.Confirmation(own)
+        self.standing = confirmation.Standing.STARTING
 
     async def run(self) -> None:
-        """Poll the table's head for ever: the safety net below the peers' messages."""
+        """Poll, catch up and judge the own standing for ever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._poll_for_ever())
+            group.create_task(self._catch_up_for_ever())
+            group.create_task(self._beat_for_ever())
+            group.create_task(self._judge_for_ever())
+
+    async def _poll_for_ever(self) -> None:
         while True:
             try:
-                row = await self._rows.read(configuration.HEAD_KEY)
-                if row.version:
-                    await self.take_head(codecs.unpack(row.value, configuration.Head))
+                await self.poll()
             except exceptions.TableError as error:
-                _log.warning("Could not read the head.", error=str(error))
+                _log.info("Could not read the head.", error=str(error))
             await asyncio.sleep(self._poll_interval_s)
 
-    async def take_head(self, head: configuration.Head) -> None:
-        """Fetch the set that a newer head names and put it in force; raises TableUnavailable."""
+    async def poll(self) -> None:
+        """Ask the table whether the head is still the one known; raises TableError.
+
+        A transaction of conditions alone is never answered from a stale copy, as a read may be.
+        """
+        started_s = asyncio.get_running_loop().time()
+        condition = platform.Condition(configuration.HEAD_KEY, self._head_row.version)
+        try:
+            answer = await self._rows.commit(platform.Transaction((condition,)))
+        except exceptions.TableAnswerLost:
+            # A plain read may be stale: it gives news, but confirms nothing.
+            self._take_row(await self._rows.read(configuration.HEAD_KEY))
+            raise
+        if not answer.ok:
+            self._take_row(answer.rows[0])
+        self._read_s = started_s
+        self.confirmation.set_counted(self._known.counted())
+        self._confirm_by_row()
+        self.judge()
+
+    def _take_row(self, row: platform.Row) -> None:
+        if row.version > self._head_row.version:
+            self._head_row = row
+            self._head = codecs.unpack(row.value, configuration.Head)
+            self._want(self._head)
+
+    def _confirm_by_row(self) -> None:
+        if self._head is not None and self._head.version == self._in_force.version:
+            self.confirmation.by_table(self._read_s)
+
+    def _want(self, head: configuration.Head) -> None:
+        if self._in_force.wants(head) and (
+            self._newest is None or head.version > self._newest.version
+        ):
+            self._newest = head
+        if self._newest is not None and self._in_force.wants(self._newest):
+            self._behind.set()
+
+    async def _catch_up_for_ever(self) -> None:
+        while True:
+            await self._behind.wait()
+            self._behind.clear()
+            if self._newest is None or not self._in_force.wants(self._newest):
+                continue
+            try:
+                await self._catch_up(self._newest)
+            except exceptions.TableError as error:
+                _log.info("Asked peers for the set.", error=str(error))
+                wanted = messages.ConfigurationWanted(
+                    sender=self._own, version=self._newest.version
+                )
+                self._peers.broadcast(wanted)
+                await asyncio.sleep(_CHECK_INTERVAL_S)
+                self._want(self._newest)
+
+    async def _catch_up(self, head: configuration.Head) -> None:
+        gap = head.version - self._in_force.version
+        if self._in_force.version and gap <= _MAX_REVISIONS:
+            after = configuration.history_key(self._in_force.version)
+            for row in await self._rows.scan(configuration.HISTORY_PREFIX, after, _MAX_REVISIONS):
+                self._advance(codecs.unpack(row.value, configuration.Revision))
         if not self._in_force.wants(head):
             return
-        data = await self._rows.get_object(configuration.set_key(head.digest))
-        if data is None or codecs.digest(data) != head.digest:
+        data = await self._rows.get_object(configuration.set_key(head))
+        accepted = configuration.decode_set(head, data)
+        if accepted is None:
             raise exceptions.TableUnavailable(f"the set of version {head.version} is missing")
-        declared = codecs.unpack(data, declarations.DeclarationSet)
-        accepted = configuration.Accepted(head=head, declarations=declared)
-        if self._in_force.switch(accepted):
-            _log.info("Switched the configuration.", version=head.version)
-            self._switched(accepted)
-            self._spread(head)
-
-    async def publish(
+        self._switch(accepted, None)
+
+    def _advance(self, revision: configuration.Revision) -> bool:
+        accepted = self._in_force.advance(revision)
+        if accepted is not None:
+            self._switch(accepted, revision)
+        return accepted is not None
+
+    def _switch(
+        self, accepted: configuration.Accepted, revision: configuration.Revision | None
+    ) -> None:
+        before = self._in_force.accepted
+        if not self._in_force.switch(accepted):
+            return
+        _log.info("Switched the configuration.", version=accepted.head.version)
+        shown = revision or configuration.revise(accepted.head, before, accepted.declarations)
+        self.recent.append(shown)
+        self._explain_switch(shown)
+        self._confirm_by_row()
+        self._switched(accepted)
+        self.judge()
+        spread = messages.HeadAccepted(sender=self._own, head=accepted.head, revision=revision)
+        self._peers.broadcast(spread)
+
+    def _explain_switch(self, revision: configuration.Revision) -> None:
+        head = revision.head
+        reason = f"version {head.version} by {head.operator!r} came into force"
+        for subject in ("configuration", *revision.changed):
+            self._explain("configuration", subject, reason)
+
+    def _explain(self, kind: str, subject: str, reason: str) -> None:
+        if self._decisions is not None:
+            decision = explain.Decision(
+                kind=kind, subject=subject, reason=reason, at_s=self._clock()
+            )
+            self._decisions.add(decision)
+
+    def take_published(
         self,
-        declared: declarations.DeclarationSet,
-        publish_id: ids.PublishId,
-        operator: str,
-        expected: ids.Version | None,
-    ) -> configuration.Head:
-        """Accept a checked set by one compare-and-set; raises Conflict or TableError."""
-        data, digest = configuration.encode_set(declared)
-        await self._rows.put_object(configuration.set_key(digest), data)
-        row = await self._rows.read(configuration.HEAD_KEY)
-        current = codecs.unpack(row.value, configuration.Head) if row.version else None
-        if current is not None and current.publish_id == publish_id:
-            return current
-        version = current.version if current else ids.NO_VERSION
-        if current is not None and expected is not None and expected != version:
-            raise Conflict(current)
-        head = configuration.Head(
-            version=ids.Version(version + 1),
-            digest=digest,
-            publish_id=publish_id,
-            operator=operator,
-            accepted_at_s=time.time(),
-        )
-        committed = await self._swap(row, head)
-        if committed != head:
-            raise Conflict(committed)
-        await self.take_head(head)
-        return head
-
-    async def _swap(self, row: platform.Row, head: configuration.Head) -> configuration.Head:
-        transaction = platform.Transaction(
-            conditions=(platform.Condition(row.key, row.version),),
-            writes=(platform.Write(row.key, codecs.pack(head)),),
-        )
-        try:
-            await self._rows.commit(transaction)
-        except exceptions.TableAnswerLost:
-            _log.info("Settling a lost answer.", publish=head.publish_id)
-        written = await self._rows.read(configuration.HEAD_KEY)
-        if not written.version:
-            raise exceptions.TableUnavailable("the head was not written")
-        return codecs.unpack(written.value, configuration.Head)
+        revision: configuration.Revision,
+        accepted: configuration.Accepted,
+        started_s: float,
+    ) -> None:
+        """Put in force what this entry has just accepted."""
+        if self._in_force.wants(accepted.head):
+            self._switch(accepted, revision if revision.delta is not None else None)
+            self.confirmation.by_table(started_s)
+            self.judge()
+
+    def take_message(self, message: messages.Any) -> None:
+        """Take what a peer says of configurations."""
+        match message:
+            case messages.HeadAccepted(sender=sender, revision=revision, head=head):
+                self._note_version(sender, head.version)
+                if revision is None or not self._advance(revision):
+                    self._want(head)
+            case messages.ConfigurationBeat():
+                self._take_beat(message)
+            case messages.ConfigurationWanted(sender=sender, version=version):
+                self._give_set(sender, version)
+            case messages.ConfigurationSet(head=head, data=data, counted=counted):
+                if not self.confirmation.counted:
+                    self.confirmation.set_counted(frozenset(counted))
+                accepted = configuration.decode_set(head, data)
+                if accepted is not None:
+                    self._switch(accepted, None)
+            case _:
+                pass
+
+    def _take_beat(self, beat: messages.ConfigurationBeat) -> None:
+        self._stamps_s[beat.sender] = beat.sent_s
+        self._note_version(beat.sender, beat.version)
+        if beat.version > self._in_force.version:
+            wanted = messages.ConfigurationWanted(sender=self._own, version=beat.version)
+            self._send(beat.sender, wanted)
+            return
+        is_same = beat.version == self._in_force.version
+        self.confirmation.by_peer(beat.sender, is_same, beat.echo_s, beat.table_age_s)
+        self.judge()
+
+    def _note_version(self, peer: ids.EntryId, version: ids.Version) -> None:
+        self.versions[peer] = max(version, self.versions.get(peer, version))
+
+    def _give_set(self, peer: ids.EntryId, version: ids.Version) -> None:
+        accepted = self._in_force.accepted
+        if accepted is not None and accepted.head.version >= version:
+            data, _ = configuration.encode_set(accepted.declarations)
+            answer = messages.ConfigurationSet(
+                sender=self._own,
+                head=accepted.head,
+                data=data,
+                counted=tuple(self.confirmation.counted),
+            )
+            self._send(peer, answer)
+
+    def _send(self, peer: ids.EntryId, message: messages.Any) -> None:
+        if address := self._known.addresses().get(peer):
+            self._peers.send(address, message)
+
+    async def _beat_for_ever(self) -> None:
+        while True:
+            self.beat()
+            await asyncio.sleep(_BEAT_INTERVAL_S)
+
+    def beat(self) -> None:
+        """Tell every peer what is in force, with the stamp last heard from it."""
+        now_s = asyncio.get_running_loop().time()
+        for peer, address in self._known.addresses().items():
+            self._peers.send(
+                address,
+                messages.ConfigurationBeat(
+                    sender=self._own,
+                    version=self._in_force.version,
+                    sent_s=now_s,
+                    echo_s=self._stamps_s.get(peer),
+                    table_age_s=self.confirmation.table_age_s(now_s),
+                ),
+            )
+
+    async def _judge_for_ever(self) -> None:
+        while True:
+            self.judge()
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+
+    def judge(self) -> None:
+        """Say whether callers may be served by what is in force."""
+        now_s = asyncio.get_running_loop().time()
+        standing = self.confirmation.standing(self._in_force.version, now_s)
+        if standing is self.standing:
+            return
+        _log.info("Changed the standing.", standing=standing.value, before=self.standing.value)
+        reason = f"the configuration in force is {standing.value}, was {self.standing.value}"
+        self._explain("standing", self._own, reason)
+        self.standing = standing
+        self._confirmed(standing is not confirmation.Standing.STALE)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -5,17 +5,20 @@
 import random
 import signal
 
-from nutmegshelf import configuration, exceptions, members, messages
+from nutmegshelf import configuration, exceptions, explain, members, messages
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
+    collector,
     configurator,
     health,
     heartbeat,
+    listing,
     logs,
     minions,
     operator,
     peers,
+    publisher,
     relay,
     settings,
     slots,
@@ -39,13 +42,20 @@
         self._pool = minions.MinionPool()
         self._members = members.Members(own.entry, _SILENCE_BEATS * own.heartbeat_interval_s)
         self._peers = peers.Peers(own.entry, own.peers.host, own.peers.port)
+        self._decisions = explain.Decisions()
         self._configurator = configurator.Configurator(
-            self._table, self._in_force, self._spread, self._switched, own.poll_interval_s
+            own=own.entry,
+            rows=self._table,
+            in_force=self._in_force,
+            peers=self._peers,
+            known=listing.Listing(self._members),
+            switched=self._switched,
+            confirmed=self._confirmed,
+            poll_interval_s=own.poll_interval_s,
+            decisions=self._decisions,
         )
+        self._collector = collector.Collector(self._table, own.collect_interval_s)
         self._relay = relay.Relay(self._in_force, self._slots, self._pool, self._telemetry)
-        self._operator = operator.Operator(
-            own, self._in_force, self._configurator, self._members, self._telemetry
-        )
         self._health = health.Health(own.entry, self._peers.broadcast, self._slots.set_records)
         self._pool.on_refused = self._health.refused
         self._pool.on_ended = self._health.suspect
@@ -59,6 +69,16 @@
             own.heartbeat_interval_s,
             on_entries=self._health.targets.set_entries,
         )
+        self._operator = operator.Operator(
+            own=own,
+            in_force=self._in_force,
+            config=self._configurator,
+            publishes=publisher.Publisher(self._table, self._in_force),
+            known=self._members,
+            metrics=self._telemetry,
+            decisions=self._decisions,
+            records=self._health.targets.records,
+        )
         self._operators_port = 0
         self._leaving = False
         self._callers = server.Server(self._relay.handle, bad_head=relay.bad_head)
@@ -79,6 +99,7 @@
                 group.create_task(self._peers.run(self._take_message)),
                 group.create_task(self._heartbeat.run()),
                 group.create_task(self._configurator.run()),
+                group.create_task(self._collector.run()),
                 group.create_task(self._fleet.run()),
                 group.create_task(self._prober.run()),
             ]
@@ -119,23 +140,23 @@
             beat=beat,
         )
 
-    def _spread(self, head: configuration.Head) -> None:
-        self._peers.broadcast(messages.HeadAccepted(sender=self._own.entry, head=head))
-
     def _switched(self, accepted: configuration.Accepted) -> None:
         self._slots.set_declared(accepted.declarations)
         if not self._leaving:
             self._relay.refusing = None
             self._operator.ready = True
 
+    def _confirmed(self, is_confirmed: bool) -> None:
+        self._relay.is_stale = not is_confirmed
+        self._operator.is_stale = not is_confirmed
+
     async def _take_message(self, message: messages.Any) -> None:
         self._members.heard(message.sender, asyncio.get_running_loop().time())
         match message:
-            case messages.HeadAccepted():
-                with contextlib.suppress(exceptions.TableError):
-                    await self._configurator.take_head(message.head)
             case messages.BadNews() | messages.MinionsRecovered():
                 self._health.take_message(message)
             case messages.Hello():
                 if self._heartbeat.take_hello(message.row):
                     self._health.greet()
+            case _:
+                self._configurator.take_message(message)
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/listing.py
@@ -0,0 +1,26 @@
+"""Tell the configurator which entries there are."""
+
+import asyncio
+
+from nutmegshelf import confirmation, ids, members
+
+
+class Listing:
+    """Read the list of entries for the configurator."""
+
+    def __init__(self, known: members.Members) -> None:
+        self._members = known
+
+    def counted(self) -> frozenset[ids.EntryId]:
+        """Give the entries that were heard of within the counting limit."""
+        now_s = asyncio.get_running_loop().time()
+        return frozenset(
+            entry
+            for entry, member in self._members.known.items()
+            if now_s - member.heard_s <= confirmation.COUNTED_FOR_S and not member.row.leaving
+        )
+
+    def addresses(self) -> dict[ids.EntryId, str]:
+        """Give the live peers' addresses."""
+        now_s = asyncio.get_running_loop().time()
+        return {row.entry: row.peer_address for row in self._members.live(now_s)}
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/operator.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/operator.py
@@ -1,23 +1,44 @@
-"""Serve operators: publish, status, metrics."""
+"""Serve operators: check, publish, status, history, explanations and metrics."""
 
+import asyncio
+import collections.abc
 import hmac
 import json
+import urllib.parse
 
 import msgspec
-from nutmegshelf import codecs, configuration, declarations, exceptions, ids, members
+from nutmegshelf import (
+    changes,
+    check,
+    codecs,
+    configuration,
+    declarations,
+    exceptions,
+    explain,
+    ids,
+    members,
+    platform,
+)
 from nutmegshelf_http import server
 
-from nutmegshelf_entry import configurator, settings, telemetry
+from nutmegshelf_entry import configurator, publisher, settings, telemetry
 
 _MAX_PUBLISH_BYTES = 32 * 1024 * 1024
 _JSON = [(b"content-type", b"application/json")]
+_HISTORY_ROWS = 20
+_HISTORY_TIMEOUT_S = 3.0
+
+Records = collections.abc.Callable[[], tuple[platform.MinionRecord, ...]]
+Reply = tuple[int, object]
+Answering = collections.abc.Awaitable[Reply]
+Route = collections.abc.Callable[[server.Exchange], Answering]
 
 
 class Publish(msgspec.Struct, frozen=True, kw_only=True):
-    """Ask for a set of declaration files to be accepted."""
+    """Ask for a set of declaration files to be accepted, or only checked."""
 
     files: dict[str, str]
-    publish_id: ids.PublishId
+    publish_id: ids.PublishId = ids.PublishId("")
     operator: str = ""
     expected: ids.Version | None = None
 
@@ -27,34 +48,50 @@
 
     def __init__(
         self,
+        *,
         own: settings.Settings,
         in_force: configuration.InForce,
         config: configurator.Configurator,
+        publishes: publisher.Publisher,
         known: members.Members,
         metrics: telemetry.Telemetry,
+        decisions: explain.Decisions,
+        records: Records,
     ) -> None:
         self._own = own
         self._in_force = in_force
         self._config = config
+        self._publisher = publishes
         self._members = known
         self._telemetry = metrics
+        self._decisions = decisions
+        self._records = records
         self.ready = False
+        self.is_stale = False
+        self._routes: dict[tuple[str, str], Route] = {
+            ("GET", "/status"): self._status,
+            ("GET", "/history"): self._history,
+            ("GET", "/explain"): self._explain,
+            ("GET", "/configuration"): self._configuration,
+            ("POST", "/check"): self._check,
+            ("POST", "/publish"): self._publish,
+        }
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Serve one operator request."""
         path = exchange.target.partition("?")[0]
+        ready = self.ready and not self.is_stale
         match exchange.method, path:
             case "GET", "/ready":
-                await self._answer(exchange, 200 if self.ready else 503, {"ready": self.ready})
+                await self._answer(exchange, 200 if ready else 503, {"ready": ready})
             case "GET", "/metrics":
                 text = [(b"content-type", b"text/plain; version=0.0.4")]
                 await exchange.respond(200, text, self._telemetry.render())
             case _ if not self._is_allowed(exchange):
                 await self._answer(exchange, 401, {"error": "a bearer token is needed"})
-            case "GET", "/status":
-                await self._answer(exchange, 200, self._status())
-            case "POST", "/publish":
-                await self._publish(exchange)
+            case key if found := self._routes.get(key):
+                status, body = await found(exchange)
+                await self._answer(exchange, status, body)
             case _:
                 await self._answer(exchange, 404, {"error": f"there is no {path}"})
 
@@ -63,35 +100,159 @@
         given = exchange.header(b"authorization") or b""
         return not token or hmac.compare_digest(given, f"Bearer {token}".encode())
 
-    def _status(self) -> dict[str, object]:
-        return {
+    async def _status(self, exchange: server.Exchange) -> Reply:
+        now_s = asyncio.get_running_loop().time()
+        accepted = self._in_force.accepted
+        return 200, {
             "entry": self._own.entry,
             "zone": self._own.zone,
             "version": self._in_force.version,
-            "ready": self.ready,
-            "entries": [msgspec.to_builtins(member.row) for member in self._members.known.values()],
+            "ready": self.ready and not self.is_stale,
+            "standing": self._config.standing.value,
+            "table_age_s": self._config.confirmation.table_age_s(now_s),
+            "accepted_at_s": accepted.head.accepted_at_s if accepted else None,
+            "operator": accepted.head.operator if accepted else None,
+            "declared": self._counts(),
+            "entries": [self._entry(member, now_s) for member in self._members.known.values()],
+        }
+
+    def _counts(self) -> dict[str, int]:
+        accepted = self._in_force.accepted
+        if accepted is None:
+            return {}
+        return {kind: len(named) for kind, named in _kinds(accepted).items()}
+
+    def _entry(self, member: members.Member, now_s: float) -> dict[str, object]:
+        row = member.row
+        is_own = row.entry == self._own.entry
+        version = max(row.version, self._config.versions.get(row.entry, row.version))
+        return {
+            **msgspec.to_builtins(row),
+            "version": self._in_force.version if is_own else version,
+            "age_s": 0.0 if is_own else now_s - member.heard_s,
+            "is_live": is_own or now_s - member.heard_s <= self._members.silence_limit_s,
+        }
+
+    async def _history(self, exchange: server.Exchange) -> Reply:
+        """Answer from the table, or from memory where the table gives no answer."""
+        after = int(_query(exchange).get("after", 0))
+        after = after or max(0, self._in_force.version - _HISTORY_ROWS)
+        try:
+            async with asyncio.timeout(_HISTORY_TIMEOUT_S):
+                found, age_s = await self._publisher.history(after), 0.0
+        except (exceptions.TableError, TimeoutError):
+            found = [one for one in self._config.recent if one.head.version > after]
+            now_s = asyncio.get_running_loop().time()
+            age_s = self._config.confirmation.table_age_s(now_s) or 0.0
+        return 200, {"age_s": age_s, "revisions": [_shown(one) for one in found]}
+
+    async def _explain(self, exchange: server.Exchange) -> Reply:
+        name = _query(exchange).get("name", "")
+        found = self._decisions.about(name)
+        if not found:
+            return 404, {"error": f'no decision on "{name}" is kept at {self._own.entry}'}
+        return 200, {"entry": self._own.entry, "decisions": msgspec.to_builtins(found)}
+
+    async def _configuration(self, exchange: server.Exchange) -> Reply:
+        accepted = self._in_force.accepted
+        now_s = asyncio.get_running_loop().time()
+        return 200, {
+            "version": self._in_force.version,
+            "age_s": self._config.confirmation.table_age_s(now_s),
+            "declarations": msgspec.to_builtins(accepted.declarations) if accepted else {},
+        }
+
+    def _checked(self, asked: Publish) -> tuple[declarations.DeclarationSet, list[object]]:
+        accepted = self._in_force.accepted
+        fleet = platform.FleetList(revision=0, minions=self._records())
+        before = accepted.declarations if accepted else None
+        declared, found = check.check(asked.files, before, fleet if fleet.minions else None)
+        return declared, [{**msgspec.to_builtins(one), "text": str(one)} for one in found]
+
+    async def _check(self, exchange: server.Exchange) -> Reply:
+        try:
+            asked = await _read(exchange)
+        except ValueError as error:
+            return 422, {"error": str(error)}
+        declared, faults = self._checked(asked)
+        accepted = self._in_force.accepted
+        before = accepted.declarations if accepted else declarations.DeclarationSet()
+        differences = [] if faults else changes.describe(before, declared)
+        return (422 if faults else 200), {
+            "version": self._in_force.version,
+            "faults": faults,
+            "differences": msgspec.to_builtins(differences),
         }
 
-    async def _publish(self, exchange: server.Exchange) -> None:
+    async def _publish(self, exchange: server.Exchange) -> Reply:
         try:
-            data = await exchange.link.read_body(_MAX_PUBLISH_BYTES)
-            asked: Publish = codecs.CODECS["json"].decode(data, Publish)
-            declared = declarations.from_toml(asked.files)
-        except (ValueError, exceptions.DeclarationError) as error:
-            await self._answer(exchange, 422, {"error": str(error)})
-            return
+            asked = await _read(exchange)
+        except ValueError as error:
+            return 422, {"error": str(error)}
+        if not asked.publish_id:
+            return 422, {"error": "the publish id is missing"}
+        declared, faults = self._checked(asked)
+        if faults:
+            return 422, {"error": "the set has faults", "faults": faults}
+        return await self._accept(asked, declared)
+
+    async def _accept(self, asked: Publish, declared: declarations.DeclarationSet) -> Reply:
+        started_s = asyncio.get_running_loop().time()
         try:
-            head = await self._config.publish(
+            revision = await self._publisher.publish(
                 declared, asked.publish_id, asked.operator, asked.expected
             )
-        except configurator.Conflict as error:
-            await self._answer(
-                exchange, 409, {"error": str(error), "current": msgspec.to_builtins(error.current)}
-            )
+        except publisher.Conflict as error:
+            return 409, await self._conflict(error, asked)
+        except publisher.IdReused as error:
+            return 422, {"error": str(error)}
         except exceptions.TableError as error:
-            await self._answer(exchange, 503, {"error": str(error)})
-        else:
-            await self._answer(exchange, 200, {"head": msgspec.to_builtins(head)})
+            is_unknown = isinstance(error, exceptions.TableAnswerLost)
+            return 503, {"error": str(error), "outcome": "unknown" if is_unknown else "not-run"}
+        accepted = configuration.Accepted(head=revision.head, declarations=declared)
+        self._config.take_published(revision, accepted, started_s)
+        return 200, {"head": msgspec.to_builtins(revision.head)}
+
+    async def _conflict(self, error: publisher.Conflict, asked: Publish) -> object:
+        since: list[configuration.Revision] = []
+        base = asked.expected if asked.expected is not None else error.current.version - 1
+        try:
+            since = await self._publisher.history(base)
+        except exceptions.TableError:
+            since = [one for one in self._config.recent if one.head.version > base]
+        return {
+            "error": str(error),
+            "current": msgspec.to_builtins(error.current),
+            "since": [_shown(one) for one in since],
+        }
 
     async def _answer(self, exchange: server.Exchange, status: int, body: object) -> None:
         await exchange.respond(status, _JSON, json.dumps(body).encode())
+
+
+def _kinds(accepted: configuration.Accepted) -> dict[str, dict[str, object]]:
+    return {
+        field.name: getattr(accepted.declarations, field.name)
+        for field in msgspec.structs.fields(accepted.declarations)
+    }
+
+
+def _query(exchange: server.Exchange) -> dict[str, str]:
+    return dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(exchange.target).query))
+
+
+async def _read(exchange: server.Exchange) -> Publish:
+    data = await exchange.link.read_body(_MAX_PUBLISH_BYTES)
+    asked: Publish = codecs.CODECS["json"].decode(data, Publish)
+    return asked
+
+
+def _shown(revision: configuration.Revision) -> dict[str, object]:
+    return {
+        "version": revision.head.version,
+        "operator": revision.head.operator,
+        "accepted_at_s": revision.head.accepted_at_s,
+        "publish_id": revision.head.publish_id,
+        "changed": list(revision.changed),
+        "changed_count": revision.changed_count,
+    }
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
@@ -0,0 +1,140 @@
+"""Accept checked sets by one compare-and-set, and settle every doubt by the publish id."""
+
+import collections.abc
+import time
+
+from nutmegshelf import acceptance, codecs, configuration, declarations, exceptions, ids, platform
+
+from nutmegshelf_entry import logs, table
+
+_log = logs.part("publish")
+
+Clock = collections.abc.Callable[[], float]
+
+
+class Conflict(exceptions.NutmegshelfError):
+    """Report that another configuration was accepted first."""
+
+    def __init__(self, current: configuration.Head) -> None:
+        super().__init__(f"version {current.version} by {current.operator!r} is in the table")
+        self.current = current
+
+
+class IdReused(exceptions.NutmegshelfError):
+    """Report that the publish id was used for another set."""
+
+
+class Publisher:
+    """Carry out publishes against the table and the objects."""
+
+    def __init__(
+        self, rows: table.Rows, in_force: configuration.InForce, clock: Clock = time.time
+    ) -> None:
+        self._rows = rows
+        self._in_force = in_force
+        self._clock = clock
+
+    async def publish(
+        self,
+        declared: declarations.DeclarationSet,
+        publish_id: ids.PublishId,
+        operator: str,
+        expected: ids.Version | None,
+    ) -> configuration.Revision:
+        """Accept a checked set; raises Conflict, IdReused or TableError."""
+        data, digest = configuration.encode_set(declared)
+        asked = acceptance.Asked(
+            declared=declared,
+            digest=digest,
+            publish_id=publish_id,
+            operator=operator,
+            now_s=self._clock(),
+            expected=expected,
+        )
+        head = await self._rows.read(configuration.HEAD_KEY)
+        if settled := await self._settle(asked, head):
+            return settled
+        self._refuse_unexpected(asked, head)
+        intent = await self._open_intent(asked)
+        await self._rows.put_object(codecs.unpack(intent.value, acceptance.Intent).key, data)
+        oldest = await self._oldest(head)
+        match acceptance.plan(asked, self._in_force.accepted, head, intent, oldest):
+            case acceptance.Conflict(current):
+                raise Conflict(current)
+            case acceptance.Commit() as commit:
+                return await self._commit(asked, commit, head)
+
+    async def history(self, after: int, limit: int = 100) -> list[configuration.Revision]:
+        """Read the versions after one, the oldest first; raises TableUnavailable."""
+        key = configuration.history_key(after)
+        rows = await self._rows.scan(configuration.HISTORY_PREFIX, key, limit)
+        return [codecs.unpack(row.value, configuration.Revision) for row in rows]
+
+    def _refuse_unexpected(self, asked: acceptance.Asked, head: platform.Row) -> None:
+        if head.version and asked.expected is not None:
+            current = codecs.unpack(head.value, configuration.Head)
+            if current.version != asked.expected:
+                raise Conflict(current)
+
+    async def _settle(
+        self, asked: acceptance.Asked, head: platform.Row
+    ) -> configuration.Revision | None:
+        published = await self._rows.read(configuration.publish_key(asked.publish_id))
+        match acceptance.settle(asked, published, head):
+            case acceptance.Settled(known):
+                return configuration.Revision(head=known)
+            case acceptance.IdReused(known):
+                raise IdReused(f"the publish id was used for another set, version {known.version}")
+            case None:
+                return None
+
+    async def _open_intent(self, asked: acceptance.Asked) -> platform.Row:
+        key = configuration.intent_key(asked.publish_id)
+        intent = acceptance.Intent(
+            publish_id=asked.publish_id, digest=asked.digest, opened_at_s=asked.now_s
+        )
+        condition, write = platform.Condition(key, 0), platform.Write(key, codecs.pack(intent))
+        try:
+            answer = await self._rows.commit(platform.Transaction((condition,), (write,)))
+            row = answer.rows[0]
+        except exceptions.TableAnswerLost:
+            row = await self._rows.read(key)
+        if not row.version:
+            raise exceptions.TableUnavailable("the intent was not written")
+        found = codecs.unpack(row.value, acceptance.Intent)
+        if found.digest != asked.digest:
+            raise IdReused("the publish id is in use for another set")
+        if found.state is not acceptance.IntentState.OPEN:
+            raise exceptions.TableUnavailable("an old try at this publish is being cleared away")
+        return row
+
+    async def _oldest(self, head: platform.Row) -> configuration.Revision | None:
+        if not head.version:
+            return None
+        version = codecs.unpack(head.value, configuration.Head).version + 1
+        if version <= configuration.HISTORY_LIMIT:
+            return None
+        row = await self._rows.read(
+            configuration.history_key(version - configuration.HISTORY_LIMIT)
+        )
+        return codecs.unpack(row.value, configuration.Revision) if row.version else None
+
+    async def _commit(
+        self, asked: acceptance.Asked, commit: acceptance.Commit, head: platform.Row
+    ) -> configuration.Revision:
+        lost = False
+        try:
+            answer = await self._rows.commit(commit.transaction)
+            if answer.ok:
+                return commit.revision
+        except exceptions.TableAnswerLost:
+            _log.info("Settling a lost answer.", publish=asked.publish_id)
+            lost = True
+        now = await self._rows.read(configuration.HEAD_KEY)
+        if settled := await self._settle(asked, now):
+            return settled
+        if now.version == head.version:
+            # A transaction whose answer was lost may still take effect while the head stands.
+            kind = exceptions.TableAnswerLost if lost else exceptions.TableUnavailable
+            raise kind("the publish is not settled; repeat it with the same publish id")
+        raise Conflict(codecs.unpack(now.value, configuration.Head))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -30,6 +30,7 @@
         self._pool = pool
         self._telemetry = metrics
         self.refusing: exceptions.ErrorKind | None = exceptions.ErrorKind.NOT_READY
+        self.is_stale = False
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Serve one exchange to its final answer."""
@@ -38,6 +39,8 @@
         try:
             if self.refusing is not None:
                 raise exceptions.RequestError(self.refusing)
+            if self.is_stale:
+                raise exceptions.RequestError(exceptions.ErrorKind.CONFIGURATION_STALE)
             assert self._in_force.accepted is not None
             request = requests.read(exchange, self._in_force.accepted, loop.time())
             with self._telemetry.request_span(exchange, request) as traceparent:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -46,6 +46,7 @@
     seats: int = 7
     heartbeat_interval_s: float = 1.0
     poll_interval_s: float = 1.0
+    collect_interval_s: float = 300.0
     fleet_interval_s: float = 0.5
     probe_path: str = "/health"
     drain_timeout_s: float = 30.0
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -42,6 +42,10 @@
         answer = await self._call("GET", f"/objects/{key}", changes=False)
         return None if answer.status == 404 else answer.body
 
+    async def delete_object(self, key: str) -> None:
+        """Delete an object; a repeat is the same effect."""
+        await self._call("DELETE", f"/objects/{key}")
+
     async def fleet(self, after_revision: int = -1) -> platform.FleetList | None:
         """Read a page of the list's changes after a revision; raises TableUnavailable."""
         answer = await self._call("GET", f"/fleet?after={after_revision}", changes=False)
@@ -86,3 +90,6 @@
 
     async def get_object(self, key: str) -> bytes | None:
         """Read an object."""
+
+    async def delete_object(self, key: str) -> None:
+        """Delete an object."""
--- a/packages/nutmegshelf/src/nutmegshelf/changes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/changes.py
@@ -10,7 +10,7 @@
 
     kind: str
     name: str
-    value: msgspec.Raw | None
+    value: bytes | None
 
 
 class FieldChange(msgspec.Struct, frozen=True, kw_only=True):
@@ -29,7 +29,7 @@
     for kind in declarations.KINDS:
         before, after = getattr(old, kind), getattr(new, kind)
         found += [
-            Change(kind=kind, name=name, value=msgspec.Raw(codecs.pack(value)))
+            Change(kind=kind, name=name, value=codecs.pack(value))
             for name, value in after.items()
             if before.get(name) != value
         ]
@@ -46,7 +46,7 @@
         if change.value is None:
             kinds[change.kind].pop(change.name, None)
         else:
-            decoded = codecs.unpack(bytes(change.value), declarations.KINDS[change.kind])
+            decoded = codecs.unpack(change.value, declarations.KINDS[change.kind])
             kinds[change.kind][change.name] = decoded
     return msgspec.structs.replace(old, **kinds)
 
--- a/packages/nutmegshelf/src/nutmegshelf/configuration.py
+++ b/packages/nutmegshelf/src/nutmegshelf/configuration.py
@@ -4,9 +4,16 @@
 
 import msgspec
 
-from nutmegshelf import codecs, declarations, ids
+from nutmegshelf import changes, codecs, declarations, ids
 
 HEAD_KEY = "configuration/head"
+HISTORY_PREFIX = "configuration/history/"
+INTENT_PREFIX = "configuration/intent/"
+COLLECTED_KEY = "configuration/collected"
+HISTORY_LIMIT = 8192
+KEPT_SETS = 64
+_MAX_CHANGES_BYTES = 4096
+_MAX_CHANGED_NAMES = 20
 
 
 class Head(msgspec.Struct, frozen=True, kw_only=True):
@@ -17,6 +24,7 @@
     publish_id: ids.PublishId
     operator: str = ""
     accepted_at_s: float = 0.0
+    base_digest: str = ""
 
 
 class Accepted(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,9 +34,33 @@
     declarations: declarations.DeclarationSet
 
 
-def set_key(digest: str) -> str:
-    """Name the object that holds a declaration set."""
-    return f"configuration/set/{digest}"
+class Revision(msgspec.Struct, frozen=True, kw_only=True):
+    """Keep in the history how a version differs from the one before."""
+
+    head: Head
+    delta: tuple[changes.Change, ...] | None = None
+    changed: tuple[str, ...] = ()
+    changed_count: int = 0
+
+
+def set_key(head: Head) -> str:
+    """Name the object that holds a version's set; no two publishes share one."""
+    return f"configuration/set/{head.digest}-{head.publish_id}"
+
+
+def history_key(version: int) -> str:
+    """Name the history row of a version."""
+    return f"{HISTORY_PREFIX}{version:012d}"
+
+
+def publish_key(publish_id: ids.PublishId) -> str:
+    """Name the row that settles a publish by its id."""
+    return f"configuration/published/{publish_id}"
+
+
+def intent_key(publish_id: ids.PublishId) -> str:
+    """Name the row that keeps a running publish's set from being collected."""
+    return f"{INTENT_PREFIX}{publish_id}"
 
 
 def encode_set(declared: declarations.DeclarationSet) -> tuple[bytes, str]:
@@ -37,6 +69,20 @@
     return data, codecs.digest(data)
 
 
+def revise(head: Head, base: Accepted | None, declared: declarations.DeclarationSet) -> Revision:
+    """Describe a version for the history; large changes are left to the whole set."""
+    old = base.declarations if base else declarations.DeclarationSet()
+    found = changes.between(old, declared)
+    names = tuple(f"{change.kind}.{change.name}" for change in found)
+    small = base is not None and len(codecs.pack(found)) <= _MAX_CHANGES_BYTES
+    return Revision(
+        head=head,
+        delta=found if small else None,
+        changed=names[:_MAX_CHANGED_NAMES],
+        changed_count=len(names),
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class InForce:
     """Keep the configuration in force; its version only grows."""
@@ -58,3 +104,26 @@
             return False
         self.accepted = accepted
         return True
+
+    def advance(self, revision: Revision) -> Accepted | None:
+        """Give the next configuration by its changes, or none where they don't fit."""
+        if self.accepted is None or revision.delta is None:
+            return None
+        if revision.head.base_digest != self.accepted.head.digest:
+            return None
+        if not self.wants(revision.head):
+            return None
+        try:
+            declared = changes.apply(self.accepted.declarations, revision.delta)
+        except (msgspec.DecodeError, KeyError):
+            return None
+        if encode_set(declared)[1] != revision.head.digest:
+            return None
+        return Accepted(head=revision.head, declarations=declared)
+
+
+def decode_set(head: Head, data: bytes | None) -> Accepted | None:
+    """Give the configuration that bytes hold, or none where they aren't the head's."""
+    if data is None or codecs.digest(data) != head.digest:
+        return None
+    return Accepted(head=head, declarations=codecs.unpack(data, declarations.DeclarationSet))
--- a/packages/nutmegshelf/src/nutmegshelf/messages.py
+++ b/packages/nutmegshelf/src/nutmegshelf/messages.py
@@ -18,9 +18,33 @@
 
 
 class HeadAccepted(Message, frozen=True, kw_only=True):
-    """Spread a newly accepted configuration head."""
+    """Spread a newly accepted configuration by its changes, or by its head alone."""
 
     head: configuration.Head
+    revision: configuration.Revision | None = None
+
+
+class ConfigurationBeat(Message, frozen=True, kw_only=True):
+    """Tell a peer the version in force and how old its proof by the table is."""
+
+    version: ids.Version
+    sent_s: float
+    echo_s: float | None = None
+    table_age_s: float | None = None
+
+
+class ConfigurationWanted(Message, frozen=True, kw_only=True):
+    """Ask a peer for its whole set, as the objects can't be read."""
+
+    version: ids.Version
+
+
+class ConfigurationSet(Message, frozen=True, kw_only=True):
+    """Give a peer the whole set in force."""
+
+    head: configuration.Head
+    data: bytes
+    counted: tuple[ids.EntryId, ...] = ()
 
 
 class BadNews(Message, frozen=True, kw_only=True):
@@ -39,6 +63,9 @@
     Hello
     # One line a message keeps merges small.
     | HeadAccepted
+    | ConfigurationBeat
+    | ConfigurationWanted
+    | ConfigurationSet
     | BadNews
     | MinionsRecovered
 )
--- a/standins/src/nutmegshelf_standins/platform.py
+++ b/standins/src/nutmegshelf_standins/platform.py
@@ -80,6 +80,9 @@
             case "PUT", "objects":
                 self.store.objects[key] = body
                 return 200, b""
+            case "DELETE", "objects":
+                self.store.objects.pop(key, None)
+                return 200, b""
             case "GET", "objects":
                 found = self.store.objects.get(key)
                 return (404, b"") if found is None else (200, found)
