Test acceptance and spreading on a paused clock with faults at every step

Without the intent's condition all passed, so a scenario for a publish paused for hours was added; it fails then.

--- /dev/null
+++ b/features/publish.feature
@@ -0,0 +1,55 @@
+Feature: A set is accepted once, whatever happens between any two steps
+
+  Scenario Outline: A fault at a step is settled by the publish id, also after another publish
+    Given 3 entries with version 1 in force
+    When "<fault>" strikes "e0" at the step "<step>" of the publish "p"
+    And another operator publishes at "e1"
+    And the publish "p" is repeated at "e2"
+    Then the publish "p" was accepted once
+    And no entry went back or took half a set
+
+    Examples:
+      | step             | fault         |
+      | read head        | down          |
+      | read head        | killed after  |
+      | read published   | paused        |
+      | commit intent    | down          |
+      | commit intent    | lost          |
+      | commit intent    | killed after  |
+      | commit intent    | paused        |
+      | put object       | down          |
+      | put object       | lost          |
+      | put object       | killed before |
+      | put object       | killed after  |
+      | put object       | paused        |
+      | commit head      | down          |
+      | commit head      | lost          |
+      | commit head      | killed before |
+      | commit head      | killed after  |
+      | commit head      | paused        |
+
+  Scenario: Racing operators get one winner, and the others learn who, when and what
+    Given 3 entries with version 1 in force
+    When every entry publishes another set at once, all on version 1
+    Then one publish won and the others got a conflict that names it
+    And the history of the version after 1 names the operator, the time and "services.s"
+
+  Scenario: A publish id that was used for another set is refused
+    Given 1 entries with version 1 in force
+    When the publish "p" is made at "e0" with queue limit 70
+    Then the publish "p" with queue limit 71 is refused as reused
+
+  Scenario: Old sets and publishes that were given up are collected, running ones are not
+    Given 2 entries with version 1 in force
+    When "killed after" strikes "e0" at the step "put object" of the publish "p"
+    And 70 sets are published and collected
+    Then 65 objects and 1 intents are left
+    When 2 hours pass and a paused collector races the repeat of "p"
+    Then the newest version's set is there
+    And no object is left without a version or an intent
+
+  Scenario: A publish that pauses for hours before its transaction is fenced by the collector
+    Given 2 entries with version 1 in force
+    When the publish "p" pauses for hours at "e0" before its transaction and is collected
+    Then it was refused and version 1 is in force
+    And no object is left without a version or an intent
--- /dev/null
+++ b/features/steps/in_force_steps.py
@@ -0,0 +1,180 @@
+"""Spread versions among entries while the platform and the ways between them fail."""
+
+import asyncio
+
+import behave
+from nutmegshelf import configuration, confirmation, ids
+
+from features import entries
+
+_FLAP_S = 2.0
+_SAMPLE_S = 0.05
+
+
+def _names(text):
+    return frozenset(text.split()) - {"none"}
+
+
+async def _flap(platform):
+    while True:
+        platform.is_down = not platform.is_down
+        await asyncio.sleep(_FLAP_S)
+
+
+@behave.given('the platform is "{state}" and pushes are "{pushes}"')
+def set_platform(context, state, pushes):
+    site = context.entries
+    site.push_is_cut = pushes == "cut"
+    site.platform.delay_s = entries.SLOW_S if state == "slow" else 0.0
+    site.platform.objects_down = state == "objects down"
+    context.is_flapping = state == "flapping"
+
+
+@behave.when("{count:d} sets are published at random entries")
+def publish_sets(context, count):
+    site = context.entries
+
+    async def in_force_everywhere(version):
+        while any(one.in_force.version < version for one in site.entries.values()):
+            await asyncio.sleep(_SAMPLE_S)
+
+    async def main():
+        flapping = asyncio.create_task(_flap(site.platform)) if context.is_flapping else None
+        context.took_s = []
+        for number in range(count):
+            name = context.rng.choice(sorted(site.entries))
+            version = None
+            objects_down = site.platform.objects_down
+            while not isinstance(version, int):
+                # The objects are away for readers; a publish needs them to be accepted.
+                site.platform.objects_down = False
+                version = await entries.try_publish(site.entries[name], 200 + number, f"n{number}")
+                site.platform.objects_down = objects_down
+            accepted_s = site.head().accepted_at_s
+            await in_force_everywhere(version)
+            context.took_s.append(site.now_s() - accepted_s)
+            await asyncio.sleep(context.rng.uniform(0, 3))
+        if flapping:
+            flapping.cancel()
+            site.platform.is_down = False
+            await asyncio.sleep(3)
+
+    context.paused.run(main())
+
+
+@behave.then("each was in force everywhere within {limit_s:d} seconds")
+def within(context, limit_s):
+    assert context.took_s and max(context.took_s) <= limit_s, context.took_s
+
+
+@behave.when(
+    'the table is away for "{without}" and the groups that hear one another are "{groups}"'
+)
+def cut(context, without, groups):
+    site = context.entries
+    site.platform.cut = _names(without)
+    site.groups = [_names(group) for group in groups.split(";")]
+
+
+@behave.when("{seconds:d} seconds pass")
+def wait(context, seconds):
+    context.paused.run(asyncio.sleep(seconds))
+
+
+@behave.then('only "{serving}" serve')
+def only_serve(context, serving):
+    found = {name for name, entry in context.entries.entries.items() if entry.serves}
+    assert found == _names(serving), sorted(found)
+
+
+@behave.when("all is healed and {seconds:d} seconds pass")
+def heal(context, seconds):
+    context.entries.platform.cut = frozenset()
+    context.entries.groups = None
+    context.paused.run(asyncio.sleep(seconds))
+
+
+@behave.then("all entries serve")
+def all_serve(context):
+    assert all(entry.serves for entry in context.entries.entries.values())
+
+
+@behave.then("all entries have version {version:d}")
+def all_have(context, version):
+    found = {name: entry.in_force.version for name, entry in context.entries.entries.items()}
+    assert set(found.values()) == {version}, found
+
+
+@behave.when('"{lone}" is cut off from all and a set is published at "{name}"')
+def cut_alone(context, lone, name):
+    site = context.entries
+
+    async def main():
+        site.platform.cut = frozenset({lone})
+        site.groups = [frozenset({lone}), frozenset(site.entries) - {lone}]
+        await site.entries[name].publish(300, "alone")
+        context.accepted_s = site.now_s()
+
+    context.paused.run(main())
+
+
+@behave.then('"{lone}" stops serving within {limit_s:d} seconds of the acceptance')
+def stops(context, lone, limit_s):
+    site = context.entries
+
+    async def main():
+        while site.entries[lone].serves:
+            await asyncio.sleep(_SAMPLE_S)
+            assert site.now_s() - context.accepted_s <= limit_s, "it still serves"
+
+    context.paused.run(main())
+    assert site.entries[lone].in_force.version == 1
+
+
+@behave.when("the table is away for an hour")
+def long_outage(context):
+    site = context.entries
+    context.pauses = []
+
+    async def main():
+        site.platform.is_down = True
+        for _ in range(3600):
+            await asyncio.sleep(1)
+            context.pauses += [one.name for one in site.entries.values() if not one.serves]
+
+    context.paused.run(main())
+
+
+@behave.then("all entries served all the time")
+def served_all_the_time(context):
+    assert not context.pauses, context.pauses[:5]
+
+
+@behave.when('"{name}" is killed and replaced')
+def replace(context, name):
+    site = context.entries
+
+    async def main():
+        site.entries[name].task.cancel()
+        site.start_entry(name)
+
+    context.paused.run(main())
+    assert site.entries[name].in_force.version == configuration.ids.NO_VERSION
+
+
+@behave.given(
+    "the proof of a peer that echoes a stamp of {stamp_s:g} second "
+    "with a table age of {age_s:g} seconds"
+)
+def proof(context, stamp_s, age_s):
+    context.proof = confirmation.Confirmation(ids.EntryId("e0"))
+    context.proof.by_peer(ids.EntryId("e1"), True, stamp_s, age_s)
+    context.proof.by_peer(ids.EntryId("e2"), True, None, 0.0)
+    context.proof.by_peer(ids.EntryId("e3"), False, stamp_s, 0.0)
+
+
+@behave.then("the version in force is confirmed until {limit_s:g} seconds and no longer")
+def confirmed_until(context, limit_s):
+    version = ids.Version(1)
+    assert context.proof.standing(version, limit_s) is confirmation.Standing.BY_TABLE
+    assert context.proof.standing(version, limit_s + 0.01) is confirmation.Standing.STALE
--- /dev/null
+++ b/features/steps/publish_steps.py
@@ -0,0 +1,203 @@
+"""Publish over a platform that fails between steps."""
+
+import asyncio
+
+import behave
+from nutmegshelf import acceptance, codecs, configuration, exceptions
+from nutmegshelf_entry import publisher
+from nutmegshelf_standins import clock
+
+from features import entries
+
+_HEAL_S = 40.0
+
+
+def _on_paused_clock(context, main):
+    """Run a step's part on the scenario's own paused loop."""
+    return context.paused.run(main)
+
+
+@behave.given("{count:d} entries with version 1 in force")
+def start_entries(context, count):
+    context.paused = asyncio.Runner(loop_factory=clock.PausedLoop)
+    context.add_cleanup(context.paused.close)
+    context.entries = entries.Site(context.rng)
+    context.add_cleanup(lambda: context.paused.run(context.entries.stop()))
+
+    async def main():
+        context.entries.start(count)
+        assert await context.entries.entries["e0"].publish(1, "first") == 1
+        await asyncio.sleep(3)
+
+    _on_paused_clock(context, main())
+    assert all(one.in_force.version == 1 for one in context.entries.entries.values())
+
+
+@behave.when('"{fault}" strikes "{name}" at the step "{step}" of the publish "{publish_id}"')
+def strike(context, fault, name, step, publish_id):
+    site = context.entries
+    site.platform.faults[name, step] = fault
+
+    async def main():
+        entry = site.entries[name]
+        task = asyncio.create_task(entries.try_publish(entry, 50, publish_id))
+        await asyncio.sleep(5)
+        context.first_try = task
+        assert (name, step) not in site.platform.faults, "the step was not reached"
+
+    _on_paused_clock(context, main())
+
+
+@behave.when('another operator publishes at "{name}"')
+def publish_other(context, name):
+    async def main():
+        await entries.try_publish(context.entries.entries[name], 60, "other")
+
+    _on_paused_clock(context, main())
+
+
+@behave.when('the publish "{publish_id}" is repeated at "{name}"')
+def repeat(context, publish_id, name):
+    async def main():
+        context.answer = await entries.try_publish(context.entries.entries[name], 50, publish_id)
+        await asyncio.sleep(_HEAL_S)
+        await context.first_try
+
+    _on_paused_clock(context, main())
+
+
+@behave.then('the publish "{publish_id}" was accepted once')
+def accepted_once(context, publish_id):
+    rows = context.entries.platform.store.scan(configuration.HISTORY_PREFIX, "", 100)
+    found = [codecs.unpack(row.value, configuration.Revision).head for row in rows]
+    mine = [head.version for head in found if head.publish_id == publish_id]
+    assert mine == [context.answer], (mine, context.answer)
+    assert len(found) == context.entries.head().version == 3, found
+
+
+@behave.then("no entry went back or took half a set")
+def forward_only(context):
+    site = context.entries
+    newest = site.head()
+    for entry in site.entries.values():
+        assert entry.history == sorted(set(entry.history)), entry.history
+        accepted = entry.in_force.accepted
+        assert configuration.encode_set(accepted.declarations)[1] == accepted.head.digest
+        is_cut = entry.name in site.platform.cut
+        assert is_cut or accepted.head == newest, (entry.name, accepted.head, newest)
+
+
+@behave.when("every entry publishes another set at once, all on version 1")
+def race(context):
+    async def main():
+        tries = (
+            entries.try_publish(entry, 10 + number, f"p{number}", 1)
+            for number, entry in enumerate(context.entries.entries.values())
+        )
+        context.answers = await asyncio.gather(*tries)
+
+    _on_paused_clock(context, main())
+
+
+@behave.then("one publish won and the others got a conflict that names it")
+def one_winner(context):
+    winners = [one for one in context.answers if one == 2]
+    conflicts = [one for one in context.answers if isinstance(one, publisher.Conflict)]
+    assert len(winners) == 1 and len(conflicts) == 2, context.answers
+    assert all(one.current == context.entries.head() for one in conflicts)
+
+
+@behave.then('the history of the version after 1 names the operator, the time and "{name}"')
+def history_names(context, name):
+    found = _on_paused_clock(context, context.entries.entries["e0"].publisher.history(1))
+    assert [one.changed for one in found] == [(name,)], found
+    assert found[0].head.operator.startswith("op-e") and found[0].head.accepted_at_s > 0
+
+
+@behave.when('the publish "{publish_id}" is made at "{name}" with queue limit {limit:d}')
+def publish_one(context, publish_id, name, limit):
+    _on_paused_clock(context, context.entries.entries[name].publish(limit, publish_id))
+
+
+@behave.then('the publish "{publish_id}" with queue limit {limit:d} is refused as reused')
+def refused_as_reused(context, publish_id, limit):
+    try:
+        _on_paused_clock(context, context.entries.entries["e0"].publish(limit, publish_id))
+    except publisher.IdReused:
+        return
+    raise AssertionError("the publish id was taken for another set")
+
+
+@behave.when("{count:d} sets are published and collected")
+def publish_many(context, count):
+    async def main():
+        entry = context.entries.entries["e1"]
+        for number in range(count):
+            await entry.publish(100 + number, f"many-{number}")
+        await entry.collector.collect()
+
+    _on_paused_clock(context, main())
+
+
+@behave.then("{objects:d} objects and {intents:d} intents are left")
+def count_left(context, objects, intents):
+    site = context.entries
+    assert len(site.platform.store.objects) == objects, len(site.platform.store.objects)
+    assert len(site.intents()) == intents
+
+
+@behave.when('2 hours pass and a paused collector races the repeat of "{publish_id}"')
+def race_collector(context, publish_id):
+    site = context.entries
+
+    async def main():
+        await asyncio.sleep(7200)
+        site.platform.faults["e1", "delete object"] = "paused"
+        collecting = asyncio.create_task(site.entries["e1"].collector.collect())
+        await asyncio.sleep(1)
+        while await entries.try_publish(site.entries["e0"], 50, publish_id) is None:
+            await asyncio.sleep(1)
+        await collecting
+
+    _on_paused_clock(context, main())
+
+
+@behave.then("the newest version's set is there")
+def newest_is_there(context):
+    key = configuration.set_key(context.entries.head())
+    assert key in context.entries.platform.store.objects, key
+    assert context.entries.head().publish_id == "p"
+
+
+@behave.then("no object is left without a version or an intent")
+def no_orphans(context):
+    site = context.entries
+    rows = site.platform.store.scan(configuration.HISTORY_PREFIX, "", 1000)
+    kept = {
+        configuration.set_key(codecs.unpack(r.value, configuration.Revision).head) for r in rows
+    }
+    kept |= {codecs.unpack(row.value, acceptance.Intent).key for row in site.intents()}
+    assert set(site.platform.store.objects) <= kept
+
+
+@behave.when(
+    'the publish "{publish_id}" pauses for hours at "{name}" '
+    "before its transaction and is collected"
+)
+def pause_and_collect(context, publish_id, name):
+    site = context.entries
+    site.platform.faults[name, "commit head"] = "paused for hours"
+
+    async def main():
+        task = asyncio.create_task(site.entries[name].publish(80, publish_id))
+        await asyncio.sleep(7000)
+        await site.entries["e1"].collector.collect()
+        context.outcome = (await asyncio.gather(task, return_exceptions=True))[0]
+
+    _on_paused_clock(context, main())
+
+
+@behave.then("it was refused and version 1 is in force")
+def fenced(context):
+    assert isinstance(context.outcome, exceptions.TableUnavailable), context.outcome
+    assert context.entries.head().version == 1
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
@@ -3,6 +3,7 @@
 import collections.abc
 import time
 
+import msgspec
 from nutmegshelf import acceptance, codecs, configuration, declarations, exceptions, ids, platform
 
 from nutmegshelf_entry import logs, table
@@ -58,6 +59,7 @@
         intent = await self._open_intent(asked)
         await self._rows.put_object(codecs.unpack(intent.value, acceptance.Intent).key, data)
         oldest = await self._oldest(head)
+        asked = msgspec.structs.replace(asked, now_s=self._clock())
         match acceptance.plan(asked, self._in_force.accepted, head, intent, oldest):
             case acceptance.Conflict(current):
                 raise Conflict(current)
