--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(strip $(ROOTS))))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup format check types test demo bench faults
+.PHONY: setup format check types test demo bench faults reference
 
 setup: $(READY)
 
@@ -42,3 +42,6 @@
 
 faults: setup
 	$(PY) -m features.faults.write --seed $(SEED)
+
+reference: setup
+	$(PY) -m nutmegshelf_entry.reference > docs/operating/settings.md
--- /dev/null
+++ b/features/steps/commands_steps.py
@@ -0,0 +1,197 @@
+"""Run the operators' commands against entries that serve in a thread of their own."""
+
+import asyncio
+import contextlib
+import io
+import json
+import pathlib
+import random
+import tempfile
+import threading
+
+import behave
+from nutmegshelf import ids, members
+from nutmegshelf_cli import main, publishing
+from nutmegshelf_entry import logs, operator, settings, telemetry
+from nutmegshelf_http import server
+from nutmegshelf_standins import process
+from typer import testing
+
+from features import entries
+
+
+class Served:
+    """Own the entries' loop and its thread."""
+
+    def __init__(self, names, token, rng):
+        self.token = token
+        self.site = entries.Site(rng)
+        self.ports = {}
+        self.servers = []
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+        self.run(self._start(names))
+
+    def run(self, work):
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(30)
+
+    async def _start(self, names):
+        for name in names:
+            self.site.start_entry(name)
+        for name in names:
+            await self._listen(self.site.entries[name], names)
+
+    async def _listen(self, entry, names):
+        known = members.Members(entry.name, 4.0)
+        now_s = asyncio.get_running_loop().time()
+        for name in names:
+            row = members.EntryRow(
+                entry=ids.EntryId(name), zone="z", peer_address=name, operator_address="o"
+            )
+            known.known[row.entry] = members.Member(row, now_s + 60)
+        own = settings.Settings(
+            entry=entry.name,
+            zone=ids.ZoneName("z"),
+            platform=settings.Platform(host="127.0.0.1", port=1),
+            operators=settings.Operators(token=self.token),
+        )
+        served = operator.Operator(
+            own=own,
+            in_force=entry.in_force,
+            config=entry.config,
+            publishes=entry.publisher,
+            known=known,
+            metrics=telemetry.Telemetry(0.0),
+            decisions=entry.decisions,
+            records=lambda: (),
+        )
+        listener = server.Server(served.handle)
+        self.servers.append(listener)
+        self.ports[entry.name] = await listener.start("127.0.0.1", 0)
+
+    async def _stop(self):
+        await self.site.stop()
+        for listener in self.servers:
+            await listener.close()
+
+    def close(self):
+        self.run(self._stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+
+@behave.given('entries "{names}" with operators\' ports behind the token "{token}"')
+def serve(context, names, token):
+    context.served = Served(names.split(), token, random.Random(context.seed))
+    context.add_cleanup(context.served.close)
+    context.outputs = []
+
+
+def _command(context, command, ports, token):
+    words = command.split()
+    options = [part for port in ports for part in ("--entry", f"127.0.0.1:{port}")]
+    words = [
+        str(pathlib.Path("examples", w)) if i == 1 and words[0] in _ON_SETS else w
+        for i, w in enumerate(words)
+    ]
+    if words[0] != "version":
+        words += [*options, "--token", token]
+    publishing._WAIT_LIMIT_S = 3.0
+    context.result = testing.CliRunner().invoke(main.make_app(), words)
+    context.outputs.append(context.result.output)
+
+
+_ON_SETS = {"check", "diff", "publish"}
+
+
+@behave.when('"{command}" is commanded')
+def command_plain(context, command):
+    served = context.served
+    _command(context, command, [served.ports["e0"], served.ports["e1"]], served.token)
+
+
+@behave.when('"{command}" is commanded at "{name}"')
+def command_at(context, command, name):
+    _command(context, command, [context.served.ports[name]], context.served.token)
+
+
+@behave.when('"{command}" is commanded with "{what}"')
+def command_with(context, command, what):
+    served = context.served
+    ports, token = list(served.ports.values())[:2], served.token
+    match what:
+        case "wrong token":
+            token = "wrong"
+        case "no token":
+            token = ""
+        case "table down":
+            served.site.platform.is_down = True
+        case "dead entries":
+            ports = process.free_ports(2)
+        case "one dead":
+            ports = [process.free_ports(1)[0], ports[0]]
+        case "nothing":
+            pass
+    _command(context, command, ports, token)
+
+
+@behave.when("a faulty set is published")
+def publish_faulty(context):
+    with tempfile.TemporaryDirectory() as folder:
+        pathlib.Path(folder, "pools.toml").write_text("[pools.x]\nworker_memory_gb = 1\n")
+        _command(context, f"publish {folder}", [context.served.ports["e0"]], context.served.token)
+
+
+@behave.when('the entry "{name}" hears nothing more')
+def deafen(context, name):
+    site = context.served.site
+    site.platform.cut = frozenset({name})
+    site.groups = [frozenset({name}), frozenset(site.entries) - {name}]
+
+
+@behave.when("the table is down for the commands")
+def table_down(context):
+    context.served.site.platform.is_down = True
+
+
+@behave.then('it ends with {code:d} and says "{words}"')
+def ends_and_says(context, code, words):
+    assert context.result.exit_code == code, (context.result.exit_code, context.result.output)
+    assert words in context.result.output, context.result.output
+
+
+@behave.then('it also says "{words}"')
+def also_says(context, words):
+    assert words in context.result.output, context.result.output
+
+
+@behave.then('it ends with {code:d} and its JSON has "{name}"')
+def ends_with_json(context, code, name):
+    assert context.result.exit_code == code, context.result.output
+    assert json.loads(context.result.stdout)[name]
+
+
+@behave.then("it ends with {code:d} and its JSON has version {version:d}")
+def ends_with_version(context, code, version):
+    assert context.result.exit_code == code, context.result.output
+    assert json.loads(context.result.stdout)["head"]["version"] == version
+
+
+@behave.then("no version is in the table")
+def no_version(context):
+    assert context.served.site.head() is None
+
+
+@behave.then("the token is in no log line and no output")
+def token_unseen(context):
+    served = context.served
+    shown = io.StringIO()
+    with contextlib.redirect_stderr(shown):
+        logs.configure("debug")
+        for token in ("wrong", served.token):
+            _command(context, "publish costa_viva", list(served.ports.values()), token)
+    logs.configure("critical")
+    assert "Switched the configuration." in shown.getvalue()
+    assert served.token not in shown.getvalue() + "".join(context.outputs)
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/__init__.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/__init__.py
@@ -1,1 +1,3 @@
 """Give operators a command line."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/output.py
@@ -0,0 +1,56 @@
+"""Print answers for people and for programs."""
+
+import datetime
+import json
+import sys
+import typing
+
+import typer
+
+from nutmegshelf_cli import session
+
+
+def finish(answer: session.Answer, as_json: bool, lines: list[str]) -> typing.NoReturn:
+    """Print an answer and end with its exit code."""
+    if as_json:
+        print(json.dumps(answer.body))
+    elif answer.status in {200, 422} and lines:
+        print("\n".join(lines))
+    if not as_json and "error" in answer.body:
+        print(answer.body["error"], file=sys.stderr)
+    raise typer.Exit(answer.exit)
+
+
+def at(seconds: float | None) -> str:
+    """Show a moment."""
+    if seconds is None:
+        return "-"
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.isoformat(timespec="seconds")
+
+
+def age(seconds: float | None) -> str:
+    """Show how old something is."""
+    return "never confirmed by the table" if seconds is None else f"{seconds:.1f} s old"
+
+
+def revision(found: dict[str, typing.Any]) -> str:
+    """Show a version of the history on one line."""
+    names = ", ".join(found["changed"])
+    more = found["changed_count"] - len(found["changed"])
+    rest = f" and {more} more" if more > 0 else ""
+    when, who = at(found["accepted_at_s"]), found["operator"] or "-"
+    return f"{found['version']}  {when}  {who}  {names}{rest}"
+
+
+def faults(body: dict[str, typing.Any]) -> list[str]:
+    """Show all faults of a set, a line each."""
+    return [fault["text"] for fault in body.get("faults", [])]
+
+
+def differences(body: dict[str, typing.Any]) -> list[str]:
+    """Show all differences of a set, a line each."""
+    return [
+        f"{one['field']}: {json.dumps(one['before'])} -> {json.dumps(one['after'])}"
+        for one in body.get("differences", [])
+    ]
--- /dev/null
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
@@ -0,0 +1,122 @@
+"""Check, compare and publish directories of declarations."""
+
+import getpass
+import json
+import pathlib
+import sys
+import time
+import typing
+import uuid
+
+import typer
+
+from nutmegshelf_cli import output, session
+
+_WAIT_STEP_S = 0.2
+_WAIT_LIMIT_S = 15.0
+_TRIES = 3
+
+Directory = typing.Annotated[
+    pathlib.Path, typer.Argument(exists=True, file_okay=False, help="A directory of TOML files.")
+]
+
+
+def _files(directory: pathlib.Path) -> dict[str, str]:
+    return {path.name: path.read_text() for path in sorted(directory.glob("*.toml"))}
+
+
+def check(
+    directory: Directory,
+    entry: session.Entries,
+    token: session.Token = "",
+    as_json: session.Json = False,
+) -> None:
+    """Check a set against what is in force, and name every fault."""
+    answer = session.Session(entry, token).ask("POST", "/check", {"files": _files(directory)})
+    lines = output.faults(answer.body) or [f"no fault, against version {answer.body['version']}"]
+    output.finish(answer, as_json, lines)
+
+
+def diff(
+    directory: Directory,
+    entry: session.Entries,
+    token: session.Token = "",
+    as_json: session.Json = False,
+) -> None:
+    """Show what a set would change; ends with 8 where it differs."""
+    answer = session.Session(entry, token).ask("POST", "/check", {"files": _files(directory)})
+    lines = output.faults(answer.body) or output.differences(answer.body)
+    if answer.status == 200 and answer.body["differences"]:
+        if not as_json:
+            print("\n".join(lines))
+            raise typer.Exit(session.Exit.DIFFERENT)
+        print(json.dumps(answer.body))
+        raise typer.Exit(session.Exit.DIFFERENT)
+    output.finish(
+        answer, as_json, lines or [f"no difference from version {answer.body['version']}"]
+    )
+
+
+def publish(
+    directory: Directory,
+    entry: session.Entries,
+    *,
+    token: session.Token = "",
+    expect: typing.Annotated[
+        int | None, typer.Option(help="Refuse unless this version is the newest.")
+    ] = None,
+    operator: typing.Annotated[str, typer.Option(help="Who publishes.")] = "",
+    publish_id: typing.Annotated[
+        str, typer.Option(help="Repeat the publish of this id; it is never accepted twice.")
+    ] = "",
+    wait: typing.Annotated[
+        bool, typer.Option("--wait", help="Wait until every live entry has it in force.")
+    ] = False,
+    as_json: session.Json = False,
+) -> None:
+    """Check a set and publish it; repeats with the same id until the outcome is known."""
+    asked = {
+        "files": _files(directory),
+        "publish_id": publish_id or uuid.uuid4().hex,
+        "operator": operator or getpass.getuser(),
+        "expected": expect,
+    }
+    link = session.Session(entry, token)
+    answer = link.ask("POST", "/publish", asked, settled=False)
+    for _ in range(_TRIES - 1):
+        if answer.status != 503:
+            break
+        time.sleep(1.0)
+        answer = link.ask("POST", "/publish", asked, settled=False)
+    if answer.status != 200:
+        _explain_refusal(answer, asked["publish_id"])
+        output.finish(answer, as_json, output.faults(answer.body))
+    version = answer.body["head"]["version"]
+    if wait:
+        _wait(link, version, as_json)
+    output.finish(answer, as_json, [f"version {version} is accepted"])
+
+
+def _explain_refusal(answer: session.Answer, publish_id: object) -> None:
+    for found in answer.body.get("since", []):
+        print(f"accepted meanwhile: {output.revision(found)}", file=sys.stderr)
+    if answer.status == 503:
+        print(f"repeat with --publish-id {publish_id}", file=sys.stderr)
+
+
+def _wait(link: session.Session, version: int, as_json: bool) -> None:
+    started_s = time.monotonic()
+    shown = -1
+    while True:
+        entries = link.get("/status").body["entries"]
+        live = [one for one in entries if one["is_live"]]
+        late = sorted(one["entry"] for one in live if one["version"] < version)
+        if len(late) != shown and not as_json:
+            print(f"version {version}: {len(live) - len(late)} of {len(live)} entries")
+        shown = len(late)
+        if not late:
+            return
+        if time.monotonic() - started_s > _WAIT_LIMIT_S:
+            print(f"version {version} is not confirmed by {', '.join(late)}", file=sys.stderr)
+            raise typer.Exit(session.Exit.UNCONFIRMED)
+        time.sleep(_WAIT_STEP_S)
--- /dev/null
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/session.py
@@ -0,0 +1,100 @@
+"""Reach an entry's operators' port, trying the next entry where one gives no answer."""
+
+import asyncio
+import enum
+import json
+import sys
+import typing
+import urllib.parse
+
+import h11
+import typer
+from nutmegshelf_http import client
+
+_TIMEOUT_S = 20.0
+
+
+class Exit(enum.IntEnum):
+    """Name the exit codes."""
+
+    DONE = 0
+    FAILED = 1
+    FAULTS = 2
+    CONFLICT = 3
+    FORBIDDEN = 4
+    UNAVAILABLE = 5
+    UNREACHABLE = 6
+    UNCONFIRMED = 7
+    DIFFERENT = 8
+    NOT_FOUND = 9
+
+
+EXITS: dict[int, Exit] = {
+    200: Exit.DONE,
+    401: Exit.FORBIDDEN,
+    404: Exit.NOT_FOUND,
+    409: Exit.CONFLICT,
+    422: Exit.FAULTS,
+    503: Exit.UNAVAILABLE,
+}
+
+Entries = typing.Annotated[
+    list[str],
+    typer.Option(
+        "--entry",
+        envvar="NUTMEGSHELF_ENTRY",
+        help="HOST:PORT of an operators' port; may be given several times.",
+    ),
+]
+Token = typing.Annotated[str, typer.Option(envvar="NUTMEGSHELF_TOKEN", help="The bearer token.")]
+Json = typing.Annotated[bool, typer.Option("--json", help="Print the whole answer as JSON.")]
+
+
+class Answer(typing.NamedTuple):
+    """Hold one entry's answer."""
+
+    entry: str
+    status: int
+    body: dict[str, typing.Any]
+
+    @property
+    def exit(self) -> Exit:
+        """Give the exit code for the answer."""
+        return EXITS.get(self.status, Exit.FAILED)
+
+
+class Session:
+    """Ask entries in turn."""
+
+    def __init__(self, entries: list[str], token: str) -> None:
+        self._entries = list(entries)
+        self._headers = [(b"authorization", f"Bearer {token}".encode())] if token else []
+
+    def get(self, path: str, **query: str) -> Answer:
+        """Read from the first entry that answers."""
+        return self.ask("GET", f"{path}?{urllib.parse.urlencode(query)}" if query else path)
+
+    def ask(self, method: str, target: str, body: object = None, *, settled: bool = True) -> Answer:
+        """Ask entries in turn; an unsettled answer too lets the next one be asked."""
+        data = json.dumps(body).encode() if body is not None else b""
+        last: Answer | None = None
+        for entry in self._entries:
+            try:
+                answer = asyncio.run(self._call(entry, method, target, data))
+            except (OSError, TimeoutError, h11.ProtocolError, ValueError) as error:
+                print(f"no answer from {entry}: {error!r}", file=sys.stderr)
+                continue
+            if settled or answer.status != 503:
+                return answer
+            last = answer
+        if last is not None:
+            return last
+        raise typer.Exit(Exit.UNREACHABLE)
+
+    async def _call(self, entry: str, method: str, target: str, data: bytes) -> Answer:
+        host, _, port = entry.rpartition(":")
+        link = client.Client(host, int(port), self._headers)
+        async with asyncio.timeout(_TIMEOUT_S):
+            answer = await link.request(method, target, data)
+        link.close()
+        return Answer(entry, answer.status, json.loads(answer.body))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/main.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/main.py
@@ -22,7 +22,7 @@
     except exceptions.DeclarationError as error:
         print(error, file=sys.stderr)
         raise typer.Exit(BAD_SETTINGS_EXIT) from error
-    logs.configure(own.log_level)
+    logs.configure(own.log_level.value)
 
     async def start() -> None:
         await daemon.Daemon(own).run()
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/reference.py
@@ -0,0 +1,74 @@
+"""Write the reference of all settings from their types."""
+
+import collections.abc
+import json
+
+import msgspec
+from nutmegshelf import decoding
+
+from nutmegshelf_entry import settings
+
+DESCRIPTIONS: dict[str, str] = {
+    "entry": "The name of this entry; no two running entries share one.",
+    "zone": "The availability zone that this entry stands in.",
+    "platform.host": "The address of the platform's services.",
+    "platform.port": "The port of the platform's services.",
+    "platform.timeout_s": "How long one call to the platform may take.",
+    "callers.host": "The address that callers reach.",
+    "callers.port": "The port that callers reach; 0 takes any free one.",
+    "operators.host": "The address of the operators' port.",
+    "operators.port": "The operators' port; 0 takes any free one.",
+    "operators.token": "The bearer token of operators; needed beyond loopback.",
+    "peers.host": "The address that other entries reach.",
+    "peers.port": "The port that other entries reach; 0 takes any free one.",
+    "seats": "How many entries share the minions' slots.",
+    "seat_lease_s": "How long a seat is held without being renewed.",
+    "seat_silence_limit_s": "How long a seat's holder may be silent in an outage of the table.",
+    "seat_interval_s": "How often the seat is renewed.",
+    "heartbeat_interval_s": "How often the entry tells others that it lives.",
+    "poll_interval_s": "How often the table is asked for a newer configuration.",
+    "collect_interval_s": "How often old sets are cleared away.",
+    "fleet_interval_s": "How often the platform's list of minions is read.",
+    "probe_path": "The path that probes of minions ask for.",
+    "max_connections": "How many callers' connections are open at most.",
+    "shutdown_grace_s": "How long callers are still served while the balancer learns of the stop.",
+    "drain_timeout_s": "How long requests in progress may take once the entry stops.",
+    "trace_fraction": "The share of requests that are traced.",
+    "log_level": "The least level of log lines.",
+    "seed": "The seed of random choices; none takes a new one each time.",
+}
+
+_HEAD = """# Settings of an entry
+
+`nutmegshelf-entry --settings FILE` reads one TOML file. Every fault in it is named at once, with
+the file and the field, and the daemon ends with exit code 2. `make reference` writes this page;
+`examples/entry.toml` sets every field.
+
+| field | value | default | meaning |
+|---|---|---|---|
+"""
+
+
+def fields(kind: type[msgspec.Struct], path: str = "") -> collections.abc.Iterator[tuple[str, ...]]:
+    """Give the place, the values, the default and the meaning of each setting."""
+    for field in msgspec.structs.fields(kind):
+        place = f"{path}{field.name}"
+        if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+            yield from fields(field.type, f"{place}.")
+            continue
+        shown = "needed" if field.required else _shown(field.default)
+        yield place, decoding.describe(field.type), shown, DESCRIPTIONS.get(place, "")
+
+
+def _shown(default: object) -> str:
+    return "none" if default is None else json.dumps(msgspec.to_builtins(default))
+
+
+def render() -> str:
+    """Give the whole page."""
+    rows = (" | ".join((f"`{place}`", *rest)) for place, *rest in fields(settings.Settings))
+    return _HEAD + "".join(f"| {row} |\n" for row in rows)
+
+
+if __name__ == "__main__":
+    print(render(), end="")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -1,10 +1,29 @@
 """Read and check the daemon's settings."""
 
+import enum
+import ipaddress
 import pathlib
 import tomllib
+import typing
 
 import msgspec
-from nutmegshelf import exceptions, ids
+from nutmegshelf import decoding, exceptions, faults, ids
+
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Positive = typing.Annotated[int, msgspec.Meta(ge=1)]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
+Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class LogLevel(enum.Enum):
+    """Name the least level of log lines."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+    CRITICAL = "critical"
 
 
 class _Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -15,49 +34,82 @@
     """Set where a socket listens; port 0 takes any free one."""
 
     host: str = "127.0.0.1"
-    port: int = 0
+    port: Port = 0
 
 
 class Operators(_Settings, frozen=True, kw_only=True):
     """Set the operators' port and its bearer token."""
 
     host: str = "127.0.0.1"
-    port: int = 0
+    port: Port = 0
     token: str = ""
 
 
 class Platform(_Settings, frozen=True, kw_only=True):
     """Set where the platform's services are."""
 
-    host: str
-    port: int
-    timeout_s: float = 2.0
+    host: Text
+    port: Port
+    timeout_s: Seconds = 2.0
 
 
 class Settings(_Settings, frozen=True, kw_only=True):
     """Hold all settings of one entry."""
 
-    entry: ids.EntryId
-    zone: ids.ZoneName
+    entry: typing.Annotated[ids.EntryId, msgspec.Meta(min_length=1)]
+    zone: typing.Annotated[ids.ZoneName, msgspec.Meta(min_length=1)]
     platform: Platform
     callers: Listener = Listener()
     operators: Operators = Operators()
     peers: Listener = Listener()
-    seats: int = 7
-    heartbeat_interval_s: float = 1.0
-    poll_interval_s: float = 1.0
-    collect_interval_s: float = 300.0
-    fleet_interval_s: float = 0.5
+    seats: Positive = 7
+    heartbeat_interval_s: Seconds = 1.0
+    poll_interval_s: Seconds = 1.0
+    collect_interval_s: Seconds = 300.0
+    fleet_interval_s: Seconds = 0.5
     probe_path: str = "/health"
-    drain_timeout_s: float = 30.0
-    trace_fraction: float = 0.01
-    log_level: str = "info"
+    drain_timeout_s: Seconds = 30.0
+    trace_fraction: Fraction = 0.01
+    log_level: LogLevel = LogLevel.INFO
     seed: int | None = None
 
 
 def load(path: pathlib.Path) -> Settings:
-    """Read a settings file; raises DeclarationError naming the file and the field."""
+    """Read a settings file; raises DeclarationError with every fault by file and field."""
+    try:
+        table = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        fault = faults.Fault(
+            file=str(path), field="(whole file)", wrong=str(error), remedy="write valid TOML"
+        )
+        raise exceptions.DeclarationError.of([fault]) from error
+    own, found = decoding.decode(table, Settings, str(path), "")
+    found += _exposed(table, str(path))
+    if own is None or found:
+        raise exceptions.DeclarationError.of(found)
+    return own
+
+
+def _exposed(table: dict[str, object], file: str) -> list[faults.Fault]:
+    """Find an operators' port that others could reach without a token."""
+    given = table.get("operators", {})
+    if not isinstance(given, dict) or given.get("token"):
+        return []
+    if is_loopback(str(given.get("host", Operators().host))):
+        return []
+    return [
+        faults.Fault(
+            file=file,
+            field="operators.token",
+            wrong="operators would listen beyond loopback without a token",
+            remedy="set a token, or operators.host to a loopback address",
+        )
+    ]
+
+
+def is_loopback(host: str) -> bool:
+    """Say whether only this machine reaches an address."""
     try:
-        return msgspec.convert(tomllib.loads(path.read_text()), Settings)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise exceptions.DeclarationError(f"{path}: {error}") from error
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == "localhost"
--- a/packages/nutmegshelf/src/nutmegshelf/decoding.py
+++ b/packages/nutmegshelf/src/nutmegshelf/decoding.py
@@ -125,4 +125,5 @@
         (info.le, "of at most"),
         (info.lt, "under"),
     )
-    return "".join(f" {word} {limit}" for limit, word in words if limit is not None)
+    found = [f" {word} {limit}" for limit, word in words if limit is not None]
+    return " and".join(found)
