--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(strip $(ROOTS))))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup format check types test demo bench faults soak
+.PHONY: setup format check types test demo bench faults soak reference
 
 setup: $(READY)
 
@@ -45,3 +45,6 @@
 
 soak: setup
 	$(PY) -m features.run --seed $(SEED) --tags @soak --jobs 1
+
+reference: setup
+	$(PY) -m nutmegshelf_entry.reference > docs/operating/settings.md
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -51,6 +51,7 @@
         self._claimant = keys
         self._telemetry = metrics
         self.refusing: exceptions.ErrorKind | None = exceptions.ErrorKind.NOT_READY
+        self.is_stale = False
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Serve one exchange to its final answer."""
@@ -59,6 +60,8 @@
         try:
             if self.refusing is not None:
                 raise exceptions.RequestError(self.refusing)
+            if self.is_stale:
+                raise exceptions.RequestError(exceptions.ErrorKind.CONFIGURATION_STALE)
             assert self._in_force.accepted is not None
             now_s = asyncio.get_running_loop().time()
             request = requests.read(exchange, self._in_force.accepted, now_s)
