--- a/features/paused_hosts.feature
+++ b/features/paused_hosts.feature
@@ -17,3 +17,6 @@
     When the host "entry-0" gets SIGTERM while it serves "t3"
     Then the call "t3" ended as "whole"
     And the entry "entry-0" has ended
+
+  Scenario: The fault matrix holds every cell of its tables
+    Then the matrix's feature is as its tables say
