Time, count and trace each request hop by hop

Cause: spans covered the whole request only and went nowhere, nothing was timed, and an unsampled request paid for OpenTelemetry's context all the same.

telemetry.hop marks an async method as a hop (slot, minion); it times, counts what is inside, and makes a child span where the caller's traceparent or the traced fraction says so. The minion is told its own hop's span. Histograms are buckets of integers that become aioprometheus collectors when asked for. trace_exporter = "log" writes a line a span.

Two deployments of one example wrote the same settings files when the features ran side by side; each has its own folder now.

--- a/bench/nutmegshelf_bench/path.py
+++ b/bench/nutmegshelf_bench/path.py
@@ -1,6 +1,8 @@
 """Measure the path: throughput and added time through one entry against direct."""
 
 import asyncio
+import os
+import pathlib
 import random
 import statistics
 import time
@@ -37,6 +39,19 @@
     return statistics.median(done.latency_s for done in calls.done) * 1000
 
 
+def _cpu_s(pid: int) -> float:
+    """Read the processor time that a process has used; contention doesn't change it."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def _cpu_ms(pid: int, port: int, service: str, seed: int) -> float:
+    before_s = _cpu_s(pid)
+    for _ in range(_REPEATS):
+        await _throughput([port], service, seed)
+    return (_cpu_s(pid) - before_s) / (_REPEATS * _CALLS) * 1000
+
+
 async def _measure(seed: int) -> None:
     async with process.Group() as group:
         site = demo.Deployment(group, demo.EXAMPLES / "dorna", seed, minion_mean_s=0.0)
@@ -53,6 +68,13 @@
             added.append(await _median_ms(through, service) - await _median_ms(direct, service))
         figures.show_spread("path.throughput_ratio", ratios, "ratio")
         figures.show_spread("path.added_p50_ms", added, "ms")
+        minion = site.minions[site.records[0].minion].pid
+        entry = next(iter(site.entries.values())).pid
+        minion_ms = await _cpu_ms(minion, direct, service, seed)
+        entry_ms = await _cpu_ms(entry, through, service, seed)
+        figures.show("path.minion_cpu_ms", minion_ms, "ms/request")
+        figures.show("path.entry_cpu_ms", entry_ms, "ms/request")
+        figures.show("path.cpu_ratio", minion_ms / entry_ms, "ratio")
         figures.show("path.through_per_s", through_per_s, "requests/s")
         figures.show("path.direct_per_s", direct_per_s, "requests/s")
 
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -33,7 +33,7 @@
 
     def __init__(self, example, seed):
         self.group = process.Group()
-        self.site = demo.Deployment(self.group, demo.EXAMPLES / example, seed)
+        self.site = demo.Deployment(self.group, demo.EXAMPLES / example, seed, folder="paused")
         self.tasks = []
 
     async def start(self, entries, seed):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/attempts.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/attempts.py
@@ -9,7 +9,7 @@
 from nutmegshelf import claims, exceptions, platform
 from nutmegshelf_http import channel, server
 
-from nutmegshelf_entry import bodies, minions, patience, requests
+from nutmegshelf_entry import bodies, minions, patience, requests, telemetry
 
 MAX_KEPT_ANSWER_BYTES = 1024 * 1024
 _LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
@@ -151,6 +151,6 @@
         if not any(name.lower() == b"host" for name, _ in request.headers):
             # Only HTTP/1.0 callers may leave it out.
             headers.append((b"host", request.service_name.encode()))
-        if self._traceparent:
-            headers.append((b"traceparent", self._traceparent.encode()))
+        if hop := telemetry.traceparent() or self._traceparent:
+            headers.append((b"traceparent", hop.encode()))
         return h11.Request(method=request.method, target=request.target, headers=headers)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/claimant.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/claimant.py
@@ -8,7 +8,7 @@
 
 from nutmegshelf import claims, exceptions, ids, platform
 
-from nutmegshelf_entry import logs, table
+from nutmegshelf_entry import logs, table, telemetry
 
 _MAX_BATCH_CHANGES = 128
 # The table takes several hundred writes a second from 6 to 7 entries; few claims go at once.
@@ -65,6 +65,7 @@
         self._breaker = claims.Breaker(_PROBE_INTERVAL_S)
         self._settling: set[asyncio.Task[None]] = set()
 
+    @telemetry.hop(telemetry.CLAIM_HOP)
     async def claim(
         self,
         service: ids.ServiceName,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -40,7 +40,7 @@
     def __init__(self, own: settings.Settings) -> None:
         self._own = own
         self._in_force = configuration.InForce()
-        self._telemetry = telemetry.Telemetry(own.trace_fraction)
+        self._telemetry = telemetry.Telemetry(own.trace_fraction, own.trace_exporter)
         self._table = table.Table(own.platform.host, own.platform.port, own.platform.timeout_s)
         self._slots = slots.Slots(own.zone, own.seats, random.Random(own.seed))
         self._pool = minions.MinionPool()
@@ -101,9 +101,10 @@
             self._relay.handle,
             server.Limits(max_connections=own.max_connections),
             bad_head=relay.bad_head,
-            on_error=_report,
+            on_error=self._report,
         )
-        self._operators = server.Server(self._operator.handle, on_error=_report)
+        self._operators = server.Server(self._operator.handle, on_error=self._report)
+        self._add_gauges()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; ends when all work is done."""
@@ -182,6 +183,22 @@
             case _:
                 self._configurator.take_message(message)
 
-
-def _report(error: Exception) -> None:
-    _log.error("A handler failed.", exc_info=error)
+    def _report(self, error: Exception) -> None:
+        self._telemetry.count_fault()
+        _log.error("A handler failed.", exc_info=error)
+
+    def _add_gauges(self) -> None:
+        loop, add = asyncio.get_running_loop(), self._telemetry.add_gauge
+        known = self._health.targets
+        add("ready", "1 where the entry is ready", lambda: self._operator.ready)
+        add("connections", "Callers' open connections", lambda: self._callers.connections)
+        add("requests_in_progress", "Callers' requests", lambda: self._callers.in_progress)
+        add("entries_live", "Other live entries", lambda: len(self._members.live(loop.time())))
+        add("fleet_revision", "Revision of the fleet list", lambda: known.revision)
+        add("minions_known", "Minions on the fleet list", lambda: len(known.known))
+        add("minions_closed", "Minions without new work", known.count_closed)
+        add(
+            "configuration_version",
+            "Version of the configuration in force",
+            lambda: self._in_force.version,
+        )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -147,6 +147,7 @@
                 self._slots.release(request.service_name, minion, loop.time() - started_s)
         raise AssertionError("the last attempt returns or raises")
 
+    @telemetry.hop(telemetry.MINION_HOP)
     async def _attempt(
         self, work: attempts.Work, grant: dispatch.Grant
     ) -> claims.KeptAnswer | None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -73,6 +73,7 @@
     shutdown_grace_s: Seconds = 2.0
     drain_timeout_s: Seconds = 30.0
     trace_fraction: Fraction = 0.01
+    trace_exporter: typing.Literal["none", "log"] = "none"
     log_level: LogLevel = LogLevel.INFO
     seed: int | None = None
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
@@ -5,6 +5,8 @@
 
 from nutmegshelf import declarations, dispatch, exceptions, ids, platform
 
+from nutmegshelf_entry import telemetry
+
 
 class Slots:
     """Give slots to requests: the one owner of every service's queue."""
@@ -19,6 +21,7 @@
         self._records: tuple[platform.MinionRecord, ...] = ()
         self._declared = declarations.DeclarationSet()
 
+    @telemetry.hop(telemetry.SLOT_HOP)
     async def acquire(self, service: ids.ServiceName, ticket: dispatch.Ticket) -> dispatch.Grant:
         """Wait for a slot; raises RequestError not-run."""
         loop = asyncio.get_running_loop()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/telemetry.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/telemetry.py
@@ -1,58 +1,259 @@
 """Count, time and trace what the entry does."""
 
+import asyncio
+import collections
 import collections.abc
 import contextlib
+import contextvars
+import functools
+import random
+import typing
 
 import aioprometheus
 from nutmegshelf import exceptions
 from nutmegshelf_http import server
+from opentelemetry import context as trace_context
 from opentelemetry import trace
 from opentelemetry.sdk import trace as sdk_trace
-from opentelemetry.sdk.trace import sampling
+from opentelemetry.sdk.trace import export
 from opentelemetry.trace.propagation import tracecontext
 
-from nutmegshelf_entry import requests
+from nutmegshelf_entry import histograms, logs, requests
 
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
+# The least bit of the flags, which end the header (W3C Trace Context).
+_SAMPLED_LAST_DIGITS = frozenset(b"%x" % digit for digit in range(1, 16, 2))
+_log = logs.part("request")
+_trace_log = logs.part("trace")
+
+P = typing.ParamSpec("P")
+T = typing.TypeVar("T")
+ReadGauge = collections.abc.Callable[[], float]
+
+
+class _LogExporter(export.SpanExporter):
+    """Write each span as one structured log line."""
+
+    def export(self, spans: collections.abc.Sequence[sdk_trace.ReadableSpan]) -> typing.Any:
+        for span in spans:
+            context, parent = span.get_span_context(), span.parent
+            assert context is not None
+            _trace_log.info(
+                "Ended a span.",
+                span=span.name,
+                trace=trace.format_trace_id(context.trace_id),
+                id=trace.format_span_id(context.span_id),
+                parent=trace.format_span_id(parent.span_id) if parent else "",
+                duration_ms=((span.end_time or 0) - (span.start_time or 0)) / 1e6,
+                **dict(span.attributes or {}),
+            )
+        return export.SpanExportResult.SUCCESS
+
+
+EXPORTERS: dict[str, collections.abc.Callable[[], export.SpanExporter | None]] = {
+    "none": lambda: None,
+    "log": _LogExporter,
+}
+
+
+class Current:
+    """Follow one request through its hops."""
+
+    def __init__(self, owner: "Telemetry", service: str, tracer: trace.Tracer | None) -> None:
+        self.attempts = 0
+        self._owner = owner
+        self._service = service
+        self._tracer = tracer
+
+    @contextlib.contextmanager
+    def hop(self, name: str) -> collections.abc.Iterator[None]:
+        """Time one hop, and trace it where the request is sampled."""
+        key = (self._service, name)
+        running, now = self._owner.running, self._owner.now
+        running[key] += 1
+        started_s = now()
+        try:
+            if self._tracer is None:
+                yield
+            else:
+                with self._tracer.start_as_current_span(name):
+                    yield
+        finally:
+            running[key] -= 1
+            self._owner.hop_times.observe(key, now() - started_s)
+
+
+_CURRENT: contextvars.ContextVar[Current | None] = contextvars.ContextVar("request", default=None)
+
+
+def hop(
+    name: str,
+) -> collections.abc.Callable[
+    [collections.abc.Callable[P, collections.abc.Awaitable[T]]],
+    collections.abc.Callable[P, collections.abc.Coroutine[typing.Any, typing.Any, T]],
+]:
+    """Time and trace an async method as one hop of the request that runs."""
+
+    def wrap(
+        method: collections.abc.Callable[P, collections.abc.Awaitable[T]],
+    ) -> collections.abc.Callable[P, collections.abc.Coroutine[typing.Any, typing.Any, T]]:
+        @functools.wraps(method)
+        async def timed(*args: P.args, **kwargs: P.kwargs) -> T:
+            current = _CURRENT.get()
+            if current is None:
+                return await method(*args, **kwargs)
+            if name == MINION_HOP:
+                current.attempts += 1
+            with current.hop(name):
+                return await method(*args, **kwargs)
+
+        return timed
+
+    return wrap
+
+
+SLOT_HOP = "slot"
+CLAIM_HOP = "claim"
+MINION_HOP = "minion"
+
+
+def traceparent() -> str:
+    """Give the traceparent header of the hop that runs; empty where none is sampled."""
+    carrier: dict[str, str] = {}
+    _PROPAGATOR.inject(carrier)
+    return carrier.get("traceparent", "")
 
 
 class Telemetry:
-    """Own the metrics registry and the tracer."""
+    """Own the metrics and the tracer of one entry."""
 
-    def __init__(self, trace_fraction: float) -> None:
-        self.registry = aioprometheus.Registry()
-        self._errors = aioprometheus.Counter(
-            "nutmegshelf_errors_total", "Error answers by kind", registry=self.registry
-        )
-        self._requests = aioprometheus.Counter(
-            "nutmegshelf_requests_total", "Requests by service", registry=self.registry
-        )
-        provider = sdk_trace.TracerProvider(
-            sampler=sampling.ParentBased(sampling.TraceIdRatioBased(trace_fraction))
-        )
+    def __init__(
+        self, trace_fraction: float, exporter: str = "none", rng: random.Random | None = None
+    ) -> None:
+        self.running: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.hop_times = histograms.Histograms()
+        self.request_times = histograms.Histograms()
+        self.now = asyncio.get_running_loop().time
+        self._requests: collections.Counter[str] = collections.Counter()
+        self._retries: collections.Counter[str] = collections.Counter()
+        self._errors: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._faults = 0
+        self._gauges: dict[str, tuple[str, ReadGauge]] = {}
+        self._fraction = trace_fraction
+        self._rng = rng or random.Random()
+        provider = sdk_trace.TracerProvider()
+        made = EXPORTERS[exporter]()
+        if made is not None:
+            provider.add_span_processor(export.SimpleSpanProcessor(made))
         self._tracer = provider.get_tracer("nutmegshelf-entry")
 
+    def add_gauge(self, name: str, doc: str, read: ReadGauge) -> None:
+        """Show a value that is read when the metrics are asked for."""
+        self._gauges[f"nutmegshelf_{name}"] = (doc, read)
+
     def count_error(self, service: str, kind: exceptions.ErrorKind) -> None:
         """Count an error answer."""
-        self._errors.inc({"service": service, "kind": kind.value})
+        self._errors[service, kind.value] += 1
+
+    def count_fault(self) -> None:
+        """Count an exception that no handler expected."""
+        self._faults += 1
 
     @contextlib.contextmanager
     def request_span(
         self, exchange: server.Exchange, request: requests.Request
     ) -> collections.abc.Iterator[str]:
-        """Trace one request; give the traceparent for the next hop."""
-        self._requests.inc({"service": request.service_name})
-        parent = exchange.header(b"traceparent")
-        context = _PROPAGATOR.extract({"traceparent": parent.decode("latin-1")}) if parent else None
-        with self._tracer.start_as_current_span("request", context=context) as span:
-            if span.is_recording():
-                span.set_attribute("nutmegshelf.request", request.id)
-                span.set_attribute("nutmegshelf.service", request.service_name)
-            carrier: dict[str, str] = {}
-            _PROPAGATOR.inject(carrier, trace.set_span_in_context(span))
-            yield carrier.get("traceparent", "")
+        """Count, time and trace one request; give the traceparent for the next hop."""
+        service = str(request.service_name)
+        self._requests[service] += 1
+        given = exchange.header(b"traceparent")
+        sampled = self._is_sampled(given)
+        current = Current(self, service, self._tracer if sampled else None)
+        token = _CURRENT.set(current)
+        started_s = self.now()
+        outcome = "whole"
+        try:
+            with self._root_span(given, request) if sampled else contextlib.nullcontext():
+                yield traceparent() if sampled else (given or b"").decode("latin-1")
+        except exceptions.RequestError as error:
+            outcome = error.outcome.value
+            raise
+        except BaseException:
+            outcome = exceptions.Outcome.UNKNOWN.value
+            raise
+        finally:
+            _CURRENT.reset(token)
+            took_s = self.now() - started_s
+            self._retries[service] += max(0, current.attempts - 1)
+            self.request_times.observe((service, outcome), took_s)
+            _log.debug(
+                "Ended a request.",
+                request=request.id,
+                service=service,
+                outcome=outcome,
+                attempts=current.attempts,
+                duration_ms=took_s * 1000,
+            )
+
+    def _is_sampled(self, given: bytes | None) -> bool:
+        # A caller that traces decides for all hops; spans of other requests cost nothing.
+        if given is not None:
+            return given[-1:] in _SAMPLED_LAST_DIGITS
+        return self._rng.random() < self._fraction
+
+    @contextlib.contextmanager
+    def _root_span(
+        self, given: bytes | None, request: requests.Request
+    ) -> collections.abc.Iterator[None]:
+        parent = trace_context.Context()
+        if given is not None:
+            parent = _PROPAGATOR.extract({"traceparent": given.decode("latin-1")}, parent)
+        attributes = {
+            "nutmegshelf.request": request.id,
+            "nutmegshelf.service": request.service_name,
+        }
+        with self._tracer.start_as_current_span("request", parent, attributes=attributes):
+            yield
 
     def render(self) -> bytes:
         """Give all metrics in the Prometheus text form."""
-        content, _ = aioprometheus.render(self.registry, ["text/plain"])
+        registry = aioprometheus.Registry()
+        self._render_counters(registry)
+        for name, (doc, read) in self._gauges.items():
+            aioprometheus.Gauge(name, doc, registry=registry).set({}, read())
+        running = aioprometheus.Gauge(
+            "nutmegshelf_hop_running", "Requests inside a hop", registry=registry
+        )
+        for (service, name), count in self.running.items():
+            running.set({"service": service, "hop": name}, count)
+        self.request_times.render(
+            "nutmegshelf_request_duration_seconds",
+            "Time from head to end by outcome",
+            ("service", "outcome"),
+            registry,
+        )
+        self.hop_times.render(
+            "nutmegshelf_hop_duration_seconds", "Time of a hop", ("service", "hop"), registry
+        )
+        content, _ = aioprometheus.render(registry, ["text/plain"])
         return bytes(content)
+
+    def _render_counters(self, registry: aioprometheus.Registry) -> None:
+        asked = aioprometheus.Counter(
+            "nutmegshelf_requests_total", "Requests by service", registry=registry
+        )
+        retries = aioprometheus.Counter(
+            "nutmegshelf_retries_total", "Attempts after the first", registry=registry
+        )
+        errors = aioprometheus.Counter(
+            "nutmegshelf_errors_total", "Error answers by kind", registry=registry
+        )
+        faults = aioprometheus.Counter(
+            "nutmegshelf_handler_faults_total", "Unexpected exceptions", registry=registry
+        )
+        for service, count in self._requests.items():
+            asked.set({"service": service}, count)
+            retries.set({"service": service}, self._retries[service])
+        for (service, kind), count in self._errors.items():
+            errors.set({"service": service, "kind": kind}, count)
+        faults.set({}, self._faults)
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
@@ -33,6 +33,7 @@
         self.request = request
         self.started = False
         self._closing = closing
+        self._by_name: dict[bytes, bytes] | None = None
 
     @property
     def method(self) -> str:
@@ -46,7 +47,10 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Give a request header's value by its lower-case name."""
-        return next((value for key, value in self.request.headers if key == name), None)
+        if self._by_name is None:
+            # The first of several wins, as in the order that they came.
+            self._by_name = dict(reversed(list(self.request.headers)))
+        return self._by_name.get(name)
 
     async def respond(self, status: int, headers: channel.Headers, body: bytes = b"") -> None:
         """Send a whole answer."""
--- a/packages/nutmegshelf/src/nutmegshelf/targets.py
+++ b/packages/nutmegshelf/src/nutmegshelf/targets.py
@@ -97,6 +97,11 @@
         bad = target.bad.values() if target else ()
         return [f"{news.cause.value} by {news.source}: {news.detail}" for news in bad]
 
+    def count_closed(self) -> int:
+        """Count the minions that get no new work."""
+        leaving = platform.HostState.LEAVING
+        return sum(record.state is leaving for record in self.records())
+
     def bad_news(self) -> tuple[News, ...]:
         """Give all news that a new peer should hear."""
         return tuple(news for target in self.known.values() for news in target.bad.values())
--- a/standins/src/nutmegshelf_standins/caller.py
+++ b/standins/src/nutmegshelf_standins/caller.py
@@ -36,6 +36,7 @@
     key: str | None = None
     timeout_ms: int = 5000
     work_ms: int | None = None
+    traceparent: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +80,8 @@
         ]
         if call.chunked:
             headers.append((b"x-chunked", b"1"))
+        if call.traceparent:
+            headers.append((b"traceparent", call.traceparent.encode()))
         if call.work_ms is not None:
             headers.append((b"x-work-ms", str(call.work_ms).encode()))
         if call.key:
--- a/standins/src/nutmegshelf_standins/demo.py
+++ b/standins/src/nutmegshelf_standins/demo.py
@@ -31,9 +31,10 @@
     callers: int = 24
     calls_each: int = 60
     pause_s: float = 1.0
+    folder: str = "demo"
 
 
-TINY = Size(entries=2, minions_each=2, callers=8, calls_each=20, pause_s=0.3)
+TINY = Size(entries=2, minions_each=2, callers=8, calls_each=20, pause_s=0.3, folder="tiny")
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,7 +48,13 @@
     """Own the processes of one example deployment."""
 
     def __init__(
-        self, group: process.Group, example: pathlib.Path, seed: int, minion_mean_s: float = 0.02
+        self,
+        group: process.Group,
+        example: pathlib.Path,
+        seed: int,
+        minion_mean_s: float = 0.02,
+        *,
+        folder: str = "demo",
     ) -> None:
         self.rng = random.Random(seed)
         self.entries: dict[str, process.Process] = {}
@@ -58,7 +65,7 @@
         self._seed = seed
         self._minion_mean_s = minion_mean_s
         self._example = example
-        self._folder = pathlib.Path("out") / f"demo-{example.name}"
+        self._folder = pathlib.Path("out") / f"{folder}-{example.name}"
         self._folder.mkdir(parents=True, exist_ok=True)
         self._revision = 0
         self.platform_port = 0
@@ -257,7 +264,7 @@
     """Run the demo and give its exit code."""
     print(f"demo: seed {seed}, example {example.name}", flush=True)
     async with process.Group() as group:
-        site = Deployment(group, example, seed)
+        site = Deployment(group, example, seed, folder=size.folder)
         await site.start(size.entries, size.minions_each)
         ports = [entry.callers for entry in site.ports.values()]
         calls = caller.Caller(ports, random.Random(seed))
