--- a/features/steps/telemetry_steps.py
+++ b/features/steps/telemetry_steps.py
@@ -58,6 +58,14 @@
     assert context.site.verdict().whole == 1
 
 
+@behave.when("a keyed request has been served")
+def serve_keyed(context):
+    context.given = ""
+    call = caller.Call(token="t", service="orders", method="POST", key="k")
+    context.run(context.site.calls.call(call))
+    assert context.site.verdict().whole == 1
+
+
 @behave.then('the spans are "{names}" in one trace')
 @behave.then('the spans are "" in one trace')
 def check_spans(context, names=""):
--- a/features/telemetry.feature
+++ b/features/telemetry.feature
@@ -19,6 +19,11 @@
       | 0.0      | 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-03 | slot,minion,request | the minion hop       |
       | 0.0      | rubbish-01                                              | slot,minion,request | the minion hop       |
 
+  Scenario: A keyed request has a span for its claim too
+    Given the traced fraction is 1.0
+    When a keyed request has been served
+    Then the spans are "claim,slot,minion,request" in one trace
+
   Scenario: The metrics tell what happened, with names and units of Prometheus
     Given the minion 0 is gone without notice
     When 20 requests for "orders" and 1 for a wrong method have been served
