--- a/features/membership.feature
+++ b/features/membership.feature
@@ -60,6 +60,17 @@
       | 7       | 40      | 1    |
       | 7       | 3500    | 0    |
 
+  Scenario: A doubt is probed soon where routine probes are late
+    Given 1 entries that know 3500 minions
+    When each has probed for 20 seconds with 0 entry dead
+    And 40 minions fall under suspicion
+    Then all of them were probed within 8 s, and routine probes went on
+
+  Scenario: A lost zone takes some but not all turns of the probes
+    Given 1 entries that know 3500 minions
+    When 450 minions refuse all for 20 s
+    Then at least 40 probes went to others, and at least 100 to those
+
   Scenario Outline: A minion listed as leaving gets no new work within 2 s without any peer
     Given a fleet list that answers after <delay> s and has taken its answer at the <point>
     When a minion is listed as leaving at many moments of the poll
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -177,6 +177,48 @@
         assert max(by_second.values(), default=0) <= limit, max(by_second.values())
 
 
+@behave.when("{count:d} minions fall under suspicion")
+def suspect_many(context, count):
+    (known,) = context.probers
+    context.suspects = {ids.MinionId(f"m{number}") for number in range(count)}
+    for minion in context.suspects:
+        known.suspect(minion, 20.0)
+
+
+@behave.then("all of them were probed within {limit:d} s, and routine probes went on")
+def check_suspects(context, limit):
+    (known,) = context.probers
+    probed = []
+    for tick in range(limit * 10):
+        now_s = 20 + tick / 10
+        for record in known.due(now_s, health.MAX_PROBES_PER_TICK):
+            probed.append(record.minion)
+            known.probed(record.minion, targets.Probe.HEALTHY, now_s, now_s)
+    assert context.suspects <= set(probed), len(context.suspects & set(probed))
+    assert len(set(probed) - context.suspects) >= limit, len(set(probed))
+
+
+@behave.when("{count:d} minions refuse all for {seconds:d} s")
+def lose_many(context, count, seconds):
+    (known,) = context.probers
+    lost = {ids.MinionId(f"m{number}") for number in range(count)}
+    for minion in lost:
+        news = targets.News(minion=minion, cause=targets.Cause.FAILED, source=known.own)
+        known.take_news(news, 0.0)
+    context.probed = {True: 0, False: 0}
+    for tick in range(seconds * 10):
+        for record in known.due(tick / 10, health.MAX_PROBES_PER_TICK):
+            is_lost = record.minion in lost
+            context.probed[is_lost] += 1
+            found = targets.Probe.FAILED if is_lost else targets.Probe.HEALTHY
+            known.probed(record.minion, found, tick / 10, tick / 10)
+
+
+@behave.then("at least {others:d} probes went to others, and at least {lost:d} to those")
+def check_turns(context, others, lost):
+    assert context.probed[False] >= others and context.probed[True] >= lost, context.probed
+
+
 class _SlowList:
     """Answer late, with what was true when the answer began or ended."""
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/heartbeat.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/heartbeat.py
@@ -64,7 +64,7 @@
         new = bool(addresses - self._dialed)
         self._dialed = addresses
         self._peers.set_addresses(addresses)
-        self._on_entries([peer.entry for peer in self._members.staying(now_s)], now_s)
+        self._on_entries([peer.entry for peer in self._members.sharing(now_s)], now_s)
         return new
 
     def take_hello(self, row: members.EntryRow) -> bool:
--- a/packages/nutmegshelf/src/nutmegshelf/members.py
+++ b/packages/nutmegshelf/src/nutmegshelf/members.py
@@ -27,6 +27,7 @@
 
     row: EntryRow
     heard_s: float
+    spoke_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,7 +43,8 @@
         for row in rows:
             member = self.known.get(row.entry)
             if member is None or row.beat != member.row.beat:
-                self.known[row.entry] = Member(row, now_s)
+                spoke_s = member.spoke_s if member else None
+                self.known[row.entry] = Member(row, now_s, spoke_s)
         listed = {row.entry for row in rows}
         for entry, member in list(self.known.items()):
             if entry not in listed and not self._is_live(member, now_s):
@@ -51,13 +53,13 @@
     def heard(self, entry: ids.EntryId, now_s: float) -> None:
         """Note that an entry spoke."""
         if member := self.known.get(entry):
-            member.heard_s = now_s
+            member.heard_s = member.spoke_s = now_s
 
     def take_hello(self, row: EntryRow, now_s: float) -> bool:
         """Take what an entry says of itself, and say whether it was not live before."""
         member = self.known.get(row.entry)
         new = member is None or not self._is_live(member, now_s)
-        self.known[row.entry] = Member(row, now_s)
+        self.known[row.entry] = Member(row, now_s, now_s)
         return new
 
     def _is_live(self, member: Member, now_s: float) -> bool:
@@ -74,3 +76,11 @@
     def staying(self, now_s: float) -> list[EntryRow]:
         """Give the other entries that live and take new duties."""
         return [row for row in self.live(now_s) if not row.leaving]
+
+    def sharing(self, now_s: float) -> list[EntryRow]:
+        """Give those of them that spoke to us lately, whose findings we would hear."""
+        return [row for row in self.staying(now_s) if self._spoke(row.entry, now_s)]
+
+    def _spoke(self, entry: ids.EntryId, now_s: float) -> bool:
+        spoke_s = self.known[entry].spoke_s
+        return spoke_s is not None and now_s - spoke_s <= self.silence_limit_s
--- a/packages/nutmegshelf/src/nutmegshelf/targets.py
+++ b/packages/nutmegshelf/src/nutmegshelf/targets.py
@@ -10,7 +10,7 @@
 
 from nutmegshelf import ids, platform
 
-PROBE_INTERVAL_S = 5.0
+PROBE_INTERVAL_S = 2.0
 FIRST_RETRY_S = 0.25
 MAX_RETRY_S = 5.0
 SUCCESSES_NEEDED = 2
@@ -19,6 +19,7 @@
 _MIX = 0x9E3779B97F4A7C15
 _MAX_EARLY = 1000
 _MAX_LOOKS = 200
+_ROUTINE_TURN = 4
 
 
 class Cause(enum.Enum):
@@ -85,7 +86,9 @@
         self.known: dict[ids.MinionId, Target] = {}
         self._early: dict[ids.MinionId, list[News]] = {}
         self._entries: frozenset[ids.EntryId] = frozenset({own})
-        self._due: list[tuple[float, ids.MinionId]] = []
+        self._routine: list[tuple[float, ids.MinionId]] = []
+        self._urgent: list[tuple[float, ids.MinionId]] = []
+        self._turn = 0
 
     def records(self) -> tuple[platform.MinionRecord, ...]:
         """Give all minions, those without new work as leaving."""
@@ -247,8 +250,8 @@
         if entries == self._entries:
             return
         self._entries = entries
-        self._due = [(target.probe_at_s, minion) for minion, target in self.known.items()]
-        heapq.heapify(self._due)
+        self._routine = [(target.probe_at_s, minion) for minion, target in self.known.items()]
+        heapq.heapify(self._routine)
 
     def _is_ours(self, target: Target) -> bool:
         # Whoever holds bad news probes for itself: the path from here may be what broke.
@@ -261,16 +264,30 @@
 
     def _schedule(self, target: Target, at_s: float) -> None:
         target.probe_at_s = at_s
-        heapq.heappush(self._due, (at_s, target.record.minion))
+        queue = self._urgent if target.bad or target.suspected else self._routine
+        heapq.heappush(queue, (at_s, target.record.minion))
 
     def due(self, now_s: float, limit: int) -> list[platform.MinionRecord]:
         """Give at most so many minions to probe now; each comes back once it was probed."""
+        # Where all probes are late, doubts go first, but never take every turn.
+        self._turn += 1
+        queues = [self._urgent, self._routine]
+        if self._turn % _ROUTINE_TURN == 0:
+            queues.reverse()
+        found: list[platform.MinionRecord] = []
+        for queue in queues:
+            found += self._take_due(queue, now_s, limit - len(found))
+        return found
+
+    def _take_due(
+        self, queue: list[tuple[float, ids.MinionId]], now_s: float, limit: int
+    ) -> list[platform.MinionRecord]:
         found: list[platform.MinionRecord] = []
         # A bounded look keeps a change of the entries from holding up everything else.
         for _ in range(_MAX_LOOKS):
-            if not self._due or self._due[0][0] > now_s or len(found) >= limit:
+            if not queue or queue[0][0] > now_s or len(found) >= limit:
                 break
-            at_s, minion = heapq.heappop(self._due)
+            at_s, minion = heapq.heappop(queue)
             target = self.known.get(minion)
             if target is None or target.probe_at_s != at_s:
                 continue
