Share probing only with entries heard within half the silence limit

With 2 s heartbeats a minion that shut down unlisted stayed open for 10 s at an entry that could not hear its peer. Taking a peer's probing over too early only probes twice. trace_exporter is in the settings' reference and example.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/reference.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/reference.py
@@ -35,6 +35,7 @@
     "shutdown_grace_s": "How long callers are still served while the balancer learns of the stop.",
     "drain_timeout_s": "How long requests in progress may take once the entry stops.",
     "trace_fraction": "The share of requests that are traced.",
+    "trace_exporter": "Where spans go: nowhere, or one log line each.",
     "log_level": "The least level of log lines.",
     "seed": "The seed of random choices; none takes a new one each time.",
 }
--- a/packages/nutmegshelf/src/nutmegshelf/members.py
+++ b/packages/nutmegshelf/src/nutmegshelf/members.py
@@ -7,6 +7,8 @@
 from nutmegshelf import ids
 
 PREFIX = "entries/"
+# Whoever takes over the probing of a peer too early only probes twice.
+_SPOKE_PART = 0.5
 
 
 class EntryRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,4 +85,4 @@
 
     def _spoke(self, entry: ids.EntryId, now_s: float) -> bool:
         spoke_s = self.known[entry].spoke_s
-        return spoke_s is not None and now_s - spoke_s <= self.silence_limit_s
+        return spoke_s is not None and now_s - spoke_s <= _SPOKE_PART * self.silence_limit_s
