Take test ports below the range of outgoing connections, and print why a test failed

Cause: 'demo ... planned stop of an entry ended with 1' and entries that never listened, 4 of 4 runs beside other work. A port that was found free and released became the local end of an outgoing connection before its entry listened. Ruled out: slowness (the entry had died at once).

--- a/features/run.py
+++ b/features/run.py
@@ -46,6 +46,11 @@
     broken_hooks: int
 
 
+def _describe(scenario: model.Scenario) -> str:
+    messages = [step.error_message for step in scenario.all_steps if step.error_message]
+    return "\n".join([f"{scenario.name} ({scenario.location})", *messages])
+
+
 def run_shard(shard: Shard) -> Tally:
     """Run one share of the scenarios in this process."""
     arguments = [*shard.paths, "--format", "progress", "--no-capture", "--no-summary"]
@@ -61,8 +66,8 @@
     excused = known_red()
     return Tally(
         passed=len(found) - len(wrong),
-        failed=tuple(f"{one.name} ({one.location})" for one in wrong if one.name not in excused),
-        red=tuple(f"{one.name} ({one.location})" for one in wrong if one.name in excused),
+        failed=tuple(_describe(one) for one in wrong if one.name not in excused),
+        red=tuple(_describe(one) for one in wrong if one.name in excused),
         broken_hooks=getattr(tests, "hook_failures", 0),
     )
 
--- a/standins/src/nutmegshelf_standins/process.py
+++ b/standins/src/nutmegshelf_standins/process.py
@@ -1,9 +1,10 @@
 """Start stand-ins and daemons as processes, and end just those."""
 
 import asyncio
+import collections.abc
 import contextlib
+import itertools
 import os
-import signal
 import socket
 import sys
 import typing
@@ -12,6 +13,9 @@
 
 _START_TIMEOUT_S = 20.0
 _END_TIMEOUT_S = 40.0
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_PORTS_PER_PROCESS = 61
 
 
 async def announce(port: int) -> None:
@@ -107,14 +111,29 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Find ports that nothing listens on now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(found.getsockname()[1]) for found in sockets]
-    for found in sockets:
-        found.close()
+    """Find ports that nothing listens on now and that no outgoing connection will take.
+
+    A port that the system chose and that was set free again may become the local end of any
+    connection before its process listens there, so these lie below the range for those.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_port_numbers)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            ports.append(port)
     return ports
 
 
+def _port_range() -> collections.abc.Iterator[int]:
+    # Each process starts elsewhere, so that tests that run together rarely meet.
+    span = _LAST_PORT - _FIRST_PORT
+    start = os.getpid() * _PORTS_PER_PROCESS
+    return (_FIRST_PORT + (start + step) % span for step in itertools.count())
+
+
+_port_numbers = _port_range()
+
+
 async def wait_until_ready(port: int) -> None:
     """Wait until an entry's operators' port says that it is ready."""
     operators = client.Client("127.0.0.1", port)
