Send keyed requests in the demo and repeat them at another entry

Cause: the demo proved nothing of keys. Most POSTs carry a key now, are repeated through another entry while their outcome is unknown, and some are repeated though answered.

--- a/standins/src/nutmegshelf_standins/caller.py
+++ b/standins/src/nutmegshelf_standins/caller.py
@@ -70,6 +70,16 @@
         self.done.append(done)
         return done
 
+    async def call_until_known(self, call: Call, repeats: int) -> Done:
+        """Repeat a keyed call through other entries while its outcome is unknown."""
+        done = await self.call(call)
+        for _ in range(repeats):
+            if done.result not in (Result.UNKNOWN, Result.BROKEN):
+                break
+            others = [port for port in self.ports if port != done.entry]
+            done = await self.call(call, self._rng.choice(others or self.ports))
+        return done
+
     async def _send(self, call: Call, port: int) -> tuple[Result, int, str]:
         link = self._clients.setdefault(port, client.Client(self._host, port))
         headers = [
--- a/standins/src/nutmegshelf_standins/demo.py
+++ b/standins/src/nutmegshelf_standins/demo.py
@@ -16,6 +16,9 @@
 
 from nutmegshelf_standins import caller, minion, process
 
+_KEYED_FRACTION = 0.6
+_KEYED_REPEATS = 3
+_NEEDLESS_REPEATS_FRACTION = 0.2
 _HOST = "127.0.0.1"
 # The users ask for a few seconds; the design page for two.
 _NEW_WORK_LIMIT_S = 2.0
@@ -170,26 +173,38 @@
         return found
 
 
-def _make_call(rng: random.Random, services: list[str], number: int) -> caller.Call:
-    method = rng.choice(["GET", "GET", "GET", "POST"])
+def _make_call(rng: random.Random, paths: dict[str, str], number: int) -> caller.Call:
+    method = rng.choice(["GET", "GET", "GET", "POST", "POST"])
+    service = rng.choice(list(paths))
+    keyed = method == "POST" and rng.random() < _KEYED_FRACTION
     return caller.Call(
         token=f"t{number}",
-        service=rng.choice(services),
+        service=service,
         method=method,
-        path="/demo",
+        path=paths[service] if keyed else "/demo",
+        key=f"key-{number}" if keyed else None,
         answer_bytes=rng.choice([0, 64, 2000, 200_000]),
         chunked=rng.random() < 0.3,
         body=b"x" * rng.choice([0, 10, 100_000]) if method == "POST" else b"",
     )
 
 
+def _keyed_paths(declared: declarations.DeclarationSet) -> dict[str, str]:
+    """Give each service's path for orders, lift reports, payouts and the like."""
+    found = {}
+    for name, service in declared.services.items():
+        strict = [rule.path_prefix for rule in service.rules if rule.idempotent is False]
+        found[str(name)] = strict[0] if strict else "/demo"
+    return found
+
+
 class Callers:
     """Own the callers, who go on until the disturbances are over."""
 
-    def __init__(self, calls: caller.Caller, services: list[str], seed: int) -> None:
+    def __init__(self, calls: caller.Caller, paths: dict[str, str], seed: int) -> None:
         self.over = asyncio.Event()
         self._calls = calls
-        self._services = services
+        self._paths = paths
         self._seed = seed
         self._numbers = itertools.count()
 
@@ -199,9 +214,18 @@
         sent = 0
         while sent < least or not self.over.is_set():
             sent += 1
-            await self._calls.call(_make_call(rng, self._services, next(self._numbers)))
+            await self._send(_make_call(rng, self._paths, next(self._numbers)), rng)
             await asyncio.sleep(rng.expovariate(1 / 0.05))
 
+    async def _send(self, call: caller.Call, rng: random.Random) -> None:
+        if call.key is None:
+            await self._calls.call(call)
+            return
+        done = await self._calls.call_until_known(call, _KEYED_REPEATS)
+        if done.result is caller.Result.WHOLE and rng.random() < _NEEDLESS_REPEATS_FRACTION:
+            # A caller that lost its answer asks again, through any entry.
+            await self._calls.call(call)
+
 
 @dataclasses.dataclass(slots=True)
 class _Disturbed:
@@ -261,7 +285,7 @@
         await site.start(size.entries, size.minions_each)
         ports = [entry.callers for entry in site.ports.values()]
         calls = caller.Caller(ports, random.Random(seed))
-        callers = Callers(calls, [str(name) for name in site.declared.services], seed)
+        callers = Callers(calls, _keyed_paths(site.declared), seed)
         async with asyncio.TaskGroup() as tasks:
             for number in range(size.callers):
                 tasks.create_task(callers.call(number, size.calls_each))
@@ -273,6 +297,9 @@
     faults += [f"the process {name} was left behind" for name in group.left_behind()]
     if verdict.false_refusals:
         faults.append(f"{verdict.false_refusals} refused as not-run had run")
+    keyed = [one for one in calls.done if one.call.key]
+    repeats = len(keyed) - len({one.call.key for one in keyed})
+    print(f"demo: {len(keyed)} requests with a key, {repeats} of them repeats")
     for fault in faults:
         print(f"demo: {fault}")
     print(f"demo: {verdict}", flush=True)
