Bound the memory of all bodies that are read ahead

Cause: a keyed body is read whole before its claim, up to 1 MB; 4096 connections could hold 4 GB. All of them together may take 64 MB now; beyond it a request is refused not-run (overloaded).

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -92,6 +92,12 @@
     When the relay fails within 40 requests one after another
     Then each got "internal" and later requests are whole
 
+  Scenario: Bodies that are read ahead take a bounded memory together
+    Given 2 slow minions behind an entry
+    When 80 callers each send all but the end of a keyed body of 1 MB
+    Then 64 wait for theirs and 16 were refused "not-run overloaded" at once
+    And once those have gone away another keyed body of 1 MB is taken
+
   Scenario Outline: Memory stays bounded with a slow <end>
     Given a minion that <does>, and no other
     When 64 MB pass while the slow <end> stands still
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -431,6 +431,62 @@
     assert later == "status", (later, answer)
 
 
+@behave.when("{count:d} callers each send all but the end of a keyed body of 1 MB")
+def fill_budget(context, count):
+    size = 1024 * 1024
+
+    async def one(number):
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
+        context.links.append(writer)
+        writer.write(
+            b"POST /orders/ HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k%d\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % (number, size)
+        )
+        writer.write(b"k" * size)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            context.refusals.append((await reader.readuntil(b"\r\n\r\n")).lower())
+
+    async def main():
+        context.links, context.refusals = [], []
+        tasks = [asyncio.ensure_future(one(number)) for number in range(count)]
+        budget = context.site.relay._budget
+        while budget._left_bytes >= 65536 or len(context.refusals) < count - 64:
+            await asyncio.sleep(0.01)
+        context.waiting = sum(not task.done() for task in tasks)
+        for link in context.links:
+            link.transport.abort()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.run(main())
+
+
+@behave.then('{waiting:d} wait for theirs and {refused:d} were refused "{result}" at once')
+def check_budget(context, waiting, refused, result):
+    outcome, kind = result.encode().split()
+    assert (context.waiting, len(context.refusals)) == (waiting, refused)
+    assert all(outcome in one and kind in one for one in context.refusals), context.refusals
+
+
+@behave.then("once those have gone away another keyed body of 1 MB is taken")
+def check_budget_back(context):
+    async def main():
+        budget = context.site.relay._budget
+        while budget._left_bytes != 64 * 1024 * 1024:
+            await asyncio.sleep(0.01)
+        return await _exchange(
+            context.site.port,
+            "POST",
+            b"b" * 1024 * 1024,
+            patience_ms=5000,
+            idempotency_key="last",
+            x_token="t",
+            x_answer_bytes="64",
+        )
+
+    context.result, context.answer = context.run(main())
+    check_got_whole(context)
+
+
 @behave.when("64 MB pass while the slow {end} stands still")
 def stall(context, end):
     async def main():
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/bodies.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/bodies.py
@@ -11,14 +11,37 @@
 # So much fits into a connection's buffers, and most bodies are smaller.
 PREFETCH_BYTES = 32 * 1024
 MAX_KEYED_BYTES = 1024 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+
+
+class Budget:
+    """Bound what all bodies that were read ahead take together."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._left_bytes = limit_bytes
+
+    def take(self, size_bytes: int) -> None:
+        """Take a part; raises RequestError not-run where none is left."""
+        if size_bytes > self._left_bytes:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.OVERLOADED, "too many bodies are being read"
+            )
+        self._left_bytes -= size_bytes
+
+    def give_back(self, size_bytes: int) -> None:
+        """Free what was taken."""
+        self._left_bytes += size_bytes
 
 
 class CallerBody:
     """Own what was read of one request's body."""
 
-    def __init__(self, exchange: server.Exchange, request: requests.Request) -> None:
+    def __init__(
+        self, exchange: server.Exchange, request: requests.Request, budget: Budget
+    ) -> None:
         self._link = exchange.link
         self._request = request
+        self._budget = budget
         self._parts: list[bytes] = []
         self._received_bytes = 0
         self.is_complete = not request.has_body
@@ -36,6 +59,7 @@
             raise _too_large(limit_bytes)
         while not self.is_complete and self._received_bytes < limit_bytes:
             if part := await self._receive():
+                self._budget.take(len(part))
                 self._parts.append(part)
         if self._request.is_keyed and self._received_bytes > limit_bytes:
             raise _too_large(limit_bytes)
@@ -51,6 +75,11 @@
             if part := await self._receive():
                 yield part
 
+    def close(self) -> None:
+        """Drop what was read ahead."""
+        self._budget.give_back(sum(len(part) for part in self._parts))
+        self._parts.clear()
+
     async def _receive_end(self, limit_bytes: int) -> None:
         if await self._receive():
             raise _too_large(limit_bytes)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -1,6 +1,7 @@
 """Serve callers: check a request, claim its key, wait for a slot, send it, answer."""
 
 import asyncio
+import contextlib
 import json
 import math
 
@@ -50,6 +51,7 @@
         self._pool = pool
         self._claimant = keys
         self._telemetry = metrics
+        self._budget = bodies.Budget(bodies.MAX_BUFFERED_BYTES)
         self.refusing: exceptions.ErrorKind | None = exceptions.ErrorKind.NOT_READY
         self.is_stale = False
 
@@ -86,11 +88,11 @@
         traceparent: str,
     ) -> None:
         async with waiting:
-            body = bodies.CallerBody(exchange, request)
-            await body.prefetch()
-            work = attempts.Work(exchange, request, body, waiting, traceparent)
-            serve = self._serve_keyed if request.is_keyed else self._send
-            kept = await serve(work)
+            with contextlib.closing(bodies.CallerBody(exchange, request, self._budget)) as body:
+                await body.prefetch()
+                work = attempts.Work(exchange, request, body, waiting, traceparent)
+                serve = self._serve_keyed if request.is_keyed else self._send
+                kept = await serve(work)
         if kept is not None:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 await _give(exchange, kept)
