Write down at most once, whole answers and what each refusal means

The sweeper took one group a commit, at which 7 entries would delete 28 small groups a second and fall behind; it joins groups up to 128 claims now. The operators' table of refusals is checked against the table of error kinds.

--- a/bench/nutmegshelf_bench/claims.py
+++ b/bench/nutmegshelf_bench/claims.py
@@ -1,6 +1,7 @@
 """Measure claims: how many a second, and what they cost in the table's commits and rows."""
 
 import asyncio
+import random
 import statistics
 import time
 import unittest.mock
@@ -8,7 +9,7 @@
 
 from nutmegshelf import claims as decisions
 from nutmegshelf import codecs, ids
-from nutmegshelf_entry import claimant, table
+from nutmegshelf_entry import claim_sweeper, claimant, table
 from nutmegshelf_http import client
 from nutmegshelf_standins import platform as platform_standin
 from nutmegshelf_standins import process
@@ -20,6 +21,7 @@
 _CONCURRENCIES = (1, 16, 64, 256)
 _TABLE_DELAYS_MS = (0, 5)
 _PATIENCE_S = 10.0
+_SWEEPS = 10
 _UNPACED_PER_S = 1e9
 _SERVICE = ids.ServiceName("payouts")
 _ANSWER = decisions.KeptAnswer(status=201, body=b"b" * 200)
@@ -75,6 +77,29 @@
     figures.show_spread(f"{name}.claim_p50_ms", waits_ms, "ms")
 
 
+def _late_wall_s() -> float:
+    return time.time() + 2 * decisions.KEPT_S
+
+
+async def _measure_sweep(control: client.Client, port: int) -> None:
+    """Let claims grow old, and count how many go in a sweep and what it takes."""
+    run = _Run(port, 64)
+    await run.go()
+    sweeper = claim_sweeper.ClaimSweeper(run.rows, random.Random(0), _late_wall_s)
+    before = await _writes(control)
+    started_s = time.perf_counter()
+    sweeps = 0
+    while sweeps < _SWEEPS and await sweeper.sweep_once():
+        sweeps += 1
+    took_s = time.perf_counter() - started_s
+    rows = await run.rows.scan(decisions.PREFIX, limit=1_000_000)
+    figures.show("claims.sweep.took_ms", took_s / sweeps * 1000, "ms")
+    figures.show("claims.sweep.claims", (len(run.waits_s) - len(rows)) / sweeps, "claims/sweep")
+    figures.show(
+        "claims.sweep.commits", (await _writes(control) - before) / sweeps, "commits/sweep"
+    )
+
+
 async def _writes(control: client.Client) -> int:
     answer = await control.request("GET", "/control/counts")
     return int(codecs.unpack(answer.body, dict[str, int])["writes"])
@@ -84,6 +109,7 @@
     async with process.Group() as group:
         port = (await group.start_standin("platform", "platform")).port
         control = client.Client("127.0.0.1", port)
+        await _measure_sweep(control, port)
         for delay_ms in _TABLE_DELAYS_MS:
             faults = platform_standin.Faults(delay_s=delay_ms / 1000)
             await control.request("PUT", "/control/faults", codecs.pack(faults))
--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -107,3 +107,6 @@
       | end    | does                    |
       | caller | sends without end       |
       | minion | never reads             |
+
+  Scenario: The operators' page gives every kind of error as it is answered
+    Then docs/operating/requests.md lists each kind with its status, outcome and retry
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
+import pathlib
 import tracemalloc
 import unittest.mock
 
 import behave
-from nutmegshelf import declarations
+from nutmegshelf import declarations, exceptions
 from nutmegshelf_entry import attempts
 from nutmegshelf_http import client
 from nutmegshelf_standins import caller, minion
@@ -533,3 +534,15 @@
     # What the kernel's own buffers take is not the entry's memory.
     assert context.peak_bytes <= limit_mb * 1024 * 1024, context.peak_bytes
     assert 0 < context.passed_bytes < 48 * 1024 * 1024, context.passed_bytes
+
+
+@behave.then("{page} lists each kind with its status, outcome and retry")
+def check_page(context, page):
+    lines = pathlib.Path(page).read_text().splitlines()
+    for kind, answer in exceptions.ANSWERS.items():
+        start = (
+            f"| `{kind.value}` | {answer.status} | {answer.outcome.value} "
+            f"| {answer.retry_after_s or '-'} | "
+        )
+        assert any(line.startswith(start) for line in lines), start
+    assert sum(line.startswith("| `") for line in lines) == len(exceptions.ANSWERS)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/claim_sweeper.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/claim_sweeper.py
@@ -5,14 +5,15 @@
 import random
 import time
 
-from nutmegshelf import claims, codecs, exceptions, platform
+from nutmegshelf import claims, exceptions, platform
 
 from nutmegshelf_entry import logs, table
 
 _IDLE_INTERVAL_S = 60.0
 # Sweeping takes a small and fixed part of the table's writes and reads.
-_BUSY_INTERVAL_S = 0.25
-_LISTED_ROWS = 32
+_BUSY_INTERVAL_S = 2.0
+_MAX_CLAIMS = 128
+_LISTED_ROWS = 256
 _log = logs.part("claims")
 
 
@@ -47,11 +48,11 @@
         due = [row for row in listed if claims.is_due(row.key, now_s)]
         if not due:
             return False
-        # Entries sweep without knowing of each other; a random group seldom meets another's.
-        chosen = self._rng.choice(due)
-        keys = codecs.unpack(chosen.value, claims.ExpiryRow).keys
+        # Entries sweep without knowing of each other; a random start seldom meets another's.
+        start = self._rng.randrange(len(due))
+        rows, keys = claims.choose_due(due[start:], _MAX_CLAIMS, now_s)
         found: list[platform.Row] = [await self._rows.read(key) for key in keys]
-        swept = claims.sweep(chosen, found, now_s)
+        swept = claims.sweep(rows, found, now_s)
         for name in swept.objects:
             await self._rows.delete_object(name)
         await self._rows.commit(swept.transaction)
--- a/packages/nutmegshelf/src/nutmegshelf/claims.py
+++ b/packages/nutmegshelf/src/nutmegshelf/claims.py
@@ -193,6 +193,21 @@
     return (bucket + 1) * _BUCKET_S + KEPT_S <= now_s
 
 
+def choose_due(
+    listed: collections.abc.Sequence[platform.Row], most_claims: int, now_s: float
+) -> tuple[list[platform.Row], list[str]]:
+    """Take expiry rows that are due, in order, and the keys that they list."""
+    rows: list[platform.Row] = []
+    keys: list[str] = []
+    for row in listed:
+        more = codecs.unpack(row.value, ExpiryRow).keys
+        if not is_due(row.key, now_s) or (rows and len(keys) + len(more) > most_claims):
+            break
+        rows.append(row)
+        keys += more
+    return rows, keys
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sweep:
     """Delete expired claims: the objects first, then the rows in one commit."""
@@ -202,11 +217,13 @@
 
 
 def sweep(
-    listed: platform.Row, found: collections.abc.Sequence[platform.Row], now_s: float
+    listed: collections.abc.Sequence[platform.Row],
+    found: collections.abc.Sequence[platform.Row],
+    now_s: float,
 ) -> Sweep:
-    """Decide what of one expiry row goes; unsettled claims are kept longer."""
-    conditions = [platform.Condition(listed.key, listed.version)]
-    writes = [platform.Write(listed.key, None)]
+    """Decide what goes of the claims that expiry rows list; unsettled ones are kept longer."""
+    conditions = [platform.Condition(row.key, row.version) for row in listed]
+    writes = [platform.Write(row.key, None) for row in listed]
     objects: list[str] = []
     kept: list[str] = []
     for one in found:
@@ -223,7 +240,7 @@
             objects.append(answer_key(one.key, row.attempt))
     if kept:
         later_s = now_s + KEPT_S
-        batch = listed.key.rpartition("/")[2]
+        batch = listed[0].key.rpartition("/")[2]
         value = codecs.pack(ExpiryRow(tuple(kept)))
         writes.append(platform.Write(expiry_key(later_s, batch), value))
     return Sweep(tuple(objects), platform.Transaction(tuple(conditions), tuple(writes)))
