--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -40,8 +40,8 @@
         await self.site.start(entries, minions_each=1)
         ports = [entry.callers for entry in self.site.ports.values()]
         self.calls = caller.Caller(ports, random.Random(seed))
-        services = [str(name) for name in self.site.declared.services]
-        self.callers = demo.Callers(self.calls, services, seed)
+        paths = demo.keyed_paths(self.site.declared)
+        self.callers = demo.Callers(self.calls, paths, seed)
         self.tasks = [
             asyncio.ensure_future(self.callers.call(number, 1)) for number in range(_CALLERS)
         ]
--- a/standins/src/nutmegshelf_standins/demo.py
+++ b/standins/src/nutmegshelf_standins/demo.py
@@ -189,7 +189,7 @@
     )
 
 
-def _keyed_paths(declared: declarations.DeclarationSet) -> dict[str, str]:
+def keyed_paths(declared: declarations.DeclarationSet) -> dict[str, str]:
     """Give each service's path for orders, lift reports, payouts and the like."""
     found = {}
     for name, service in declared.services.items():
@@ -285,7 +285,7 @@
         await site.start(size.entries, size.minions_each)
         ports = [entry.callers for entry in site.ports.values()]
         calls = caller.Caller(ports, random.Random(seed))
-        callers = Callers(calls, _keyed_paths(site.declared), seed)
+        callers = Callers(calls, keyed_paths(site.declared), seed)
         async with asyncio.TaskGroup() as tasks:
             for number in range(size.callers):
                 tasks.create_task(callers.call(number, size.calls_each))
