--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -12,138 +12,7 @@
 from nutmegshelf_http import client
 from nutmegshelf_standins import minion
 
-from features import sites
-
-_PART = b"p" * 65536
-_LARGE_BYTES = 600_000
-_PATIENCE_MS = 8000
-# Where the deadline itself is tested, it comes soon.
-_SHORT_PATIENCE_MS = 600
-
-
-async def _until_closed(reader):
-    with contextlib.suppress(ConnectionError):
-        while await reader.read(65536):
-            pass
-
-
-def _script(before=b"", reads="head", after="close", repeat=False):
-    """Make a minion's script: what it reads, what it says, how it ends."""
-
-    async def serve(reader, writer):
-        _SENT["deaf"] = writer
-        with contextlib.suppress(
-            ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
-        ):
-            while True:
-                if reads == "head":
-                    await reader.readuntil(b"\r\n\r\n")
-                writer.write(before)
-                await writer.drain()
-                if not repeat:
-                    break
-            if after == "stay":
-                await _until_closed(reader)
-            if after == "deaf":
-                await asyncio.sleep(30)
-        writer.close()
-
-    return serve
-
-
-async def _send_without_end(reader, writer):
-    await reader.readuntil(b"\r\n\r\n")
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n")
-    writer.sent_bytes = 0
-    _SENT["writer"] = writer
-    with contextlib.suppress(ConnectionError):
-        for _ in range(1024):
-            writer.write(_PART)
-            await writer.drain()
-            writer.sent_bytes += len(_PART)
-    writer.close()
-
-
-_SENT = {}
-_OK = b"HTTP/1.1 200 OK\r\n"
-_DONE = _OK + b"Content-Length: 4\r\n\r\ndone"
-_TOO_MUCH = b"HTTP/1.1 413 No\r\nContent-Length: 8\r\n\r\ntoo much"
-_HALF_LARGE = _OK + b"Content-Length: 1200000\r\n\r\n" + b"h" * _LARGE_BYTES
-_SCRIPTS = {
-    "closes at once": _script(reads=""),
-    "closes after the head": _script(),
-    "sends half a head": _script(b"HTTP/1.1 200 OK\r\nContent-Le"),
-    "answers nonsense": _script(b"\x00\x01nonsense\r\n\r\n"),
-    "sends half of a small body": _script(_OK + b"Content-Length: 10\r\n\r\nhalf-"),
-    "gives no length": _script(_OK + b"\r\nbody"),
-    "never answers": _script(after="stay"),
-    "never reads": _script(reads="", after="deaf"),
-    "sends half of a large body": _script(_HALF_LARGE),
-    "sends half of a chunked body": _script(
-        _OK + b"Transfer-Encoding: chunked\r\n\r\n927c0\r\n" + b"h" * _LARGE_BYTES + b"\r\n"
-    ),
-    "stops in a large body": _script(_HALF_LARGE, after="stay"),
-    "answers 100 and 103 first": _script(
-        b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + _DONE, after="stay"
-    ),
-    "answers 204": _script(b"HTTP/1.1 204 None\r\n\r\n", after="stay"),
-    "answers 304": _script(b"HTTP/1.1 304 Same\r\nETag: a\r\n\r\n", after="stay"),
-    "answers HEAD with a length": _script(_OK + b"Content-Length: 99\r\n\r\n", after="stay"),
-    "answers HEAD without a length": _script(_OK + b"\r\n", after="stay"),
-    "answers 413 before the body ended": _script(_TOO_MUCH, after="deaf"),
-    "answers 413 and closes": _script(_TOO_MUCH, after="stay"),
-    "answers twice": _script(
-        _DONE + _OK + b"X-Stray: 1\r\nContent-Length: 5\r\n\r\nstray", repeat=True
-    ),
-    "sends without end": _send_without_end,
-}
-
-
-async def _send_while_reading(method, path, body, headers):
-    """Upload as careful callers do: an answer that comes early ends the upload."""
-    fields = dict(headers)
-    reader, writer = await asyncio.open_connection("127.0.0.1", int(fields.pop(b"x-port")))
-    lines = [b"%s %s HTTP/1.1" % (method.encode(), path.encode()), b"host: a"]
-    lines += [b"%s: %s" % field for field in fields.items()]
-    lines.append(b"content-length: %d\r\n\r\n" % len(body))
-
-    async def upload():
-        with contextlib.suppress(ConnectionError):
-            writer.write(b"\r\n".join(lines))
-            for start in range(0, len(body), len(_PART)):
-                writer.write(body[start : start + len(_PART)])
-                await writer.drain()
-
-    task = asyncio.ensure_future(upload())
-    try:
-        head = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
-        found = [tuple(line.lower().split(b": ", 1)) for line in head[1:] if b": " in line]
-        answer = await reader.readexactly(int(dict(found)[b"content-length"]))
-        return client.Response(int(head[0].split()[1]), found, answer)
-    except asyncio.IncompleteReadError as error:
-        raise ConnectionResetError("cut") from error
-    finally:
-        task.cancel()
-        writer.close()
-
-
-async def _exchange(port, method, body=b"", patience_ms=_PATIENCE_MS, path="/orders/", **headers):
-    """Send one request and give what a caller makes of the answer."""
-    link = client.Client("127.0.0.1", port)
-    named = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
-    named.append((b"request-timeout-ms", str(patience_ms).encode()))
-    send = _send_while_reading if len(body) > _LARGE_BYTES else link.request
-    try:
-        async with asyncio.timeout(20):
-            answer = await send(method, path, body, [*named, (b"x-port", str(port).encode())])
-    except (OSError, client.h11.ProtocolError) as error:
-        return f"a broken answer ({error})", None
-    finally:
-        link.close()
-    outcome = answer.header(b"nutmegshelf-outcome")
-    if outcome is None:
-        return "status", answer
-    return f"{outcome.decode()} {(answer.header(b'nutmegshelf-error') or b'').decode()}", answer
+from features import raw, sites
 
 
 def _start(context, count, scripts=(), **declared):
@@ -156,13 +25,13 @@
 
 @behave.given("a minion that {does}, and a sound one")
 def start_unsound(context, does):
-    _start(context, 2, [_SCRIPTS[does]])
+    _start(context, 2, [raw.SCRIPTS[does]])
     context.ends_late = does.startswith(("never", "stops"))
 
 
 @behave.given("a minion that {does}, and no other")
 def start_alone(context, does):
-    _start(context, 1, [_SCRIPTS[does]], slots_per_minion=2)
+    _start(context, 1, [raw.SCRIPTS[does]], slots_per_minion=2)
 
 
 @behave.given("{count:d} slow minions behind an entry")
@@ -186,11 +55,11 @@
 
     async def send():
         exchange = asyncio.ensure_future(
-            _exchange(
+            raw.exchange(
                 site.port,
                 method,
                 b"b" * sent,
-                _SHORT_PATIENCE_MS if context.ends_late else _PATIENCE_MS,
+                raw.SHORT_PATIENCE_MS if context.ends_late else raw.PATIENCE_MS,
                 x_token="t",
                 x_answer_bytes="64",
             )
@@ -258,7 +127,7 @@
 @behave.when("callers send GET one after another on kept connections")
 def send_kept(context):
     async def send():
-        return [await _exchange(context.site.port, "GET") for _ in range(20)]
+        return [await raw.exchange(context.site.port, "GET") for _ in range(20)]
 
     context.results = context.run(send())
 
@@ -298,30 +167,11 @@
     assert verdict.whole > 100 and verdict.unknown > 20, repr(verdict)
 
 
-_CHUNKED = b"POST /orders/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n" b"X-Token: t\r\n"
-_SOON = b"Request-Timeout-Ms: 400\r\n"
-
-
-def _chunk(size):
-    return b"%x\r\n" % size + b"c" * size + b"\r\n"
-
-
-_CALLERS = {
-    "is slow within the first bytes of its body": (_CHUNKED + _SOON + b"\r\n" + _chunk(100),),
-    "is slow after 90000 bytes of its body": (_CHUNKED + _SOON + b"\r\n" + _chunk(90_000),),
-    "sends 200000 bytes in chunks": (_CHUNKED + b"\r\n", *[_chunk(20_000)] * 10, b"0\r\n\r\n"),
-    "sends 120000 bytes in chunks at once with key": (
-        _CHUNKED + b"Idempotency-Key: k\r\n\r\n" + _chunk(120_000) + b"0\r\n\r\n",
-    ),
-    "breaks its chunks at once": (_CHUNKED + b"\r\nnonsense\r\n",),
-}
-
-
 @behave.when("a clumsy caller {does}")
 def call_badly(context, does):
     async def main():
         reader, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
-        for part in _CALLERS[does]:
+        for part in raw.CALLERS[does]:
             writer.write(part)
             await writer.drain()
             await asyncio.sleep(0.01)
@@ -412,7 +262,7 @@
         one.handle = handle
     for listener, one in zip(context.site.servers, context.site.minions, strict=True):
         listener._handler = one.handle
-    context.run(_exchange(context.site.port, "GET", patience_ms=patience_ms))
+    context.run(raw.exchange(context.site.port, "GET", patience_ms=patience_ms))
 
 
 @behave.then("the minion was told between {least:d} and {most:d} ms")
@@ -425,7 +275,7 @@
     async def main():
         broken = unittest.mock.patch.object(attempts.Attempt, "_head", side_effect=KeyError("x"))
         with broken:
-            return [await _exchange(context.site.port, "POST", b"x") for _ in range(count)]
+            return [await raw.exchange(context.site.port, "POST", b"x") for _ in range(count)]
 
     context.results = context.run(main())
 
@@ -433,7 +283,7 @@
 @behave.then('each got "{kind}" and later requests are whole')
 def check_failed_inside(context, kind):
     assert {result for result, _ in context.results} == {f"not-run {kind}"}, context.results
-    later, answer = context.run(_exchange(context.site.port, "POST", b"x"))
+    later, answer = context.run(raw.exchange(context.site.port, "POST", b"x"))
     assert later == "status", (later, answer)
 
 
@@ -479,7 +329,7 @@
         budget = context.site.relay._budget
         while budget._left_bytes != 64 * 1024 * 1024:
             await asyncio.sleep(0.01)
-        return await _exchange(
+        return await raw.exchange(
             context.site.port,
             "POST",
             b"b" * 1024 * 1024,
@@ -502,11 +352,11 @@
         tracemalloc.start()
         if end == "caller":
             writer.write(b"GET /orders/ HTTP/1.1\r\nHost: a\r\n\r\n")
-            await _until_still(lambda: getattr(_SENT.get("writer"), "sent_bytes", 0))
-            sent[0] = _SENT.pop("writer").sent_bytes
+            await raw.until_still(lambda: getattr(raw.SENT.get("writer"), "sent_bytes", 0))
+            sent[0] = raw.SENT.pop("writer").sent_bytes
         else:
             uploading = asyncio.ensure_future(_upload_without_end(writer, sent))
-            await _until_still(lambda: sent[0])
+            await raw.until_still(lambda: sent[0])
             uploading.cancel()
         context.passed_bytes = sent[0]
         context.peak_bytes = tracemalloc.get_traced_memory()[1]
@@ -519,19 +369,9 @@
 async def _upload_without_end(writer, sent):
     writer.write(b"POST /orders/ HTTP/1.1\r\nHost: a\r\nContent-Length: 67108864\r\n\r\n")
     for _ in range(1024):
-        writer.write(_PART)
+        writer.write(raw.PART)
         await writer.drain()
-        sent[0] += len(_PART)
-
-
-async def _until_still(count):
-    """Wait until a count that has begun has not grown for a while."""
-    seen, still = 0, 0
-    while still < 5:
-        await asyncio.sleep(0.05)
-        now = count()
-        still = still + 1 if now == seen and now else 0
-        seen = now
+        sent[0] += len(raw.PART)
 
 
 @behave.then("the entry held at most {limit_mb:d} MB and the source had to wait")
