--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -54,7 +54,7 @@
     Then each got the answer to its own request
 
   Scenario: Late answers never cross callers
-    Given 2 slow minions behind an entry
+    Given 2 entries and 3 minions on faked hosts
     When 300 callers with short and long patience send mixed requests
     Then no caller got another's answer, and none was refused not-run that ran
 
@@ -92,6 +92,12 @@
     When the relay fails within 40 requests one after another
     Then each got "internal" and later requests are whole
 
+  Scenario: Bodies that are read ahead take a bounded memory together
+    Given 2 slow minions behind an entry
+    When 80 callers each send all but the end of a keyed body of 1 MB
+    Then 64 wait for theirs and 16 were refused "not-run overloaded" at once
+    And once those have gone away another keyed body of 1 MB is taken
+
   Scenario Outline: Memory stays bounded with a slow <end>
     Given a minion that <does>, and no other
     When 64 MB pass while the slow <end> stands still
@@ -101,3 +107,6 @@
       | end    | does                    |
       | caller | sends without end       |
       | minion | never reads             |
+
+  Scenario: The operators' page gives every kind of error as it is answered
+    Then docs/operating/requests.md lists each kind with its status, outcome and retry
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -2,145 +2,17 @@
 
 import asyncio
 import contextlib
+import pathlib
 import tracemalloc
 import unittest.mock
 
 import behave
-from nutmegshelf import declarations
+from nutmegshelf import declarations, exceptions
 from nutmegshelf_entry import attempts
 from nutmegshelf_http import client
-from nutmegshelf_standins import caller, minion
-
-from features import sites
-
-_PART = b"p" * 65536
-_LARGE_BYTES = 600_000
-_PATIENCE_MS = 600
-
-
-async def _until_closed(reader):
-    with contextlib.suppress(ConnectionError):
-        while await reader.read(65536):
-            pass
-
-
-def _script(before=b"", reads="head", after="close", repeat=False):
-    """Make a minion's script: what it reads, what it says, how it ends."""
-
-    async def serve(reader, writer):
-        _SENT["deaf"] = writer
-        with contextlib.suppress(
-            ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
-        ):
-            while True:
-                if reads == "head":
-                    await reader.readuntil(b"\r\n\r\n")
-                writer.write(before)
-                await writer.drain()
-                if not repeat:
-                    break
-            if after == "stay":
-                await _until_closed(reader)
-            if after == "deaf":
-                await asyncio.sleep(30)
-        writer.close()
-
-    return serve
-
-
-async def _send_without_end(reader, writer):
-    await reader.readuntil(b"\r\n\r\n")
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n")
-    writer.sent_bytes = 0
-    _SENT["writer"] = writer
-    with contextlib.suppress(ConnectionError):
-        for _ in range(1024):
-            writer.write(_PART)
-            await writer.drain()
-            writer.sent_bytes += len(_PART)
-    writer.close()
-
-
-_SENT = {}
-_OK = b"HTTP/1.1 200 OK\r\n"
-_DONE = _OK + b"Content-Length: 4\r\n\r\ndone"
-_TOO_MUCH = b"HTTP/1.1 413 No\r\nContent-Length: 8\r\n\r\ntoo much"
-_HALF_LARGE = _OK + b"Content-Length: 1200000\r\n\r\n" + b"h" * _LARGE_BYTES
-_SCRIPTS = {
-    "closes at once": _script(reads=""),
-    "closes after the head": _script(),
-    "sends half a head": _script(b"HTTP/1.1 200 OK\r\nContent-Le"),
-    "answers nonsense": _script(b"\x00\x01nonsense\r\n\r\n"),
-    "sends half of a small body": _script(_OK + b"Content-Length: 10\r\n\r\nhalf-"),
-    "gives no length": _script(_OK + b"\r\nbody"),
-    "never answers": _script(after="stay"),
-    "never reads": _script(reads="", after="deaf"),
-    "sends half of a large body": _script(_HALF_LARGE),
-    "sends half of a chunked body": _script(
-        _OK + b"Transfer-Encoding: chunked\r\n\r\n927c0\r\n" + b"h" * _LARGE_BYTES + b"\r\n"
-    ),
-    "stops in a large body": _script(_HALF_LARGE, after="stay"),
-    "answers 100 and 103 first": _script(
-        b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + _DONE, after="stay"
-    ),
-    "answers 204": _script(b"HTTP/1.1 204 None\r\n\r\n", after="stay"),
-    "answers 304": _script(b"HTTP/1.1 304 Same\r\nETag: a\r\n\r\n", after="stay"),
-    "answers HEAD with a length": _script(_OK + b"Content-Length: 99\r\n\r\n", after="stay"),
-    "answers HEAD without a length": _script(_OK + b"\r\n", after="stay"),
-    "answers 413 before the body ended": _script(_TOO_MUCH, after="deaf"),
-    "answers 413 and closes": _script(_TOO_MUCH, after="stay"),
-    "answers twice": _script(
-        _DONE + _OK + b"X-Stray: 1\r\nContent-Length: 5\r\n\r\nstray", repeat=True
-    ),
-    "sends without end": _send_without_end,
-}
-
-
-async def _send_while_reading(method, path, body, headers):
-    """Upload as careful callers do: an answer that comes early ends the upload."""
-    fields = dict(headers)
-    reader, writer = await asyncio.open_connection("127.0.0.1", int(fields.pop(b"x-port")))
-    lines = [b"%s %s HTTP/1.1" % (method.encode(), path.encode()), b"host: a"]
-    lines += [b"%s: %s" % field for field in fields.items()]
-    lines.append(b"content-length: %d\r\n\r\n" % len(body))
-
-    async def upload():
-        with contextlib.suppress(ConnectionError):
-            writer.write(b"\r\n".join(lines))
-            for start in range(0, len(body), len(_PART)):
-                writer.write(body[start : start + len(_PART)])
-                await writer.drain()
-
-    task = asyncio.ensure_future(upload())
-    try:
-        head = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
-        found = [tuple(line.lower().split(b": ", 1)) for line in head[1:] if b": " in line]
-        answer = await reader.readexactly(int(dict(found)[b"content-length"]))
-        return client.Response(int(head[0].split()[1]), found, answer)
-    except asyncio.IncompleteReadError as error:
-        raise ConnectionResetError("cut") from error
-    finally:
-        task.cancel()
-        writer.close()
-
+from nutmegshelf_standins import minion
 
-async def _exchange(port, method, body=b"", patience_ms=_PATIENCE_MS, path="/orders/", **headers):
-    """Send one request and give what a caller makes of the answer."""
-    link = client.Client("127.0.0.1", port)
-    named = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
-    named.append((b"request-timeout-ms", str(patience_ms).encode()))
-    send = _send_while_reading if len(body) > _LARGE_BYTES else link.request
-    try:
-        async with asyncio.timeout(20):
-            answer = await send(method, path, body, [*named, (b"x-port", str(port).encode())])
-    except (OSError, client.h11.ProtocolError) as error:
-        return f"a broken answer ({error})", None
-    finally:
-        link.close()
-    outcome = answer.header(b"nutmegshelf-outcome")
-    if outcome is None:
-        return "status", answer
-    return f"{outcome.decode()} {(answer.header(b'nutmegshelf-error') or b'').decode()}", answer
+from features import raw, sites
 
 
 def _start(context, count, scripts=(), **declared):
@@ -153,14 +25,13 @@
 
 @behave.given("a minion that {does}, and a sound one")
 def start_unsound(context, does):
-    _start(context, 2, [_SCRIPTS[does]])
-    # The sound one is shut out until the other one has failed.
-    context.shut_out = True
+    _start(context, 2, [raw.SCRIPTS[does]])
+    context.ends_late = does.startswith(("never", "stops"))
 
 
 @behave.given("a minion that {does}, and no other")
 def start_alone(context, does):
-    _start(context, 1, [_SCRIPTS[does]], slots_per_minion=2)
+    _start(context, 1, [raw.SCRIPTS[does]], slots_per_minion=2)
 
 
 @behave.given("{count:d} slow minions behind an entry")
@@ -184,7 +55,14 @@
 
     async def send():
         exchange = asyncio.ensure_future(
-            _exchange(site.port, method, b"b" * sent, x_token="t", x_answer_bytes="64")
+            raw.exchange(
+                site.port,
+                method,
+                b"b" * sent,
+                raw.SHORT_PATIENCE_MS if context.ends_late else raw.PATIENCE_MS,
+                x_token="t",
+                x_answer_bytes="64",
+            )
         )
         # Once the scripted one has been set apart, the sound one takes what is retried.
         while not exchange.done() and not scripted.away_until_s:
@@ -249,7 +127,7 @@
 @behave.when("callers send GET one after another on kept connections")
 def send_kept(context):
     async def send():
-        return [await _exchange(context.site.port, "GET") for _ in range(20)]
+        return [await raw.exchange(context.site.port, "GET") for _ in range(20)]
 
     context.results = context.run(send())
 
@@ -262,60 +140,38 @@
 
 @behave.when("{count:d} callers with short and long patience send mixed requests")
 def send_mixed(context, count):
-    rng, calls = context.rng, context.site.calls
+    rng, hosts = context.rng, context.hosts
 
     async def one(number):
-        await asyncio.sleep(rng.uniform(0, 1.0))
-        call = caller.Call(
-            token=f"t{number}",
-            service="orders",
+        await asyncio.sleep(rng.uniform(0, 5.0))
+        await hosts.call(
+            f"t{number}",
+            entry=rng.choice(["entry-0", "entry-1"]),
             method=rng.choice(["GET", "POST", "PUT"]),
             answer_bytes=rng.choice([0, 64, 2000, 100_000]),
             chunked=rng.random() < 0.5,
             timeout_ms=rng.choice([20, 60, 100, 3000]),
         )
-        await calls.call(call)
 
     async def main():
         await asyncio.gather(*(one(number) for number in range(count)))
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(1.0)
 
-    context.run(main())
+    context.run_hosts(main())
 
 
 @behave.then("no caller got another's answer, and none was refused not-run that ran")
 def check_crossed(context):
-    verdict = context.site.verdict()
-    assert verdict.is_kept, str(verdict)
-    assert verdict.whole > 100 and verdict.unknown > 20, str(verdict)
-
-
-_CHUNKED = (
-    b"POST /orders/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
-    b"Request-Timeout-Ms: 400\r\nX-Token: t\r\n"
-)
-
-
-def _chunk(size):
-    return b"%x\r\n" % size + b"c" * size + b"\r\n"
-
-
-_CALLERS = {
-    "is slow within the first bytes of its body": (_CHUNKED + b"\r\n" + _chunk(100),),
-    "is slow after 90000 bytes of its body": (_CHUNKED + b"\r\n" + _chunk(90_000),),
-    "sends 200000 bytes in chunks": (_CHUNKED + b"\r\n", *[_chunk(20_000)] * 10, b"0\r\n\r\n"),
-    "sends 120000 bytes in chunks at once with key": (
-        _CHUNKED + b"Idempotency-Key: k\r\n\r\n" + _chunk(120_000) + b"0\r\n\r\n",
-    ),
-    "breaks its chunks at once": (_CHUNKED + b"\r\nnonsense\r\n",),
-}
+    verdict = context.hosts.verdict()
+    assert verdict.is_kept, repr(verdict)
+    assert verdict.whole > 100 and verdict.unknown > 20, repr(verdict)
 
 
 @behave.when("a clumsy caller {does}")
 def call_badly(context, does):
     async def main():
         reader, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
-        for part in _CALLERS[does]:
+        for part in raw.CALLERS[does]:
             writer.write(part)
             await writer.drain()
             await asyncio.sleep(0.01)
@@ -406,7 +262,7 @@
         one.handle = handle
     for listener, one in zip(context.site.servers, context.site.minions, strict=True):
         listener._handler = one.handle
-    context.run(_exchange(context.site.port, "GET", patience_ms=patience_ms))
+    context.run(raw.exchange(context.site.port, "GET", patience_ms=patience_ms))
 
 
 @behave.then("the minion was told between {least:d} and {most:d} ms")
@@ -419,7 +275,7 @@
     async def main():
         broken = unittest.mock.patch.object(attempts.Attempt, "_head", side_effect=KeyError("x"))
         with broken:
-            return [await _exchange(context.site.port, "POST", b"x") for _ in range(count)]
+            return [await raw.exchange(context.site.port, "POST", b"x") for _ in range(count)]
 
     context.results = context.run(main())
 
@@ -427,10 +283,66 @@
 @behave.then('each got "{kind}" and later requests are whole')
 def check_failed_inside(context, kind):
     assert {result for result, _ in context.results} == {f"not-run {kind}"}, context.results
-    later, answer = context.run(_exchange(context.site.port, "POST", b"x"))
+    later, answer = context.run(raw.exchange(context.site.port, "POST", b"x"))
     assert later == "status", (later, answer)
 
 
+@behave.when("{count:d} callers each send all but the end of a keyed body of 1 MB")
+def fill_budget(context, count):
+    size = 1024 * 1024
+
+    async def one(number):
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.site.port)
+        context.links.append(writer)
+        writer.write(
+            b"POST /orders/ HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k%d\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % (number, size)
+        )
+        writer.write(b"k" * size)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            context.refusals.append((await reader.readuntil(b"\r\n\r\n")).lower())
+
+    async def main():
+        context.links, context.refusals = [], []
+        tasks = [asyncio.ensure_future(one(number)) for number in range(count)]
+        budget = context.site.relay._budget
+        while budget._left_bytes >= 65536 or len(context.refusals) < count - 64:
+            await asyncio.sleep(0.01)
+        context.waiting = sum(not task.done() for task in tasks)
+        for link in context.links:
+            link.transport.abort()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.run(main())
+
+
+@behave.then('{waiting:d} wait for theirs and {refused:d} were refused "{result}" at once')
+def check_budget(context, waiting, refused, result):
+    outcome, kind = result.encode().split()
+    assert (context.waiting, len(context.refusals)) == (waiting, refused)
+    assert all(outcome in one and kind in one for one in context.refusals), context.refusals
+
+
+@behave.then("once those have gone away another keyed body of 1 MB is taken")
+def check_budget_back(context):
+    async def main():
+        budget = context.site.relay._budget
+        while budget._left_bytes != 64 * 1024 * 1024:
+            await asyncio.sleep(0.01)
+        return await raw.exchange(
+            context.site.port,
+            "POST",
+            b"b" * 1024 * 1024,
+            patience_ms=5000,
+            idempotency_key="last",
+            x_token="t",
+            x_answer_bytes="64",
+        )
+
+    context.result, context.answer = context.run(main())
+    check_got_whole(context)
+
+
 @behave.when("64 MB pass while the slow {end} stands still")
 def stall(context, end):
     async def main():
@@ -440,11 +352,11 @@
         tracemalloc.start()
         if end == "caller":
             writer.write(b"GET /orders/ HTTP/1.1\r\nHost: a\r\n\r\n")
-            await _until_still(lambda: getattr(_SENT.get("writer"), "sent_bytes", 0))
-            sent[0] = _SENT.pop("writer").sent_bytes
+            await raw.until_still(lambda: getattr(raw.SENT.get("writer"), "sent_bytes", 0))
+            sent[0] = raw.SENT.pop("writer").sent_bytes
         else:
             uploading = asyncio.ensure_future(_upload_without_end(writer, sent))
-            await _until_still(lambda: sent[0])
+            await raw.until_still(lambda: sent[0])
             uploading.cancel()
         context.passed_bytes = sent[0]
         context.peak_bytes = tracemalloc.get_traced_memory()[1]
@@ -457,19 +369,9 @@
 async def _upload_without_end(writer, sent):
     writer.write(b"POST /orders/ HTTP/1.1\r\nHost: a\r\nContent-Length: 67108864\r\n\r\n")
     for _ in range(1024):
-        writer.write(_PART)
+        writer.write(raw.PART)
         await writer.drain()
-        sent[0] += len(_PART)
-
-
-async def _until_still(count):
-    """Wait until a count that has begun has not grown for a while."""
-    seen, still = 0, 0
-    while still < 5:
-        await asyncio.sleep(0.05)
-        now = count()
-        still = still + 1 if now == seen and now else 0
-        seen = now
+        sent[0] += len(raw.PART)
 
 
 @behave.then("the entry held at most {limit_mb:d} MB and the source had to wait")
@@ -477,3 +379,15 @@
     # What the kernel's own buffers take is not the entry's memory.
     assert context.peak_bytes <= limit_mb * 1024 * 1024, context.peak_bytes
     assert 0 < context.passed_bytes < 48 * 1024 * 1024, context.passed_bytes
+
+
+@behave.then("{page} lists each kind with its status, outcome and retry")
+def check_page(context, page):
+    lines = pathlib.Path(page).read_text().splitlines()
+    for kind, answer in exceptions.ANSWERS.items():
+        start = (
+            f"| `{kind.value}` | {answer.status} | {answer.outcome.value} "
+            f"| {answer.retry_after_s or '-'} | "
+        )
+        assert any(line.startswith(start) for line in lines), start
+    assert sum(line.startswith("| `") for line in lines) == len(exceptions.ANSWERS)
