--- a/standins/src/nutmegshelf_standins/process.py
+++ b/standins/src/nutmegshelf_standins/process.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import os
+import signal
 import socket
 import sys
 import typing
