--- /dev/null
+++ b/bench/nutmegshelf_bench/configuration.py
@@ -0,0 +1,156 @@
+"""Measure what a change of configuration costs at several sizes: bytes, time and memory."""
+
+import collections.abc
+import statistics
+import time
+import tracemalloc
+
+import msgspec
+from nutmegshelf import (
+    changes,
+    check,
+    codecs,
+    configuration,
+    declarations,
+    faults,
+    ids,
+    messages,
+)
+
+from nutmegshelf_bench import figures
+
+_REPEATS = 9
+_SIZES = {"today": (5, 7), "half": (25, 165), "full": (50, 330)}
+_ENTRIES = 7
+_CHANGES_PER_DAY = 5800
+_DAY_S = 86_400
+
+
+def _declared(pools: int, teams: int) -> declarations.DeclarationSet:
+    names = [f"pool-{number:03d}" for number in range(pools)]
+    return declarations.DeclarationSet(
+        pools={
+            ids.PoolName(name): declarations.Pool(
+                wanted_workers=90, worker_cores=64, worker_memory_gb=128, worker_accelerators=2
+            )
+            for name in names
+        },
+        services={
+            ids.ServiceName(name): declarations.Service(
+                pool=ids.PoolName(name), wanted_minions=8, hosts=(f"{name}.example",)
+            )
+            for name in names
+        },
+        budgets={
+            ids.BudgetName(name): declarations.Budget(
+                service=ids.ServiceName(name), min_available_fraction=0.5
+            )
+            for name in names
+        },
+        jobs={
+            ids.JobName(f"job-{number:04d}"): declarations.Job(
+                pool=ids.PoolName(names[number % pools]),
+                team=ids.TeamName(f"team-{number:03d}"),
+                cores=4.0,
+                memory_gb=8.0,
+                tasks=10,
+            )
+            for number in range(teams)
+        },
+        teams={
+            ids.TeamName(f"team-{number:03d}"): declarations.Team(
+                quota_cores=100.0, quota_memory_gb=200.0
+            )
+            for number in range(teams)
+        },
+        maintenance={name: declarations.Maintenance(pool=ids.PoolName(name)) for name in names},
+    )
+
+
+def _toml(declared: declarations.DeclarationSet) -> dict[str, str]:
+    texts = {}
+    for kind, named in msgspec.to_builtins(declared).items():
+        lines = []
+        for name, fields in named.items():
+            lines.append(f"[{kind}.{name}]")
+            lines += [f"{field} = {_literal(value)}" for field, value in fields.items()]
+        texts[f"{kind}.toml"] = "\n".join(lines)
+    return texts
+
+
+def _literal(value: object) -> str:
+    return msgspec.json.encode(value).decode()
+
+
+def _median_ms(work: collections.abc.Callable[[], object]) -> float:
+    took_s = []
+    for _ in range(_REPEATS):
+        started_s = time.perf_counter()
+        work()
+        took_s.append(time.perf_counter() - started_s)
+    return statistics.median(took_s) * 1000
+
+
+def _changed(base: declarations.DeclarationSet) -> declarations.DeclarationSet:
+    name = next(iter(base.services))
+    service = msgspec.structs.replace(base.services[name], queue_limit=77)
+    return msgspec.structs.replace(base, services={**base.services, name: service})
+
+
+def _measure_size(name: str, pools: int, teams: int) -> None:
+    declared = _declared(pools, teams)
+    data, digest = configuration.encode_set(declared)
+    head = configuration.Head(version=ids.Version(1), digest=digest, publish_id=ids.PublishId("a"))
+    accepted = configuration.Accepted(head=head, declarations=declared)
+    changed = _changed(declared)
+    newer = configuration.Head(
+        version=ids.Version(2),
+        digest=configuration.encode_set(changed)[1],
+        publish_id=ids.PublishId("b" * 32),
+        base_digest=digest,
+    )
+    revision = configuration.revise(newer, accepted, changed)
+    in_force = configuration.InForce(accepted)
+    assert in_force.advance(revision) is not None
+    pushed = messages.HeadAccepted(sender=ids.EntryId("e"), head=newer, revision=revision)
+    texts = _toml(declared)
+    faulty: list[faults.Fault] = check.check(texts)[1]
+    assert not faulty, faulty[:3]
+    tracemalloc.start()
+    kept = configuration.decode_set(head, data)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert kept is not None
+    prefix = f"configuration.{name}"
+    figures.show(f"{prefix}.set_bytes", len(data), "bytes")
+    figures.show(f"{prefix}.change_bytes", len(codecs.pack(pushed)), "bytes")
+    figures.show(f"{prefix}.memory_kb", memory_bytes / 1000, "KB")
+    figures.show(f"{prefix}.advance_ms", _median_ms(lambda: in_force.advance(revision)), "ms")
+    figures.show(
+        f"{prefix}.whole_ms", _median_ms(lambda: configuration.decode_set(head, data)), "ms"
+    )
+    figures.show(f"{prefix}.check_ms", _median_ms(lambda: check.check(texts)), "ms")
+    figures.show(
+        f"{prefix}.between_ms", _median_ms(lambda: changes.between(declared, changed)), "ms"
+    )
+    per_s = _CHANGES_PER_DAY / _DAY_S
+    pushed_bytes = len(codecs.pack(pushed)) * (_ENTRIES - 1)
+    figures.show(f"{prefix}.push_bytes_per_s", pushed_bytes * per_s, "bytes/s")
+    figures.show(f"{prefix}.whole_bytes_per_s", len(data) * per_s, "bytes/s")
+
+
+@figures.register("configuration")
+def configuration_costs(seed: int) -> None:
+    """Print the cost of a change at three sizes, and of the beats at rest."""
+    del seed
+    for name, (pools, teams) in _SIZES.items():
+        _measure_size(name, pools, teams)
+    beat = messages.ConfigurationBeat(
+        sender=ids.EntryId("entry-1"),
+        version=ids.Version(5800),
+        sent_s=1e5,
+        echo_s=1e5,
+        table_age_s=0.5,
+    )
+    beats_bytes = len(codecs.pack(beat)) * (_ENTRIES - 1)
+    figures.show("configuration.rest_beats_bytes_per_s", beats_bytes, "bytes/s")
--- a/features/commands.feature
+++ b/features/commands.feature
@@ -53,6 +53,7 @@
       | status         | dead entries | 6    | no answer from            |
       | status         | one dead     | 0    | seen from e0              |
       | check nowhere  | nothing      | 2    | does not exist            |
+      | check dorna    | no entry     | 0    | no fault in the set alone |
       | version        | nothing      | 0    | 0.1.0                     |
       | version --json | nothing      | 0    | "version"                 |
 
@@ -77,3 +78,8 @@
     When "publish dorna --wait" is commanded
     And "status" is commanded with "wrong token"
     Then the token is in no log line and no output
+
+  Scenario: Decisions are kept by subject, and never more than the bounds
+    Given room for decisions on 3 subjects
+    When 40 decisions come on each of 5 subjects
+    Then only the last 16 on each of the last 3 subjects are kept, the newest first
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -10,7 +10,7 @@
 import threading
 
 import behave
-from nutmegshelf import ids, members
+from nutmegshelf import explain, ids, members
 from nutmegshelf_cli import main, publishing
 from nutmegshelf_entry import logs, operator, settings, telemetry
 from nutmegshelf_http import server
@@ -132,6 +132,8 @@
             ports = process.free_ports(2)
         case "one dead":
             ports = [process.free_ports(1)[0], ports[0]]
+        case "no entry":
+            ports = []
         case "nothing":
             pass
     _command(context, command, ports, token)
@@ -195,3 +197,28 @@
     logs.configure("critical")
     assert "Switched the configuration." in shown.getvalue()
     assert served.token not in shown.getvalue() + "".join(context.outputs)
+
+
+@behave.given("room for decisions on {count:d} subjects")
+def make_room(context, count):
+    context.decisions = explain.Decisions(max_subjects=count)
+
+
+@behave.when("{count:d} decisions come on each of {subjects:d} subjects")
+def decide(context, count, subjects):
+    for subject in range(subjects):
+        for number in range(count):
+            decision = explain.Decision(
+                kind="k", subject=f"s{subject}", reason=str(number), at_s=float(number)
+            )
+            context.decisions.add(decision)
+
+
+@behave.then(
+    "only the last {count:d} on each of the last {subjects:d} subjects are kept, the newest first"
+)
+def kept(context, count, subjects):
+    assert context.decisions.subjects() == ["s2", "s3", "s4"]
+    assert len(context.decisions.subjects()) == subjects
+    reasons = [one.reason for one in context.decisions.about("s4")]
+    assert reasons == [str(number) for number in range(39, 39 - count, -1)], reasons
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
@@ -8,7 +8,9 @@
 import typing
 import uuid
 
+import msgspec
 import typer
+from nutmegshelf import check as whole
 
 from nutmegshelf_cli import output, session
 
@@ -27,14 +29,24 @@
 
 def check(
     directory: Directory,
-    entry: session.Entries,
+    entry: session.MaybeEntries = None,
     token: session.Token = "",
     as_json: session.Json = False,
 ) -> None:
-    """Check a set against what is in force, and name every fault."""
-    answer = session.Session(entry, token).ask("POST", "/check", {"files": _files(directory)})
-    lines = output.faults(answer.body) or [f"no fault, against version {answer.body['version']}"]
-    output.finish(answer, as_json, lines)
+    """Check a set, against what is in force where an entry is given, and name every fault."""
+    if entry:
+        answer = session.Session(entry, token).ask("POST", "/check", {"files": _files(directory)})
+        words = f"no fault, against version {answer.body.get('version')}"
+    else:
+        answer = _check_here(directory)
+        words = "no fault in the set alone"
+    output.finish(answer, as_json, output.faults(answer.body) or [words])
+
+
+def _check_here(directory: pathlib.Path) -> session.Answer:
+    _, found = whole.check(_files(directory))
+    faults = [{**msgspec.to_builtins(one), "text": str(one)} for one in found]
+    return session.Answer("", 422 if faults else 200, {"faults": faults})
 
 
 def diff(
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/session.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/session.py
@@ -38,14 +38,13 @@
     503: Exit.UNAVAILABLE,
 }
 
-Entries = typing.Annotated[
-    list[str],
-    typer.Option(
-        "--entry",
-        envvar="NUTMEGSHELF_ENTRY",
-        help="HOST:PORT of an operators' port; may be given several times.",
-    ),
-]
+_ENTRY_OPTION = typer.Option(
+    "--entry",
+    envvar="NUTMEGSHELF_ENTRY",
+    help="HOST:PORT of an operators' port; may be given several times.",
+)
+Entries = typing.Annotated[list[str], _ENTRY_OPTION]
+MaybeEntries = typing.Annotated[list[str] | None, _ENTRY_OPTION]
 Token = typing.Annotated[str, typer.Option(envvar="NUTMEGSHELF_TOKEN", help="The bearer token.")]
 Json = typing.Annotated[bool, typer.Option("--json", help="Print the whole answer as JSON.")]
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/configurator.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/configurator.py
@@ -64,6 +64,7 @@
         switched: Switched,
         confirmed: Confirmed,
         poll_interval_s: float,
+        push: bool = True,
         decisions: explain.Decisions | None = None,
         clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
@@ -75,6 +76,7 @@
         self._switched = switched
         self._confirmed = confirmed
         self._poll_interval_s = poll_interval_s
+        self._push = push
         self._head_row = platform.Row(configuration.HEAD_KEY, 0)
         self._head: configuration.Head | None = None
         self._read_s = -math.inf
@@ -194,8 +196,9 @@
         self._confirm_by_row()
         self._switched(accepted)
         self.judge()
-        spread = messages.HeadAccepted(sender=self._own, head=accepted.head, revision=revision)
-        self._peers.broadcast(spread)
+        if self._push:
+            spread = messages.HeadAccepted(sender=self._own, head=accepted.head, revision=revision)
+            self._peers.broadcast(spread)
 
     def _explain_switch(self, revision: configuration.Revision) -> None:
         head = revision.head
@@ -246,6 +249,8 @@
         self._stamps_s[beat.sender] = beat.sent_s
         self._note_version(beat.sender, beat.version)
         if beat.version > self._in_force.version:
+            if not self._push:
+                return
             wanted = messages.ConfigurationWanted(sender=self._own, version=beat.version)
             self._send(beat.sender, wanted)
             return
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -56,6 +56,7 @@
             switched=self._switched,
             confirmed=self._confirmed,
             poll_interval_s=own.poll_interval_s,
+            push=own.push,
             decisions=self._decisions,
         )
         self._claimant = claimant.Claimant(self._table, own.entry)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/reference.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/reference.py
@@ -27,6 +27,7 @@
     "seat_interval_s": "How often the seat is renewed.",
     "heartbeat_interval_s": "How often the entry tells others that it lives.",
     "poll_interval_s": "How often the table is asked for a newer configuration.",
+    "push": "Whether peers are told of new versions; false leaves the polls alone.",
     "collect_interval_s": "How often old sets are cleared away.",
     "fleet_interval_s": "How often the platform's list of minions is read.",
     "probe_path": "The path that probes of minions ask for.",
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -65,6 +65,7 @@
     seats: Positive = 7
     heartbeat_interval_s: Seconds = 1.0
     poll_interval_s: Seconds = 1.0
+    push: bool = True
     collect_interval_s: Seconds = 300.0
     fleet_interval_s: Seconds = 0.5
     probe_path: str = "/health"
--- a/packages/nutmegshelf/src/nutmegshelf/check.py
+++ b/packages/nutmegshelf/src/nutmegshelf/check.py
@@ -50,10 +50,11 @@
 def _references(subject: Subject) -> Faults:
     # The tables as written are looked at, so that a faulty declaration shows its references too.
     reading = subject.reading
+    names = {kind: reading.names(kind) for kind in declarations.KINDS}
     for (kind, name), table in reading.tables.items():
         for (from_kind, field), target_kind in declarations.REFERENCES.items():
             target = table.get(field) if kind == from_kind and isinstance(table, dict) else None
-            known = reading.names(target_kind)
+            known = names[target_kind]
             if isinstance(target, str) and target not in known:
                 wrong = f'{target_kind} has no "{target}"'
                 yield reading.blame(kind, name, field, wrong, faults.suggest(target, known))
--- a/packages/nutmegshelf/src/nutmegshelf/decoding.py
+++ b/packages/nutmegshelf/src/nutmegshelf/decoding.py
@@ -1,6 +1,7 @@
 """Decode tables field by field, so that every fault is found at once."""
 
 import collections.abc
+import functools
 import typing
 
 import msgspec
@@ -21,7 +22,7 @@
         return None, [fault]
     found: list[faults.Fault] = []
     decoded: dict[str, object] = {}
-    known = {field.name: field for field in msgspec.structs.fields(kind)}
+    known = _known(kind)
     for name, given in value.items():
         place = f"{path}.{name}" if path else name
         if name not in known:
@@ -35,6 +36,11 @@
     return (None if found else kind(**decoded)), found
 
 
+@functools.cache
+def _known(kind: type[msgspec.Struct]) -> dict[str, msgspec.structs.FieldInfo]:
+    return {field.name: field for field in msgspec.structs.fields(kind)}
+
+
 def _field(given: object, kind: object, file: str, place: str) -> tuple[object, list[faults.Fault]]:
     inner = _struct_of(kind)
     if inner is not None and isinstance(given, dict):
--- a/standins/src/nutmegshelf_standins/demo.py
+++ b/standins/src/nutmegshelf_standins/demo.py
@@ -54,6 +54,7 @@
         self.ports: dict[str, _Ports] = {}
         self.minions: dict[ids.MinionId, process.Process] = {}
         self.records: list[platform.MinionRecord] = []
+        self.extra_settings = ""
         self._group = group
         self._seed = seed
         self._minion_mean_s = minion_mean_s
@@ -120,6 +121,7 @@
         ports = self.ports[name] = _Ports(*process.free_ports(3))
         text = (
             f'entry = "{name}"\nzone = "{zone}"\nseed = {self._seed}\n'
+            f"{self.extra_settings}"
             f'[platform]\nhost = "{_HOST}"\nport = {self.platform_port}\n'
             f"[callers]\nport = {ports.callers}\n[operators]\nport = {ports.operators}\n"
             f"[peers]\nport = {ports.peers}\n"
--- a/standins/src/nutmegshelf_standins/process.py
+++ b/standins/src/nutmegshelf_standins/process.py
@@ -41,6 +41,11 @@
         self.pid = started.pid
         self._started = started
 
+    @property
+    def is_running(self) -> bool:
+        """Say whether the process has not ended."""
+        return self._started.returncode is None
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs."""
         with contextlib.suppress(ProcessLookupError):
