--- a/features/publish.feature
+++ b/features/publish.feature
@@ -53,3 +53,9 @@
     When the publish "p" pauses for hours at "e0" before its transaction and is collected
     Then it was refused and version 1 is in force
     And no object is left without a version or an intent
+
+  Scenario: The history and the publish ids are bounded in the accepting transaction
+    Given 2 entries with version 1 in force
+    And room for 20 versions in the history
+    When 30 sets are published and collected
+    Then the history has versions 12 to 31 and as many publish ids
--- a/features/steps/publish_steps.py
+++ b/features/steps/publish_steps.py
@@ -201,3 +201,20 @@
 def fenced(context):
     assert isinstance(context.outcome, exceptions.TableUnavailable), context.outcome
     assert context.entries.head().version == 1
+
+
+@behave.given("room for {count:d} versions in the history")
+def bound_history(context, count):
+    limit = configuration.HISTORY_LIMIT
+    context.add_cleanup(lambda: setattr(configuration, "HISTORY_LIMIT", limit))
+    configuration.HISTORY_LIMIT = count
+
+
+@behave.then("the history has versions {first:d} to {last:d} and as many publish ids")
+def history_is_bounded(context, first, last):
+    store = context.entries.platform.store
+    rows = store.scan(configuration.HISTORY_PREFIX, "", 1000)
+    heads = [codecs.unpack(row.value, configuration.Revision).head for row in rows]
+    assert [head.version for head in heads] == list(range(first, last + 1)), heads
+    ids_kept = {row.key for row in store.scan("configuration/published/", "", 1000)}
+    assert ids_kept == {configuration.publish_key(head.publish_id) for head in heads}
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
@@ -1,5 +1,6 @@
 """Accept checked sets by one compare-and-set, and settle every doubt by the publish id."""
 
+import asyncio
 import collections.abc
 import time
 
@@ -52,8 +53,8 @@
             now_s=self._clock(),
             expected=expected,
         )
-        head = await self._rows.read(configuration.HEAD_KEY)
-        if settled := await self._settle(asked, head):
+        head, settled = await self._settle(asked)
+        if settled is not None:
             return settled
         self._refuse_unexpected(asked, head)
         intent = await self._open_intent(asked)
@@ -79,16 +80,20 @@
                 raise Conflict(current)
 
     async def _settle(
-        self, asked: acceptance.Asked, head: platform.Row
-    ) -> configuration.Revision | None:
-        published = await self._rows.read(configuration.publish_key(asked.publish_id))
+        self, asked: acceptance.Asked
+    ) -> tuple[platform.Row, configuration.Revision | None]:
+        """Read the head and the id's row together, and say whether the id is known."""
+        head, published = await asyncio.gather(
+            self._rows.read(configuration.HEAD_KEY),
+            self._rows.read(configuration.publish_key(asked.publish_id)),
+        )
         match acceptance.settle(asked, published, head):
             case acceptance.Settled(known):
-                return configuration.Revision(head=known)
+                return head, configuration.Revision(head=known)
             case acceptance.IdReused(known):
                 raise IdReused(f"the publish id was used for another set, version {known.version}")
             case None:
-                return None
+                return head, None
 
     async def _open_intent(self, asked: acceptance.Asked) -> platform.Row:
         key = configuration.intent_key(asked.publish_id)
@@ -132,8 +137,8 @@
         except exceptions.TableAnswerLost:
             _log.info("Settling a lost answer.", publish=asked.publish_id)
             lost = True
-        now = await self._rows.read(configuration.HEAD_KEY)
-        if settled := await self._settle(asked, now):
+        now, settled = await self._settle(asked)
+        if settled is not None:
             return settled
         if now.version == head.version:
             # A transaction whose answer was lost may still take effect while the head stands.
