--- a/features/commands.feature
+++ b/features/commands.feature
@@ -25,6 +25,8 @@
     Then it ends with 0 and its JSON has "entries"
     When "explain services.desk-a" is commanded
     Then it ends with 0 and says "version 2 by 'bo' came into force"
+    When "explain worker-7" is commanded
+    Then it ends with 0 and says "drain: maintenance is due"
     When "explain services.desk-z" is commanded
     Then it ends with 9 and says "no decision"
 
--- a/features/in_force.feature
+++ b/features/in_force.feature
@@ -55,3 +55,10 @@
   Scenario: What a peer said before a pause confirms nothing after it
     Given the proof of a peer that echoes a stamp of 1 second with a table age of 0.5 seconds
     Then the version in force is confirmed until 5.5 seconds and no longer
+
+  Scenario: A request that comes before the timers of a thawed entry is judged itself
+    Given 3 minions of "orders" behind an entry
+    And its standing is found stale only when it is asked for
+    When a caller sends the bytes GET /orders/ HTTP/1.1\r\nHost: a\r\n\r\n
+    Then the answer has status 503 and outcome "not-run"
+    And no minion saw a request
--- a/features/paused_hosts.feature
+++ b/features/paused_hosts.feature
@@ -9,6 +9,7 @@
     Given 2 entries and 3 minions on faked hosts
     When the host "entry-1" is frozen while it serves "t2"
     Then the call "t2" ended as "silent"
+    And a call through "entry-1" as it goes on is refused as "not-run"
     And a later call through "entry-1" is whole
     And no token ran twice
 
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -10,7 +10,7 @@
 import threading
 
 import behave
-from nutmegshelf import explain, ids, members
+from nutmegshelf import decisions, explain, ids, members
 from nutmegshelf_cli import main, publishing
 from nutmegshelf_entry import logs, operator, settings, telemetry
 from nutmegshelf_http import server
@@ -19,6 +19,8 @@
 
 from features import entries
 
+_DRAINED = decisions.Decision("worker-7", decisions.Action.DRAIN, "maintenance is due", 1.0)
+
 
 class Served:
     """Own the entries' loop and its thread."""
@@ -63,8 +65,9 @@
             publishes=entry.publisher,
             known=known,
             metrics=telemetry.Telemetry(0.0),
-            decisions=entry.decisions,
+            explained=entry.decisions,
             records=lambda: (),
+            fleet_decisions=[_DRAINED],
         )
         listener = server.Server(served.handle)
         self.servers.append(listener)
--- a/features/steps/hosts_steps.py
+++ b/features/steps/hosts_steps.py
@@ -43,10 +43,15 @@
     assert found == [result], found
 
 
-@behave.then('a later call through "{name}" is whole')
-def check_later(context, name):
+@behave.then('a call through "{name}" as it goes on is refused as "{result}"')
+def check_at_thaw(context, name, result):
     context.hosts.loop.thaw(name)
+    done = context.run_hosts(context.hosts.call("at-thaw", entry=name))
+    assert done.result.value == result, done
+
 
+@behave.then('a later call through "{name}" is whole')
+def check_later(context, name):
     async def call_later():
         # A thawed entry first confirms that its configuration was not superseded meanwhile.
         await asyncio.sleep(_CONFIRM_LIMIT_S)
--- a/features/steps/in_force_steps.py
+++ b/features/steps/in_force_steps.py
@@ -178,3 +178,9 @@
     version = ids.Version(1)
     assert context.proof.standing(version, limit_s) is confirmation.Standing.BY_TABLE
     assert context.proof.standing(version, limit_s + 0.01) is confirmation.Standing.STALE
+
+
+@behave.given("its standing is found stale only when it is asked for")
+def stale_when_asked(context):
+    served = context.site.relay
+    served.check_standing = lambda: setattr(served, "is_stale", True)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -64,6 +64,7 @@
         self._relay = relay.Relay(
             self._in_force, self._slots, self._pool, self._claimant, self._telemetry
         )
+        self._relay.check_standing = self._configurator.judge
         self._collector = collector.Collector(self._table, own.collect_interval_s)
         self._health = health.Health(own.entry, self._peers.broadcast, self._slots.set_records)
         self._pool.on_refused = self._health.refused
@@ -93,8 +94,9 @@
             publishes=publisher.Publisher(self._table, self._in_force),
             known=self._members,
             metrics=self._telemetry,
-            decisions=self._decisions,
+            explained=self._decisions,
             records=self._health.targets.records,
+            fleet_decisions=self._pools.decisions,
         )
         self._operators_port = 0
         self._shutdown = shutdown.Shutdown(own.shutdown_grace_s, own.drain_timeout_s)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/operator.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/operator.py
@@ -4,6 +4,7 @@
 import collections.abc
 import hmac
 import json
+import time
 import urllib.parse
 
 import msgspec
@@ -12,6 +13,7 @@
     check,
     codecs,
     configuration,
+    decisions,
     declarations,
     exceptions,
     explain,
@@ -55,8 +57,9 @@
         publishes: publisher.Publisher,
         known: members.Members,
         metrics: telemetry.Telemetry,
-        decisions: explain.Decisions,
+        explained: explain.Decisions,
         records: Records,
+        fleet_decisions: collections.abc.Sequence[decisions.Decision] = (),
     ) -> None:
         self._own = own
         self._in_force = in_force
@@ -64,7 +67,8 @@
         self._publisher = publishes
         self._members = known
         self._telemetry = metrics
-        self._decisions = decisions
+        self._decisions = explained
+        self._fleet_decisions = fleet_decisions
         self._records = records
         self.ready = False
         self.is_stale = False
@@ -148,11 +152,25 @@
 
     async def _explain(self, exchange: server.Exchange) -> Reply:
         name = _query(exchange).get("name", "")
-        found = self._decisions.about(name)
+        found = [*self._decisions.about(name), *self._about_fleet(name)]
         if not found:
             return 404, {"error": f'no decision on "{name}" is kept at {self._own.entry}'}
         return 200, {"entry": self._own.entry, "decisions": msgspec.to_builtins(found)}
 
+    def _about_fleet(self, name: str) -> list[explain.Decision]:
+        # The fleet dates its decisions by the loop's clock, operators read the calendar's.
+        started_at_s = time.time() - asyncio.get_running_loop().time()
+        return [
+            explain.Decision(
+                kind=one.action.value,
+                subject=one.name,
+                reason=one.reason,
+                at_s=started_at_s + one.at_s,
+            )
+            for one in reversed(self._fleet_decisions)
+            if one.name == name
+        ]
+
     async def _configuration(self, exchange: server.Exchange) -> Reply:
         accepted = self._in_force.accepted
         now_s = asyncio.get_running_loop().time()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -1,6 +1,7 @@
 """Serve callers: check a request, claim its key, wait for a slot, send it, answer."""
 
 import asyncio
+import collections.abc
 import json
 import math
 
@@ -52,6 +53,7 @@
         self._telemetry = metrics
         self.refusing: exceptions.ErrorKind | None = exceptions.ErrorKind.NOT_READY
         self.is_stale = False
+        self.check_standing: collections.abc.Callable[[], None] = _nothing
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Serve one exchange to its final answer."""
@@ -60,6 +62,8 @@
         try:
             if self.refusing is not None:
                 raise exceptions.RequestError(self.refusing)
+            # A process that was frozen must not serve before its own timers have run.
+            self.check_standing()
             if self.is_stale:
                 raise exceptions.RequestError(exceptions.ErrorKind.CONFIGURATION_STALE)
             assert self._in_force.accepted is not None
@@ -245,3 +249,7 @@
         await exchange.start(kept.status, headers, b"")
     else:
         await exchange.respond(kept.status, headers, kept.body)
+
+
+def _nothing() -> None:
+    pass
