--- a/features/commands.feature
+++ b/features/commands.feature
@@ -25,6 +25,8 @@
     Then it ends with 0 and its JSON has "entries"
     When "explain services.desk-a" is commanded
     Then it ends with 0 and says "version 2 by 'bo' came into force"
+    When "explain worker-7" is commanded
+    Then it ends with 0 and says "drain: maintenance is due"
     When "explain services.desk-z" is commanded
     Then it ends with 9 and says "no decision"
 
@@ -53,6 +55,7 @@
       | status         | dead entries | 6    | no answer from            |
       | status         | one dead     | 0    | seen from e0              |
       | check nowhere  | nothing      | 2    | does not exist            |
+      | check dorna    | no entry     | 0    | no fault in the set alone |
       | version        | nothing      | 0    | 0.1.0                     |
       | version --json | nothing      | 0    | "version"                 |
 
@@ -77,3 +80,8 @@
     When "publish dorna --wait" is commanded
     And "status" is commanded with "wrong token"
     Then the token is in no log line and no output
+
+  Scenario: Decisions are kept by subject, and never more than the bounds
+    Given room for decisions on 3 subjects
+    When 40 decisions come on each of 5 subjects
+    Then only the last 16 on each of the last 3 subjects are kept, the newest first
