--- /dev/null
+++ b/features/moves.feature
@@ -0,0 +1,49 @@
+Feature: Workers move between pools only when it pays
+
+  Scenario Outline: The chosen policy makes <moves> moves for <story>
+    Given pools a, b and a spare of 8 workers each at <user>'s costs
+    When pool a is asked <peak> times its mean for <burst> s in every <cycle> s over <hours> h
+    Then the policy made <moves> moves
+
+    Examples:
+      | story                        | user       | peak | burst | cycle | hours | moves |
+      | one burst of seconds         | dorna      | 5    | 25    | 4000  | 1     | no    |
+      | one burst of seconds         | costa_viva | 5    | 25    | 4000  | 1     | no    |
+      | one long burst               | costa_viva | 5    | 60    | 9000  | 2     | no    |
+      | short bursts again and again | dorna      | 5    | 10    | 100   | 6     | no    |
+      | long bursts again and again  | dorna      | 5    | 60    | 300   | 2     | some  |
+      | long bursts again and again  | costa_viva | 5    | 60    | 300   | 2     | some  |
+      | a shortage that lasts        | dorna      | 4.2  | 60    | 60    | 2     | some  |
+      | a day without any need       | costa_viva | 0.05 | 10    | 100   | 24    | some  |
+      | a day without any need       | dorna      | 0.05 | 10    | 100   | 24    | no    |
+
+  Scenario Outline: Needs that swap between two pools don't send workers to and fro
+    Given pools a, b and a spare of 8 workers each at <user>'s costs
+    When long bursts swap between a and b every <swap> s over 6 h
+    Then no pool gave a worker and took one within <quiet> s
+
+    Examples:
+      | user       | swap | quiet |
+      | dorna      | 300  | 1800  |
+      | costa_viva | 300  | 1800  |
+      | costa_viva | 900  | 1800  |
+
+  Scenario: Racing givers to one pool get one winner
+    Given two givers that decided on the same rows to send a worker to one pool
+    When both transactions are committed
+    Then one worker goes and the other giver met the receiver's row
+
+  Scenario Outline: Givers of different entries send just what a pool lacks with <faults> % faults
+    Given three pools of 4 workers held by three entries, and pool c lacks one worker
+    When the entries run with random faults at <faults> % of their calls
+    Then pool c got exactly one worker and each worker is in one pool
+
+    Examples:
+      | faults |
+      | 0      |
+      | 5      |
+      | 10     |
+
+  Scenario: An extension's policy registers like the built-in ones
+    Given a policy that an extension registers
+    Then it is made by its name as the built-in ones are
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -129,6 +129,7 @@
     async def _read(self, accepted: configuration.Accepted) -> drains.View:
         # Budgets go first: what freed them is then surely seen in the workers' rows.
         found = {row.key: row for row in await self._scan(budgets.PREFIX)}
+        sent = await self._scan(moves.PREFIX)
         rows = [hosts.read(row) for row in await self._scan(hosts.PREFIX)]
         await self._refresh_lists()
         declared = accepted.declarations
@@ -142,6 +143,7 @@
             },
             host_of={host.row.worker: host for host in rows},
             minions=self._minions,
+            move_of={ids.PoolName(row.key.removeprefix(moves.PREFIX)): row for row in sent},
             failed=frozenset(
                 worker
                 for worker, record in self._workers.items()
--- a/packages/nutmegshelf/src/nutmegshelf/declarations.py
+++ b/packages/nutmegshelf/src/nutmegshelf/declarations.py
@@ -47,6 +47,7 @@
     lends: bool = True
     move_cost: Amount = 10.0
     idle_worker_hour_cost: Amount = 1.0
+    late_request_cost: Amount = 0.001
 
 
 class PathRule(Declaration, frozen=True, kw_only=True):
--- a/packages/nutmegshelf/src/nutmegshelf/drains.py
+++ b/packages/nutmegshelf/src/nutmegshelf/drains.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from nutmegshelf import budgets, declarations, hosts, ids, leases, platform
+from nutmegshelf import budgets, declarations, hosts, ids, leases, moves, platform
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,6 +16,7 @@
     minions: tuple[platform.MinionRecord, ...]
     suspects: frozenset[ids.MinionId] = frozenset()
     failed: frozenset[ids.WorkerId] = frozenset()
+    move_of: dict[ids.PoolName, platform.Row] = dataclasses.field(default_factory=dict)
 
     def take_rows(self, rows: tuple[platform.Row, ...]) -> None:
         """Take rows as an own transaction wrote them."""
@@ -26,6 +27,8 @@
             elif row.key.startswith(budgets.PREFIX):
                 service = ids.ServiceName(row.key.removeprefix(budgets.PREFIX))
                 self.budget_of[service] = budgets.read(row, service)
+            elif row.key.startswith(moves.PREFIX):
+                self.move_of[ids.PoolName(row.key.removeprefix(moves.PREFIX))] = row
 
     def services_at(self, worker: ids.WorkerId) -> list[ids.ServiceName]:
         """Name the declared services with a minion at a worker."""
@@ -106,11 +109,15 @@
     host = view.host_of[worker]
     row = hosts.drained_for(host.row, held.lease, purpose, to_pool)
     taken = [view.budget_of[service] for service in services]
-    transaction = leases.fenced(
-        held,
-        (host.condition, *(budget.condition for budget in taken)),
-        (hosts.write(row), *(budget.taking(worker) for budget in taken)),
-    )
+    conditions = [host.condition, *(budget.condition for budget in taken)]
+    writes = [hosts.write(row), *(budget.taking(worker) for budget in taken)]
+    if to_pool is not None:
+        # Givers of several pools race for one receiver; its row lets one through at a time.
+        absent = platform.Row(moves.key(to_pool), 0)
+        condition, write = moves.sending(view.move_of.get(to_pool, absent), to_pool)
+        conditions.append(condition)
+        writes.append(write)
+    transaction = leases.fenced(held, tuple(conditions), tuple(writes))
     return Granted(transaction, row)
 
 
