--- a/features/moves.feature
+++ b/features/moves.feature
@@ -9,7 +9,7 @@
       | story                        | user       | peak | burst | cycle | hours | moves |
       | one burst of seconds         | dorna      | 5    | 25    | 4000  | 1     | no    |
       | one burst of seconds         | costa_viva | 5    | 25    | 4000  | 1     | no    |
-      | one long burst               | costa_viva | 5    | 60    | 9000  | 2     | no    |
+      | one long burst               | costa_viva | 5    | 100   | 9000  | 2     | no    |
       | short bursts again and again | dorna      | 5    | 10    | 100   | 6     | no    |
       | long bursts again and again  | dorna      | 5    | 60    | 300   | 2     | some  |
       | long bursts again and again  | costa_viva | 5    | 60    | 300   | 2     | some  |
