Place tasks where they fit, once, and let them yield to urgent work

Task rows step like worker rows: written before the order, moved on only when the platform confirmed it.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -39,6 +39,7 @@
         self.wrong = []
         self.up = []
         self.outage_until_s = -1.0
+        self.delay_s = 0.001
         self.required = {}
         self.calls_until_done = 0
 
@@ -173,8 +174,11 @@
     async def order(self, order):
         return await self._call(lambda: self.site.workforce.take(order), changes=True)
 
+    async def usage(self):
+        return await self._call(self.site.workforce.usage)
+
     async def _call(self, effect, changes=False):
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(self.site.delay_s)
         now_s = asyncio.get_running_loop().time()
         fault = self.gate.next_fault() if self.gate else None
         if fault == "outage":
--- a/features/leases.feature
+++ b/features/leases.feature
@@ -45,7 +45,7 @@
 
   Scenario Outline: Leases spread evenly over the entries
     Given <pools> pools and <entries> entries that start together
-    When they run for 60 s
+    When those entries run for 60 s
     Then each pool has one holder and no entry holds more than <share>
 
     Examples:
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -160,7 +160,7 @@
         context.site.add(name, names)
 
 
-@behave.when("they run for {seconds:g} s")
+@behave.when("those entries run for {seconds:g} s")
 def run_for(context, seconds):
     async def work():
         context.site.start()
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,406 @@
+"""Place tasks by the kernel alone, and by entries with fake rows and workers."""
+
+import asyncio
+import random
+
+import behave
+import msgspec
+from nutmegshelf import (
+    blame,
+    configuration,
+    decisions,
+    declarations,
+    hosts,
+    ids,
+    maintenance,
+    placement,
+    platform,
+    sizes,
+    tasks,
+    workers,
+)
+from nutmegshelf_standins import clock
+
+from features import fleet
+
+URGENT_LIMIT_S = 9.2
+WORKER = {"cores": 8.0, "memory_gb": 64.0}
+
+
+def job(team="t", cores=1.0, memory_gb=1.0, kind="normal", **more):
+    return declarations.Job(
+        pool="a",
+        team=team,
+        cores=cores,
+        memory_gb=memory_gb,
+        request_class=declarations.RequestClass(kind),
+        **more,
+    )
+
+
+def declare(jobs, workers_count=6, **maintained):
+    declared = fleet.declare(["a"], workers_count, 0.0, **maintained)
+    return msgspec.structs.replace(declared, services={}, budgets={}, jobs=jobs)
+
+
+def amounts(text):
+    cores, memory, accelerators = text.split()
+    return float(cores[:-1]), float(memory[:-1]), int(accelerators[:-1])
+
+
+@behave.given(
+    "a pool of {count:d} workers with {shape}, {per_rack:d} to a rack, "
+    "and a team quota of {quota:g} cores"
+)
+def make_pool(context, count, shape, per_rack, quota):
+    cores, memory_gb, accelerators = amounts(shape)
+    context.team = declarations.Team(
+        quota_cores=quota, quota_memory_gb=1000.0, quota_accelerators=8
+    )
+    context.workers = [
+        workers.WorkerRecord(
+            worker=f"w{number}",
+            zone=f"z{number // per_rack}",
+            rack=f"r{number // per_rack}",
+            pool="a",
+            cores=cores,
+            memory_gb=memory_gb,
+            accelerators=accelerators,
+        )
+        for number in range(count)
+    ]
+
+
+@behave.given('the running tasks "{running}"')
+@behave.given('the running tasks ""')
+def add_running(context, running=""):
+    context.jobs, context.rows = {}, []
+    for text in filter(None, map(str.strip, running.split(";"))):
+        worker, name, kind, cores, *marks = text.split()
+        guarded = "guarded" in marks
+        context.jobs[name] = job("others", float(cores[:-1]), 1.0, kind, guarded=guarded)
+        state = "checkpointing" if "checkpointing" in marks else "running"
+        context.rows.append(
+            tasks.TaskRow(
+                task=f"{name}/0",
+                job=name,
+                pool="a",
+                worker=worker,
+                state=tasks.TaskState(state),
+                guarded=guarded,
+            )
+        )
+
+
+@behave.when('a job wants "{text}"')
+def want(context, text):
+    kind, *shape, count = text.split()
+    cores, memory_gb, accelerators = amounts(" ".join(shape))
+    context.jobs["new"] = job(
+        "t", cores, memory_gb, kind, accelerators=accelerators, tasks=int(count[1:])
+    )
+    declared = declarations.DeclarationSet(jobs=context.jobs, teams={"t": context.team})
+    placer = placement.Placer("a", declared, sizes.Sizes(), blame.Blame())
+    for record in context.workers:
+        placer.add_worker(record, True)
+    for row in context.rows:
+        placer.add_task(row)
+    context.choices = placer.choose()
+
+
+@behave.then('the placer answers "{answer}"')
+def check_answer(context, answer):
+    where = {row.task: row.worker for row in context.rows}
+    words = []
+    for choice in context.choices:
+        match choice:
+            case placement.Start(_, worker):
+                words.append(("start", worker))
+            case placement.Yield(task, _):
+                words.append(("yield", where[task]))
+            case placement.Park(_, reason):
+                words.append(("park", reason))
+            case placement.Stop(task, _):
+                words.append(("stop", task))
+    verb, _, rest = answer.partition(" ")
+    if verb == "nothing":
+        assert not words, words
+    elif verb == "park":
+        assert len(words) == 1 and words[0][0] == "park" and rest in words[0][1], words
+    else:
+        assert words == [(verb, worker) for worker in rest.split(",")], words
+
+
+def make_site(context, declared, count, names=("entry-0",), gates=None):
+    records = [
+        msgspec.structs.replace(record, **WORKER)
+        for record in fleet.records_of(["a"], count, zones=3)
+    ]
+    site = context.site = fleet.Site(declared, records, fleet.fleet_of([]))
+    set_used(site, declared)
+    for record in records:
+        row = hosts.enrolled(record, 0.0)
+        site.store.commit(platform.Transaction(writes=(hosts.write(row),)))
+    for name in names:
+        site.add(name, list(names), (gates or {}).get(name))
+    return site
+
+
+def set_used(site, declared):
+    # Tasks use what makes their learned size the declared one, except where a scenario says so.
+    for name, wanted in declared.jobs.items():
+        site.workforce.used[name] = (wanted.cores / 1.15, wanted.memory_gb / 1.15)
+
+
+def publish(site, declared):
+    set_used(site, declared)
+    for entry in site.entries.values():
+        head = configuration.Head(version=ids.Version(2), digest="", publish_id="q")
+        entry._in_force.accepted = configuration.Accepted(head=head, declarations=declared)
+
+
+def task_rows(site):
+    found = site.store.scan(tasks.PREFIX, "", 10_000)
+    return {task.row.task: task.row for task in map(tasks.read, found)}
+
+
+def told(site, action):
+    return {d.name for e in site.entries.values() for d in e.decisions if d.action is action}
+
+
+@behave.given("4 workers full of less urgent tasks and calls that take {delay_s:g} s")
+def fill(context, delay_s):
+    context.filling = {f"fill-{kind}": job(cores=4.0, kind=kind, tasks=4) for kind in KINDS[1:]}
+    make_site(context, declare(context.filling, 4), 4).delay_s = delay_s
+
+
+KINDS = ("urgent", "normal", "batch")
+
+
+@behave.when("an urgent job of 4 tasks is published")
+def publish_urgent(context):
+    site = context.site
+
+    async def work():
+        site.start()
+        await asyncio.sleep(15.0)
+        assert len(site.workforce.tasks) == 8, site.workforce.tasks
+        asked_s = asyncio.get_running_loop().time()
+        urgent = job(cores=6.0, kind="urgent", tasks=4)
+        publish(site, declare({**context.filling, "urgent": urgent}, 4))
+        await asyncio.sleep(30.0)
+        context.waits_s = [
+            at_s - asked_s
+            for task, at_s in site.workforce.started_s.items()
+            if task.startswith("urgent/")
+        ]
+        await site.stop()
+
+    clock.run(work())
+
+
+@behave.then("all its tasks run within 9.2 s")
+def check_urgent(context):
+    assert len(context.waits_s) == 4 and max(context.waits_s) <= URGENT_LIMIT_S, context.waits_s
+
+
+@behave.given("jobs of every class, one guarded, on 6 workers and two entries")
+def make_jobs(context):
+    context.jobs = {
+        "batch": job(cores=4.0, kind="batch", tasks=9),
+        "normal": job(cores=2.0, tasks=4),
+        "payout": job(cores=2.0, kind="urgent", tasks=2, guarded=True),
+    }
+
+
+@behave.when(
+    "urgent work arrives and a worker is withdrawn with faults at {percent:d} % of the calls"
+)
+def run_with_faults(context, percent):
+    context.sites = []
+    for _ in range(8):
+        names = ("entry-0", "entry-1")
+        gates = {
+            name: fleet.RandomGate(random.Random(context.rng.random()), percent / 100)
+            for name in names
+        }
+        site = make_site(context, declare(context.jobs), 6, names, gates)
+        clock.run(run_and_withdraw(site, context.jobs))
+        context.sites.append(site)
+
+
+async def run_and_withdraw(site, jobs):
+    site.start()
+    await asyncio.sleep(15.0)
+    publish(site, declare({**jobs, "urgent": job(cores=4.0, kind="urgent", tasks=4)}))
+    await asyncio.sleep(5.0)
+    site.workforce.withdraw("a-w0")
+    for _ in range(300):
+        await asyncio.sleep(1.0)
+        if not missing(site):
+            break
+    await site.stop()
+
+
+def missing(site):
+    running = {
+        row.task: row.worker
+        for row in task_rows(site).values()
+        if row.state is tasks.TaskState.RUNNING
+    }
+    actual = {task: order.worker for task, order in site.workforce.tasks.items()}
+    wanted = [f"{name}/{n}" for name, count in WANTED.items() for n in range(count)]
+    wrong = {
+        task for task in running.keys() | actual.keys() if running.get(task) != actual.get(task)
+    }
+    return wrong | (set(wanted) - running.keys())
+
+
+WANTED = {"normal": 4, "payout": 2, "urgent": 4}
+
+
+@behave.then("every task but batch runs once in the end, and some batch work yielded")
+def check_tasks(context):
+    for site in context.sites:
+        assert not missing(site), (missing(site), task_rows(site), site.workforce.tasks)
+    effects = [effect for site in context.sites for effect in site.workforce.effects]
+    assert any(isinstance(effect, workers.CheckpointTask) for effect in effects)
+
+
+@behave.then("no task was started while it ran")
+def check_once(context):
+    assert not any(site.workforce.doubled for site in context.sites)
+
+
+@behave.then("no guarded task was checkpointed or stopped")
+def check_guarded(context):
+    for site in context.sites:
+        for order in site.workforce.effects:
+            if isinstance(order, workers.CheckpointTask | workers.StopTask):
+                assert not order.task.startswith("payout/"), order
+
+
+@behave.given("{count:d} jobs that run for {runs_s:g} s each again and again on {on:d} workers")
+def make_short_jobs(context, count, runs_s, on):
+    jobs = {f"j{number}": job(cores=1.0, tasks=6) for number in range(count)}
+    site = make_site(context, declare(jobs, on), on)
+    site.workforce.runs_s = dict.fromkeys(jobs, runs_s)
+
+
+@behave.given(
+    "{bad_workers:d} workers that fail everything and {bad_jobs:d} jobs that fail everywhere"
+)
+def make_bad(context, bad_workers, bad_jobs):
+    site = context.site
+    site.workforce.bad_workers = set(
+        context.rng.sample(sorted(site.workforce.workers), bad_workers)
+    )
+    site.workforce.bad_jobs = set(context.rng.sample(sorted(site.declared.jobs), bad_jobs))
+
+
+@behave.when("they run for {seconds:g} s")
+@behave.when("it has run for {seconds:g} s")
+@behave.when("the entry runs for {seconds:g} s")
+def run_for(context, seconds):
+    async def work():
+        context.site.start()
+        await asyncio.sleep(seconds)
+        await context.site.stop()
+
+    clock.run(work())
+
+
+def verdicts(context):
+    faults = context.site.entries["entry-0"]._placements._blame
+    apart = {record.worker for record in context.site.workforce.workers.values()}
+    jobs = context.site.declared.jobs
+    return {w for w in apart if faults.is_apart(w)}, {j for j in jobs if faults.is_stopped(j)}
+
+
+@behave.then("just those workers are set apart and just those jobs are stopped")
+def check_blame(context):
+    site = context.site
+    found = verdicts(context)
+    assert found == (site.workforce.bad_workers, site.workforce.bad_jobs), (
+        found,
+        site.workforce.bad_workers,
+        site.workforce.bad_jobs,
+    )
+    assert told(site, decisions.Action.PARK) >= site.workforce.bad_jobs
+    ended = [r for r in task_rows(site).values() if r.state is tasks.TaskState.ENDED]
+    good = len(site.declared.jobs) - len(site.workforce.bad_jobs)
+    assert len(ended) == good * 6, (len(ended), good)
+
+
+@behave.given("a job of 40 small tasks that run on 6 workers")
+def make_many(context):
+    make_site(context, declare({"many": job(cores=1.0, tasks=40)}), 6)
+
+
+@behave.when("the job is taken out of the declarations")
+def cancel(context):
+    site = context.site
+    context.waves = []
+    committed = site.store.commit
+
+    def commit(transaction):
+        written = [
+            tasks.read(platform.Row(w.key, 1, w.value))
+            for w in transaction.writes
+            if w.key.startswith(tasks.PREFIX) and w.value
+        ]
+        stopping = sum(task.row.state is tasks.TaskState.STOPPING for task in written)
+        if stopping:
+            context.waves.append(stopping)
+        return committed(transaction)
+
+    site.store.commit = commit
+
+    async def work():
+        site.start()
+        await asyncio.sleep(10.0)
+        assert len(site.workforce.tasks) == 40, site.workforce.tasks
+        publish(site, declare({}))
+        await asyncio.sleep(10.0)
+        await site.stop()
+
+    clock.run(work())
+
+
+@behave.then("all its tasks are written as stopping in one transaction and end")
+def check_wave(context):
+    assert context.waves == [40], context.waves
+    assert not context.site.workforce.tasks and not task_rows(context.site)
+
+
+@behave.given(
+    "a job of {count:d} tasks that declares {declared:g} cores and uses {used:g} "
+    "on 2 workers of 8 cores"
+)
+def make_wrong_size(context, count, declared, used):
+    jobs = {"wrong": job(cores=declared, tasks=count)}
+    make_site(context, declare(jobs, 2), 2).workforce.used["wrong"] = (used, 1.0)
+
+
+@behave.then("{count:d} of its tasks run")
+def check_running(context, count):
+    assert len(context.site.workforce.tasks) == count, context.site.workforce.tasks
+
+
+@behave.given(
+    "a guarded task that runs for {seconds:g} s on the one worker that is due for maintenance"
+)
+def make_guarded(context, seconds):
+    declared = declare({"payout": job(cores=2.0, guarded=True)}, 1, at_most_at_once=1)
+    site = make_site(context, declared, 1)
+    site.workforce.runs_s["payout"] = seconds
+    old = hosts.enrolled(next(iter(site.workforce.workers.values())), -30 * maintenance.DAY_S)
+    site.store.commit(platform.Transaction(writes=(hosts.write(old),)))
+
+
+@behave.then("the worker was drained only after the task ended")
+def check_drained(context):
+    drains = [
+        d for d in context.site.entries["entry-0"].decisions if d.action is decisions.Action.DRAIN
+    ]
+    assert len(drains) == 1 and drains[0].at_s > 20.0, drains
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/placements.py
@@ -0,0 +1,235 @@
+"""Place the tasks of held pools: settle their orders, learn, choose and start."""
+
+import asyncio
+import typing
+
+from nutmegshelf import (
+    blame,
+    decisions,
+    declarations,
+    drains,
+    hosts,
+    ids,
+    leases,
+    placement,
+    platform,
+    quotas,
+    sizes,
+    tasks,
+    workers,
+)
+
+from nutmegshelf_entry import table
+
+_ORDERS_AT_ONCE = 16
+
+
+class Holder(typing.Protocol):
+    """Name what placing needs of the part that holds the leases."""
+
+    def held(self, pool: ids.PoolName) -> leases.Held:
+        """Give the lease of a pool."""
+
+    async def scan(self, prefix: str) -> list[platform.Row]:
+        """Read all rows of a prefix."""
+
+    async def commit(
+        self, pool: ids.PoolName, view: drains.View, transaction: platform.Transaction
+    ) -> tuple[platform.Row, ...]:
+        """Commit a fenced transaction and give the rows written."""
+
+    def tell(self, name: str, action: decisions.Action, reason: str) -> None:
+        """Record a decision."""
+
+
+class Placements:
+    """Own what was learned of jobs and workers; the tasks themselves live in rows."""
+
+    def __init__(self, holder: Holder, workforce: table.Workforce) -> None:
+        self.guarded_at: dict[ids.PoolName, frozenset[ids.WorkerId]] = {}
+        self._holder = holder
+        self._workforce = workforce
+        self._sizes = sizes.Sizes()
+        self._blame = blame.Blame()
+        self._judged: set[ids.OperationId | None] = set()
+
+    async def run(
+        self,
+        pool: ids.PoolName,
+        view: drains.View,
+        records: dict[ids.WorkerId, workers.WorkerRecord],
+    ) -> None:
+        """Run one pass over a pool; raises TableError or Conflict."""
+        quota_rows = {row.key: row for row in await self._holder.scan(quotas.PREFIX)}
+        found = map(tasks.read, await self._holder.scan(tasks.PREFIX))
+        known = {task.row.task: task for task in found}
+        declared = view.declared
+        if not known and not any(job.pool == pool for job in declared.jobs.values()):
+            self.guarded_at[pool] = frozenset()
+            return
+        await self._settle(pool, view, known)
+        placer = self._placer(pool, view, records, known)
+        choices = placer.choose()
+        changed = self._rows_of(pool, declared, choices, known)
+        await self._write(pool, view, changed, known, quota_rows)
+        self._note_guarded(pool, known)
+        self._tell(choices)
+        await self._send([row for row in changed if row.pool == pool])
+
+    async def _settle(
+        self, pool: ids.PoolName, view: drains.View, known: dict[ids.TaskId, tasks.Task]
+    ) -> None:
+        lease = self._holder.held(pool).lease
+        changed: list[tasks.TaskRow] = []
+        mine = [task.row for task in known.values() if task.row.pool == pool]
+        reports = await self._workforce.usage()
+        self._learn(reports)
+        ends = {report.started_by: report for report in reports if report.ended}
+        for row in mine:
+            report = ends.get(row.started_by)
+            if report and (following := tasks.ended(row, lease, report)) is not None:
+                changed.append(following)
+        for row, outcome in await self._send(mine):
+            if (following := tasks.confirmed(row, lease, outcome)) is not None:
+                changed.append(following)
+        await self._write(pool, view, changed, known, {})
+
+    def _learn(self, reports: list[workers.TaskUsage]) -> None:
+        # A report comes again each time while the platform keeps it, and is judged once.
+        self._judged &= {report.started_by for report in reports}
+        for report in reports:
+            if not report.ended:
+                self._sizes.take(report)
+            elif report.started_by not in self._judged:
+                self._judged.add(report.started_by)
+                judge = self._blame.failed if report.failed else self._blame.succeeded
+                judge(report.job, report.worker)
+
+    def _placer(
+        self,
+        pool: ids.PoolName,
+        view: drains.View,
+        records: dict[ids.WorkerId, workers.WorkerRecord],
+        known: dict[ids.TaskId, tasks.Task],
+    ) -> placement.Placer:
+        placer = placement.Placer(pool, view.declared, self._sizes, self._blame)
+        for worker, host in view.host_of.items():
+            record = records.get(worker)
+            gone = record is None or host.row.step is hosts.HostStep.WITHDRAWN
+            if host.row.pool == pool and record is not None and not gone:
+                ready = record.state is workers.WorkerState.READY
+                placer.add_worker(record, ready and not hosts.is_away(host.row))
+        for task in known.values():
+            placer.add_task(task.row)
+        return placer
+
+    def _rows_of(
+        self,
+        pool: ids.PoolName,
+        declared: declarations.DeclarationSet,
+        choices: list[placement.Choice],
+        known: dict[ids.TaskId, tasks.Task],
+    ) -> list[tasks.TaskRow]:
+        lease = self._holder.held(pool).lease
+        rows: list[tasks.TaskRow] = []
+        for choice in choices:
+            match choice:
+                case placement.Start(task, worker):
+                    row = known[task].row if task in known else _first_row(task, pool, declared)
+                    rows.append(tasks.stepped(row, lease, tasks.TaskState.STARTING, worker))
+                case placement.Yield(task, _):
+                    state = tasks.TaskState.CHECKPOINTING
+                    rows.append(tasks.stepped(known[task].row, lease, state))
+                case placement.Stop(task, _):
+                    row = known[task].row
+                    runs = tasks.may_run(row)
+                    state = tasks.TaskState.STOPPING if runs else tasks.TaskState.DELETED
+                    rows.append(tasks.stepped(row, lease, state))
+                case placement.Park():
+                    pass
+        return rows
+
+    async def _write(
+        self,
+        pool: ids.PoolName,
+        view: drains.View,
+        changed: list[tasks.TaskRow],
+        known: dict[ids.TaskId, tasks.Task],
+        quota_rows: dict[str, platform.Row],
+    ) -> None:
+        if not changed:
+            return
+        conditions, writes = _quota_parts(view.declared, changed, quota_rows)
+        for row in changed:
+            version = known[row.task].version if row.task in known else 0
+            conditions.append(platform.Condition(tasks.key(row.task), version))
+            deleted = row.state is tasks.TaskState.DELETED
+            writes.append(
+                platform.Write(tasks.key(row.task), None) if deleted else tasks.write(row)
+            )
+        transaction = leases.fenced(self._holder.held(pool), tuple(conditions), tuple(writes))
+        written = await self._holder.commit(pool, view, transaction)
+        for row in changed:
+            known.pop(row.task, None)
+        for found in written:
+            if found.key.startswith(tasks.PREFIX):
+                task = tasks.read(found)
+                known[task.row.task] = task
+
+    async def _send(self, rows: list[tasks.TaskRow]) -> list[tuple[tasks.TaskRow, workers.Outcome]]:
+        limit = asyncio.Semaphore(_ORDERS_AT_ONCE)
+
+        async def send(
+            row: tasks.TaskRow, order: workers.AnyOrder
+        ) -> tuple[tasks.TaskRow, workers.Outcome]:
+            async with limit:
+                return row, await self._workforce.order(order)
+
+        orders = [(row, order) for row in rows if (order := tasks.order(row)) is not None]
+        answers = await asyncio.gather(
+            *(send(row, order) for row, order in orders), return_exceptions=True
+        )
+        for answer in answers:
+            if isinstance(answer, BaseException):
+                raise answer
+        return [answer for answer in answers if not isinstance(answer, BaseException)]
+
+    def _note_guarded(self, pool: ids.PoolName, known: dict[ids.TaskId, tasks.Task]) -> None:
+        self.guarded_at[pool] = frozenset(
+            task.row.worker
+            for task in known.values()
+            if task.row.guarded and task.row.worker is not None and tasks.may_run(task.row)
+        )
+
+    def _tell(self, choices: list[placement.Choice]) -> None:
+        for choice in choices:
+            match choice:
+                case placement.Start(task, worker):
+                    self._holder.tell(task, decisions.Action.PLACE, f"at {worker}")
+                case placement.Yield(task, reason):
+                    self._holder.tell(task, decisions.Action.PREEMPT, reason)
+                case placement.Stop(task, reason):
+                    self._holder.tell(task, decisions.Action.STOP, reason)
+                case placement.Park(job, reason):
+                    self._holder.tell(job, decisions.Action.PARK, reason)
+
+
+def _first_row(
+    task: ids.TaskId, pool: ids.PoolName, declared: declarations.DeclarationSet
+) -> tasks.TaskRow:
+    job = ids.JobName(task.rpartition("/")[0])
+    return tasks.TaskRow(task=task, job=job, pool=pool, guarded=declared.jobs[job].guarded)
+
+
+def _quota_parts(
+    declared: declarations.DeclarationSet,
+    changed: list[tasks.TaskRow],
+    quota_rows: dict[str, platform.Row],
+) -> tuple[list[platform.Condition], list[platform.Write]]:
+    starting = [row for row in changed if row.state is tasks.TaskState.STARTING]
+    teams = sorted({declared.jobs[row.job].team for row in starting})
+    parts = [
+        quotas.starting(quota_rows.get(quotas.key(team), platform.Row(quotas.key(team), 0)), team)
+        for team in teams
+    ]
+    return [condition for condition, _ in parts], [write for _, write in parts]
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -21,7 +21,7 @@
     workers,
 )
 
-from nutmegshelf_entry import logs, table
+from nutmegshelf_entry import logs, placements, table
 
 _SCAN_ROWS = 1000
 _FORECAST_INTERVAL_S = 60.0
@@ -64,6 +64,7 @@
         self._interval_s = interval_s
         self._plan = plan
         self._wall_clock = wall_clock
+        self._placements = placements.Placements(self, workforce)
         self._workers: dict[ids.WorkerId, workers.WorkerRecord] = {}
         self._workers_revision = -1
         self._minions: tuple[platform.MinionRecord, ...] = ()
@@ -98,24 +99,24 @@
 
     async def _keep_leases(self, pools: list[ids.PoolName]) -> None:
         now_s = asyncio.get_running_loop().time()
-        found = await self._scan(leases.PREFIX)
+        found = await self.scan(leases.PREFIX)
         for pool in self._book.observe(found, now_s):
-            self._decide(pool, decisions.Action.LOSE_LEASE, "another entry holds it")
+            self.tell(pool, decisions.Action.LOSE_LEASE, "another entry holds it")
         entries = [self._members.own, *(row.entry for row in self._members.live(now_s))]
         for pool in self._book.to_release(pools, entries, now_s):
             await self._rows.commit(self._book.releasing(pool))
             del self._book.held[pool]
-            self._decide(pool, decisions.Action.RELEASE_LEASE, "above the even share")
+            self.tell(pool, decisions.Action.RELEASE_LEASE, "above the even share")
         for pool in self._book.to_take(pools, entries, now_s):
             committed = await self._rows.commit(self._book.taking(pool))
             if committed.ok:
                 self._book.observe_own(committed.rows[0], now_s)
-                self._decide(pool, decisions.Action.TAKE_LEASE, "it was free or had lapsed")
+                self.tell(pool, decisions.Action.TAKE_LEASE, "it was free or had lapsed")
 
     async def _run_pool(self, accepted: configuration.Accepted, pool: ids.PoolName) -> None:
         view = await self._read(accepted)
         if self._book.is_renewal_due(pool, asyncio.get_running_loop().time()):
-            await self._commit(pool, view, leases.fenced(self._book.held[pool]))
+            await self.commit(pool, view, leases.fenced(self._book.held[pool]))
         await self._enrol(pool, view)
         rows = sorted(
             (host.row for host in view.host_of.values() if host.row.pool == pool),
@@ -123,14 +124,15 @@
         )
         for row in rows:
             await self._run_step(pool, view, row)
+        await self._placements.run(pool, view, self._workers)
         await self._move(pool, view)
         await self._maintain(pool, view)
 
     async def _read(self, accepted: configuration.Accepted) -> drains.View:
         # Budgets go first: what freed them is then surely seen in the workers' rows.
-        found = {row.key: row for row in await self._scan(budgets.PREFIX)}
-        sent = await self._scan(moves.PREFIX)
-        rows = [hosts.read(row) for row in await self._scan(hosts.PREFIX)]
+        found = {row.key: row for row in await self.scan(budgets.PREFIX)}
+        sent = await self.scan(moves.PREFIX)
+        rows = [hosts.read(row) for row in await self.scan(hosts.PREFIX)]
         await self._refresh_lists()
         declared = accepted.declarations
         return drains.View(
@@ -169,7 +171,7 @@
         for record in new:
             row = hosts.enrolled(record, self._wall_clock())
             absent = platform.Condition(hosts.key(record.worker), 0)
-            await self._commit(
+            await self.commit(
                 pool, view, leases.fenced(self._book.held[pool], (absent,), (hosts.write(row),))
             )
 
@@ -179,10 +181,10 @@
         gone = record is None or record.state is workers.WorkerState.GONE
         if gone and row.step is not hosts.HostStep.WITHDRAWN:
             await self._advance(pool, view, hosts.withdrawn(row, lease))
-            self._decide(row.worker, decisions.Action.WITHDRAWN, "the platform took it back")
+            self.tell(row.worker, decisions.Action.WITHDRAWN, "the platform took it back")
         elif not gone and row.step is hosts.HostStep.WITHDRAWN:
             await self._advance(pool, view, hosts.returned(row, lease))
-            self._decide(row.worker, decisions.Action.START, "the platform lists it again")
+            self.tell(row.worker, decisions.Action.START, "the platform lists it again")
         elif not gone and await self._order(row) is workers.Outcome.DONE:
             await self._finish_step(pool, view, row)
 
@@ -199,15 +201,15 @@
         following = hosts.next_row(row, lease, recall, self._wall_clock())
         await self._advance(pool, view, following)
         if recall:
-            self._decide(row.worker, decisions.Action.RECALL, "a budget no longer holds")
+            self.tell(row.worker, decisions.Action.RECALL, "a budget no longer holds")
         elif following.pool != row.pool:
-            self._decide(row.worker, decisions.Action.MOVE, f"from {row.pool} to {following.pool}")
+            self.tell(row.worker, decisions.Action.MOVE, f"from {row.pool} to {following.pool}")
 
     async def _advance(
         self, pool: ids.PoolName, view: drains.View, following: hosts.HostRow
     ) -> None:
         transaction = drains.advance(view, self._book.held[pool], following.worker, following)
-        await self._commit(pool, view, transaction)
+        await self.commit(pool, view, transaction)
 
     async def _move(self, pool: ids.PoolName, view: drains.View) -> None:
         for transfer in self._plan(view, pool) if self._plan else []:
@@ -233,7 +235,7 @@
         self._forecast_due_s[pool] = now_s + _FORECAST_INTERVAL_S
         found = maintenance.forecast(view, rule, _TURN_S, self._wall_clock())
         if not found.meets:
-            self._decide(pool, decisions.Action.MAINTENANCE_LATE, found.reason)
+            self.tell(pool, decisions.Action.MAINTENANCE_LATE, found.reason)
 
     async def drain(
         self,
@@ -245,18 +247,22 @@
         to_pool: ids.PoolName | None = None,
     ) -> bool:
         """Ask the budgets for a drain and write it down; raises TableError or Conflict."""
+        if worker in self._placements.guarded_at.get(pool, ()):
+            self.tell(worker, decisions.Action.REFUSE_DRAIN, "guarded work runs there")
+            return False
         match drains.grant(view, self._book.held[pool], worker, purpose, to_pool=to_pool):
             case drains.Refused() as refused:
-                self._decide(worker, decisions.Action.REFUSE_DRAIN, str(refused))
+                self.tell(worker, decisions.Action.REFUSE_DRAIN, str(refused))
                 return False
             case drains.Granted() as granted:
-                await self._commit(pool, view, granted.transaction)
-                self._decide(worker, decisions.Action.DRAIN, purpose.value)
+                await self.commit(pool, view, granted.transaction)
+                self.tell(worker, decisions.Action.DRAIN, purpose.value)
                 return True
 
-    async def _commit(
+    async def commit(
         self, pool: ids.PoolName, view: drains.View, transaction: platform.Transaction
-    ) -> None:
+    ) -> tuple[platform.Row, ...]:
+        """Commit a fenced transaction and give the rows written; raises TableError or Conflict."""
         committed = await self._rows.commit(transaction)
         own = next((row for row in committed.rows if row.key == leases.key(pool)), None)
         if not committed.ok:
@@ -264,8 +270,14 @@
         assert own is not None
         self._book.observe_own(own, asyncio.get_running_loop().time())
         view.take_rows(committed.rows)
+        return committed.rows
+
+    def held(self, pool: ids.PoolName) -> leases.Held:
+        """Give the lease of a held pool."""
+        return self._book.held[pool]
 
-    async def _scan(self, prefix: str) -> list[platform.Row]:
+    async def scan(self, prefix: str) -> list[platform.Row]:
+        """Read all rows of a prefix; raises TableUnavailable."""
         found: list[platform.Row] = []
         after = ""
         while True:
@@ -275,7 +287,8 @@
                 return found
             after = rows[-1].key
 
-    def _decide(self, name: str, action: decisions.Action, reason: str) -> None:
+    def tell(self, name: str, action: decisions.Action, reason: str) -> None:
+        """Record a decision and log it."""
         # A refusal that only repeats itself each pass is told once.
         if self._last_told.get(name) == (action, reason):
             return
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -100,6 +100,9 @@
     async def order(self, order: workers.AnyOrder) -> workers.Outcome:
         """Send an order."""
 
+    async def usage(self) -> list[workers.TaskUsage]:
+        """Read the lagged usage of tasks."""
+
 
 class Rows(typing.Protocol):
     """Name what parts of the daemon need of the table, so that tests can fake it."""
--- a/packages/nutmegshelf/src/nutmegshelf/decisions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/decisions.py
@@ -24,7 +24,7 @@
     PREEMPT = "preempt"
     PARK = "park"
     SET_APART = "set-apart"
-    STOP_JOB = "stop-job"
+    STOP = "stop"
     WITHDRAWN = "withdrawn"
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -44,9 +44,9 @@
     return PREFIX + pool
 
 
-def operation(lease: LeaseRow, worker: ids.WorkerId, step: int) -> ids.OperationId:
+def operation(lease: LeaseRow, subject: str, step: int) -> ids.OperationId:
     """Name an order by pool, epoch and step."""
-    return ids.OperationId(f"{lease.pool}:{lease.epoch}:{worker}:{step}")
+    return ids.OperationId(f"{lease.pool}:{lease.epoch}:{subject}:{step}")
 
 
 def fenced(
--- a/packages/nutmegshelf/src/nutmegshelf/workers.py
+++ b/packages/nutmegshelf/src/nutmegshelf/workers.py
@@ -92,5 +92,6 @@
     worker: ids.WorkerId
     cores: float
     memory_gb: float
+    started_by: ids.OperationId | None = None
     ended: bool = False
     failed: bool = False
