--- /dev/null
+++ b/bench/nutmegshelf_bench/fleet_size.py
@@ -0,0 +1,257 @@
+"""Measure the fleet's decisions and state at several sizes and fit slopes a worker."""
+
+import collections.abc
+import dataclasses
+import random
+import statistics
+import time
+import tracemalloc
+
+from nutmegshelf import (
+    blame,
+    budgets,
+    codecs,
+    declarations,
+    demand,
+    drains,
+    hosts,
+    ids,
+    leases,
+    maintenance,
+    moves,
+    placement,
+    platform,
+    sizes,
+    tasks,
+    workers,
+)
+
+from nutmegshelf_bench import figures
+
+_WORKERS = (600, 1200, 2400, 3600, 4500)
+_FULL_WORKERS = 4500
+_ACCELERATORS = 6400
+_POOLS = 50
+_TEAMS = 330
+_TASKS_A_WORKER = 2
+_REPEATS = 3
+_ZONES = 10
+_NOW_S = 20 * maintenance.DAY_S
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Hold a whole fleet: declarations, rows and lists."""
+
+    declared: declarations.DeclarationSet
+    records: dict[ids.WorkerId, workers.WorkerRecord]
+    view: drains.View
+    rows: dict[ids.PoolName, list[tasks.TaskRow]]
+    used: dict[ids.PoolName, dict[ids.TeamName, sizes.Size]]
+
+
+def build(count: int, seed: int) -> State:
+    """Make a fleet of some workers, with pools, teams and jobs in proportion."""
+    rng = random.Random(seed)
+    pools = [
+        ids.PoolName(f"p{number}") for number in range(max(1, _POOLS * count // _FULL_WORKERS))
+    ]
+    teams = [
+        ids.TeamName(f"t{number}") for number in range(max(1, _TEAMS * count // _FULL_WORKERS))
+    ]
+    records = {record.worker: record for record in _records(count, pools)}
+    declared = _declare(count, pools, teams, rng)
+    minions = tuple(_minion(record) for record in records.values())
+    view = drains.View(
+        declared=declared,
+        budget_of={
+            name: budgets.Budget(budgets.BudgetRow(service=name), 1) for name in declared.services
+        },
+        host_of={
+            worker: hosts.Host(hosts.enrolled(record, rng.uniform(0, _NOW_S)), 1)
+            for worker, record in records.items()
+        },
+        minions=minions,
+    )
+    return State(declared, records, view, {pool: [] for pool in pools}, {})
+
+
+def _records(
+    count: int, pools: list[ids.PoolName]
+) -> collections.abc.Iterator[workers.WorkerRecord]:
+    for number in range(count):
+        zone = number % _ZONES
+        extra = (number * _ACCELERATORS // _FULL_WORKERS) - (
+            (number - 1) * _ACCELERATORS // _FULL_WORKERS
+        )
+        yield workers.WorkerRecord(
+            worker=ids.WorkerId(f"w{number}"),
+            zone=ids.ZoneName(f"z{zone}"),
+            rack=ids.RackName(f"z{zone}-r{number // _ZONES // 4}"),
+            pool=pools[number // _ZONES % len(pools)],
+            accelerators=extra,
+        )
+
+
+def _declare(
+    count: int, pools: list[ids.PoolName], teams: list[ids.TeamName], rng: random.Random
+) -> declarations.DeclarationSet:
+    each = count // len(pools)
+    jobs = {
+        ids.JobName(f"j{number}"): declarations.Job(
+            pool=pools[number % len(pools)],
+            team=team,
+            cores=rng.choice([4.0, 8.0, 16.0]),
+            memory_gb=rng.choice([4.0, 16.0]),
+            accelerators=rng.choice([0, 0, 1]),
+            tasks=_TASKS_A_WORKER * count // len(teams),
+            request_class=rng.choice(list(declarations.RequestClass)),
+        )
+        for number, team in enumerate(teams)
+    }
+    return declarations.DeclarationSet(
+        pools={
+            pool: declarations.Pool(wanted_workers=each, worker_cores=64, worker_memory_gb=128)
+            for pool in pools
+        },
+        services={
+            ids.ServiceName(pool): declarations.Service(pool=pool, wanted_minions=each)
+            for pool in pools
+        },
+        budgets={
+            ids.BudgetName(pool): declarations.Budget(
+                service=ids.ServiceName(pool), min_available_fraction=0.5
+            )
+            for pool in pools
+        },
+        jobs=jobs,
+        teams={
+            team: declarations.Team(quota_cores=1e6, quota_memory_gb=1e6, quota_accelerators=10_000)
+            for team in teams
+        },
+        maintenance={
+            str(pool): declarations.Maintenance(pool=pool, at_most_at_once=4) for pool in pools
+        },
+    )
+
+
+def _minion(record: workers.WorkerRecord) -> platform.MinionRecord:
+    return platform.MinionRecord(
+        minion=ids.MinionId(f"m-{record.worker}"),
+        service=ids.ServiceName(record.pool),
+        host="127.0.0.1",
+        port=1,
+        zone=record.zone,
+        rack=record.rack,
+        worker=record.worker,
+    )
+
+
+def decide_pool(state: State, pool: ids.PoolName) -> list[placement.Choice]:
+    """Decide all of one pool: tasks, maintenance, forecast and the drains that are granted."""
+    placer = placement.Placer(pool, state.declared, sizes.Sizes(), blame.Blame())
+    for worker, host in state.view.host_of.items():
+        if host.row.pool == pool and worker in state.records:
+            placer.add_worker(state.records[worker], not hosts.is_away(host.row))
+    for task in state.rows[pool]:
+        placer.add_task(task)
+    for other, used in state.used.items():
+        if other != pool:
+            placer.add_usage(used)
+    choices = placer.choose()
+    rule = state.declared.maintenance[str(pool)]
+    maintenance.forecast(state.view, rule, 1800.0, _NOW_S)
+    mine = state.view.rows_in(pool)
+    lease = leases.LeaseRow(pool=pool, holder=None, incarnation="", epoch=ids.Epoch(1))
+    for row in maintenance.candidates(rule, mine, _NOW_S):
+        drains.grant(state.view, leases.Held(lease, 1), row.worker, hosts.Purpose.MAINTENANCE)
+    return choices
+
+
+def _take(state: State, pool: ids.PoolName, choices: list[placement.Choice]) -> None:
+    for choice in choices:
+        if isinstance(choice, placement.Start):
+            job = ids.JobName(choice.task.rpartition("/")[0])
+            running = tasks.TaskState.RUNNING
+            state.rows[pool].append(
+                tasks.TaskRow(
+                    task=choice.task, job=job, pool=pool, state=running, worker=choice.worker
+                )
+            )
+    state.used[pool] = placement.usage_by_team(state.declared, sizes.Sizes(), state.rows[pool])
+
+
+def _decide_all(state: State) -> float:
+    started_s = time.perf_counter()
+    for pool in state.declared.pools:
+        _take(state, pool, decide_pool(state, pool))
+    _decide_moves(state)
+    return time.perf_counter() - started_s
+
+
+def _decide_moves(state: State) -> None:
+    terms = {name: moves.Terms(pool, 160.0, 10.0) for name, pool in state.declared.pools.items()}
+    fleet = {
+        name: moves.PoolState(pool.wanted_workers, 0, demand.Sample(1000.0, 5.0))
+        for name, pool in state.declared.pools.items()
+    }
+    moves.POLICIES["chosen"](terms).decide(fleet, 0.0)
+
+
+def _decide_one(state: State) -> float:
+    """Lose one worker and decide its pool again."""
+    lost, pool = next(
+        (row.worker, row.pool) for rows in state.rows.values() for row in rows if row.worker
+    )
+    del state.records[lost]
+    started_s = time.perf_counter()
+    choices = decide_pool(state, pool)
+    took_s = time.perf_counter() - started_s
+    assert choices, "the lost worker's tasks have to move"
+    return took_s
+
+
+def _measure(count: int, seed: int) -> dict[str, float]:
+    full, one = [], []
+    for repeat in range(_REPEATS):
+        state = build(count, seed + repeat)
+        full.append(_decide_all(state))
+        one.append(_decide_one(state))
+    tracemalloc.start()
+    state = build(count, seed)
+    _decide_all(state)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    row_bytes = sum(len(codecs.pack(host.row)) for host in state.view.host_of.values())
+    return {
+        "full_decision_s": statistics.median(full),
+        "one_change_s": statistics.median(one),
+        "memory_bytes": float(memory_bytes),
+        "host_row_bytes": float(row_bytes),
+    }
+
+
+_UNITS = {
+    "full_decision_s": "s",
+    "one_change_s": "s",
+    "memory_bytes": "bytes",
+    "host_row_bytes": "bytes",
+}
+
+
+@figures.register("fleet_size")
+def fleet_size(seed: int) -> None:
+    """Print each figure at each size, and its slope a worker with the error of the fit."""
+    found = {count: _measure(count, seed) for count in _WORKERS}
+    for name, unit in _UNITS.items():
+        values = [found[count][name] for count in _WORKERS]
+        for count, value in zip(_WORKERS, values, strict=True):
+            figures.show(f"fleet_size.{name}.{count}", value, unit)
+        fit = statistics.linear_regression(_WORKERS, values)
+        errors = [
+            abs(fit.slope * count + fit.intercept - value) / value
+            for count, value in zip(_WORKERS, values, strict=True)
+        ]
+        figures.show(f"fleet_size.{name}.slope", fit.slope, f"{unit}/worker")
+        figures.show(f"fleet_size.{name}.intercept", fit.intercept, unit)
+        figures.show(f"fleet_size.{name}.worst_error", max(errors), "ratio")
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -20,6 +20,7 @@
 LEASE_S = 3.0
 PAUSE_S = 3 * LEASE_S
 OUTAGE_S = 12.0
+RESCAN_S = 3.0
 FAULTS = ("pause before", "pause after", "lost answer", "outage", "doubled call")
 OLD_S = -28 * 86_400.0
 
@@ -63,6 +64,7 @@
             known=known,
             book=leases.Leases(ids.EntryId(name), f"{name}-first", LEASE_S),
             interval_s=1.0,
+            rescan_interval_s=RESCAN_S,
             plan=self.plan,
             wall_clock=lambda: asyncio.get_running_loop().time(),
         )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/placements.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/placements.py
@@ -1,6 +1,7 @@
 """Place the tasks of held pools: settle their orders, learn, choose and start."""
 
 import asyncio
+import collections
 import typing
 
 from nutmegshelf import (
@@ -47,6 +48,10 @@
 
     def __init__(self, holder: Holder, workforce: table.Workforce) -> None:
         self.guarded_at: dict[ids.PoolName, frozenset[ids.WorkerId]] = {}
+        self._known: dict[ids.TaskId, tasks.Task] | None = None
+        self._quota_rows: dict[str, platform.Row] = {}
+        self._in_pool: dict[ids.PoolName, set[ids.TaskId]] = collections.defaultdict(set)
+        self._used: dict[ids.PoolName, dict[ids.TeamName, sizes.Size]] = {}
         self._holder = holder
         self._workforce = workforce
         self._sizes = sizes.Sizes()
@@ -60,11 +65,9 @@
         records: dict[ids.WorkerId, workers.WorkerRecord],
     ) -> None:
         """Run one pass over a pool; raises TableError or Conflict."""
-        quota_rows = {row.key: row for row in await self._holder.scan(quotas.PREFIX)}
-        found = map(tasks.read, await self._holder.scan(tasks.PREFIX))
-        known = {task.row.task: task for task in found}
         declared = view.declared
-        if not known and not any(job.pool == pool for job in declared.jobs.values()):
+        known, quota_rows = await self._rows(declared)
+        if not self._in_pool[pool] and not any(job.pool == pool for job in declared.jobs.values()):
             self.guarded_at[pool] = frozenset()
             return
         await self._settle(pool, view, known)
@@ -72,16 +75,43 @@
         choices = placer.choose()
         changed = self._rows_of(pool, declared, choices, known)
         await self._write(pool, view, changed, known, quota_rows)
+        self._used[pool] = placement.usage_by_team(
+            declared, self._sizes, self._rows_in(pool, known)
+        )
         self._note_guarded(pool, known)
         self._tell(choices)
         await self._send([row for row in changed if row.pool == pool])
 
+    def forget_rows(self) -> None:
+        """Read all rows again in the next pass."""
+        self._known = None
+
+    async def _rows(
+        self, declared: declarations.DeclarationSet
+    ) -> tuple[dict[ids.TaskId, tasks.Task], dict[str, platform.Row]]:
+        if self._known is None:
+            # Quotas go first: a start elsewhere that is not seen below changes its quota's row.
+            quota_rows = {row.key: row for row in await self._holder.scan(quotas.PREFIX)}
+            found = map(tasks.read, await self._holder.scan(tasks.PREFIX))
+            self._known = {task.row.task: task for task in found}
+            self._quota_rows = quota_rows
+            self._in_pool.clear()
+            for task in self._known.values():
+                self._in_pool[task.row.pool].add(task.row.task)
+            self._used = {
+                pool: placement.usage_by_team(
+                    declared, self._sizes, self._rows_in(pool, self._known)
+                )
+                for pool in list(self._in_pool)
+            }
+        return self._known, self._quota_rows
+
     async def _settle(
         self, pool: ids.PoolName, view: drains.View, known: dict[ids.TaskId, tasks.Task]
     ) -> None:
         lease = self._holder.held(pool).lease
         changed: list[tasks.TaskRow] = []
-        mine = [task.row for task in known.values() if task.row.pool == pool]
+        mine = self._rows_in(pool, known)
         reports = await self._workforce.usage()
         self._learn(reports)
         ends = {report.started_by: report for report in reports if report.ended}
@@ -119,10 +149,24 @@
             if host.row.pool == pool and record is not None and not gone:
                 ready = record.state is workers.WorkerState.READY
                 placer.add_worker(record, ready and not hosts.is_away(host.row))
-        for task in known.values():
-            placer.add_task(task.row)
+        for row in self._rows_in(pool, known):
+            placer.add_task(row)
+        for name, job in view.declared.jobs.items():
+            # A task that still runs in another pool is not started here.
+            for index in range(job.tasks if job.pool == pool else 0):
+                task = known.get(tasks.task_id(name, index))
+                if task is not None and task.row.pool != pool:
+                    placer.add_task(task.row)
+        for other, used in self._used.items():
+            if other != pool:
+                placer.add_usage(used)
         return placer
 
+    def _rows_in(
+        self, pool: ids.PoolName, known: dict[ids.TaskId, tasks.Task]
+    ) -> list[tasks.TaskRow]:
+        return [known[task].row for task in sorted(self._in_pool[pool])]
+
     def _rows_of(
         self,
         pool: ids.PoolName,
@@ -171,10 +215,14 @@
         written = await self._holder.commit(pool, view, transaction)
         for row in changed:
             known.pop(row.task, None)
+            self._in_pool[pool].discard(row.task)
         for found in written:
             if found.key.startswith(tasks.PREFIX):
                 task = tasks.read(found)
                 known[task.row.task] = task
+                self._in_pool[pool].add(task.row.task)
+            elif found.key.startswith(quotas.PREFIX):
+                self._quota_rows[found.key] = found
 
     async def _send(self, rows: list[tasks.TaskRow]) -> list[tuple[tasks.TaskRow, workers.Outcome]]:
         limit = asyncio.Semaphore(_ORDERS_AT_ONCE)
@@ -196,9 +244,9 @@
 
     def _note_guarded(self, pool: ids.PoolName, known: dict[ids.TaskId, tasks.Task]) -> None:
         self.guarded_at[pool] = frozenset(
-            task.row.worker
-            for task in known.values()
-            if task.row.guarded and task.row.worker is not None and tasks.may_run(task.row)
+            row.worker
+            for row in self._rows_in(pool, known)
+            if row.guarded and row.worker is not None and tasks.may_run(row)
         )
 
     def _tell(self, choices: list[placement.Choice]) -> None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import time
 
 from nutmegshelf import (
@@ -50,10 +51,14 @@
         known: members.Members,
         book: leases.Leases,
         interval_s: float,
+        rescan_interval_s: float = 30.0,
         plan: Plan | None = None,
         wall_clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
         self.decisions = decisions.ring()
+        self._view: drains.View | None = None
+        self._read_at_s = 0.0
+        self._lists: tuple[ids.Version, int, int] | None = None
         self._forecast_due_s: dict[ids.PoolName, float] = {}
         self._last_told: dict[str, tuple[decisions.Action, str]] = {}
         self._rows = rows
@@ -63,6 +68,7 @@
         self._book = book
         self._interval_s = interval_s
         self._plan = plan
+        self._rescan_interval_s = rescan_interval_s
         self._wall_clock = wall_clock
         self._placements = placements.Placements(self, workforce)
         self._workers: dict[ids.WorkerId, workers.WorkerRecord] = {}
@@ -75,7 +81,8 @@
         while True:
             try:
                 await self.run_pass()
-            except (exceptions.TableError, Conflict) as error:
+            except exceptions.TableError as error:
+                self._view = None
                 _log.warning("Ended a pass early.", error=str(error))
             await asyncio.sleep(self._interval_s)
 
@@ -90,6 +97,7 @@
             try:
                 await self._run_pool(accepted, pool)
             except Conflict as error:
+                self._view = None
                 _log.info("Left a pool.", pool=pool, error=str(error))
 
     async def release_all(self) -> None:
@@ -111,48 +119,74 @@
             committed = await self._rows.commit(self._book.taking(pool))
             if committed.ok:
                 self._book.observe_own(committed.rows[0], now_s)
+                self._view = None
                 self.tell(pool, decisions.Action.TAKE_LEASE, "it was free or had lapsed")
 
     async def _run_pool(self, accepted: configuration.Accepted, pool: ids.PoolName) -> None:
-        view = await self._read(accepted)
+        view = await self._current_view(accepted)
         if self._book.is_renewal_due(pool, asyncio.get_running_loop().time()):
             await self.commit(pool, view, leases.fenced(self._book.held[pool]))
         await self._enrol(pool, view)
-        rows = sorted(
-            (host.row for host in view.host_of.values() if host.row.pool == pool),
-            key=lambda row: row.worker,
-        )
-        for row in rows:
+        for row in sorted(view.rows_in(pool), key=lambda row: row.worker):
             await self._run_step(pool, view, row)
         await self._placements.run(pool, view, self._workers)
         await self._move(pool, view)
         await self._maintain(pool, view)
 
+    async def _current_view(self, accepted: configuration.Accepted) -> drains.View:
+        # Old rows do no harm, as every transaction is conditional on their versions; and whatever
+        # takes a service's minions away writes its budget's row, so no grant can overlook it.
+        now_s = asyncio.get_running_loop().time()
+        if self._view is None or now_s - self._read_at_s >= self._rescan_interval_s:
+            self._view = None
+            self._placements.forget_rows()
+            self._view = await self._read(accepted)
+            self._read_at_s = now_s
+            self._lists = None
+        await self._refresh_lists()
+        lists = (accepted.head.version, self._workers_revision, self._minions_revision)
+        if lists == self._lists:
+            return self._view
+        self._lists = lists
+        self._view = dataclasses.replace(
+            self._view,
+            declared=accepted.declarations,
+            budget_of=self._budgets(accepted, self._view.budget_of),
+            minions=self._minions,
+            failed=frozenset(
+                worker
+                for worker, record in self._workers.items()
+                if record.state is not workers.WorkerState.READY
+            ),
+        )
+        return self._view
+
     async def _read(self, accepted: configuration.Accepted) -> drains.View:
         # Budgets go first: what freed them is then surely seen in the workers' rows.
-        found = {row.key: row for row in await self.scan(budgets.PREFIX)}
+        found = await self.scan(budgets.PREFIX)
         sent = await self.scan(moves.PREFIX)
         rows = [hosts.read(row) for row in await self.scan(hosts.PREFIX)]
-        await self._refresh_lists()
-        declared = accepted.declarations
+        services = [ids.ServiceName(row.key.removeprefix(budgets.PREFIX)) for row in found]
         return drains.View(
-            declared=declared,
+            declared=accepted.declarations,
             budget_of={
-                service: budgets.read(
-                    found.get(budgets.key(service), platform.Row(budgets.key(service), 0)), service
-                )
-                for service in declared.services
+                service: budgets.read(row, service)
+                for service, row in zip(services, found, strict=True)
             },
             host_of={host.row.worker: host for host in rows},
             minions=self._minions,
             move_of={ids.PoolName(row.key.removeprefix(moves.PREFIX)): row for row in sent},
-            failed=frozenset(
-                worker
-                for worker, record in self._workers.items()
-                if record.state is not workers.WorkerState.READY
-            ),
         )
 
+    @staticmethod
+    def _budgets(
+        accepted: configuration.Accepted, known: dict[ids.ServiceName, budgets.Budget]
+    ) -> dict[ids.ServiceName, budgets.Budget]:
+        return {
+            service: known.get(service) or budgets.Budget(budgets.BudgetRow(service=service), 0)
+            for service in accepted.declarations.services
+        }
+
     async def _refresh_lists(self) -> None:
         listed = await self._workforce.list_workers(self._workers_revision)
         if listed is not None and listed.revision > self._workers_revision:
@@ -218,7 +252,7 @@
             )
 
     async def _maintain(self, pool: ids.PoolName, view: drains.View) -> None:
-        rows = [host.row for host in view.host_of.values() if host.row.pool == pool]
+        rows = view.rows_in(pool)
         for rule in view.declared.maintenance.values():
             if rule.pool != pool:
                 continue
--- a/packages/nutmegshelf/src/nutmegshelf/drains.py
+++ b/packages/nutmegshelf/src/nutmegshelf/drains.py
@@ -1,5 +1,6 @@
 """Grant or refuse drains by the budgets of all services at a worker."""
 
+import collections
 import dataclasses
 import typing
 
@@ -17,6 +18,17 @@
     suspects: frozenset[ids.MinionId] = frozenset()
     failed: frozenset[ids.WorkerId] = frozenset()
     move_of: dict[ids.PoolName, platform.Row] = dataclasses.field(default_factory=dict)
+    _of_service: dict[ids.ServiceName, list[platform.MinionRecord]] = dataclasses.field(
+        init=False, default_factory=lambda: collections.defaultdict(list)
+    )
+    _at_worker: dict[ids.WorkerId, set[ids.ServiceName]] = dataclasses.field(
+        init=False, default_factory=lambda: collections.defaultdict(set)
+    )
+
+    def __post_init__(self) -> None:
+        for record in self.minions:
+            self._of_service[record.service].append(record)
+            self._at_worker[record.worker].add(record.service)
 
     def take_rows(self, rows: tuple[platform.Row, ...]) -> None:
         """Take rows as an own transaction wrote them."""
@@ -30,10 +42,13 @@
             elif row.key.startswith(moves.PREFIX):
                 self.move_of[ids.PoolName(row.key.removeprefix(moves.PREFIX))] = row
 
+    def rows_in(self, pool: ids.PoolName) -> list[hosts.HostRow]:
+        """Give the rows of a pool's workers."""
+        return [host.row for host in self.host_of.values() if host.row.pool == pool]
+
     def services_at(self, worker: ids.WorkerId) -> list[ids.ServiceName]:
         """Name the declared services with a minion at a worker."""
-        found = {record.service for record in self.minions if record.worker == worker}
-        return sorted(found & self.budget_of.keys())
+        return sorted(self._at_worker.get(worker, set()) & self.budget_of.keys())
 
     def places(self, service: ids.ServiceName) -> list[budgets.Place]:
         """Give the places of a service's minions, with those that may have failed as down."""
@@ -41,8 +56,7 @@
             budgets.Place(
                 record.minion, record.worker, record.rack, record.zone, self._is_up(record)
             )
-            for record in self.minions
-            if record.service == service
+            for record in self._of_service.get(service, ())
         ]
 
     def standing(
@@ -51,11 +65,14 @@
         """Count a service's budget with all that is draining and some more workers away."""
         budget = self.budget_of.get(service)
         draining = frozenset(budget.row.draining) if budget else frozenset()
-        rows = frozenset(worker for worker, host in self.host_of.items() if hosts.is_away(host.row))
+        places = self.places(service)
+        rows = frozenset(place.worker for place in places if self._is_away_by_its_row(place.worker))
         away = draining | rows | also
-        return budgets.standing(
-            budgets.required(self.declared, service), self.places(service), away
-        )
+        return budgets.standing(budgets.required(self.declared, service), places, away)
+
+    def _is_away_by_its_row(self, worker: ids.WorkerId) -> bool:
+        host = self.host_of.get(worker)
+        return host is None or hosts.is_away(host.row)
 
     def room(self, service: ids.ServiceName) -> int:
         """Count how many of a service's minions could drain at once with all else well."""
--- a/packages/nutmegshelf/src/nutmegshelf/maintenance.py
+++ b/packages/nutmegshelf/src/nutmegshelf/maintenance.py
@@ -57,7 +57,7 @@
     view: drains.View, rule: declarations.Maintenance, turn_s: float, now_s: float
 ) -> Forecast:
     """Work out whether the pool's workers can all have their turn within the period."""
-    rows = [host.row for host in view.host_of.values() if host.row.pool == rule.pool]
+    rows = view.rows_in(rule.pool)
     period_s = rule.every_days * DAY_S
     rooms = [
         view.room(service)
--- a/packages/nutmegshelf/src/nutmegshelf/placement.py
+++ b/packages/nutmegshelf/src/nutmegshelf/placement.py
@@ -1,6 +1,7 @@
 """Decide where tasks run, what yields to urgent work, and what can never run."""
 
 import collections
+import collections.abc
 import dataclasses
 
 import msgspec
@@ -12,6 +13,7 @@
     declarations.RequestClass.NORMAL: 1,
     declarations.RequestClass.BATCH: 2,
 }
+_NOTHING = sizes.Size(0.0, 0.0)
 _NORMAL_RANK = RANKS[declarations.RequestClass.NORMAL]
 
 
@@ -97,6 +99,11 @@
         if tasks.may_run(row):
             self._count(row, 1)
 
+    def add_usage(self, used: dict[ids.TeamName, sizes.Size]) -> None:
+        """Add what teams use in other pools."""
+        for team, size in used.items():
+            self._quota_used[team] = self._quota_used.get(team, _NOTHING).plus(size)
+
     def choose(self) -> list[Choice]:
         """Give all choices of one pass, the most urgent first."""
         choices = self._cancel()
@@ -254,7 +261,7 @@
         size = self._size(row)
         job = self._declared.jobs.get(row.job)
         if job is not None:
-            used = self._quota_used.get(job.team, sizes.Size(0.0, 0.0))
+            used = self._quota_used.get(job.team, _NOTHING)
             self._quota_used[job.team] = used.plus(size, sign)
         spot = self._spots.get(row.worker) if row.worker else None
         if spot is None:
@@ -266,12 +273,12 @@
 
     def _is_within_quota(self, job: declarations.Job, need: sizes.Size) -> bool:
         team = self._declared.teams.get(job.team)
-        used = self._quota_used.get(job.team, sizes.Size(0.0, 0.0))
+        used = self._quota_used.get(job.team, _NOTHING)
         return team is None or used.plus(need).fits(_quota(team))
 
     def _size(self, row: tasks.TaskRow) -> sizes.Size:
         job = self._declared.jobs.get(row.job)
-        return self._sizes.of(row.job, job) if job is not None else sizes.Size(0.0, 0.0)
+        return self._sizes.of(row.job, job) if job is not None else _NOTHING
 
     def _rank(self, row: tasks.TaskRow) -> int:
         job = self._declared.jobs.get(row.job)
@@ -283,5 +290,19 @@
     return RANKS[job.request_class], not job.guarded, name
 
 
+def usage_by_team(
+    declared: declarations.DeclarationSet,
+    learned: sizes.Sizes,
+    rows: collections.abc.Iterable[tasks.TaskRow],
+) -> dict[ids.TeamName, sizes.Size]:
+    """Sum what the tasks that may run use of their teams' quotas."""
+    used: dict[ids.TeamName, sizes.Size] = {}
+    for row in rows:
+        job = declared.jobs.get(row.job)
+        if job is not None and tasks.may_run(row):
+            used[job.team] = used.get(job.team, _NOTHING).plus(learned.of(row.job, job))
+    return used
+
+
 def _quota(team: declarations.Team) -> sizes.Size:
     return sizes.Size(team.quota_cores, team.quota_memory_gb, team.quota_accelerators)
