--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -20,6 +20,7 @@
     minions,
     operator,
     peers,
+    planner,
     pools,
     publisher,
     relay,
@@ -77,6 +78,7 @@
             own.heartbeat_interval_s,
             on_entries=self._health.targets.set_entries,
         )
+        self._planner = planner.Planner(own.entry, self._peers, self._slots)
         self._pools = pools.Pools(
             rows=self._table,
             workforce=self._table,
@@ -84,6 +86,7 @@
             known=self._members,
             book=leases.Leases(own.entry, uuid.uuid4().hex, own.pool_lease_s),
             interval_s=own.poll_interval_s,
+            plan=self._planner.plan,
         )
         self._operator = operator.Operator(
             own=own,
@@ -123,6 +126,7 @@
                 group.create_task(self._pools.run()),
                 group.create_task(self._claimant.run()),
                 group.create_task(self._claim_sweeper.run()),
+                group.create_task(self._planner.run()),
             ]
             await self._shutdown.wait_asked()
             self._operator.ready = False
@@ -176,6 +180,8 @@
         match message:
             case messages.BadNews() | messages.MinionsRecovered():
                 self._health.take_message(message)
+            case messages.DemandReport():
+                self._planner.take(message)
             case messages.Hello():
                 if self._heartbeat.take_hello(message.row):
                     self._health.greet()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from nutmegshelf import declarations, dispatch, exceptions, ids, platform
+from nutmegshelf import declarations, demand, dispatch, exceptions, ids, platform
 
 
 class Slots:
@@ -18,10 +18,12 @@
         self._leaving: set[ids.MinionId] = set()
         self._records: tuple[platform.MinionRecord, ...] = ()
         self._declared = declarations.DeclarationSet()
+        self.tally = demand.Tally()
 
     async def acquire(self, service: ids.ServiceName, ticket: dispatch.Ticket) -> dispatch.Grant:
         """Wait for a slot; raises RequestError not-run."""
         loop = asyncio.get_running_loop()
+        self.tally.ask(service)
         dispatcher = self._services.get(service)
         if dispatcher is None:
             raise exceptions.RequestError(exceptions.ErrorKind.NO_MINION)
@@ -48,6 +50,7 @@
         self, service: ids.ServiceName, minion: ids.MinionId, service_time_s: float | None = None
     ) -> None:
         """Free a slot."""
+        self.tally.serve(service, service_time_s)
         now_s = asyncio.get_running_loop().time()
         if dispatcher := self._services.get(service):
             self._wake(dispatcher.release(minion, now_s, service_time_s))
--- a/packages/nutmegshelf/src/nutmegshelf/demand.py
+++ b/packages/nutmegshelf/src/nutmegshelf/demand.py
@@ -1,7 +1,10 @@
 """Follow one queue's backlog and late requests for a number of workers."""
 
+import collections
 import dataclasses
 
+from nutmegshelf import ids
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
@@ -29,3 +32,26 @@
         self.backlog = min(max(0.0, backlog), bound)
         self.late += late
         return late
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """Count what an entry was asked and how long its minions worked, by service."""
+
+    asked: collections.Counter[ids.ServiceName] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    served: collections.Counter[ids.ServiceName] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    busy_s: dict[ids.ServiceName, float] = dataclasses.field(default_factory=dict)
+
+    def ask(self, service: ids.ServiceName) -> None:
+        """Count a request."""
+        self.asked[service] += 1
+
+    def serve(self, service: ids.ServiceName, service_time_s: float | None) -> None:
+        """Count an answer and the time that its slot was busy."""
+        if service_time_s is not None:
+            self.served[service] += 1
+            self.busy_s[service] = self.busy_s.get(service, 0.0) + service_time_s
--- a/packages/nutmegshelf/src/nutmegshelf/messages.py
+++ b/packages/nutmegshelf/src/nutmegshelf/messages.py
@@ -59,6 +59,15 @@
     minions: tuple[ids.MinionId, ...]
 
 
+class DemandReport(Message, frozen=True, kw_only=True):
+    """Tell peers what an entry was asked over an interval, by service."""
+
+    interval_s: float
+    asked: dict[ids.ServiceName, int] = {}
+    served: dict[ids.ServiceName, int] = {}
+    busy_s: dict[ids.ServiceName, float] = {}
+
+
 Any = (
     Hello
     # One line a message keeps merges small.
@@ -68,4 +77,5 @@
     | ConfigurationSet
     | BadNews
     | MinionsRecovered
+    | DemandReport
 )
--- a/packages/nutmegshelf/src/nutmegshelf/moves.py
+++ b/packages/nutmegshelf/src/nutmegshelf/moves.py
@@ -1,5 +1,6 @@
 """Decide how many workers move between pools, by policies in a registry."""
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -7,7 +8,7 @@
 
 import msgspec
 
-from nutmegshelf import codecs, declarations, demand, ids, platform
+from nutmegshelf import codecs, declarations, demand, hosts, ids, platform
 
 PREFIX = "moves/"
 
@@ -87,6 +88,33 @@
     return add
 
 
+def state_of(rows: list[hosts.HostRow], samples: dict[ids.PoolName, demand.Sample]) -> Fleet:
+    """Count what each sampled pool has and will have from the workers' rows."""
+    serving: collections.Counter[ids.PoolName] = collections.Counter()
+    incoming: collections.Counter[ids.PoolName] = collections.Counter()
+    for row in rows:
+        if row.step is hosts.HostStep.DRAINING and row.to_pool is not None:
+            incoming[row.to_pool] += 1
+        elif row.step is hosts.HostStep.STARTING and row.purpose is hosts.Purpose.MOVE:
+            incoming[row.pool] += 1
+        elif row.step is not hosts.HostStep.WITHDRAWN:
+            serving[row.pool] += 1
+    return {
+        pool: PoolState(serving[pool], incoming[pool], sample) for pool, sample in samples.items()
+    }
+
+
+def pick(rows: list[hosts.HostRow], shift: Shift) -> list[Transfer]:
+    """Choose the workers of a shift: from the giver's fullest zone to the taker's emptiest."""
+    giving = collections.Counter(row.zone for row in rows if row.pool == shift.from_pool)
+    taking = collections.Counter(row.zone for row in rows if row.pool == shift.to_pool)
+    free = [
+        row for row in rows if row.pool == shift.from_pool and row.step is hosts.HostStep.SERVING
+    ]
+    free.sort(key=lambda row: (taking[row.zone] - giving[row.zone], row.worker))
+    return [Transfer(row.worker, shift.to_pool, shift.reason) for row in free[: shift.count]]
+
+
 def key(pool: ids.PoolName) -> str:
     """Name the row that counts the workers sent to a pool."""
     return PREFIX + pool
@@ -113,14 +141,22 @@
     is_late: bool = False
     late_s: float = 0.0
     seen_s: float = 0.0
+    workers: int | None = None
 
     @property
     def lasts(self) -> bool:
         """Say whether a shortage came back or went on for long: one burst proves nothing."""
         return self.bursts >= _RECURRENCES or self.late_s >= _SUSTAINED_S
 
-    def take(self, state: PoolState, fading: float, declared: declarations.Pool) -> None:
+    def take(self, state: PoolState, fading: float, terms: Terms) -> None:
         """Add one interval's costs to the faded sums."""
+        if state.workers != self.workers:
+            # The sums were of another number of workers, whoever moved one.
+            self.reset()
+            self.workers = state.workers
+        for queue in (self.fewer, self.present, self.more):
+            queue.worker_per_s = terms.worker_per_s
+        declared = terms.declared
         count = state.serving
         present = self.present.take(state.sample, count)
         fewer = self.fewer.take(state.sample, max(0, count - 1))
@@ -164,7 +200,7 @@
         self._last_s = now_s
         fading = math.exp2(-elapsed_s / _HALF_LIFE_S)
         for name, state in fleet.items():
-            self._pools[name].take(state, fading, self._terms[name].declared)
+            self._pools[name].take(state, fading, self._terms[name])
         if any(state.incoming for state in fleet.values()):
             return []
         shift = self._relief(fleet) or self._return(fleet)
