Check leases and maintenance over real entry processes

The scenario pauses the holder by SIGSTOP, sees the other entry take the lease with a greater epoch and keep it after SIGCONT, and a due worker drained and started.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -53,3 +53,11 @@
       | 5     | 6       | 1     |
       | 5     | 2       | 3     |
       | 50    | 7       | 8     |
+
+  Scenario: Entries as processes hold leases, take them over from a paused one and maintain a worker
+    Given two entry processes over two pools of 2 workers with leases of 1.5 s
+    Then both leases are held and the 4 workers are enrolled
+    When the holder of pool "a" is paused until the other entry took its lease
+    Then the paused holder wakes up and the other one keeps the lease
+    When a worker of pool "a" becomes due for maintenance
+    Then it is drained, started again and counted as maintained
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -86,6 +86,7 @@
             known=self._members,
             book=leases.Leases(own.entry, uuid.uuid4().hex, own.pool_lease_s),
             interval_s=own.poll_interval_s,
+            rescan_interval_s=own.pool_rescan_s,
             plan=self._planner.plan,
         )
         self._operator = operator.Operator(
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -69,6 +69,7 @@
     fleet_interval_s: Seconds = 0.5
     probe_path: str = "/health"
     pool_lease_s: Seconds = 10.0
+    pool_rescan_s: Seconds = 30.0
     max_connections: Positive = 4096
     shutdown_grace_s: Seconds = 2.0
     drain_timeout_s: Seconds = 30.0
--- a/standins/src/nutmegshelf_standins/demo.py
+++ b/standins/src/nutmegshelf_standins/demo.py
@@ -11,7 +11,7 @@
 import tomllib
 
 import msgspec
-from nutmegshelf import codecs, declarations, ids, platform
+from nutmegshelf import codecs, declarations, ids, platform, workers
 from nutmegshelf_http import client
 
 from nutmegshelf_standins import caller, minion, process
@@ -47,8 +47,14 @@
     """Own the processes of one example deployment."""
 
     def __init__(
-        self, group: process.Group, example: pathlib.Path, seed: int, minion_mean_s: float = 0.02
+        self,
+        group: process.Group,
+        example: pathlib.Path,
+        seed: int,
+        minion_mean_s: float = 0.02,
+        settings: str = "",
     ) -> None:
+        self._settings = settings
         self.rng = random.Random(seed)
         self.entries: dict[str, process.Process] = {}
         self.ports: dict[str, _Ports] = {}
@@ -77,6 +83,7 @@
             )
         )
         await self.list_fleet()
+        await self.list_workers()
         names = [f"entry-{number}" for number in range(entries)]
         for name in names:
             await self.start_entry(name)
@@ -114,12 +121,41 @@
         await control.request("PUT", "/control/fleet", codecs.pack(listed))
         control.close()
 
+    async def list_workers(self) -> None:
+        """Put a worker for each minion on the platform's list."""
+        listed = [
+            workers.WorkerRecord(
+                worker=record.worker,
+                zone=record.zone,
+                rack=record.rack,
+                pool=self.declared.services[record.service].pool,
+            )
+            for record in self.records
+        ]
+        control = client.Client(_HOST, self.platform_port)
+        await control.request("PUT", "/control/workers", codecs.pack(listed))
+        control.close()
+
+    async def rows(self, prefix: str) -> list[platform.Row]:
+        """Read rows of the platform's table."""
+        link = client.Client(_HOST, self.platform_port)
+        answer = await link.request("GET", f"/scan/{prefix}")
+        link.close()
+        return codecs.unpack(answer.body, list[platform.Row])
+
+    async def write(self, write: platform.Write) -> None:
+        """Write a row of the platform's table whatever it holds."""
+        link = client.Client(_HOST, self.platform_port)
+        transaction = platform.Transaction(writes=(write,))
+        await link.request("POST", "/table", codecs.pack(transaction))
+        link.close()
+
     async def start_entry(self, name: str) -> None:
         """Start an entry in the next availability zone."""
         zone = self.zones[len(self.ports) % len(self.zones)]
         ports = self.ports[name] = _Ports(*process.free_ports(3))
         text = (
-            f'entry = "{name}"\nzone = "{zone}"\nseed = {self._seed}\n'
+            f'entry = "{name}"\nzone = "{zone}"\nseed = {self._seed}\n{self._settings}'
             f'[platform]\nhost = "{_HOST}"\nport = {self.platform_port}\n'
             f"[callers]\nport = {ports.callers}\n[operators]\nport = {ports.operators}\n"
             f"[peers]\nport = {ports.peers}\n"
