Take the minions with all bad news from the health part, and decide nothing without them

The platform's list now comes in pages of changes, which the health part follows. Before it was read once, a drain met no minion and no budget.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -58,6 +58,7 @@
         self.entries[name] = pools.Pools(
             rows=port,
             workforce=port,
+            minions=lambda: self.fleet.minions,
             in_force=configuration.InForce(
                 configuration.Accepted(head=head, declarations=self.declared)
             ),
@@ -168,11 +169,6 @@
     async def list_workers(self, after_revision=-1):
         return await self._call(lambda: self.site.workforce.listed(after_revision))
 
-    async def fleet(self, after_revision=-1):
-        return await self._call(
-            lambda: None if after_revision >= self.site.fleet.revision else self.site.fleet
-        )
-
     async def order(self, order):
         return await self._call(lambda: self.site.workforce.take(order), changes=True)
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -5,7 +5,7 @@
 import random
 import uuid
 
-from nutmegshelf import configuration, exceptions, explain, leases, members, messages
+from nutmegshelf import configuration, exceptions, explain, leases, members, messages, platform
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
@@ -82,6 +82,7 @@
         self._pools = pools.Pools(
             rows=self._table,
             workforce=self._table,
+            minions=self._listed_minions,
             in_force=self._in_force,
             known=self._members,
             book=leases.Leases(own.entry, uuid.uuid4().hex, own.pool_lease_s),
@@ -176,6 +177,11 @@
         self._relay.is_stale = not is_confirmed
         self._operator.is_stale = not is_confirmed
 
+    def _listed_minions(self) -> tuple[platform.MinionRecord, ...] | None:
+        # Bad news counts as leaving, so the budgets see what has failed behind the list's lag.
+        known = self._health.targets
+        return known.records() if known.revision >= 0 else None
+
     async def _take_message(self, message: messages.Any) -> None:
         self._members.heard(message.sender, asyncio.get_running_loop().time())
         match message:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -29,6 +29,7 @@
 _TURN_S = 1800.0
 _log = logs.part("pools")
 
+Minions = collections.abc.Callable[[], tuple[platform.MinionRecord, ...] | None]
 Plan = collections.abc.Callable[[drains.View, ids.PoolName], list[moves.Transfer]]
 
 
@@ -47,6 +48,7 @@
         *,
         rows: table.Rows,
         workforce: table.Workforce,
+        minions: Minions,
         in_force: configuration.InForce,
         known: members.Members,
         book: leases.Leases,
@@ -58,11 +60,12 @@
         self.decisions = decisions.ring()
         self._view: drains.View | None = None
         self._read_at_s = 0.0
-        self._lists: tuple[ids.Version, int, int] | None = None
+        self._lists: tuple[ids.Version, int] | None = None
         self._forecast_due_s: dict[ids.PoolName, float] = {}
         self._last_told: dict[str, tuple[decisions.Action, str]] = {}
         self._rows = rows
         self._workforce = workforce
+        self._read_minions = minions
         self._in_force = in_force
         self._members = known
         self._book = book
@@ -74,7 +77,6 @@
         self._workers: dict[ids.WorkerId, workers.WorkerRecord] = {}
         self._workers_revision = -1
         self._minions: tuple[platform.MinionRecord, ...] = ()
-        self._minions_revision = -1
 
     async def run(self) -> None:
         """Run passes for ever."""
@@ -89,8 +91,13 @@
     async def run_pass(self) -> None:
         """Take and renew leases, then run the held pools' steps; raises TableError."""
         accepted = self._in_force.accepted
-        if accepted is None:
+        minions = self._read_minions()
+        if accepted is None or minions is None:
+            # Without the list of minions every drain would look harmless.
             return
+        if minions != self._minions:
+            self._minions = minions
+            self._lists = None
         pools = sorted(accepted.declarations.pools)
         await self._keep_leases(pools)
         for pool in sorted(self._book.held.keys() & set(pools)):
@@ -144,7 +151,7 @@
             self._read_at_s = now_s
             self._lists = None
         await self._refresh_lists()
-        lists = (accepted.head.version, self._workers_revision, self._minions_revision)
+        lists = (accepted.head.version, self._workers_revision)
         if lists == self._lists:
             return self._view
         self._lists = lists
@@ -192,9 +199,6 @@
         if listed is not None and listed.revision > self._workers_revision:
             self._workers_revision = listed.revision
             self._workers = {record.worker: record for record in listed.workers}
-        fleet = await self._workforce.fleet(self._minions_revision)
-        if fleet is not None and fleet.revision > self._minions_revision:
-            self._minions_revision, self._minions = fleet.revision, fleet.minions
 
     async def _enrol(self, pool: ids.PoolName, view: drains.View) -> None:
         new = [
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -94,9 +94,6 @@
     async def list_workers(self, after_revision: int = -1) -> workers.WorkerList | None:
         """Read the list of workers."""
 
-    async def fleet(self, after_revision: int = -1) -> platform.FleetList | None:
-        """Read the list of minions."""
-
     async def order(self, order: workers.AnyOrder) -> workers.Outcome:
         """Send an order."""
 
