--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -69,3 +69,9 @@
       | failed | fate        |
       | 3      | let go on   |
       | 4      | called back |
+
+  Scenario: A worker that the platform lists no more is forgotten after an hour
+    Given a pool of 12 workers over 3 zones with a budget of 0.5, all due for maintenance
+    When the platform lists the first worker no more for 0.9 h and then for 0.2 h
+    Then the first worker's row was first kept as withdrawn
+    And the first worker's row and its debits are gone
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -77,7 +77,9 @@
     async def stop(self):
         for task in self.tasks.values():
             task.cancel()
-        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        ends = await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        crashes = [end for end in ends if not isinstance(end, asyncio.CancelledError)]
+        assert not crashes, crashes
 
     def rows(self):
         found = self.store.scan(hosts.PREFIX, "", 10_000)
@@ -106,8 +108,8 @@
     def check(self, what):
         ready = dict.fromkeys(self.required, 0)
         for worker, row in self.rows().items():
-            record = self.workforce.workers[worker]
-            if row.step is not hosts.HostStep.SERVING:
+            record = self.workforce.workers.get(worker)
+            if row.step is not hosts.HostStep.SERVING or record is None:
                 continue
             if record.state is not workers.WorkerState.READY or record.pool != row.pool:
                 self.wrong.append(("pool", what, row, record))
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -225,3 +225,31 @@
     served = hosts.next_row(following, held().lease, False, 9.0)
     # A worker that was called back was not maintained.
     assert (served.maintained_at_s == 9.0) == (not recall), served
+
+
+@behave.when("the platform lists the first worker no more for {hours:g} h and then for {more:g} h")
+def unlist(context, hours, more):
+    site = context.site
+
+    async def work():
+        site.start()
+        await asyncio.sleep(5.0)
+        site.workforce.enlist([r for r in context.records if r.worker != "a-w0"])
+        await asyncio.sleep(hours * 3600.0)
+        context.kept = site.rows()["a-w0"]
+        await asyncio.sleep(more * 3600.0)
+        await site.stop()
+
+    clock.run(work())
+
+
+@behave.then("the first worker's row was first kept as withdrawn")
+def check_withdrawn(context):
+    assert context.kept.step is hosts.HostStep.WITHDRAWN
+
+
+@behave.then("the first worker's row and its debits are gone")
+def check_forgotten(context):
+    assert "a-w0" not in context.site.rows() and len(context.site.rows()) == 11
+    row = context.site.store.read(budgets.key("a"))
+    assert "a-w0" not in codecs.unpack(row.value, budgets.BudgetRow).draining
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 import time
 
 from nutmegshelf import (
@@ -27,6 +28,8 @@
 _SCAN_ROWS = 1000
 _FORECAST_INTERVAL_S = 60.0
 _TURN_S = 1800.0
+_FORGET_AFTER_S = 3600.0
+_LEASE_READ_FRACTION = 0.2
 _log = logs.part("pools")
 
 Minions = collections.abc.Callable[[], tuple[platform.MinionRecord, ...] | None]
@@ -62,6 +65,8 @@
         self._read_at_s = 0.0
         self._lists: tuple[ids.Version, int] | None = None
         self._forecast_due_s: dict[ids.PoolName, float] = {}
+        self._missing_since_s: dict[ids.WorkerId, float] = {}
+        self._leases_read_s = -math.inf
         self._last_told: dict[str, tuple[decisions.Action, str]] = {}
         self._rows = rows
         self._workforce = workforce
@@ -105,6 +110,7 @@
                 await self._run_pool(accepted, pool)
             except Conflict as error:
                 self._view = None
+                self._leases_read_s = -math.inf
                 _log.info("Left a pool.", pool=pool, error=str(error))
 
     async def release_all(self) -> None:
@@ -114,7 +120,10 @@
 
     async def _keep_leases(self, pools: list[ids.PoolName]) -> None:
         now_s = asyncio.get_running_loop().time()
+        if now_s - self._leases_read_s < _LEASE_READ_FRACTION * self._book.duration_s:
+            return
         found = await self.scan(leases.PREFIX)
+        self._leases_read_s = now_s
         for pool in self._book.observe(found, now_s):
             self.tell(pool, decisions.Action.LOSE_LEASE, "another entry holds it")
         entries = [self._members.own, *(row.entry for row in self._members.live(now_s))]
@@ -199,6 +208,8 @@
         if listed is not None and listed.revision > self._workers_revision:
             self._workers_revision = listed.revision
             self._workers = {record.worker: record for record in listed.workers}
+            for worker in self._missing_since_s.keys() & self._workers.keys():
+                del self._missing_since_s[worker]
 
     async def _enrol(self, pool: ids.PoolName, view: drains.View) -> None:
         new = [
@@ -220,12 +231,22 @@
         if gone and row.step is not hosts.HostStep.WITHDRAWN:
             await self._advance(pool, view, hosts.withdrawn(row, lease))
             self.tell(row.worker, decisions.Action.WITHDRAWN, "the platform took it back")
+        elif record is None:
+            await self._forget(pool, view, row.worker)
         elif not gone and row.step is hosts.HostStep.WITHDRAWN:
             await self._advance(pool, view, hosts.returned(row, lease))
             self.tell(row.worker, decisions.Action.START, "the platform lists it again")
         elif not gone and await self._order(row) is workers.Outcome.DONE:
             await self._finish_step(pool, view, row)
 
+    async def _forget(self, pool: ids.PoolName, view: drains.View, worker: ids.WorkerId) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._missing_since_s.setdefault(worker, now_s) < _FORGET_AFTER_S:
+            return
+        await self.commit(pool, view, drains.forget(view, self._book.held[pool], worker))
+        del view.host_of[worker], self._missing_since_s[worker]
+        self.tell(worker, decisions.Action.FORGET, "the platform lists it no more")
+
     async def _order(self, row: hosts.HostRow) -> workers.Outcome | None:
         # The order of a row goes before any next row, also before a recall: whoever sends it
         # again late finds it done already, and it does nothing.
--- a/packages/nutmegshelf/src/nutmegshelf/decisions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/decisions.py
@@ -25,6 +25,7 @@
     PARK = "park"
     SET_APART = "set-apart"
     STOP = "stop"
+    FORGET = "forget"
     WITHDRAWN = "withdrawn"
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/drains.py
+++ b/packages/nutmegshelf/src/nutmegshelf/drains.py
@@ -157,6 +157,19 @@
     )
 
 
+def forget(view: View, held: leases.Held, worker: ids.WorkerId) -> platform.Transaction:
+    """Delete the row of a worker that exists no more, and return its budgets."""
+    debited = [one for one in view.budget_of.values() if worker in one.row.draining]
+    return leases.fenced(
+        held,
+        (view.host_of[worker].condition, *(budget.condition for budget in debited)),
+        (
+            platform.Write(hosts.key(worker), None),
+            *(budget.returning(worker) for budget in debited),
+        ),
+    )
+
+
 def should_recall(view: View, worker: ids.WorkerId) -> bool:
     """Say whether a drain is to be called back, as its services' budgets no longer hold."""
     services = [
