--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -75,3 +75,14 @@
     When the platform lists the first worker no more for 0.9 h and then for 0.2 h
     Then the first worker's row was first kept as withdrawn
     And the first worker's row and its debits are gone
+
+  Scenario Outline: Maintenance takes <chosen> next when <away> is away
+    Given workers "<days>" with days since maintenance and <away> away for it
+    Then maintenance with 2 at once takes "<chosen>"
+
+    Examples: oldest first, then in the failure domain that is broken already
+      | days                                | away | chosen |
+      | w0:r0:30 w1:r1:40 w2:r0:30          | none | w1,w0  |
+      | w0:r0:30 w1:r1:30 w2:r2:30 w3:r2:30 | w3   | w2     |
+      | w0:r0:30 w1:r1:31 w2:r2:30 w3:r2:30 | w3   | w1     |
+      | w0:r0:20 w1:r1:5 w2:r2:1            | none |        |
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -81,3 +81,13 @@
     Given a guarded task that runs for 20 s on the one worker that is due for maintenance
     When the entry runs for 40 s
     Then the worker was drained only after the task ended
+
+  Scenario Outline: Two pools' holders never pass one team's quota with <faults> % faults
+    Given jobs of one team in two pools that together want twice its quota of 4 cores
+    When two entries place them with faults at <faults> % of their calls
+    Then at no time did the team use more than 4 cores, and in the end just these
+
+    Examples:
+      | faults |
+      | 0      |
+      | 5      |
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -253,3 +253,29 @@
     assert "a-w0" not in context.site.rows() and len(context.site.rows()) == 11
     row = context.site.store.read(budgets.key("a"))
     assert "a-w0" not in codecs.unpack(row.value, budgets.BudgetRow).draining
+
+
+@behave.given('workers "{days}" with days since maintenance and {away} away for it')
+def make_aged(context, days, away):
+    context.now_s = 100 * DAY_S
+    context.aged = []
+    for text in days.split():
+        worker, rack, age = text.split(":")
+        row = hosts.HostRow(
+            worker=worker,
+            pool="a",
+            zone=rack,
+            rack=rack,
+            maintained_at_s=context.now_s - int(age) * DAY_S,
+        )
+        if worker == away:
+            row = hosts.drained_for(row, held().lease, hosts.Purpose.MAINTENANCE)
+        context.aged.append(row)
+
+
+@behave.then('maintenance with 2 at once takes "{chosen}"')
+@behave.then('maintenance with 2 at once takes ""')
+def check_taken(context, chosen=""):
+    rule = declarations.Maintenance(pool="a", at_most_at_once=2)
+    found = maintenance.candidates(rule, context.aged, context.now_s)
+    assert ",".join(row.worker for row in found) == chosen, found
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -404,3 +404,43 @@
         d for d in context.site.entries["entry-0"].decisions if d.action is decisions.Action.DRAIN
     ]
     assert len(drains) == 1 and drains[0].at_s > 20.0, drains
+
+
+@behave.given("jobs of one team in two pools that together want twice its quota of 4 cores")
+def make_team_jobs(context):
+    jobs = {
+        name: msgspec.structs.replace(job(cores=1.0, tasks=4), pool=name) for name in ("a", "b")
+    }
+    team = declarations.Team(quota_cores=4.0, quota_memory_gb=100.0)
+    declared = fleet.declare(["a", "b"], 2, 0.0)
+    context.declared = msgspec.structs.replace(
+        declared, services={}, budgets={}, jobs=jobs, teams={"t": team}
+    )
+
+
+@behave.when("two entries place them with faults at {percent:d} % of their calls")
+def place_team_jobs(context, percent):
+    context.most = context.last = 0
+    for _ in range(8):
+        records = fleet.records_of(["a", "b"], 2)
+        site = fleet.Site(context.declared, records, fleet.fleet_of([]))
+        for name in ("entry-0", "entry-1"):
+            gate = fleet.RandomGate(random.Random(context.rng.random()), percent / 100)
+            site.add(name, ["entry-0", "entry-1"], gate)
+        clock.run(watch_quota(context, site))
+        assert context.last == 4, task_rows(site)
+
+
+async def watch_quota(context, site):
+    site.start()
+    for _ in range(80):
+        await asyncio.sleep(0.5)
+        placed = [row for row in task_rows(site).values() if tasks.may_run(row)]
+        context.last = len(placed)
+        context.most = max(context.most, context.last)
+    await site.stop()
+
+
+@behave.then("at no time did the team use more than 4 cores, and in the end just these")
+def check_quota(context):
+    assert context.most == 4, context.most
