--- a/features/fleet.py
+++ b/features/fleet.py
@@ -20,6 +20,7 @@
 LEASE_S = 3.0
 PAUSE_S = 3 * LEASE_S
 OUTAGE_S = 12.0
+RESCAN_S = 3.0
 FAULTS = ("pause before", "pause after", "lost answer", "outage", "doubled call")
 OLD_S = -28 * 86_400.0
 
@@ -39,6 +40,7 @@
         self.wrong = []
         self.up = []
         self.outage_until_s = -1.0
+        self.delay_s = 0.001
         self.required = {}
         self.calls_until_done = 0
 
@@ -56,12 +58,14 @@
         self.entries[name] = pools.Pools(
             rows=port,
             workforce=port,
+            minions=lambda: self.fleet.minions,
             in_force=configuration.InForce(
                 configuration.Accepted(head=head, declarations=self.declared)
             ),
             known=known,
             book=leases.Leases(ids.EntryId(name), f"{name}-first", LEASE_S),
             interval_s=1.0,
+            rescan_interval_s=RESCAN_S,
             plan=self.plan,
             wall_clock=lambda: asyncio.get_running_loop().time(),
         )
@@ -73,7 +77,9 @@
     async def stop(self):
         for task in self.tasks.values():
             task.cancel()
-        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        ends = await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        crashes = [end for end in ends if not isinstance(end, asyncio.CancelledError)]
+        assert not crashes, crashes
 
     def rows(self):
         found = self.store.scan(hosts.PREFIX, "", 10_000)
@@ -102,8 +108,8 @@
     def check(self, what):
         ready = dict.fromkeys(self.required, 0)
         for worker, row in self.rows().items():
-            record = self.workforce.workers[worker]
-            if row.step is not hosts.HostStep.SERVING:
+            record = self.workforce.workers.get(worker)
+            if row.step is not hosts.HostStep.SERVING or record is None:
                 continue
             if record.state is not workers.WorkerState.READY or record.pool != row.pool:
                 self.wrong.append(("pool", what, row, record))
@@ -165,16 +171,14 @@
     async def list_workers(self, after_revision=-1):
         return await self._call(lambda: self.site.workforce.listed(after_revision))
 
-    async def fleet(self, after_revision=-1):
-        return await self._call(
-            lambda: None if after_revision >= self.site.fleet.revision else self.site.fleet
-        )
-
     async def order(self, order):
         return await self._call(lambda: self.site.workforce.take(order), changes=True)
 
+    async def usage(self):
+        return await self._call(self.site.workforce.usage)
+
     async def _call(self, effect, changes=False):
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(self.site.delay_s)
         now_s = asyncio.get_running_loop().time()
         fault = self.gate.next_fault() if self.gate else None
         if fault == "outage":
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -225,3 +225,57 @@
     served = hosts.next_row(following, held().lease, False, 9.0)
     # A worker that was called back was not maintained.
     assert (served.maintained_at_s == 9.0) == (not recall), served
+
+
+@behave.when("the platform lists the first worker no more for {hours:g} h and then for {more:g} h")
+def unlist(context, hours, more):
+    site = context.site
+
+    async def work():
+        site.start()
+        await asyncio.sleep(5.0)
+        site.workforce.enlist([r for r in context.records if r.worker != "a-w0"])
+        await asyncio.sleep(hours * 3600.0)
+        context.kept = site.rows()["a-w0"]
+        await asyncio.sleep(more * 3600.0)
+        await site.stop()
+
+    clock.run(work())
+
+
+@behave.then("the first worker's row was first kept as withdrawn")
+def check_withdrawn(context):
+    assert context.kept.step is hosts.HostStep.WITHDRAWN
+
+
+@behave.then("the first worker's row and its debits are gone")
+def check_forgotten(context):
+    assert "a-w0" not in context.site.rows() and len(context.site.rows()) == 11
+    row = context.site.store.read(budgets.key("a"))
+    assert "a-w0" not in codecs.unpack(row.value, budgets.BudgetRow).draining
+
+
+@behave.given('workers "{days}" with days since maintenance and {away} away for it')
+def make_aged(context, days, away):
+    context.now_s = 100 * DAY_S
+    context.aged = []
+    for text in days.split():
+        worker, rack, age = text.split(":")
+        row = hosts.HostRow(
+            worker=worker,
+            pool="a",
+            zone=rack,
+            rack=rack,
+            maintained_at_s=context.now_s - int(age) * DAY_S,
+        )
+        if worker == away:
+            row = hosts.drained_for(row, held().lease, hosts.Purpose.MAINTENANCE)
+        context.aged.append(row)
+
+
+@behave.then('maintenance with 2 at once takes "{chosen}"')
+@behave.then('maintenance with 2 at once takes ""')
+def check_taken(context, chosen=""):
+    rule = declarations.Maintenance(pool="a", at_most_at_once=2)
+    found = maintenance.candidates(rule, context.aged, context.now_s)
+    assert ",".join(row.worker for row in found) == chosen, found
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -5,7 +5,7 @@
 import random
 import uuid
 
-from nutmegshelf import configuration, exceptions, explain, leases, members, messages
+from nutmegshelf import configuration, exceptions, explain, leases, members, messages, platform
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
@@ -20,6 +20,7 @@
     minions,
     operator,
     peers,
+    planner,
     pools,
     publisher,
     relay,
@@ -79,13 +80,17 @@
             own.heartbeat_interval_s,
             on_entries=self._health.targets.set_entries,
         )
+        self._planner = planner.Planner(own.entry, self._peers, self._slots)
         self._pools = pools.Pools(
             rows=self._table,
             workforce=self._table,
+            minions=self._listed_minions,
             in_force=self._in_force,
             known=self._members,
             book=leases.Leases(own.entry, uuid.uuid4().hex, own.pool_lease_s),
             interval_s=own.poll_interval_s,
+            rescan_interval_s=own.pool_rescan_s,
+            plan=self._planner.plan,
         )
         self._operator = operator.Operator(
             own=own,
@@ -127,6 +132,7 @@
                 group.create_task(self._pools.run()),
                 group.create_task(self._claimant.run()),
                 group.create_task(self._claim_sweeper.run()),
+                group.create_task(self._planner.run()),
             ]
             await self._shutdown.wait_asked()
             self._operator.ready = False
@@ -175,11 +181,18 @@
         self._relay.is_stale = not is_confirmed
         self._operator.is_stale = not is_confirmed
 
+    def _listed_minions(self) -> tuple[platform.MinionRecord, ...] | None:
+        # Bad news counts as leaving, so the budgets see what has failed behind the list's lag.
+        known = self._health.targets
+        return known.records() if known.revision >= 0 else None
+
     async def _take_message(self, message: messages.Any) -> None:
         self._members.heard(message.sender, asyncio.get_running_loop().time())
         match message:
             case messages.BadNews() | messages.MinionsRecovered():
                 self._health.take_message(message)
+            case messages.DemandReport():
+                self._planner.take(message)
             case messages.Hello():
                 if self._heartbeat.take_hello(message.row):
                     self._health.greet()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections.abc
+import dataclasses
+import math
 import time
 
 from nutmegshelf import (
@@ -21,13 +23,16 @@
     workers,
 )
 
-from nutmegshelf_entry import logs, table
+from nutmegshelf_entry import logs, placements, table
 
 _SCAN_ROWS = 1000
 _FORECAST_INTERVAL_S = 60.0
 _TURN_S = 1800.0
+_FORGET_AFTER_S = 3600.0
+_LEASE_READ_FRACTION = 0.2
 _log = logs.part("pools")
 
+Minions = collections.abc.Callable[[], tuple[platform.MinionRecord, ...] | None]
 Plan = collections.abc.Callable[[drains.View, ids.PoolName], list[moves.Transfer]]
 
 
@@ -46,49 +51,66 @@
         *,
         rows: table.Rows,
         workforce: table.Workforce,
+        minions: Minions,
         in_force: configuration.InForce,
         known: members.Members,
         book: leases.Leases,
         interval_s: float,
+        rescan_interval_s: float = 30.0,
         plan: Plan | None = None,
         wall_clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
         self.decisions = decisions.ring()
+        self._view: drains.View | None = None
+        self._read_at_s = 0.0
+        self._lists: tuple[ids.Version, int] | None = None
         self._forecast_due_s: dict[ids.PoolName, float] = {}
+        self._missing_since_s: dict[ids.WorkerId, float] = {}
+        self._leases_read_s = -math.inf
         self._last_told: dict[str, tuple[decisions.Action, str]] = {}
         self._rows = rows
         self._workforce = workforce
+        self._read_minions = minions
         self._in_force = in_force
         self._members = known
         self._book = book
         self._interval_s = interval_s
         self._plan = plan
+        self._rescan_interval_s = rescan_interval_s
         self._wall_clock = wall_clock
+        self._placements = placements.Placements(self, workforce)
         self._workers: dict[ids.WorkerId, workers.WorkerRecord] = {}
         self._workers_revision = -1
         self._minions: tuple[platform.MinionRecord, ...] = ()
-        self._minions_revision = -1
 
     async def run(self) -> None:
         """Run passes for ever."""
         while True:
             try:
                 await self.run_pass()
-            except (exceptions.TableError, Conflict) as error:
+            except exceptions.TableError as error:
+                self._view = None
                 _log.warning("Ended a pass early.", error=str(error))
             await asyncio.sleep(self._interval_s)
 
     async def run_pass(self) -> None:
         """Take and renew leases, then run the held pools' steps; raises TableError."""
         accepted = self._in_force.accepted
-        if accepted is None:
+        minions = self._read_minions()
+        if accepted is None or minions is None:
+            # Without the list of minions every drain would look harmless.
             return
+        if minions != self._minions:
+            self._minions = minions
+            self._lists = None
         pools = sorted(accepted.declarations.pools)
         await self._keep_leases(pools)
         for pool in sorted(self._book.held.keys() & set(pools)):
             try:
                 await self._run_pool(accepted, pool)
             except Conflict as error:
+                self._view = None
+                self._leases_read_s = -math.inf
                 _log.info("Left a pool.", pool=pool, error=str(error))
 
     async def release_all(self) -> None:
@@ -98,49 +120,54 @@
 
     async def _keep_leases(self, pools: list[ids.PoolName]) -> None:
         now_s = asyncio.get_running_loop().time()
-        found = await self._scan(leases.PREFIX)
+        if now_s - self._leases_read_s < _LEASE_READ_FRACTION * self._book.duration_s:
+            return
+        found = await self.scan(leases.PREFIX)
+        self._leases_read_s = now_s
         for pool in self._book.observe(found, now_s):
-            self._decide(pool, decisions.Action.LOSE_LEASE, "another entry holds it")
+            self.tell(pool, decisions.Action.LOSE_LEASE, "another entry holds it")
         entries = [self._members.own, *(row.entry for row in self._members.live(now_s))]
         for pool in self._book.to_release(pools, entries, now_s):
             await self._rows.commit(self._book.releasing(pool))
             del self._book.held[pool]
-            self._decide(pool, decisions.Action.RELEASE_LEASE, "above the even share")
+            self.tell(pool, decisions.Action.RELEASE_LEASE, "above the even share")
         for pool in self._book.to_take(pools, entries, now_s):
             committed = await self._rows.commit(self._book.taking(pool))
             if committed.ok:
                 self._book.observe_own(committed.rows[0], now_s)
-                self._decide(pool, decisions.Action.TAKE_LEASE, "it was free or had lapsed")
+                self._view = None
+                self.tell(pool, decisions.Action.TAKE_LEASE, "it was free or had lapsed")
 
     async def _run_pool(self, accepted: configuration.Accepted, pool: ids.PoolName) -> None:
-        view = await self._read(accepted)
+        view = await self._current_view(accepted)
         if self._book.is_renewal_due(pool, asyncio.get_running_loop().time()):
-            await self._commit(pool, view, leases.fenced(self._book.held[pool]))
+            await self.commit(pool, view, leases.fenced(self._book.held[pool]))
         await self._enrol(pool, view)
-        rows = sorted(
-            (host.row for host in view.host_of.values() if host.row.pool == pool),
-            key=lambda row: row.worker,
-        )
-        for row in rows:
+        for row in sorted(view.rows_in(pool), key=lambda row: row.worker):
             await self._run_step(pool, view, row)
+        await self._placements.run(pool, view, self._workers)
         await self._move(pool, view)
         await self._maintain(pool, view)
 
-    async def _read(self, accepted: configuration.Accepted) -> drains.View:
-        # Budgets go first: what freed them is then surely seen in the workers' rows.
-        found = {row.key: row for row in await self._scan(budgets.PREFIX)}
-        rows = [hosts.read(row) for row in await self._scan(hosts.PREFIX)]
+    async def _current_view(self, accepted: configuration.Accepted) -> drains.View:
+        # Old rows do no harm, as every transaction is conditional on their versions; and whatever
+        # takes a service's minions away writes its budget's row, so no grant can overlook it.
+        now_s = asyncio.get_running_loop().time()
+        if self._view is None or now_s - self._read_at_s >= self._rescan_interval_s:
+            self._view = None
+            self._placements.forget_rows()
+            self._view = await self._read(accepted)
+            self._read_at_s = now_s
+            self._lists = None
         await self._refresh_lists()
-        declared = accepted.declarations
-        return drains.View(
-            declared=declared,
-            budget_of={
-                service: budgets.read(
-                    found.get(budgets.key(service), platform.Row(budgets.key(service), 0)), service
-                )
-                for service in declared.services
-            },
-            host_of={host.row.worker: host for host in rows},
+        lists = (accepted.head.version, self._workers_revision)
+        if lists == self._lists:
+            return self._view
+        self._lists = lists
+        self._view = dataclasses.replace(
+            self._view,
+            declared=accepted.declarations,
+            budget_of=self._budgets(accepted, self._view.budget_of),
             minions=self._minions,
             failed=frozenset(
                 worker
@@ -148,15 +175,41 @@
                 if record.state is not workers.WorkerState.READY
             ),
         )
+        return self._view
+
+    async def _read(self, accepted: configuration.Accepted) -> drains.View:
+        # Budgets go first: what freed them is then surely seen in the workers' rows.
+        found = await self.scan(budgets.PREFIX)
+        sent = await self.scan(moves.PREFIX)
+        rows = [hosts.read(row) for row in await self.scan(hosts.PREFIX)]
+        services = [ids.ServiceName(row.key.removeprefix(budgets.PREFIX)) for row in found]
+        return drains.View(
+            declared=accepted.declarations,
+            budget_of={
+                service: budgets.read(row, service)
+                for service, row in zip(services, found, strict=True)
+            },
+            host_of={host.row.worker: host for host in rows},
+            minions=self._minions,
+            move_of={ids.PoolName(row.key.removeprefix(moves.PREFIX)): row for row in sent},
+        )
+
+    @staticmethod
+    def _budgets(
+        accepted: configuration.Accepted, known: dict[ids.ServiceName, budgets.Budget]
+    ) -> dict[ids.ServiceName, budgets.Budget]:
+        return {
+            service: known.get(service) or budgets.Budget(budgets.BudgetRow(service=service), 0)
+            for service in accepted.declarations.services
+        }
 
     async def _refresh_lists(self) -> None:
         listed = await self._workforce.list_workers(self._workers_revision)
         if listed is not None and listed.revision > self._workers_revision:
             self._workers_revision = listed.revision
             self._workers = {record.worker: record for record in listed.workers}
-        fleet = await self._workforce.fleet(self._minions_revision)
-        if fleet is not None and fleet.revision > self._minions_revision:
-            self._minions_revision, self._minions = fleet.revision, fleet.minions
+            for worker in self._missing_since_s.keys() & self._workers.keys():
+                del self._missing_since_s[worker]
 
     async def _enrol(self, pool: ids.PoolName, view: drains.View) -> None:
         new = [
@@ -167,7 +220,7 @@
         for record in new:
             row = hosts.enrolled(record, self._wall_clock())
             absent = platform.Condition(hosts.key(record.worker), 0)
-            await self._commit(
+            await self.commit(
                 pool, view, leases.fenced(self._book.held[pool], (absent,), (hosts.write(row),))
             )
 
@@ -177,13 +230,23 @@
         gone = record is None or record.state is workers.WorkerState.GONE
         if gone and row.step is not hosts.HostStep.WITHDRAWN:
             await self._advance(pool, view, hosts.withdrawn(row, lease))
-            self._decide(row.worker, decisions.Action.WITHDRAWN, "the platform took it back")
+            self.tell(row.worker, decisions.Action.WITHDRAWN, "the platform took it back")
+        elif record is None:
+            await self._forget(pool, view, row.worker)
         elif not gone and row.step is hosts.HostStep.WITHDRAWN:
             await self._advance(pool, view, hosts.returned(row, lease))
-            self._decide(row.worker, decisions.Action.START, "the platform lists it again")
+            self.tell(row.worker, decisions.Action.START, "the platform lists it again")
         elif not gone and await self._order(row) is workers.Outcome.DONE:
             await self._finish_step(pool, view, row)
 
+    async def _forget(self, pool: ids.PoolName, view: drains.View, worker: ids.WorkerId) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._missing_since_s.setdefault(worker, now_s) < _FORGET_AFTER_S:
+            return
+        await self.commit(pool, view, drains.forget(view, self._book.held[pool], worker))
+        del view.host_of[worker], self._missing_since_s[worker]
+        self.tell(worker, decisions.Action.FORGET, "the platform lists it no more")
+
     async def _order(self, row: hosts.HostRow) -> workers.Outcome | None:
         # The order of a row goes before any next row, also before a recall: whoever sends it
         # again late finds it done already, and it does nothing.
@@ -197,15 +260,15 @@
         following = hosts.next_row(row, lease, recall, self._wall_clock())
         await self._advance(pool, view, following)
         if recall:
-            self._decide(row.worker, decisions.Action.RECALL, "a budget no longer holds")
+            self.tell(row.worker, decisions.Action.RECALL, "a budget no longer holds")
         elif following.pool != row.pool:
-            self._decide(row.worker, decisions.Action.MOVE, f"from {row.pool} to {following.pool}")
+            self.tell(row.worker, decisions.Action.MOVE, f"from {row.pool} to {following.pool}")
 
     async def _advance(
         self, pool: ids.PoolName, view: drains.View, following: hosts.HostRow
     ) -> None:
         transaction = drains.advance(view, self._book.held[pool], following.worker, following)
-        await self._commit(pool, view, transaction)
+        await self.commit(pool, view, transaction)
 
     async def _move(self, pool: ids.PoolName, view: drains.View) -> None:
         for transfer in self._plan(view, pool) if self._plan else []:
@@ -214,7 +277,7 @@
             )
 
     async def _maintain(self, pool: ids.PoolName, view: drains.View) -> None:
-        rows = [host.row for host in view.host_of.values() if host.row.pool == pool]
+        rows = view.rows_in(pool)
         for rule in view.declared.maintenance.values():
             if rule.pool != pool:
                 continue
@@ -231,7 +294,7 @@
         self._forecast_due_s[pool] = now_s + _FORECAST_INTERVAL_S
         found = maintenance.forecast(view, rule, _TURN_S, self._wall_clock())
         if not found.meets:
-            self._decide(pool, decisions.Action.MAINTENANCE_LATE, found.reason)
+            self.tell(pool, decisions.Action.MAINTENANCE_LATE, found.reason)
 
     async def drain(
         self,
@@ -243,18 +306,22 @@
         to_pool: ids.PoolName | None = None,
     ) -> bool:
         """Ask the budgets for a drain and write it down; raises TableError or Conflict."""
+        if worker in self._placements.guarded_at.get(pool, ()):
+            self.tell(worker, decisions.Action.REFUSE_DRAIN, "guarded work runs there")
+            return False
         match drains.grant(view, self._book.held[pool], worker, purpose, to_pool=to_pool):
             case drains.Refused() as refused:
-                self._decide(worker, decisions.Action.REFUSE_DRAIN, str(refused))
+                self.tell(worker, decisions.Action.REFUSE_DRAIN, str(refused))
                 return False
             case drains.Granted() as granted:
-                await self._commit(pool, view, granted.transaction)
-                self._decide(worker, decisions.Action.DRAIN, purpose.value)
+                await self.commit(pool, view, granted.transaction)
+                self.tell(worker, decisions.Action.DRAIN, purpose.value)
                 return True
 
-    async def _commit(
+    async def commit(
         self, pool: ids.PoolName, view: drains.View, transaction: platform.Transaction
-    ) -> None:
+    ) -> tuple[platform.Row, ...]:
+        """Commit a fenced transaction and give the rows written; raises TableError or Conflict."""
         committed = await self._rows.commit(transaction)
         own = next((row for row in committed.rows if row.key == leases.key(pool)), None)
         if not committed.ok:
@@ -262,8 +329,14 @@
         assert own is not None
         self._book.observe_own(own, asyncio.get_running_loop().time())
         view.take_rows(committed.rows)
+        return committed.rows
+
+    def held(self, pool: ids.PoolName) -> leases.Held:
+        """Give the lease of a held pool."""
+        return self._book.held[pool]
 
-    async def _scan(self, prefix: str) -> list[platform.Row]:
+    async def scan(self, prefix: str) -> list[platform.Row]:
+        """Read all rows of a prefix; raises TableUnavailable."""
         found: list[platform.Row] = []
         after = ""
         while True:
@@ -273,7 +346,8 @@
                 return found
             after = rows[-1].key
 
-    def _decide(self, name: str, action: decisions.Action, reason: str) -> None:
+    def tell(self, name: str, action: decisions.Action, reason: str) -> None:
+        """Record a decision and log it."""
         # A refusal that only repeats itself each pass is told once.
         if self._last_told.get(name) == (action, reason):
             return
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -98,12 +98,12 @@
     async def list_workers(self, after_revision: int = -1) -> workers.WorkerList | None:
         """Read the list of workers."""
 
-    async def fleet(self, after_revision: int = -1) -> platform.FleetList | None:
-        """Read the list of minions."""
-
     async def order(self, order: workers.AnyOrder) -> workers.Outcome:
         """Send an order."""
 
+    async def usage(self) -> list[workers.TaskUsage]:
+        """Read the lagged usage of tasks."""
+
 
 class Rows(typing.Protocol):
     """Name what parts of the daemon need of the table, so that tests can fake it."""
--- a/packages/nutmegshelf/src/nutmegshelf/drains.py
+++ b/packages/nutmegshelf/src/nutmegshelf/drains.py
@@ -1,9 +1,10 @@
 """Grant or refuse drains by the budgets of all services at a worker."""
 
+import collections
 import dataclasses
 import typing
 
-from nutmegshelf import budgets, declarations, hosts, ids, leases, platform
+from nutmegshelf import budgets, declarations, hosts, ids, leases, moves, platform
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,6 +17,18 @@
     minions: tuple[platform.MinionRecord, ...]
     suspects: frozenset[ids.MinionId] = frozenset()
     failed: frozenset[ids.WorkerId] = frozenset()
+    move_of: dict[ids.PoolName, platform.Row] = dataclasses.field(default_factory=dict)
+    _of_service: dict[ids.ServiceName, list[platform.MinionRecord]] = dataclasses.field(
+        init=False, default_factory=lambda: collections.defaultdict(list)
+    )
+    _at_worker: dict[ids.WorkerId, set[ids.ServiceName]] = dataclasses.field(
+        init=False, default_factory=lambda: collections.defaultdict(set)
+    )
+
+    def __post_init__(self) -> None:
+        for record in self.minions:
+            self._of_service[record.service].append(record)
+            self._at_worker[record.worker].add(record.service)
 
     def take_rows(self, rows: tuple[platform.Row, ...]) -> None:
         """Take rows as an own transaction wrote them."""
@@ -26,11 +39,16 @@
             elif row.key.startswith(budgets.PREFIX):
                 service = ids.ServiceName(row.key.removeprefix(budgets.PREFIX))
                 self.budget_of[service] = budgets.read(row, service)
+            elif row.key.startswith(moves.PREFIX):
+                self.move_of[ids.PoolName(row.key.removeprefix(moves.PREFIX))] = row
+
+    def rows_in(self, pool: ids.PoolName) -> list[hosts.HostRow]:
+        """Give the rows of a pool's workers."""
+        return [host.row for host in self.host_of.values() if host.row.pool == pool]
 
     def services_at(self, worker: ids.WorkerId) -> list[ids.ServiceName]:
         """Name the declared services with a minion at a worker."""
-        found = {record.service for record in self.minions if record.worker == worker}
-        return sorted(found & self.budget_of.keys())
+        return sorted(self._at_worker.get(worker, set()) & self.budget_of.keys())
 
     def places(self, service: ids.ServiceName) -> list[budgets.Place]:
         """Give the places of a service's minions, with those that may have failed as down."""
@@ -38,8 +56,7 @@
             budgets.Place(
                 record.minion, record.worker, record.rack, record.zone, self._is_up(record)
             )
-            for record in self.minions
-            if record.service == service
+            for record in self._of_service.get(service, ())
         ]
 
     def standing(
@@ -48,11 +65,14 @@
         """Count a service's budget with all that is draining and some more workers away."""
         budget = self.budget_of.get(service)
         draining = frozenset(budget.row.draining) if budget else frozenset()
-        rows = frozenset(worker for worker, host in self.host_of.items() if hosts.is_away(host.row))
+        places = self.places(service)
+        rows = frozenset(place.worker for place in places if self._is_away_by_its_row(place.worker))
         away = draining | rows | also
-        return budgets.standing(
-            budgets.required(self.declared, service), self.places(service), away
-        )
+        return budgets.standing(budgets.required(self.declared, service), places, away)
+
+    def _is_away_by_its_row(self, worker: ids.WorkerId) -> bool:
+        host = self.host_of.get(worker)
+        return host is None or hosts.is_away(host.row)
 
     def room(self, service: ids.ServiceName) -> int:
         """Count how many of a service's minions could drain at once with all else well."""
@@ -106,11 +126,15 @@
     host = view.host_of[worker]
     row = hosts.drained_for(host.row, held.lease, purpose, to_pool)
     taken = [view.budget_of[service] for service in services]
-    transaction = leases.fenced(
-        held,
-        (host.condition, *(budget.condition for budget in taken)),
-        (hosts.write(row), *(budget.taking(worker) for budget in taken)),
-    )
+    conditions = [host.condition, *(budget.condition for budget in taken)]
+    writes = [hosts.write(row), *(budget.taking(worker) for budget in taken)]
+    if to_pool is not None:
+        # Givers of several pools race for one receiver; its row lets one through at a time.
+        absent = platform.Row(moves.key(to_pool), 0)
+        condition, write = moves.sending(view.move_of.get(to_pool, absent), to_pool)
+        conditions.append(condition)
+        writes.append(write)
+    transaction = leases.fenced(held, tuple(conditions), tuple(writes))
     return Granted(transaction, row)
 
 
@@ -133,6 +157,19 @@
     )
 
 
+def forget(view: View, held: leases.Held, worker: ids.WorkerId) -> platform.Transaction:
+    """Delete the row of a worker that exists no more, and return its budgets."""
+    debited = [one for one in view.budget_of.values() if worker in one.row.draining]
+    return leases.fenced(
+        held,
+        (view.host_of[worker].condition, *(budget.condition for budget in debited)),
+        (
+            platform.Write(hosts.key(worker), None),
+            *(budget.returning(worker) for budget in debited),
+        ),
+    )
+
+
 def should_recall(view: View, worker: ids.WorkerId) -> bool:
     """Say whether a drain is to be called back, as its services' budgets no longer hold."""
     services = [
--- a/standins/src/nutmegshelf_standins/demo.py
+++ b/standins/src/nutmegshelf_standins/demo.py
@@ -11,7 +11,7 @@
 import tomllib
 
 import msgspec
-from nutmegshelf import codecs, declarations, ids, platform
+from nutmegshelf import codecs, declarations, ids, platform, workers
 from nutmegshelf_http import client
 
 from nutmegshelf_standins import caller, minion, process
@@ -58,13 +58,14 @@
         minion_mean_s: float = 0.02,
         *,
         folder: str = "demo",
+        settings: str = "",
     ) -> None:
         self.rng = random.Random(seed)
         self.entries: dict[str, process.Process] = {}
         self.ports: dict[str, _Ports] = {}
         self.minions: dict[ids.MinionId, process.Process] = {}
         self.records: list[platform.MinionRecord] = []
-        self.extra_settings = ""
+        self.extra_settings = settings
         self._group = group
         self._seed = seed
         self._minion_mean_s = minion_mean_s
@@ -88,6 +89,7 @@
             )
         )
         await self.list_fleet()
+        await self.list_workers()
         names = [f"entry-{number}" for number in range(entries)]
         for name in names:
             await self.start_entry(name)
@@ -125,6 +127,35 @@
         await control.request("PUT", "/control/fleet", codecs.pack(listed))
         control.close()
 
+    async def list_workers(self) -> None:
+        """Put a worker for each minion on the platform's list."""
+        listed = [
+            workers.WorkerRecord(
+                worker=record.worker,
+                zone=record.zone,
+                rack=record.rack,
+                pool=self.declared.services[record.service].pool,
+            )
+            for record in self.records
+        ]
+        control = client.Client(_HOST, self.platform_port)
+        await control.request("PUT", "/control/workers", codecs.pack(listed))
+        control.close()
+
+    async def rows(self, prefix: str) -> list[platform.Row]:
+        """Read rows of the platform's table."""
+        link = client.Client(_HOST, self.platform_port)
+        answer = await link.request("GET", f"/scan/{prefix}")
+        link.close()
+        return codecs.unpack(answer.body, list[platform.Row])
+
+    async def write(self, write: platform.Write) -> None:
+        """Write a row of the platform's table whatever it holds."""
+        link = client.Client(_HOST, self.platform_port)
+        transaction = platform.Transaction(writes=(write,))
+        await link.request("POST", "/table", codecs.pack(transaction))
+        link.close()
+
     async def start_entry(self, name: str) -> None:
         """Start an entry in the next availability zone."""
         zone = self.zones[len(self.ports) % len(self.zones)]
