--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/placements.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/placements.py
@@ -28,7 +28,7 @@
 class Holder(typing.Protocol):
     """Name what placing needs of the part that holds the leases."""
 
-    commits: int
+    changes: int
 
     def held(self, pool: ids.PoolName) -> leases.Held:
         """Give the lease of a pool."""
@@ -54,7 +54,7 @@
         self._quota_rows: dict[str, platform.Row] = {}
         self._in_pool: dict[ids.PoolName, set[ids.TaskId]] = collections.defaultdict(set)
         self._used: dict[ids.PoolName, dict[ids.TeamName, sizes.Size]] = {}
-        self._placed_at: dict[ids.PoolName, tuple[int, int]] = {}
+        self._placed_at: dict[ids.PoolName, int] = {}
         self._holder = holder
         self._workforce = workforce
         self._sizes = sizes.Sizes()
@@ -74,7 +74,7 @@
             self.guarded_at[pool] = frozenset()
             return
         await self._settle(pool, view, known)
-        if self._placed_at.get(pool) == (id(view), self._holder.commits):
+        if self._placed_at.get(pool) == self._holder.changes:
             # Nothing changed since this pool was placed last, so the choices would be the same.
             return
         placer = self._placer(pool, view, records, known)
@@ -87,7 +87,7 @@
         self._note_guarded(pool, known)
         self._tell(choices)
         await self._send([row for row in changed if row.pool == pool])
-        self._placed_at[pool] = (id(view), self._holder.commits)
+        self._placed_at[pool] = self._holder.changes
 
     def forget_rows(self) -> None:
         """Read all rows again in the next pass, and place all pools again."""
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -63,7 +63,7 @@
         plan: Plan | None = None,
         wall_clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
-        self.commits = 0
+        self.changes = 0
         self._told = told
         self._view: drains.View | None = None
         self._read_at_s = 0.0
@@ -168,6 +168,7 @@
         if lists == self._lists:
             return self._view
         self._lists = lists
+        self.changes += 1
         self._view = dataclasses.replace(
             self._view,
             declared=accepted.declarations,
@@ -333,7 +334,7 @@
         assert own is not None
         self._book.observe_own(own, asyncio.get_running_loop().time())
         view.take_rows(committed.rows)
-        self.commits += 1
+        self.changes += 1
         return committed.rows
 
     def standings(self) -> list[standings.PoolStanding]:
