--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import time
 import uuid
 
 from nutmegshelf import (
@@ -90,6 +89,7 @@
             own.heartbeat_interval_s,
             on_entries=self._health.targets.set_entries,
         )
+        self._fleet_decisions = decisions.ring()
         self._planner = planner.Planner(own.entry, self._peers, self._slots)
         self._pools = pools.Pools(
             rows=self._table,
@@ -101,7 +101,7 @@
             interval_s=own.poll_interval_s,
             rescan_interval_s=own.pool_rescan_s,
             plan=self._planner.plan,
-            told=self._keep_decision,
+            told=self._fleet_decisions.append,
         )
         self._operator = operator.Operator(
             own=own,
@@ -112,7 +112,7 @@
             metrics=self._telemetry,
             explained=self._decisions,
             records=self._health.targets.records,
-            fleet_decisions=self._pools.decisions,
+            fleet_decisions=self._fleet_decisions,
         )
         self._operator.show_pools = self._pools.standings
         self._operators_port = 0
@@ -193,13 +193,6 @@
         self._relay.is_stale = not is_confirmed
         self._operator.is_stale = not is_confirmed
 
-    def _keep_decision(self, made: decisions.Decision) -> None:
-        self._decisions.add(
-            explain.Decision(
-                kind=made.action.value, subject=made.name, reason=made.reason, at_s=time.time()
-            )
-        )
-
     def _listed_minions(self) -> tuple[platform.MinionRecord, ...] | None:
         # Bad news counts as leaving, so the budgets see what has failed behind the list's lag.
         known = self._health.targets
--- a/packages/nutmegshelf/src/nutmegshelf/decisions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/decisions.py
@@ -1,8 +1,11 @@
 """Record what was decided about the fleet, and why."""
 
+import collections
 import dataclasses
 import enum
 
+_KEPT = 1024
+
 
 class Action(enum.Enum):
     """Close the list of what the fleet's decisions do."""
@@ -34,3 +37,8 @@
     action: Action
     reason: str
     at_s: float
+
+
+def ring() -> collections.deque[Decision]:
+    """Make a bounded list of the last decisions."""
+    return collections.deque(maxlen=_KEPT)
