--- a/features/fleet.py
+++ b/features/fleet.py
@@ -256,3 +256,14 @@
             for record in records
         ),
     )
+
+
+def job(team="t", cores=1.0, memory_gb=1.0, kind="normal", **more):
+    return declarations.Job(
+        pool="a",
+        team=team,
+        cores=cores,
+        memory_gb=memory_gb,
+        request_class=declarations.RequestClass(kind),
+        **more,
+    )
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -6,16 +6,13 @@
 import behave
 import msgspec
 from nutmegshelf import (
-    blame,
     configuration,
     decisions,
     declarations,
     hosts,
     ids,
     maintenance,
-    placement,
     platform,
-    sizes,
     tasks,
     workers,
 )
@@ -27,110 +24,11 @@
 WORKER = {"cores": 8.0, "memory_gb": 64.0}
 
 
-def job(team="t", cores=1.0, memory_gb=1.0, kind="normal", **more):
-    return declarations.Job(
-        pool="a",
-        team=team,
-        cores=cores,
-        memory_gb=memory_gb,
-        request_class=declarations.RequestClass(kind),
-        **more,
-    )
-
-
 def declare(jobs, workers_count=6, **maintained):
     declared = fleet.declare(["a"], workers_count, 0.0, **maintained)
     return msgspec.structs.replace(declared, services={}, budgets={}, jobs=jobs)
 
 
-def amounts(text):
-    cores, memory, accelerators = text.split()
-    return float(cores[:-1]), float(memory[:-1]), int(accelerators[:-1])
-
-
-@behave.given(
-    "a pool of {count:d} workers with {shape}, {per_rack:d} to a rack, "
-    "and a team quota of {quota:g} cores"
-)
-def make_pool(context, count, shape, per_rack, quota):
-    cores, memory_gb, accelerators = amounts(shape)
-    context.team = declarations.Team(
-        quota_cores=quota, quota_memory_gb=1000.0, quota_accelerators=8
-    )
-    context.workers = [
-        workers.WorkerRecord(
-            worker=f"w{number}",
-            zone=f"z{number // per_rack}",
-            rack=f"r{number // per_rack}",
-            pool="a",
-            cores=cores,
-            memory_gb=memory_gb,
-            accelerators=accelerators,
-        )
-        for number in range(count)
-    ]
-
-
-@behave.given('the running tasks "{running}"')
-@behave.given('the running tasks ""')
-def add_running(context, running=""):
-    context.jobs, context.rows = {}, []
-    for text in filter(None, map(str.strip, running.split(";"))):
-        worker, name, kind, cores, *marks = text.split()
-        guarded = "guarded" in marks
-        context.jobs[name] = job("others", float(cores[:-1]), 1.0, kind, guarded=guarded)
-        state = "checkpointing" if "checkpointing" in marks else "running"
-        context.rows.append(
-            tasks.TaskRow(
-                task=f"{name}/0",
-                job=name,
-                pool="a",
-                worker=worker,
-                state=tasks.TaskState(state),
-                guarded=guarded,
-            )
-        )
-
-
-@behave.when('a job wants "{text}"')
-def want(context, text):
-    kind, *shape, count = text.split()
-    cores, memory_gb, accelerators = amounts(" ".join(shape))
-    context.jobs["new"] = job(
-        "t", cores, memory_gb, kind, accelerators=accelerators, tasks=int(count[1:])
-    )
-    declared = declarations.DeclarationSet(jobs=context.jobs, teams={"t": context.team})
-    placer = placement.Placer("a", declared, sizes.Sizes(), blame.Blame())
-    for record in context.workers:
-        placer.add_worker(record, True)
-    for row in context.rows:
-        placer.add_task(row)
-    context.choices = placer.choose()
-
-
-@behave.then('the placer answers "{answer}"')
-def check_answer(context, answer):
-    where = {row.task: row.worker for row in context.rows}
-    words = []
-    for choice in context.choices:
-        match choice:
-            case placement.Start(_, worker):
-                words.append(("start", worker))
-            case placement.Yield(task, _):
-                words.append(("yield", where[task]))
-            case placement.Park(_, reason):
-                words.append(("park", reason))
-            case placement.Stop(task, _):
-                words.append(("stop", task))
-    verb, _, rest = answer.partition(" ")
-    if verb == "nothing":
-        assert not words, words
-    elif verb == "park":
-        assert len(words) == 1 and words[0][0] == "park" and rest in words[0][1], words
-    else:
-        assert words == [(verb, worker) for worker in rest.split(",")], words
-
-
 def make_site(context, declared, count, names=("entry-0",), gates=None):
     records = [
         msgspec.structs.replace(record, **WORKER)
@@ -170,7 +68,9 @@
 
 @behave.given("4 workers full of less urgent tasks and calls that take {delay_s:g} s")
 def fill(context, delay_s):
-    context.filling = {f"fill-{kind}": job(cores=4.0, kind=kind, tasks=4) for kind in KINDS[1:]}
+    context.filling = {
+        f"fill-{kind}": fleet.job(cores=4.0, kind=kind, tasks=4) for kind in KINDS[1:]
+    }
     make_site(context, declare(context.filling, 4), 4).delay_s = delay_s
 
 
@@ -186,7 +86,7 @@
         await asyncio.sleep(15.0)
         assert len(site.workforce.tasks) == 8, site.workforce.tasks
         asked_s = asyncio.get_running_loop().time()
-        urgent = job(cores=6.0, kind="urgent", tasks=4)
+        urgent = fleet.job(cores=6.0, kind="urgent", tasks=4)
         publish(site, declare({**context.filling, "urgent": urgent}, 4))
         await asyncio.sleep(30.0)
         context.waits_s = [
@@ -207,9 +107,9 @@
 @behave.given("jobs of every class, one guarded, on 6 workers and two entries")
 def make_jobs(context):
     context.jobs = {
-        "batch": job(cores=4.0, kind="batch", tasks=9),
-        "normal": job(cores=2.0, tasks=4),
-        "payout": job(cores=2.0, kind="urgent", tasks=2, guarded=True),
+        "batch": fleet.job(cores=4.0, kind="batch", tasks=9),
+        "normal": fleet.job(cores=2.0, tasks=4),
+        "payout": fleet.job(cores=2.0, kind="urgent", tasks=2, guarded=True),
     }
 
 
@@ -232,7 +132,7 @@
 async def run_and_withdraw(site, jobs):
     site.start()
     await asyncio.sleep(15.0)
-    publish(site, declare({**jobs, "urgent": job(cores=4.0, kind="urgent", tasks=4)}))
+    publish(site, declare({**jobs, "urgent": fleet.job(cores=4.0, kind="urgent", tasks=4)}))
     await asyncio.sleep(5.0)
     site.workforce.withdraw("a-w0")
     for _ in range(300):
@@ -282,7 +182,7 @@
 
 @behave.given("{count:d} jobs that run for {runs_s:g} s each again and again on {on:d} workers")
 def make_short_jobs(context, count, runs_s, on):
-    jobs = {f"j{number}": job(cores=1.0, tasks=6) for number in range(count)}
+    jobs = {f"j{number}": fleet.job(cores=1.0, tasks=6) for number in range(count)}
     site = make_site(context, declare(jobs, on), on)
     site.workforce.runs_s = dict.fromkeys(jobs, runs_s)
 
@@ -334,7 +234,7 @@
 
 @behave.given("a job of 40 small tasks that run on 6 workers")
 def make_many(context):
-    make_site(context, declare({"many": job(cores=1.0, tasks=40)}), 6)
+    make_site(context, declare({"many": fleet.job(cores=1.0, tasks=40)}), 6)
 
 
 @behave.when("the job is taken out of the declarations")
@@ -378,7 +278,7 @@
     "on 2 workers of 8 cores"
 )
 def make_wrong_size(context, count, declared, used):
-    jobs = {"wrong": job(cores=declared, tasks=count)}
+    jobs = {"wrong": fleet.job(cores=declared, tasks=count)}
     make_site(context, declare(jobs, 2), 2).workforce.used["wrong"] = (used, 1.0)
 
 
@@ -391,7 +291,7 @@
     "a guarded task that runs for {seconds:g} s on the one worker that is due for maintenance"
 )
 def make_guarded(context, seconds):
-    declared = declare({"payout": job(cores=2.0, guarded=True)}, 1, at_most_at_once=1)
+    declared = declare({"payout": fleet.job(cores=2.0, guarded=True)}, 1, at_most_at_once=1)
     site = make_site(context, declared, 1)
     site.workforce.runs_s["payout"] = seconds
     old = hosts.enrolled(next(iter(site.workforce.workers.values())), -30 * maintenance.DAY_S)
@@ -407,7 +307,8 @@
 @behave.given("jobs of one team in two pools that together want twice its quota of 4 cores")
 def make_team_jobs(context):
     jobs = {
-        name: msgspec.structs.replace(job(cores=1.0, tasks=4), pool=name) for name in ("a", "b")
+        name: msgspec.structs.replace(fleet.job(cores=1.0, tasks=4), pool=name)
+        for name in ("a", "b")
     }
     team = declarations.Team(quota_cores=4.0, quota_memory_gb=100.0)
     declared = fleet.declare(["a", "b"], 2, 0.0)
--- /dev/null
+++ b/features/steps/placer_steps.py
@@ -0,0 +1,94 @@
+"""Ask the kernel's placer where tasks go."""
+
+import behave
+from nutmegshelf import blame, declarations, placement, sizes, tasks, workers
+
+from features import fleet
+
+
+def amounts(text):
+    cores, memory, accelerators = text.split()
+    return float(cores[:-1]), float(memory[:-1]), int(accelerators[:-1])
+
+
+@behave.given(
+    "a pool of {count:d} workers with {shape}, {per_rack:d} to a rack, "
+    "and a team quota of {quota:g} cores"
+)
+def make_pool(context, count, shape, per_rack, quota):
+    cores, memory_gb, accelerators = amounts(shape)
+    context.team = declarations.Team(
+        quota_cores=quota, quota_memory_gb=1000.0, quota_accelerators=8
+    )
+    context.workers = [
+        workers.WorkerRecord(
+            worker=f"w{number}",
+            zone=f"z{number // per_rack}",
+            rack=f"r{number // per_rack}",
+            pool="a",
+            cores=cores,
+            memory_gb=memory_gb,
+            accelerators=accelerators,
+        )
+        for number in range(count)
+    ]
+
+
+@behave.given('the running tasks "{running}"')
+@behave.given('the running tasks ""')
+def add_running(context, running=""):
+    context.jobs, context.rows = {}, []
+    for text in filter(None, map(str.strip, running.split(";"))):
+        worker, name, kind, cores, *marks = text.split()
+        guarded = "guarded" in marks
+        context.jobs[name] = fleet.job("others", float(cores[:-1]), 1.0, kind, guarded=guarded)
+        state = "checkpointing" if "checkpointing" in marks else "running"
+        context.rows.append(
+            tasks.TaskRow(
+                task=f"{name}/0",
+                job=name,
+                pool="a",
+                worker=worker,
+                state=tasks.TaskState(state),
+                guarded=guarded,
+            )
+        )
+
+
+@behave.when('a job wants "{text}"')
+def want(context, text):
+    kind, *shape, count = text.split()
+    cores, memory_gb, accelerators = amounts(" ".join(shape))
+    context.jobs["new"] = fleet.job(
+        "t", cores, memory_gb, kind, accelerators=accelerators, tasks=int(count[1:])
+    )
+    declared = declarations.DeclarationSet(jobs=context.jobs, teams={"t": context.team})
+    placer = placement.Placer("a", declared, sizes.Sizes(), blame.Blame())
+    for record in context.workers:
+        placer.add_worker(record, True)
+    for row in context.rows:
+        placer.add_task(row)
+    context.choices = placer.choose()
+
+
+@behave.then('the placer answers "{answer}"')
+def check_answer(context, answer):
+    where = {row.task: row.worker for row in context.rows}
+    words = []
+    for choice in context.choices:
+        match choice:
+            case placement.Start(_, worker):
+                words.append(("start", worker))
+            case placement.Yield(task, _):
+                words.append(("yield", where[task]))
+            case placement.Park(_, reason):
+                words.append(("park", reason))
+            case placement.Stop(task, _):
+                words.append(("stop", task))
+    verb, _, rest = answer.partition(" ")
+    if verb == "nothing":
+        assert not words, words
+    elif verb == "park":
+        assert len(words) == 1 and words[0][0] == "park" and rest in words[0][1], words
+    else:
+        assert words == [(verb, worker) for worker in rest.split(",")], words
