--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -5,7 +5,16 @@
 import random
 import uuid
 
-from nutmegshelf import configuration, exceptions, explain, leases, members, messages, platform
+from nutmegshelf import (
+    configuration,
+    decisions,
+    exceptions,
+    explain,
+    leases,
+    members,
+    messages,
+    platform,
+)
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
@@ -80,6 +89,7 @@
             own.heartbeat_interval_s,
             on_entries=self._health.targets.set_entries,
         )
+        self._fleet_decisions = decisions.ring()
         self._planner = planner.Planner(own.entry, self._peers, self._slots)
         self._pools = pools.Pools(
             rows=self._table,
@@ -91,6 +101,7 @@
             interval_s=own.poll_interval_s,
             rescan_interval_s=own.pool_rescan_s,
             plan=self._planner.plan,
+            told=self._fleet_decisions.append,
         )
         self._operator = operator.Operator(
             own=own,
@@ -101,8 +112,9 @@
             metrics=self._telemetry,
             explained=self._decisions,
             records=self._health.targets.records,
-            fleet_decisions=self._pools.decisions,
+            fleet_decisions=self._fleet_decisions,
         )
+        self._operator.show_pools = self._pools.standings
         self._operators_port = 0
         self._shutdown = shutdown.Shutdown(own.shutdown_grace_s, own.drain_timeout_s)
         self._callers = server.Server(
