End a stop also where a cancellation was lost

Seen once: make demo hung, as entry-0 had drained and never stopped. pynng's wait for a message swallows a cancellation that comes with the message, so one cancel may leave the task group waiting; that this was it is inferred from the open peers' socket and pynng's code, not seen in the hung process. Tasks are now cancelled until they end, and the server aborts connections whose task never began.

Seen to fail with one cancellation only: "A cancellation that is lost once does not hold up the stop" (the entry does not exit).

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -38,3 +38,8 @@
       | what         | limit |
       | the platform | 10    |
       | every minion | 40    |
+
+  Scenario: A cancellation that is lost once does not hold up the stop
+    Given the wait for peers' messages at "entry-0" swallows one cancellation
+    When the entry "entry-0" has been asked to stop for 0.1 s while "long" runs
+    Then the long call is whole in the end, and the entry exits
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -118,3 +118,23 @@
         await asyncio.gather(context.long, return_exceptions=True)
 
     context.run_hosts(main())
+
+
+@behave.given('the wait for peers\' messages at "{entry}" swallows one cancellation')
+def swallow_cancellation(context, entry):
+    inbox = context.hosts.daemons[entry]._peers._inbox
+    get = inbox.get
+    swallowed = []
+
+    async def stubborn():
+        try:
+            return await get()
+        except asyncio.CancelledError:
+            if swallowed:
+                raise
+            swallowed.append(True)
+            return await get()
+
+    inbox.get = stubborn
+    # The next message ends the wait that runs already.
+    context.run_hosts(asyncio.sleep(5))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -154,8 +154,7 @@
                 self._heartbeat.beat,
                 [self._settle_claims, self._pools.release_all, self._heartbeat.leave],
             )
-            for task in tasks:
-                task.cancel()
+            await shutdown.end(tasks)
         await self._callers.close()
         await self._operators.close()
         self._pool.close()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shutdown.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shutdown.py
@@ -10,6 +10,7 @@
 
 from nutmegshelf_entry import logs
 
+_CANCEL_INTERVAL_S = 0.5
 _log = logs.part("shutdown")
 
 Step = collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -72,6 +73,16 @@
             await _try(step)
 
 
+async def end(tasks: collections.abc.Iterable[asyncio.Task[None]]) -> None:
+    """Cancel tasks until all have ended."""
+    # A wait for a peer's message swallows a cancellation that comes with the message.
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=_CANCEL_INTERVAL_S)
+
+
 async def _try(step: Step) -> None:
     with contextlib.suppress(exceptions.TableError):
         await step()
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
@@ -166,6 +166,8 @@
             task.cancel()
         await asyncio.gather(*links, return_exceptions=True)
         for link in links.values():
+            # A task that never began has not ended its connection.
+            link.abort()
             await link.wait_closed()
 
     def _check_reads(self) -> None:
