Hold numbered seats, lend unused slots, route by evidence and bound overload

Cause: every entry had slots // seats of each minion (8 // 7 = 1), so one slot in eight lay idle and an entry with more callers than the others was held to its share. Now: seats are leased rows; the shares of the held seats add up to all slots; idle ones are lent to two random peers that ask. A seat bounds an entry's connections a minion (60 // 10 less a probe); a silent seat is given on only with proof that its process ended.

Changed tests: outcomes_steps filled the sound minion by adding to its count and waited for a time-out of 2 s to be set; it now takes its slots through the router and waits for the failure to be counted, with the same outcomes asked for. hosts gives 8 seats, as a seat is now one process and up to 4 run beside those just killed (2 seats left the third entry rightly not ready).

--- a/features/hosts.py
+++ b/features/hosts.py
@@ -169,7 +169,7 @@
             platform=settings.Platform(host="127.0.0.1", port=_PLATFORM_PORT),
             callers=settings.Listener(port=first),
             operators=settings.Operators(port=first + 1),
-            seats=2,
+            seats=8,
             heartbeat_interval_s=2.0,
             seed=self.seed,
         )
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -50,8 +50,10 @@
 @behave.when("a caller sends {method} with {sent:d} bytes to it first")
 def send_first(context, method, sent):
     site = context.site
-    scripted, sound = [target for target in site.slots._services["orders"].targets.values()]
-    sound.in_flight += sound.slots
+    dispatcher = site.slots._services["orders"]
+    scripted, sound = [target for target in dispatcher.targets.values()]
+    for _ in range(sound.slots):
+        dispatcher.router.start(sound)
 
     async def send():
         exchange = asyncio.ensure_future(
@@ -64,8 +66,8 @@
                 x_answer_bytes="64",
             )
         )
-        # Once the scripted one has been set apart, the sound one takes what is retried.
-        while not exchange.done() and not scripted.away_until_s:
+        # Once the scripted one has failed, the sound one takes what is retried.
+        while not exchange.done() and not scripted.failures_in_row:
             await asyncio.sleep(0.005)
         site.slots.release("orders", sound.record.minion)
         return await exchange
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -10,10 +10,12 @@
     decisions,
     exceptions,
     explain,
+    ids,
     leases,
     members,
     messages,
     platform,
+    seats,
 )
 from nutmegshelf_http import server
 
@@ -24,6 +26,7 @@
     configurator,
     health,
     heartbeat,
+    lending,
     listing,
     logs,
     minions,
@@ -33,6 +36,7 @@
     pools,
     publisher,
     relay,
+    seating,
     settings,
     shutdown,
     slots,
@@ -54,8 +58,27 @@
         self._table = table.Table(own.platform.host, own.platform.port, own.platform.timeout_s)
         self._slots = slots.Slots(own.zone, own.seats, random.Random(own.seed))
         self._pool = minions.MinionPool()
+        # Without a seat no connection to a minion may be opened.
+        self._slots.set_seating(None)
+        self._is_seated = False
         self._members = members.Members(own.entry, _SILENCE_BEATS * own.heartbeat_interval_s)
         self._peers = peers.Peers(own.entry, own.peers.host, own.peers.port)
+        self._lending = lending.Lending(
+            self._slots, self._members, self._peers, random.Random(own.seed)
+        )
+        self._seat = seating.SeatHolder(
+            self._table,
+            seats.Seats(
+                own.entry,
+                ids.ProcessId(f"{own.entry}.{uuid.uuid4().hex[:8]}"),
+                own.seats,
+                own.seat_lease_s,
+                own.seat_silence_limit_s,
+            ),
+            self._peers.address,
+            self._seated,
+            own.seat_interval_s,
+        )
         self._decisions = explain.Decisions()
         self._configurator = configurator.Configurator(
             own=own.entry,
@@ -137,6 +160,7 @@
             tasks = [
                 group.create_task(self._peers.run(self._take_message)),
                 group.create_task(self._heartbeat.run()),
+                group.create_task(self._seat.run()),
                 group.create_task(self._configurator.run()),
                 group.create_task(self._collector.run()),
                 group.create_task(self._fleet.run()),
@@ -152,7 +176,12 @@
                 [self._callers, self._operators],
                 self._refuse,
                 self._heartbeat.beat,
-                [self._settle_claims, self._pools.release_all, self._heartbeat.leave],
+                [
+                    self._settle_claims,
+                    self._pools.release_all,
+                    self._leave_seat,
+                    self._heartbeat.leave,
+                ],
             )
             for task in tasks:
                 task.cancel()
@@ -171,6 +200,10 @@
             async with asyncio.timeout(self._own.drain_timeout_s):
                 await self._claimant.wait_settled()
 
+    async def _leave_seat(self) -> None:
+        self._pool.abort()
+        await self._seat.release()
+
     def _row(self, beat: int) -> members.EntryRow:
         own = self._own
         return members.EntryRow(
@@ -185,9 +218,22 @@
 
     def _switched(self, accepted: configuration.Accepted) -> None:
         self._slots.set_declared(accepted.declarations)
-        if not self._shutdown.leaving:
-            self._relay.refusing = None
-            self._operator.ready = True
+        self._pool.limits = self._slots.connection_limits()
+        self._set_ready()
+
+    def _seated(self, seated: seats.Seating | None) -> None:
+        self._slots.set_seating(seated)
+        if seated is None:
+            self._pool.abort()
+        self._is_seated = seated is not None
+        self._set_ready()
+
+    def _set_ready(self) -> None:
+        if self._shutdown.leaving:
+            return
+        ready = self._is_seated and self._in_force.accepted is not None
+        self._relay.refusing = None if ready else exceptions.ErrorKind.NOT_READY
+        self._operator.ready = ready
 
     def _confirmed(self, is_confirmed: bool) -> None:
         self._relay.is_stale = not is_confirmed
@@ -200,6 +246,7 @@
 
     async def _take_message(self, message: messages.Any) -> None:
         self._members.heard(message.sender, asyncio.get_running_loop().time())
+        self._seat.heard(message.sender)
         match message:
             case messages.BadNews() | messages.MinionsRecovered():
                 self._health.take_message(message)
@@ -208,6 +255,12 @@
             case messages.Hello():
                 if self._heartbeat.take_hello(message.row):
                     self._health.greet()
+            case messages.SlotsWanted():
+                self._lending.answer(message)
+            case messages.SlotsLent():
+                self._lending.take(message)
+            case messages.SlotsReturned():
+                self._lending.take_back(message)
             case _:
                 self._configurator.take_message(message)
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
@@ -20,9 +20,12 @@
 
 
 class MinionPool:
-    """Own all connections to minions; at most one per granted slot is open."""
+    """Own all connections to minions, at most the seat's limit to each one."""
 
     def __init__(self) -> None:
+        self.limits: dict[ids.ServiceName, int] = {}
+        self._open: dict[ids.MinionId, set[channel.Channel]] = {}
+        self._opening: collections.Counter[ids.MinionId] = collections.Counter()
         self.on_refused: collections.abc.Callable[[ids.MinionId, str], None] | None = None
         self.on_ended: collections.abc.Callable[[ids.MinionId], None] | None = None
         self._idle: dict[ids.MinionId, collections.deque[_Idle]] = collections.defaultdict(
@@ -47,15 +50,37 @@
             kept.link.abort()
             if fresh:
                 break
+        self._check_limit(record)
+        self._opening[record.minion] += 1
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                return await client.open_channel(record.host, record.port), False
+                link = await client.open_channel(record.host, record.port)
+            self._open.setdefault(record.minion, set()).add(link)
+            return link, False
         except (OSError, TimeoutError) as error:
             if self.on_refused is not None:
                 self.on_refused(record.minion, repr(error))
             raise exceptions.RequestError(
                 exceptions.ErrorKind.MINION_REFUSED, f"{record.minion}: {error}"
             ) from error
+        finally:
+            self._opening[record.minion] -= 1
+
+    def _check_limit(self, record: platform.MinionRecord) -> None:
+        links = {link for link in self._open.get(record.minion, ()) if not link.is_closing()}
+        self._open[record.minion] = links
+        limit = self.limits.get(record.service)
+        if limit is not None and len(links) + self._opening[record.minion] >= limit:
+            detail = f"{record.minion}: {limit} connections are open"
+            raise exceptions.RequestError(exceptions.ErrorKind.OVERLOADED, detail)
+
+    def abort(self) -> None:
+        """End every connection at once, also those in use."""
+        for links in self._open.values():
+            for link in links:
+                link.abort()
+        self._open.clear()
+        self._idle.clear()
 
     def checkin(self, minion: ids.MinionId, link: channel.Channel) -> None:
         """Keep a connection for later, or end it where it can't be used again."""
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -22,7 +22,6 @@
     telemetry,
 )
 
-_AWAY_S = 2.0
 _MAX_ATTEMPTS = 3
 _ANSWER_TIMEOUT_S = 60.0
 _MINION_FAILURES = frozenset(
@@ -134,23 +133,37 @@
         avoid: frozenset[ids.MinionId] = frozenset()
         for number in range(1, _MAX_ATTEMPTS + 1):
             ticket = dispatch.Ticket(
-                request.id, request.rule.request_class, request.deadline_s, avoid
+                request.id,
+                request.rule.request_class,
+                request.deadline_s,
+                avoid,
+                request.idempotent,
             )
             work.patience.timeout_kind = exceptions.ErrorKind.DEADLINE_TOO_SHORT
             grant = await self._slots.acquire(request.service_name, ticket)
             minion = grant.minion.minion
             started_s = loop.time()
+            served_s: float | None = None
             try:
-                return await self._attempt(work, grant)
+                kept = await self._attempt(work, grant)
+                served_s = loop.time() - started_s
+                return kept
+            except asyncio.CancelledError:
+                if loop.time() >= request.deadline_s:
+                    timeout = exceptions.ErrorKind.MINION_TIMEOUT
+                    self._slots.report_failure(request.service_name, minion, timeout)
+                raise
             except exceptions.RequestError as error:
-                if error.kind in _MINION_FAILURES:
-                    self._slots.set_away(request.service_name, minion, _AWAY_S)
+                self._slots.report_failure(request.service_name, minion, error.kind)
                 if number == _MAX_ATTEMPTS or not _may_retry(work, error):
                     raise
+                if not self._slots.may_retry(request.service_name):
+                    _log.info("No retry budget is left.", request=request.id)
+                    raise
                 _log.info("Retrying a request.", request=request.id, kind=error.kind.value)
                 avoid |= {minion}
             finally:
-                self._slots.release(request.service_name, minion, loop.time() - started_s)
+                self._slots.release(request.service_name, minion, served_s)
         raise AssertionError("the last attempt returns or raises")
 
     @telemetry.hop(telemetry.MINION_HOP)
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/seating.py
@@ -0,0 +1,130 @@
+"""Hold a seat in the table, and tell the owner of the slots what share it gives."""
+
+import asyncio
+import collections.abc
+
+from nutmegshelf import exceptions, ids, seats
+
+from nutmegshelf_entry import logs, table
+
+_TRIES = 5
+_PROOF_TIMEOUT_S = 0.5
+_SETTLE_FRACTION = 1.25
+_log = logs.part("seating")
+
+Changed = collections.abc.Callable[[seats.Seating | None], None]
+# Says whether a connection to an address is refused, which proves that its process has ended.
+IsRefused = collections.abc.Callable[[str], collections.abc.Awaitable[bool]]
+
+
+async def is_refused(address: str) -> bool:
+    """Say whether nothing listens at a peer's address; a time-out proves nothing."""
+    host, _, port = address.rpartition("//")[2].rpartition(":")
+    try:
+        async with asyncio.timeout(_PROOF_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError, ValueError):
+        return False
+    writer.close()
+    return False
+
+
+class SeatHolder:
+    """Own this entry's seat: take it, renew it, and set apart those that ended."""
+
+    def __init__(
+        self,
+        rows: table.Rows,
+        known: seats.Seats,
+        address: str,
+        changed: Changed,
+        interval_s: float,
+        *,
+        proof: IsRefused = is_refused,
+    ) -> None:
+        self._rows = rows
+        self._seats = known
+        self._address = address
+        self._changed = changed
+        self._interval_s = interval_s
+        self._is_refused = proof
+        self._trouble = ""
+        self._released = False
+
+    async def run(self) -> None:
+        """Renew for ever."""
+        while not self._released:
+            try:
+                await self.renew()
+                self._note("" if self._seats.own else "No seat is free.")
+            except exceptions.TableError as error:
+                self._note(f"Could not renew the seat: {error}.")
+            if self._seats.is_fenced(asyncio.get_running_loop().time()):
+                self._note("Gave up the seat: alone for too long.")
+                self._changed(None)
+            seated = self._seats.own is not None
+            await asyncio.sleep(self._interval_s if seated else self._interval_s / 8)
+
+    async def renew(self) -> None:
+        """Read all seats, write the own one, judge the silent ones; raises TableError."""
+        unseated = self._seats.own is None
+        for _ in range(_TRIES):
+            await self._read()
+            claim = self._seats.claim(self._address)
+            if claim is None or self._released:
+                break
+            if await self._write(claim):
+                break
+        if unseated and self._seats.is_shared:
+            # The others give up their part of the new seat's share at their next renewal.
+            await asyncio.sleep(_SETTLE_FRACTION * self._interval_s)
+            await self._read()
+        self._changed(self._seats.seating())
+        await self._judge()
+
+    async def release(self) -> None:
+        """Give the seat up, after all connections to minions were closed; raises TableError."""
+        self._released = True
+        if claim := self._seats.release():
+            await self._rows.commit(claim.transaction())
+
+    def heard(self, entry: ids.EntryId) -> None:
+        """Note that an entry spoke."""
+        self._seats.heard(entry, asyncio.get_running_loop().time())
+
+    def _note(self, trouble: str) -> None:
+        # An outage may last for hours; one line at its start says it all.
+        if trouble and trouble != self._trouble:
+            _log.warning(trouble)
+        self._trouble = trouble
+
+    async def _write(self, claim: seats.Claim) -> bool:
+        loop = asyncio.get_running_loop()
+        before = self._seats.own
+        try:
+            committed = await self._rows.commit(claim.transaction())
+            if committed.ok:
+                self._seats.take_rows(list(committed.rows), loop.time())
+        except exceptions.TableAnswerLost:
+            # The row says who wrote it: reading it back settles a lost answer.
+            await self._read()
+        if before is None and self._seats.own is not None:
+            _log.info("Took a seat.", seat=claim.row.seat, epoch=self._seats.own.epoch)
+        return self._seats.own is not None and self._seats.own.renewal >= claim.row.renewal
+
+    async def _read(self) -> None:
+        found = await self._rows.scan(seats.PREFIX)
+        self._seats.take_rows(found, asyncio.get_running_loop().time())
+
+    async def _judge(self) -> None:
+        loop = asyncio.get_running_loop()
+        for row in self._seats.suspects(loop.time()):
+            if await self._is_refused(row.address):
+                self._seats.note_closed(row)
+        for claim in self._seats.lapses(loop.time()):
+            state = claim.row.state.value
+            _log.info("Judging a silent seat.", seat=claim.row.seat, state=state)
+            await self._write(claim)
+        self._changed(self._seats.seating())
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/settings.py
@@ -62,7 +62,10 @@
     callers: Listener = Listener()
     operators: Operators = Operators()
     peers: Listener = Listener()
-    seats: Positive = 7
+    seats: Positive = 10
+    seat_interval_s: Seconds = 2.0
+    seat_lease_s: Seconds = 8.0
+    seat_silence_limit_s: Seconds = 900.0
     heartbeat_interval_s: Seconds = 1.0
     poll_interval_s: Seconds = 1.0
     push: bool = True
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
@@ -107,6 +107,10 @@
         self.state.start_next_cycle()
         self.bytes_sent = 0
 
+    def is_closing(self) -> bool:
+        """Say whether this side has ended the connection or lost it."""
+        return self._stream.transport.is_closing()
+
     async def linger(self) -> None:
         """Close, but read on for a while, as unread bytes would destroy what was sent."""
         left_bytes = _LINGER_BYTES
--- a/packages/nutmegshelf/src/nutmegshelf/dispatch.py
+++ b/packages/nutmegshelf/src/nutmegshelf/dispatch.py
@@ -1,66 +1,31 @@
 """Decide which minion takes a request, what waits and what is refused, for one service."""
 
-import dataclasses
-import heapq
-import itertools
 import random
+import typing
 
-from nutmegshelf import declarations, exceptions, ids, platform
+from nutmegshelf import exceptions, ids, platform, queue, retries, routing, tickets
+
+Ticket = tickets.Ticket
+Grant = tickets.Grant
+Refusal = tickets.Refusal
+Decision = tickets.Decision
 
-_CLASS_RANK = {
-    declarations.RequestClass.URGENT: 0,
-    declarations.RequestClass.NORMAL: 1,
-    declarations.RequestClass.BATCH: 2,
-}
 _MIN_RETRY_AFTER_S = 1.0
 _MAX_RETRY_AFTER_S = 30.0
+_MIN_RETRY_SPREAD_S = 3.0
 _MEAN_WEIGHT = 0.05
+_DEVIATIONS = 2.0
 _FIRST_SERVICE_TIME_S = 0.05
+MINION_FAULTS = frozenset(
+    {
+        exceptions.ErrorKind.MINION_REFUSED,
+        exceptions.ErrorKind.MINION_CUT,
+        exceptions.ErrorKind.MINION_TIMEOUT,
+        exceptions.ErrorKind.MINION_BAD_ANSWER,
+    }
+)
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
-    """Ask for a slot."""
-
-    request: ids.RequestId
-    request_class: declarations.RequestClass
-    deadline_s: float
-    avoid: frozenset[ids.MinionId] = frozenset()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
-    """Give a request a slot at a minion."""
-
-    request: ids.RequestId
-    minion: platform.MinionRecord
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """Refuse a request that did not start."""
-
-    request: ids.RequestId
-    kind: exceptions.ErrorKind
-    retry_after_s: float
-
-
-Decision = Grant | Refusal
-
-
-@dataclasses.dataclass(slots=True)
-class Target:
-    """Keep what one entry knows of one minion."""
-
-    record: platform.MinionRecord
-    slots: int
-    in_flight: int = 0
-    leaving: bool = False
-    away_until_s: float = 0.0
-
-    def is_open(self, now_s: float) -> bool:
-        """Say whether new work may start here."""
-        return not self.leaving and self.away_until_s <= now_s and self.in_flight < self.slots
+SlotsOf = typing.Callable[[ids.MinionId], int]
 
 
 class Dispatcher:
@@ -68,113 +33,137 @@
 
     def __init__(self, queue_limit: int, zone: ids.ZoneName, rng: random.Random) -> None:
         self.queue_limit = queue_limit
-        self.targets: dict[ids.MinionId, Target] = {}
-        self._zone = zone
+        self.router = routing.Router(zone, rng)
+        self.retries = retries.RetryBudget()
         self._rng = rng
-        self._queue: list[tuple[int, float, int, Ticket]] = []
-        self._gone: set[ids.RequestId] = set()
-        self._order = itertools.count()
+        self._queue = queue.Queue()
         self._mean_service_s = _FIRST_SERVICE_TIME_S
+        self._deviation_s = 0.0
+
+    @property
+    def targets(self) -> dict[ids.MinionId, routing.Target]:
+        """Give the minions by their ids."""
+        return self.router.targets
 
     @property
     def queued(self) -> int:
         """Count the requests that wait."""
-        return len(self._queue) - len(self._gone)
+        return len(self._queue)
 
-    def offer(self, ticket: Ticket, now_s: float) -> Decision | None:
-        """Grant, refuse or queue a request; none means that it waits."""
+    def offer(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        """Grant, refuse or queue a request; others may have to give up their place to it."""
         if ticket.deadline_s <= now_s:
-            return self._refuse(ticket, exceptions.ErrorKind.DEADLINE_TOO_SHORT)
-        if all(target.leaving for target in self.targets.values()):
-            return self._refuse(ticket, exceptions.ErrorKind.NO_MINION)
-        if not self.queued and (target := self._pick(ticket, now_s)):
-            return self._grant(ticket, target)
-        if self.queued >= self.queue_limit:
-            return self._refuse(ticket, exceptions.ErrorKind.OVERLOADED)
-        if now_s + self.expected_wait_s() >= ticket.deadline_s:
-            return self._refuse(ticket, exceptions.ErrorKind.DEADLINE_TOO_SHORT)
-        rank = _CLASS_RANK[ticket.request_class]
-        heapq.heappush(self._queue, (rank, ticket.deadline_s, next(self._order), ticket))
-        return None
+            return [self._refuse(ticket, exceptions.ErrorKind.DEADLINE_TOO_SHORT)]
+        if not self.router.staying:
+            return [self._refuse(ticket, exceptions.ErrorKind.NO_MINION)]
+        if not self._queue and (target := self._pick(ticket, now_s)):
+            return [self._grant(ticket, target)]
+        if now_s + self.expected_wait_s(ticket) + self._long_service_s >= ticket.deadline_s:
+            return [self._refuse(ticket, exceptions.ErrorKind.DEADLINE_TOO_SHORT)]
+        decisions: list[Decision] = []
+        if len(self._queue) >= self.queue_limit:
+            displaced = self._queue.displace(ticket, self.queue_limit)
+            if displaced is None:
+                return [self._refuse(ticket, exceptions.ErrorKind.OVERLOADED)]
+            decisions.append(self._refuse(displaced, exceptions.ErrorKind.OVERLOADED))
+        self._queue.push(ticket)
+        return decisions
 
     def withdraw(self, request: ids.RequestId) -> None:
         """Take a waiting request out of the queue."""
-        if any(entry[3].request == request for entry in self._queue):
-            self._gone.add(request)
+        self._queue.withdraw(request)
 
     def release(
         self, minion: ids.MinionId, now_s: float, service_time_s: float | None = None
     ) -> list[Decision]:
         """Free a slot and give it to who waits."""
         if target := self.targets.get(minion):
-            target.in_flight -= 1
-            if target.leaving and not target.in_flight:
-                del self.targets[minion]
-        if service_time_s is not None:
-            self._mean_service_s += _MEAN_WEIGHT * (service_time_s - self._mean_service_s)
+            if service_time_s is not None:
+                self.router.succeeded(target, service_time_s, now_s)
+                self._learn(service_time_s)
+            elif target.standing is routing.Standing.PROBED:
+                # The probe's request ended for another reason than the minion: no evidence.
+                target.standing = routing.Standing.APART
+            self.router.finish(target)
         return self.pump(now_s)
 
-    def set_away(self, minion: ids.MinionId, until_s: float) -> None:
-        """Give a failing minion no new work for a while."""
-        if target := self.targets.get(minion):
-            target.away_until_s = max(target.away_until_s, until_s)
+    def report_failure(
+        self, minion: ids.MinionId, kind: exceptions.ErrorKind, now_s: float
+    ) -> None:
+        """Learn from a failed attempt; only a minion's own faults count against it."""
+        if kind in MINION_FAULTS and (target := self.targets.get(minion)):
+            self.router.failed(target, kind is exceptions.ErrorKind.MINION_REFUSED, now_s)
 
     def set_targets(
-        self, records: list[platform.MinionRecord], slots: int, now_s: float
+        self,
+        records: list[platform.MinionRecord],
+        slots_of: SlotsOf,
+        limit: int,
+        now_s: float,
     ) -> list[Decision]:
         """Take the minions that may get work; others finish what they have."""
         listed = {record.minion: record for record in records}
         for minion, target in list(self.targets.items()):
-            record = listed.pop(minion, None)
-            target.leaving = record is None or record.state is platform.HostState.LEAVING
-            target.slots = slots
-            if record is not None:
-                target.record = record
-            elif not target.in_flight:
+            target.leaving = minion not in listed
+            if minion not in listed and not target.in_flight:
                 del self.targets[minion]
         for minion, record in listed.items():
-            leaving = record.state is platform.HostState.LEAVING
-            self.targets[minion] = Target(record, slots, leaving=leaving)
+            target = self.targets.setdefault(minion, routing.Target(record))
+            target.record = record
+            target.leaving = record.state is platform.HostState.LEAVING
+            target.share = slots_of(minion)
+            target.limit = limit
+        return self.recount(now_s)
+
+    def recount(self, now_s: float) -> list[Decision]:
+        """Take changed slots into account."""
+        self.router.refresh()
         return self.pump(now_s)
 
     def pump(self, now_s: float) -> list[Decision]:
         """Give free slots to waiting requests and refuse those past their deadline."""
-        decisions: list[Decision] = []
-        while self._queue:
-            ticket = self._queue[0][3]
-            if ticket.request in self._gone:
-                self._gone.discard(ticket.request)
-            elif ticket.deadline_s <= now_s:
+        decisions: list[Decision] = [
+            self._refuse(ticket, exceptions.ErrorKind.DEADLINE_TOO_SHORT)
+            for ticket in self._queue.expired(now_s)
+        ]
+        while ticket := self._queue.first():
+            if not self.router.staying:
+                decisions.append(self._refuse(ticket, exceptions.ErrorKind.NO_MINION))
+            elif ticket.deadline_s <= now_s + self._long_service_s:
+                # It would most likely end too late, and take a slot from one that can end in time.
                 decisions.append(self._refuse(ticket, exceptions.ErrorKind.DEADLINE_TOO_SHORT))
             elif target := self._pick(ticket, now_s):
                 decisions.append(self._grant(ticket, target))
             else:
                 break
-            heapq.heappop(self._queue)
+            self._queue.pop()
         return decisions
 
-    def expected_wait_s(self) -> float:
-        """Estimate how long a new request would wait."""
-        slots = sum(t.slots for t in self.targets.values() if not t.leaving)
-        return self._mean_service_s * self.queued / slots if slots else _MAX_RETRY_AFTER_S
-
-    def _pick(self, ticket: Ticket, now_s: float) -> Target | None:
-        # Two random choices keep the load even without any shared count; the own zone goes first.
-        open_targets = [
-            target
-            for target in self.targets.values()
-            if target.is_open(now_s) and target.record.minion not in ticket.avoid
-        ]
-        near = [target for target in open_targets if target.record.zone == self._zone]
-        choices = near or open_targets
-        if len(choices) > 2:
-            choices = self._rng.sample(choices, 2)
-        return min(choices, key=lambda target: target.in_flight, default=None)
-
-    def _grant(self, ticket: Ticket, target: Target) -> Grant:
-        target.in_flight += 1
+    def expected_wait_s(self, ticket: Ticket | None = None) -> float:
+        """Estimate how long a new request would wait, from the measured service times."""
+        ahead = self._queue.ahead_of(ticket) if ticket else len(self._queue)
+        slots = self.router.slots
+        return self._mean_service_s * ahead / slots if slots else 0.0
+
+    @property
+    def _long_service_s(self) -> float:
+        # Most requests end within this; what is granted later than that mostly ends in vain.
+        return self._mean_service_s + _DEVIATIONS * self._deviation_s
+
+    def _learn(self, service_time_s: float) -> None:
+        error_s = service_time_s - self._mean_service_s
+        self._mean_service_s += _MEAN_WEIGHT * error_s
+        self._deviation_s += _MEAN_WEIGHT * (abs(error_s) - self._deviation_s)
+
+    def _pick(self, ticket: Ticket, now_s: float) -> routing.Target | None:
+        return self.router.pick(ticket.avoid, ticket.idempotent, now_s)
+
+    def _grant(self, ticket: Ticket, target: routing.Target) -> Grant:
+        self.router.start(target)
         return Grant(ticket.request, target.record)
 
     def _refuse(self, ticket: Ticket, kind: exceptions.ErrorKind) -> Refusal:
         wait_s = min(max(self.expected_wait_s(), _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
-        return Refusal(ticket.request, kind, wait_s)
+        # Whole seconds are what Retry-After can say, so the spread covers several of them.
+        spread_s = max(_MIN_RETRY_SPREAD_S, wait_s)
+        return Refusal(ticket.request, kind, wait_s + spread_s * self._rng.random())
--- a/packages/nutmegshelf/src/nutmegshelf/members.py
+++ b/packages/nutmegshelf/src/nutmegshelf/members.py
@@ -57,6 +57,11 @@
         if member := self.known.get(entry):
             member.heard_s = member.spoke_s = now_s
 
+    def address_of(self, entry: ids.EntryId) -> str | None:
+        """Give the peer address of an entry that is known."""
+        member = self.known.get(entry)
+        return member.row.peer_address if member else None
+
     def take_hello(self, row: EntryRow, now_s: float) -> bool:
         """Take what an entry says of itself, and say whether it was not live before."""
         member = self.known.get(row.entry)
--- a/packages/nutmegshelf/src/nutmegshelf/messages.py
+++ b/packages/nutmegshelf/src/nutmegshelf/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from nutmegshelf import configuration, ids, members, targets
+from nutmegshelf import configuration, ids, loans, members, targets
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -59,6 +59,30 @@
     minions: tuple[ids.MinionId, ...]
 
 
+class SlotsWanted(Message, frozen=True, kw_only=True):
+    """Ask a peer to lend unused slots of a service."""
+
+    service: ids.ServiceName
+    ask: int
+    slots: int
+
+
+class SlotsLent(Message, frozen=True, kw_only=True):
+    """Lend slots for a fixed term to who asked for them."""
+
+    service: ids.ServiceName
+    ask: int
+    parts: tuple[loans.Part, ...]
+
+
+class SlotsReturned(Message, frozen=True, kw_only=True):
+    """Give lent slots back before the term's end."""
+
+    service: ids.ServiceName
+    ask: int
+    parts: tuple[loans.Part, ...]
+
+
 class DemandReport(Message, frozen=True, kw_only=True):
     """Tell peers what an entry was asked over an interval, by service."""
 
@@ -72,6 +96,9 @@
     Hello
     # One line a message keeps merges small.
     | HeadAccepted
+    | SlotsWanted
+    | SlotsLent
+    | SlotsReturned
     | ConfigurationBeat
     | ConfigurationWanted
     | ConfigurationSet
