--- /dev/null
+++ b/features/steps/overload_steps.py
@@ -0,0 +1,327 @@
+"""Offer more than can be served, on a paused clock."""
+
+import asyncio
+import collections
+import itertools
+import math
+import random
+
+import behave
+from nutmegshelf import declarations, dispatch, exceptions, ids, platform, retries
+from nutmegshelf_bench import overload
+from nutmegshelf_entry import slots
+from nutmegshelf_standins import clock
+
+SERVICE = ids.ServiceName("orders")
+CLASSES = {one.value: one for one in declarations.RequestClass}
+
+
+def record(minion, service=SERVICE):
+    return platform.MinionRecord(
+        minion=ids.MinionId(minion),
+        service=service,
+        host="127.0.0.1",
+        port=1,
+        zone=ids.ZoneName("z0"),
+        rack=ids.RackName("r"),
+        worker=ids.WorkerId(f"w-{minion}"),
+    )
+
+
+def ticket(name, class_name, deadline_s):
+    return dispatch.Ticket(ids.RequestId(name), CLASSES[class_name], deadline_s)
+
+
+def full_dispatcher(slot_count, limit, rng):
+    dispatcher = dispatch.Dispatcher(limit, ids.ZoneName("z0"), rng)
+    dispatcher.set_targets([record("orders-0")], lambda minion: slot_count, 60, 0.0)
+    for number in range(slot_count):
+        dispatcher.offer(ticket(f"running-{number}", "normal", 60.0), 0.0)
+    return dispatcher
+
+
+@behave.given("a service of 1 minion with {slot_count:d} slots and places for {limit:d} that wait")
+def make_service(context, slot_count, limit):
+    context.slot_count, context.limit = slot_count, limit
+    context.dispatcher = full_dispatcher(slot_count, limit, context.rng)
+
+
+@behave.given('both slots are taken and "{waiting}" wait')
+def let_wait(context, waiting):
+    for number, class_name in enumerate(waiting.split()):
+        assert not context.dispatcher.offer(ticket(f"{class_name}-{number}", class_name, 9.0), 0.0)
+
+
+@behave.given('both slots are taken and "" wait')
+def let_nobody_wait(context):
+    assert not context.dispatcher.queued
+
+
+@behave.when("a request of class {class_name} with a patience of {patience_ms:d} ms comes")
+def one_more(context, class_name, patience_ms):
+    context.decisions = context.dispatcher.offer(ticket("new", class_name, patience_ms / 1000), 0.0)
+
+
+@behave.then("it is {decision} and {displaced} is refused for it")
+def check_decision(context, decision, displaced):
+    refused = {one.request: one for one in context.decisions}
+    own = refused.pop(ids.RequestId("new"), None)
+    assert (own.kind.value if own else "queued") == decision, context.decisions
+    assert own is None or own.retry_after_s >= 1.0
+    names = [name.partition("-")[0] for name in refused]
+    assert names == ([] if displaced == "nobody" else [displaced]), names
+    assert all(one.kind is exceptions.ErrorKind.OVERLOADED for one in refused.values())
+
+
+def make_slots(limit, slot_count, names, rng, minion_count=1):
+    owner = slots.Slots(ids.ZoneName("z0"), 1, rng)
+    services = {
+        ids.ServiceName(name): declarations.Service(
+            pool=ids.PoolName("p"),
+            wanted_minions=minion_count,
+            slots_per_minion=slot_count,
+            queue_limit=limit,
+        )
+        for name in names
+    }
+    owner.set_declared(declarations.DeclarationSet(services=services))
+    owner.set_records(
+        tuple(
+            record(f"{name}-{number}", ids.ServiceName(name))
+            for name in names
+            for number in range(minion_count)
+        )
+    )
+    return owner
+
+
+async def serve(owner, service, one, work_s, result):
+    loop = asyncio.get_running_loop()
+    came_s = loop.time()
+    try:
+        grant = await owner.acquire(service, one)
+    except exceptions.RequestError as error:
+        result.append((one, loop.time(), error))
+        return
+    result.append((one, loop.time() - came_s, None))
+    await asyncio.sleep(work_s)
+    owner.release(service, grant.minion.minion, work_s)
+
+
+@behave.when(
+    "both slots stay taken for {hold_s:d} s and {count:d} requests of all classes "
+    "wait {least_s:f} to {most_s:f} s"
+)
+def wait_for_deadlines(context, hold_s, count, least_s, most_s):
+    async def play():
+        owner = make_slots(context.limit, 2, [SERVICE], context.rng)
+        context.result = []
+        tasks = [
+            asyncio.ensure_future(
+                serve(owner, SERVICE, ticket(f"h{number}", "normal", 60.0), hold_s, [])
+            )
+            for number in range(2)
+        ]
+        await asyncio.sleep(0)
+        for number in range(count):
+            name = context.rng.choice(list(CLASSES))
+            one = ticket(f"r{number}", name, context.rng.uniform(least_s, most_s))
+            work = serve(owner, SERVICE, one, 0.0, context.result)
+            tasks.append(asyncio.ensure_future(work))
+        await asyncio.gather(*tasks)
+
+    context.count = count
+    clock.run(play())
+
+
+@behave.then("each of them was refused as not run within {limit_ms:d} ms of its deadline")
+def check_deadlines(context, limit_ms):
+    waited = [one for one in context.result if one[1] > 0]
+    assert len(context.result) == context.count and len(waited) > context.count / 4
+    for one, at_s, error in context.result:
+        assert error is not None and error.answer.outcome is exceptions.Outcome.NOT_RUN
+        assert at_s <= one.deadline_s + limit_ms / 1000, (one, at_s)
+
+
+@behave.when(
+    "{count:d} requests of all classes wait and {gone:d} of them are withdrawn in any order"
+)
+def withdraw_some(context, count, gone):
+    waiting = []
+    for number in range(count):
+        name = context.rng.choice(list(CLASSES))
+        one = ticket(f"r{number}", name, context.rng.uniform(50.0, 60.0))
+        assert not context.dispatcher.offer(one, 0.0)
+        waiting.append(one)
+    context.withdrawn = {one.request for one in context.rng.sample(waiting, gone)}
+    for request in sorted(context.withdrawn, key=lambda _: context.rng.random()):
+        context.dispatcher.withdraw(request)
+    context.waiting = {one.request: one for one in waiting}
+
+
+@behave.then(
+    "the other {left:d} are granted, each class by its deadlines, and none of those withdrawn"
+)
+def check_granted(context, left):
+    granted = []
+    for _ in range(2 * left):
+        granted += context.dispatcher.release(ids.MinionId("orders-0"), 0.0, 0.05)
+    assert all(isinstance(one, dispatch.Grant) for one in granted)
+    names = [one.request for one in granted]
+    assert len(names) == len(set(names)) == left, len(names)
+    assert not context.withdrawn & set(names)
+    for one in declarations.RequestClass:
+        found = [context.waiting[name] for name in names]
+        deadlines = [each.deadline_s for each in found if each.request_class is one]
+        assert deadlines == sorted(deadlines)
+
+
+@behave.when('"{loads}" requests/s of {work_ms:d} ms come by class for {length_s:d} s')
+def load_classes(context, loads, work_ms, length_s):
+    words = loads.split()
+    rates = {words[n]: float(words[n + 1]) for n in range(0, len(words), 2)}
+
+    async def play():
+        owner = make_slots(context.limit, context.slot_count, [SERVICE], context.rng)
+        loop = asyncio.get_running_loop()
+        context.result, tasks, numbers = [], [], itertools.count()
+
+        async def come(name, rate):
+            while loop.time() < length_s:
+                await asyncio.sleep(context.rng.expovariate(rate))
+                one = ticket(f"r{next(numbers)}", name, loop.time() + 2.0)
+                work_s = context.rng.expovariate(1000 / work_ms)
+                work = serve(owner, SERVICE, one, work_s, context.result)
+                tasks.append(asyncio.ensure_future(work))
+
+        await asyncio.gather(*(come(name, rate) for name, rate in rates.items()))
+        await asyncio.gather(*tasks)
+
+    clock.run(play())
+
+
+@behave.then(
+    "at least {urgent:f} of urgent, {normal:f} of normal and {batch:f} of batch are served"
+)
+def check_classes(context, urgent, normal, batch):
+    came, served = collections.Counter(), collections.Counter()
+    for one, _, error in context.result:
+        came[one.request_class.value] += 1
+        served[one.request_class.value] += error is None
+    parts = {name: served[name] / came[name] for name in CLASSES}
+    assert parts["urgent"] >= urgent and parts["normal"] >= normal, parts
+    assert parts["batch"] >= batch, parts
+
+
+@behave.when("{count:d} requests are refused")
+def refuse_many(context, count):
+    context.spread = refused_after_s(context, count, context.rng)
+    context.other_spread = refused_after_s(context, count, random.Random("other"))
+
+
+def refused_after_s(context, count, rng):
+    dispatcher = full_dispatcher(context.slot_count, context.limit, rng)
+    found = [dispatcher.offer(ticket(f"r{number}", "normal", 9.0), 0.0) for number in range(count)]
+    return [math.ceil(one.retry_after_s) for decisions in found for one in decisions]
+
+
+@behave.then(
+    "their Retry-After values spread over at least {least:d} whole seconds, "
+    "none with over {most:d} percent"
+)
+def check_spread(context, least, most):
+    counts = collections.Counter(context.spread)
+    assert len(counts) >= least, counts
+    assert max(counts.values()) <= most / 100 * len(context.spread), counts
+
+
+@behave.then("another seed spreads them otherwise")
+def check_other_spread(context):
+    assert context.spread != context.other_spread
+
+
+@behave.given("two services with {minion_count:d} minions each behind one entry")
+def make_two(context, minion_count):
+    context.minion_count = minion_count
+
+
+@behave.when(
+    "one gets {times:d} times what it can serve for {length_s:d} s "
+    "and the other half of what it can serve"
+)
+def burst(context, times, length_s):
+    names = [ids.ServiceName("first"), ids.ServiceName("other")]
+    full_per_s = context.minion_count * 8 / 0.05
+
+    async def play():
+        owner = make_slots(256, 8, names, context.rng, context.minion_count)
+        loop = asyncio.get_running_loop()
+        context.result = {name: [] for name in names}
+        context.most_waiting = 0
+        tasks = []
+
+        async def come(name, rate):
+            while loop.time() < length_s:
+                await asyncio.sleep(context.rng.expovariate(rate))
+                one = ticket(f"{name}-{len(tasks)}", "normal", loop.time() + 2.0)
+                work_s = context.rng.expovariate(1 / 0.05)
+                work = serve(owner, name, one, work_s, context.result[name])
+                tasks.append(asyncio.ensure_future(work))
+                waiting = [each for each in owner._waiting if each.startswith("first")]
+                context.most_waiting = max(context.most_waiting, len(waiting))
+
+        await asyncio.gather(come(names[0], times * full_per_s), come(names[1], full_per_s / 2))
+        await asyncio.gather(*tasks)
+
+    clock.run(play())
+
+
+@behave.then(
+    "{percent:d} percent of the other's requests start within {limit_ms:d} ms and none is refused"
+)
+def check_other(context, percent, limit_ms):
+    result = context.result[ids.ServiceName("other")]
+    assert result and not any(error for _, _, error in result)
+    soon = [wait_s for _, wait_s, _ in result if wait_s <= limit_ms / 1000]
+    assert len(soon) >= percent / 100 * len(result), len(soon) / len(result)
+
+
+@behave.then("at most {most:d} requests of the first waited at once")
+def check_waiting(context, most):
+    assert most / 4 < context.most_waiting <= most, context.most_waiting
+
+
+@behave.when("{count:d} requests come and {failing:f} of all attempts fail")
+def retry_many(context, count, failing):
+    budget = retries.RetryBudget()
+    context.retries = 0
+    for _ in range(count):
+        budget.earn()
+        while context.rng.random() < failing and budget.spend():
+            context.retries += 1
+
+
+@behave.then("at most {most:d} and at least {least:d} retries are sent")
+def check_retries(context, most, least):
+    assert least <= context.retries <= most, context.retries
+
+
+@behave.when("the overload is replayed at {load:d} times the mean")
+def replay_overload(context, load):
+    seed = context.rng.randrange(1000)
+    context.ours = overload.replay("dispatched", load, seed)
+    context.plain = overload.replay("first_come", load, seed)
+
+
+@behave.then(
+    "goodput of the bursting service is at least {times:d} times " "that of first come first served"
+)
+def check_goodput(context, times):
+    ours, plain = (one.goodput("bursting") for one in (context.ours, context.plain))
+    assert 0 < plain * times <= ours <= 1, (ours, plain)
+
+
+@behave.then("all urgent requests and all of the steady service are served in time")
+def check_served(context):
+    urgent = context.ours.goodput("bursting", "urgent")
+    assert urgent >= 0.99 and context.ours.goodput("steady") >= 0.99, urgent
