--- a/features/settings.feature
+++ b/features/settings.feature
@@ -7,14 +7,14 @@
 
     Examples:
       | old                  | new                                             | fields                               |
-      | seats = 7            | seats = 0                                       | seats                                |
-      | seats = 7            | saets = 7                                       | saets                                |
+      | seats = 10           | seats = 0                                       | seats                                |
+      | seats = 10           | saets = 10                                      | saets                                |
       | entry = "entry-1"    | entry = 5                                       | entry                                |
       | zone = "ro-1"        |                                                 | zone                                 |
       | log_level = "info"   | log_level = "loud"                              | log_level                            |
       | port = 8081          | port = 70000                                    | operators.port                       |
       | port = 8081          | host = "::2"                                    | (whole file)                         |
-      | seats = 7            | seats = "x"\npoll_interval_s = 0                | (whole file)                         |
+      | seats = 10           | seats = "x"\npoll_interval_s = 0                | (whole file)                         |
       | poll_interval_s = 1.0 | poll_interval_s = -1\nwrong = 1\nmore = 2      | more poll_interval_s wrong           |
 
   Scenario Outline: The operators' port never listens beyond loopback without a token
@@ -35,7 +35,7 @@
 
   Scenario: The daemon ends with 2 on a faulty file and prints every fault
     Given the example settings
-    When "seats = 7" is changed into "seats = 0\nnothing = 1" there
+    When "seats = 10" is changed into "seats = 0\nnothing = 1" there
     Then the daemon ends with 2 and names "seats" and "nothing"
 
   Scenario: Every line of the example counts, and the reference is what the code makes
--- a/packages/nutmegshelf/src/nutmegshelf/routing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/routing.py
@@ -215,7 +215,9 @@
     def _set_apart(self, target: Target, now_s: float) -> None:
         minion = target.record.minion
         if minion not in self._apart:
-            if len(self._apart) + 1 > _MAX_APART_FRACTION * self.staying:
+            # One of two may go, as a minion that fails everything would use up the retries.
+            limit = max(int(_MAX_APART_FRACTION * self.staying), min(1, self.staying - 1))
+            if len(self._apart) >= limit:
                 return
             self._apart.add(minion)
         target.apart_s = min(max(_FIRST_APART_S, 2 * target.apart_s), _MAX_APART_S)
