Drive the fleet's steps through the fault matrix: 112 more cells

Steps lease, drain, wait, change row, start, place, start task under every fault that applies, with whole entries on faked hosts; checked from the rows and the platform's effects. Not in the matrix: checkpoint and stop of a task, and a move between pools; features/placement.feature and moves.feature test these.

--- a/features/fault_matrix.feature
+++ b/features/fault_matrix.feature
@@ -396,3 +396,164 @@
       | zone lost |
       | entry killed and table down |
       | minion killed and table answer lost |
+
+  Scenario Outline: <fault> at lease
+    When "<fault>" strikes at the step "lease"
+    Then every promise is kept
+
+    Examples:
+      | fault |
+      | entry killed |
+      | entry paused |
+      | entry cut from peers |
+      | entry cut from table |
+      | table down |
+      | table slow |
+      | table answer lost |
+      | table stale read |
+      | list stale |
+      | message late |
+      | message twice |
+      | message out of order |
+      | racing operator |
+      | rack lost |
+      | zone lost |
+      | entry killed and table down |
+
+  Scenario Outline: <fault> at drain
+    When "<fault>" strikes at the step "drain"
+    Then every promise is kept
+
+    Examples:
+      | fault |
+      | entry killed |
+      | entry paused |
+      | entry cut from peers |
+      | entry cut from table |
+      | table down |
+      | table slow |
+      | table answer lost |
+      | table stale read |
+      | list stale |
+      | message late |
+      | message twice |
+      | message out of order |
+      | racing operator |
+      | rack lost |
+      | zone lost |
+      | entry killed and table down |
+
+  Scenario Outline: <fault> at wait
+    When "<fault>" strikes at the step "wait"
+    Then every promise is kept
+
+    Examples:
+      | fault |
+      | entry killed |
+      | entry paused |
+      | entry cut from peers |
+      | entry cut from table |
+      | table down |
+      | table slow |
+      | table answer lost |
+      | table stale read |
+      | list stale |
+      | message late |
+      | message twice |
+      | message out of order |
+      | racing operator |
+      | rack lost |
+      | zone lost |
+      | entry killed and table down |
+
+  Scenario Outline: <fault> at change row
+    When "<fault>" strikes at the step "change row"
+    Then every promise is kept
+
+    Examples:
+      | fault |
+      | entry killed |
+      | entry paused |
+      | entry cut from peers |
+      | entry cut from table |
+      | table down |
+      | table slow |
+      | table answer lost |
+      | table stale read |
+      | list stale |
+      | message late |
+      | message twice |
+      | message out of order |
+      | racing operator |
+      | rack lost |
+      | zone lost |
+      | entry killed and table down |
+
+  Scenario Outline: <fault> at start
+    When "<fault>" strikes at the step "start"
+    Then every promise is kept
+
+    Examples:
+      | fault |
+      | entry killed |
+      | entry paused |
+      | entry cut from peers |
+      | entry cut from table |
+      | table down |
+      | table slow |
+      | table answer lost |
+      | table stale read |
+      | list stale |
+      | message late |
+      | message twice |
+      | message out of order |
+      | racing operator |
+      | rack lost |
+      | zone lost |
+      | entry killed and table down |
+
+  Scenario Outline: <fault> at place
+    When "<fault>" strikes at the step "place"
+    Then every promise is kept
+
+    Examples:
+      | fault |
+      | entry killed |
+      | entry paused |
+      | entry cut from peers |
+      | entry cut from table |
+      | table down |
+      | table slow |
+      | table answer lost |
+      | table stale read |
+      | list stale |
+      | message late |
+      | message twice |
+      | message out of order |
+      | racing operator |
+      | rack lost |
+      | zone lost |
+      | entry killed and table down |
+
+  Scenario Outline: <fault> at start task
+    When "<fault>" strikes at the step "start task"
+    Then every promise is kept
+
+    Examples:
+      | fault |
+      | entry killed |
+      | entry paused |
+      | entry cut from peers |
+      | entry cut from table |
+      | table down |
+      | table slow |
+      | table answer lost |
+      | table stale read |
+      | list stale |
+      | message late |
+      | message twice |
+      | message out of order |
+      | racing operator |
+      | rack lost |
+      | zone lost |
+      | entry killed and table down |
--- a/features/faults/actions.py
+++ b/features/faults/actions.py
@@ -24,6 +24,7 @@
         self.fault = fault
         self.entry = entry
         self.peer = "entry-1"
+        self.lost_workers = set()
         self.minion = ""
         self.struck = False
         self.cut_minion_after = None
@@ -64,10 +65,16 @@
         for record in self.site.records:
             if getattr(record, what) == lost:
                 self.site.loop.kill(record.minion)
+                self._withdraw(record.worker)
         if what == "zone" and self.site.ports[self.entry].zone == lost:
             self.site.loop.kill(self.entry)
             self.site.dead_entries.add(self.entry)
 
+    def _withdraw(self, worker) -> None:
+        if worker in self.site.platform.workforce.workers:
+            self.lost_workers.add(worker)
+            self.site.platform.workforce.withdraw(worker)
+
     def list_leaving(self) -> None:
         """Let the platform's list say that the minion leaves."""
         self.site.records = [
--- a/features/faults/tables.py
+++ b/features/faults/tables.py
@@ -15,6 +15,7 @@
 )
 CONFIGURATION_STEPS = ("publish", "spread", "switch")
 MEMBER_STEPS = ("join", "leave")
+FLEET_STEPS = ("lease", "drain", "wait", "change row", "start", "place", "start task")
 
 FAULTS = (
     "entry killed",
@@ -55,7 +56,9 @@
 
 
 def _reason(step: str, fault: str) -> str:
-    if step in CONFIGURATION_STEPS and fault in _MINION_FAULTS | {"entry cut from minions"}:
+    if step in CONFIGURATION_STEPS + FLEET_STEPS and fault in _MINION_FAULTS | {
+        "entry cut from minions"
+    }:
         return "no minion takes part in this step"
     if step in ("relay", "store answer") and fault == "minion cut before first byte":
         return "the first byte has arrived"
--- a/features/faults/write.py
+++ b/features/faults/write.py
@@ -24,6 +24,11 @@
         "accepted once; in force at every live entry within 6 s where it can be known; "
         "never backwards",
     ),
+    **dict.fromkeys(
+        tables.FLEET_STEPS,
+        "a host is in one pool; the budget holds; the due worker is drained once and maintained; "
+        "each task runs once",
+    ),
     "join": "the entry, or another one, serves once the fault is over",
     "leave": "the request in progress runs out; the entry ends",
 }
--- a/features/hosts.py
+++ b/features/hosts.py
@@ -87,7 +87,7 @@
 class Hosts:
     """Own the hosts of one test."""
 
-    def __init__(self, loop, seed, minions=3):
+    def __init__(self, loop, seed, minions=3, more_files=None):
         self.loop = loop
         self.network = loop.network
         self.platform = platform_standin.Platform()
@@ -100,6 +100,7 @@
         self.calls = caller.Caller([], random.Random(seed))
         self.seed = seed
         self._count = minions
+        self._more_files = more_files or {}
 
     async def start(self, entries=2):
         with network.on_host("platform"):
@@ -149,6 +150,7 @@
         return {
             "pools.toml": f"[pools.orders]\n{pool}\n",
             "services.toml": f'[services.{SERVICE}]\npool = "orders"\n{service}\n',
+            **self._more_files,
         }
 
     def _accept_configuration(self):
