Read a request's headers from one map on its way through the server

The head's check for a body and its size each walked h11's header sequence item by item, and the exchange walked it once more for its map. The exchange is now made as the head is read, and its map answers whether a body comes.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/minions.py
@@ -122,5 +122,5 @@
 def _has_known_end(head: h11.Response) -> bool:
     if head.status_code in (204, 304):
         return True
-    names = {name for name, _ in head.headers}
+    names = {name.lower() for name, _ in head.headers.raw_items()}
     return b"content-length" in names or b"transfer-encoding" in names
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
@@ -49,9 +49,17 @@
         """Give a request header's value by its lower-case name."""
         if self._by_name is None:
             # The first of several wins, as in the order that they came.
-            self._by_name = dict(reversed(list(self.request.headers)))
+            raw = self.request.headers.raw_items()
+            self._by_name = {name.lower(): value for name, value in reversed(raw)}
         return self._by_name.get(name)
 
+    @property
+    def has_body(self) -> bool:
+        """Say whether the head announces a body."""
+        if self.header(b"transfer-encoding") is not None:
+            return True
+        return self.header(b"content-length") not in (None, b"0")
+
     async def respond(self, status: int, headers: channel.Headers, body: bytes = b"") -> None:
         """Send a whole answer."""
         await self.start(status, [*headers, (b"content-length", str(len(body)).encode())], body)
@@ -86,15 +94,8 @@
 OnError = collections.abc.Callable[[Exception], None]
 
 
-def _has_body(request: h11.Request) -> bool:
-    return any(
-        name == b"transfer-encoding" or (name == b"content-length" and value != b"0")
-        for name, value in request.headers
-    )
-
-
 def _head_bytes(request: h11.Request) -> int:
-    lines = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    lines = sum(len(name) + len(value) + 4 for name, value in request.headers.raw_items())
     return len(request.method) + len(request.target) + lines
 
 
@@ -210,23 +211,23 @@
 
     async def _serve_one(self, link: channel.Channel) -> bool:
         try:
-            request = await self._read_head(link)
+            exchange = await self._read_head(link)
         except h11.RemoteProtocolError as error:
             await self._answer_error(link, error.error_status_hint, str(error))
             return False
-        if request is None:
+        if exchange is None:
             return False
         self.in_progress += 1
         self._idle.clear()
         try:
-            await self._handler(Exchange(link, request, lambda: self._closing))
+            await self._handler(exchange)
         finally:
             self.in_progress -= 1
             if not self.in_progress:
                 self._idle.set()
         return link.is_reusable() and not self._closing
 
-    async def _read_head(self, link: channel.Channel) -> h11.Request | None:
+    async def _read_head(self, link: channel.Channel) -> Exchange | None:
         # An idle connection may wait long for its next request, but a head that has begun
         # must come soon: a slow head would hold the connection for nothing.
         if not link.state.trailing_data[0]:
@@ -245,9 +246,10 @@
         if _head_bytes(event) > channel.MAX_HEAD_BYTES:
             raise h11.RemoteProtocolError("the head is too large", error_status_hint=431)
         link.limit_each_read(self._limits.body_timeout_s)
-        if not _has_body(event):
+        exchange = Exchange(link, event, lambda: self._closing)
+        if not exchange.has_body:
             await link.receive()
-        return event
+        return exchange
 
     async def _answer_failure(self, link: channel.Channel, status: int, detail: str) -> None:
         try:
