--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/requests.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/requests.py
@@ -19,7 +19,7 @@
         b"expect",
     }
 )
-_OWN_HEADERS = frozenset({b"request-timeout-ms", b"nutmegshelf-request", b"traceparent"})
+_CALLER_DROPPED = _HOP_HEADERS | {b"request-timeout-ms", b"nutmegshelf-request", b"traceparent"}
 _SERVED_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 _MAX_KEY_CHARS = 255
 _MAX_TIMEOUT_MS = 3_600_000
@@ -73,7 +73,7 @@
         version=accepted.head.version,
         method=method,
         target=target,
-        headers=forwardable(exchange.request.headers.raw_items(), _OWN_HEADERS),
+        headers=forwardable(exchange.request.headers.raw_items(), _CALLER_DROPPED),
         idempotent=declarations.is_idempotent(rule, method),
         key=key,
         has_body=has_body,
@@ -83,16 +83,12 @@
 
 
 def forwardable(
-    headers: channel.Headers, besides: frozenset[bytes] = frozenset()
+    headers: channel.Headers, dropped: frozenset[bytes] = _HOP_HEADERS
 ) -> channel.Headers:
     """Leave out the headers that are for one hop only (RFC 9110, section 7.6.1)."""
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
-        for token in value.split(b",")
-    }
-    dropped = _HOP_HEADERS | besides | named
+    for name, value in headers:
+        if name.lower() == b"connection":
+            dropped |= {token.strip().lower() for token in value.split(b",")}
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
