Don't take two own drains of one zone for a wave, and count grants where they are made

Traces show two causes.

A zone is now a wave only when one of its racks at least is down without an own order.

Two were granted at 4.04 with all 12 up; the wave at 5.1 leaves 6, which is what the budget needs, so they are let go on and serve again at 8.07; the next grant at 8.075 leaves 7. The check read any 6 up as a grant. It now takes each grant's own count at its commit, from the workers themselves, and wants 7; at least one grant has to be there; and the count of those up stays at 7, but for two that drain since before the wave.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -27,6 +27,18 @@
     Then a drain is granted
     And the whole zone is counted as away
 
+  Scenario Outline: Two own drains of one zone and <more> failed there count as <available> left
+    Given a service of 12 minions over 12 racks of 3 zones that needs 0.5
+    And the minions of 4 racks of one zone failed
+    And 2 workers of the next zone drain and are listed so, and <more> more of it failed
+    Then <available> are counted as available and the drains are <fate>
+
+    Examples: what drains by own order is no wave, but no failure beside it is overlooked
+      | more | available | fate        |
+      | 0    | 6         | let go on   |
+      | 1    | 4         | called back |
+      | 2    | 4         | called back |
+
   Scenario: Racing drains over one budget row get one winner
     Given a service of 8 minions over 8 racks of 4 zones that needs 0.5
     And 0 failed, 0 suspect, 2 draining, 0 moved away, 0 leaving
@@ -47,6 +59,20 @@
       | 5.1    |
       | 9.7    |
 
+  Scenario Outline: A wave at second <second> over the zone that is <rank> in turn breaks no budget
+    Given a pool of 12 workers over 3 zones with a budget of 0.5, all due for maintenance
+    And the workers of the zone that will be taken back are the <rank> maintained
+    When the platform takes a zone back at second <second> for 30 s
+    Then no drain was granted while the budget with a rack lost did not hold
+    And all workers were maintained in the end, oldest first
+
+    Examples: with two drains of before the wave under way, or none that stays
+      | second | rank  |
+      | 0.5    | last  |
+      | 4.5    | last  |
+      | 5.1    | last  |
+      | 5.1    | first |
+
   Scenario Outline: Maintenance says whether its plan meets the period
     Given a service of <minions> minions over <racks> racks of <zones> zones that needs <fraction>
     And its workers were maintained <days> days ago with a turn of <turn_h> h and <at_once> at once
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -1,6 +1,7 @@
 """Hold fake rows and workers for the pools' tasks of several entries on a paused clock."""
 
 import asyncio
+import typing
 
 from nutmegshelf import (
     codecs,
@@ -25,6 +26,22 @@
 OLD_S = -28 * 86_400.0
 
 
+class Sample(typing.NamedTuple):
+    """Count the workers that are up at one time, and name those that drain by their rows."""
+
+    at_s: float
+    up: int
+    draining: frozenset
+
+
+class Grant(typing.NamedTuple):
+    """Count what a granted drain left that is up and serves, at the time of its commit."""
+
+    at_s: float
+    worker: str
+    left: int
+
+
 class Site:
     """Hold the rows, the workers and their entries, and check them after every effect."""
 
@@ -40,6 +57,7 @@
         self.decisions = {}
         self.wrong = []
         self.up = []
+        self.grants = []
         self.outage_until_s = -1.0
         self.delay_s = 0.001
         self.required = {}
@@ -105,8 +123,22 @@
                 self.wrong.append(("fence", entry, holders, row))
             if old and row.number != old.number + 1:
                 self.wrong.append(("fence", "a step was lost or repeated", old, row))
+            if row.step is hosts.HostStep.DRAINING:
+                self.grants.append(Grant(self._now_s(), worker, self._count_serving(after)))
         return committed
 
+    def _now_s(self):
+        return asyncio.get_running_loop().time()
+
+    def _count_serving(self, rows):
+        # Counted from the workers themselves, so also what the entries have not been told yet.
+        return sum(
+            record.state is workers.WorkerState.READY
+            and rows[worker].step is hosts.HostStep.SERVING
+            for worker, record in self.workforce.workers.items()
+            if worker in rows
+        )
+
     def check(self, what):
         ready = dict.fromkeys(self.required, 0)
         for worker, row in self.rows().items():
@@ -121,7 +153,9 @@
         up = sum(
             record.state is workers.WorkerState.READY for record in self.workforce.workers.values()
         )
-        self.up.append((asyncio.get_running_loop().time(), up))
+        away = (hosts.HostStep.DRAINING, hosts.HostStep.STARTING)
+        draining = frozenset(worker for worker, row in self.rows().items() if row.step in away)
+        self.up.append(Sample(self._now_s(), up, draining))
         short = {pool: up for pool, up in ready.items() if up < self.required[pool]}
         if short:
             self.wrong.append(("budget", what, short))
--- a/packages/nutmegshelf/src/nutmegshelf/budgets.py
+++ b/packages/nutmegshelf/src/nutmegshelf/budgets.py
@@ -49,13 +49,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
-    """Say where one minion runs, and whether it may be counted on."""
+    """Say where one minion runs, whether it is up, and whether its worker was ordered away."""
 
     minion: ids.MinionId
     worker: ids.WorkerId
     rack: ids.RackName
     zone: ids.ZoneName
     up: bool
+    by_order: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,9 +137,13 @@
 
 
 def _wave_zones(places: list[Place]) -> set[ids.ZoneName]:
-    # Two racks of a zone failing together may be a wave that the lagging list shows in part.
+    # Two racks of a zone failing together may be a wave that the lagging list shows in part; but
+    # workers that only drain by own orders don't make one, or they would call each other back.
     racks: dict[ids.ZoneName, set[ids.RackName]] = collections.defaultdict(set)
+    failed: set[ids.ZoneName] = set()
     for place in places:
         if not place.up:
             racks[place.zone].add(place.rack)
-    return {zone for zone, failed in racks.items() if len(failed) >= _WAVE_RACKS}
+            if not place.by_order:
+                failed.add(place.zone)
+    return {zone for zone in failed if len(racks[zone]) >= _WAVE_RACKS}
--- a/packages/nutmegshelf/src/nutmegshelf/drains.py
+++ b/packages/nutmegshelf/src/nutmegshelf/drains.py
@@ -54,7 +54,12 @@
         """Give the places of a service's minions, with those that may have failed as down."""
         return [
             budgets.Place(
-                record.minion, record.worker, record.rack, record.zone, self._is_up(record)
+                record.minion,
+                record.worker,
+                record.rack,
+                record.zone,
+                self._is_up(record),
+                self._is_ordered_away(record.worker),
             )
             for record in self._of_service.get(service, ())
         ]
@@ -74,6 +79,10 @@
         host = self.host_of.get(worker)
         return host is None or hosts.is_away(host.row)
 
+    def _is_ordered_away(self, worker: ids.WorkerId) -> bool:
+        host = self.host_of.get(worker)
+        return host is not None and hosts.is_ordered_away(host.row)
+
     def room(self, service: ids.ServiceName) -> int:
         """Count how many of a service's minions could drain at once with all else well."""
         demanded = budgets.required(self.declared, service)
--- a/packages/nutmegshelf/src/nutmegshelf/hosts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/hosts.py
@@ -132,6 +132,11 @@
     return row.step is not HostStep.SERVING
 
 
+def is_ordered_away(row: HostRow) -> bool:
+    """Say whether a worker serves nothing because it was ordered to drain, or to start again."""
+    return row.step in (HostStep.DRAINING, HostStep.STARTING)
+
+
 def _step(
     row: HostRow,
     lease: leases.LeaseRow,
