Count the slot time of failed attempts in the demand that moves are planned from

Slots told the tally of whole answers only, so an attempt that timed out after seconds was planned for at the time of a whole one. The relay now gives the time of each attempt that ended without a whole answer, also of one whose caller left; reports carry it apart, and the planner takes the mean over all attempts. Counting it as served time was ruled out: a service that refuses at once would look fast and lose its workers, so a failure counts for a whole answer's time at least.

3 answers of 0.1 s and 1 failure of 2 s: 0.1 s a request before, 0.575 s now.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -28,6 +28,19 @@
       | costa_viva | 300  | 1800  |
       | costa_viva | 900  | 1800  |
 
+  Scenario Outline: <whole> answers of 0.1 s and <failed> failures of <failed_s> s count as demand
+    Given an entry's slots whose service took 0.1 s a request until now
+    When <whole> requests are answered in 0.1 s and <failed> fail after <failed_s> s
+    Then the entry reports them all, and a request is taken to keep a slot for <slot_s> s
+
+    Examples: a failure that ends at once doesn't make a service look fast
+      | whole | failed | failed_s | slot_s |
+      | 4     | 0      | 0.0      | 0.1    |
+      | 3     | 1      | 2.0      | 0.575  |
+      | 0     | 4      | 2.0      | 2.0    |
+      | 3     | 1      | 0.001    | 0.1    |
+      | 0     | 4      | 0.001    | 0.1    |
+
   Scenario: Racing givers to one pool get one winner
     Given two givers that decided on the same rows to send a worker to one pool
     When both transactions are committed
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -4,10 +4,23 @@
 import random
 
 import behave
-from nutmegshelf import budgets, declarations, demand, drains, hosts, leases, moves, platform
+from nutmegshelf import (
+    budgets,
+    declarations,
+    demand,
+    drains,
+    hosts,
+    ids,
+    leases,
+    messages,
+    moves,
+    platform,
+)
+from nutmegshelf_entry import planner
 from nutmegshelf_standins import clock, store
 
 from features import fleet
+from features.steps import overload_steps
 
 COSTS = {"dorna": (40.0, 1.0), "costa_viva": (10.0, 4.0)}
 STEP_S = 5.0
@@ -190,3 +203,62 @@
 def check_policy(context):
     assert isinstance(moves.POLICIES.pop("extension")({}), context.extension)
     assert {"chosen", "fixed_buffer", "threshold"} <= moves.POLICIES.keys()
+
+
+class Sent(list):
+    """Keep what a planner sends to its peers."""
+
+    def broadcast(self, report):
+        self.append(report)
+
+
+@behave.given("an entry's slots whose service took {known_s:g} s a request until now")
+def make_planner(context, known_s):
+    context.known_s = known_s
+    context.sent = Sent()
+
+
+@behave.when(
+    "{whole:d} requests are answered in {whole_s:g} s and {failed:d} fail after {failed_s:g} s"
+)
+def end_requests(context, whole, whole_s, failed, failed_s):
+    service = overload_steps.SERVICE
+
+    async def play():
+        owner = overload_steps.make_slots(16, 8, [service], context.rng)
+        context.planner = planner.Planner(ids.EntryId("e"), context.sent, owner)
+        context.planner.take(
+            messages.DemandReport(
+                sender=ids.EntryId("old"),
+                interval_s=5.0,
+                served={service: 1},
+                busy_s={service: context.known_s},
+            )
+        )
+        context.planner._sum_reports(0.0)
+        context.planner._reports.clear()
+        task = asyncio.create_task(context.planner.run())
+        ends = [{"service_time_s": whole_s}] * whole + [{"failed_s": failed_s}] * failed
+        for number, end in enumerate(ends):
+            one = overload_steps.ticket(f"r{number}", "normal", 60.0)
+            grant = await owner.acquire(service, one)
+            owner.release(service, grant.minion.minion, **end)
+        await asyncio.sleep(planner.INTERVAL_S + 0.1)
+        task.cancel()
+        context.ended = whole, failed
+
+    clock.run(play())
+
+
+@behave.then("the entry reports them all, and a request is taken to keep a slot for {slot_s:g} s")
+def check_slot_time(context, slot_s):
+    (report,) = context.sent
+    service = overload_steps.SERVICE
+    whole, failed = context.ended
+    assert report.asked[service] == whole + failed, report
+    found = demand.slot_time_s(report, service, context.known_s)
+    assert abs(found - slot_s) < 1e-9, (found, report)
+    context.planner._sum_reports(0.0)
+    learned_s = context.planner._service_time_s[service]
+    expected_s = context.known_s + planner._TIME_WEIGHT * (slot_s - context.known_s)
+    assert abs(learned_s - expected_s) < 1e-9, (learned_s, expected_s)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/planner.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/planner.py
@@ -41,6 +41,8 @@
                 asked=dict(tally.asked),
                 served=dict(tally.served),
                 busy_s=tally.busy_s,
+                failed=dict(tally.failed),
+                failed_s=tally.failed_s,
             )
             self.take(report)
             self._peers.broadcast(report)
@@ -89,11 +91,14 @@
                 del self._reports[entry]
                 continue
             asked.update(report.asked)
-            for service, count in report.served.items():
-                self._learn_time(service, report.busy_s.get(service, 0.0) / max(1, count))
+            for service in report.served.keys() | report.failed.keys():
+                self._learn_time(service, report)
         return asked
 
-    def _learn_time(self, service: ids.ServiceName, mean_s: float) -> None:
+    def _learn_time(self, service: ids.ServiceName, report: messages.DemandReport) -> None:
+        mean_s = demand.slot_time_s(
+            report, service, self._service_time_s.get(service, _FIRST_SERVICE_TIME_S)
+        )
         known_s = self._service_time_s.get(service, mean_s)
         self._service_time_s[service] = known_s + _TIME_WEIGHT * (mean_s - known_s)
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -163,7 +163,8 @@
                 _log.info("Retrying a request.", request=request.id, kind=error.kind.value)
                 avoid |= {minion}
             finally:
-                self._slots.release(request.service_name, minion, served_s)
+                failed_s = loop.time() - started_s if served_s is None else None
+                self._slots.release(request.service_name, minion, served_s, failed_s)
         raise AssertionError("the last attempt returns or raises")
 
     @telemetry.hop(telemetry.MINION_HOP)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
@@ -71,9 +71,15 @@
             self._waiting.pop(ticket.request, None)
 
     def release(
-        self, service: ids.ServiceName, minion: ids.MinionId, service_time_s: float | None = None
+        self,
+        service: ids.ServiceName,
+        minion: ids.MinionId,
+        service_time_s: float | None = None,
+        failed_s: float | None = None,
     ) -> None:
-        """Free a slot; the service time is given for whole answers only."""
+        """Free a slot; its time is a service time only where the answer was whole."""
+        if failed_s is not None:
+            self.tally.fail(service, failed_s)
         self.tally.serve(service, service_time_s)
         now_s = asyncio.get_running_loop().time()
         if found := self._services.get(service):
--- a/packages/nutmegshelf/src/nutmegshelf/demand.py
+++ b/packages/nutmegshelf/src/nutmegshelf/demand.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from nutmegshelf import ids
+from nutmegshelf import ids, messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +45,10 @@
         default_factory=collections.Counter
     )
     busy_s: dict[ids.ServiceName, float] = dataclasses.field(default_factory=dict)
+    failed: collections.Counter[ids.ServiceName] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    failed_s: dict[ids.ServiceName, float] = dataclasses.field(default_factory=dict)
 
     def ask(self, service: ids.ServiceName) -> None:
         """Count a request."""
@@ -55,3 +59,20 @@
         if service_time_s is not None:
             self.served[service] += 1
             self.busy_s[service] = self.busy_s.get(service, 0.0) + service_time_s
+
+    def fail(self, service: ids.ServiceName, failed_s: float) -> None:
+        """Count an attempt without a whole answer and the time that its slot was busy."""
+        self.failed[service] += 1
+        self.failed_s[service] = self.failed_s.get(service, 0.0) + failed_s
+
+
+def slot_time_s(report: messages.DemandReport, service: ids.ServiceName, known_s: float) -> float:
+    """Give how long a report's attempts kept their slots on average."""
+    served, failed = report.served.get(service, 0), report.failed.get(service, 0)
+    if not served + failed:
+        return known_s
+    busy_s = report.busy_s.get(service, 0.0)
+    whole_s = busy_s / served if served else known_s
+    # What fails at once will need its whole time once it works again.
+    lost_s = max(report.failed_s.get(service, 0.0), failed * whole_s)
+    return (busy_s + lost_s) / (served + failed)
--- a/packages/nutmegshelf/src/nutmegshelf/messages.py
+++ b/packages/nutmegshelf/src/nutmegshelf/messages.py
@@ -90,6 +90,8 @@
     asked: dict[ids.ServiceName, int] = {}
     served: dict[ids.ServiceName, int] = {}
     busy_s: dict[ids.ServiceName, float] = {}
+    failed: dict[ids.ServiceName, int] = {}
+    failed_s: dict[ids.ServiceName, float] = {}
 
 
 Any = (
