Tell and read less often while peers hear one another

Cause: an entry at rest spent most of its control on calls to the table and on messages, of which half repeated what configuration beats say each second anyway. While every staying peer is heard, the heartbeat's row, scan and Hello go every second beat, and the fleet list is read every second interval, as peers tell at once which minions leave; any silence or changed row brings back every beat. A broadcast is encoded once.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -102,7 +102,9 @@
         self._health = health.Health(own.entry, self._peers.broadcast, self._slots.set_records)
         self._pool.on_refused = self._health.refused
         self._pool.on_ended = self._health.suspect
-        self._fleet = health.FleetWatch(self._table, self._health, own.fleet_interval_s)
+        self._fleet = health.FleetWatch(
+            self._table, self._health, own.fleet_interval_s, is_shared=self._is_shared
+        )
         self._prober = health.Prober(self._health, own.probe_path)
         self._heartbeat = heartbeat.Heartbeat(
             self._table,
@@ -238,6 +240,9 @@
         self._relay.is_stale = not is_confirmed
         self._operator.is_stale = not is_confirmed
 
+    def _is_shared(self) -> bool:
+        return bool(self._members.sharing(asyncio.get_running_loop().time()))
+
     def _listed_minions(self) -> tuple[platform.MinionRecord, ...] | None:
         # Bad news counts as leaving, so the budgets see what has failed behind the list's lag.
         known = self._health.targets
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/health.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/health.py
@@ -16,6 +16,7 @@
 _MAX_RUNNING_PROBES = 16
 _PROBE_TIMEOUT_S = 1.0
 _MAX_RUNNING_READS = 4
+_SHARED_INTERVALS = 2
 _log = logs.part("health")
 
 Broadcast = collections.abc.Callable[[messages.Any], None]
@@ -86,10 +87,18 @@
 class FleetWatch:
     """Read the changes of the platform's list at a fixed rate, however slow the answers are."""
 
-    def __init__(self, source: FleetSource, health: Health, interval_s: float) -> None:
+    def __init__(
+        self,
+        source: FleetSource,
+        health: Health,
+        interval_s: float,
+        *,
+        is_shared: collections.abc.Callable[[], bool] = lambda: False,
+    ) -> None:
         self._source = source
         self._health = health
         self._interval_s = interval_s
+        self._is_shared = is_shared
         self._reads: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -100,7 +109,9 @@
                     task = asyncio.ensure_future(self._read())
                     self._reads.add(task)
                     task.add_done_callback(self._reads.discard)
-                await asyncio.sleep(self._interval_s)
+                # Peers read at other moments and tell at once which minions leave.
+                factor = _SHARED_INTERVALS if self._is_shared() else 1
+                await asyncio.sleep(factor * self._interval_s)
         finally:
             for task in self._reads:
                 task.cancel()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/heartbeat.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/heartbeat.py
@@ -7,6 +7,8 @@
 
 from nutmegshelf_entry import logs, peers, table
 
+# Peers that hear one another each second need the table's word less often.
+_QUIET_INTERVALS = 2
 _log = logs.part("membership")
 
 
@@ -31,12 +33,15 @@
         self._on_entries = on_entries
         self._beat = 0
         self._dialed: set[str] = set()
+        self._told: members.EntryRow | None = None
+        self._quiet = 0
 
     async def run(self) -> None:
         """Beat for ever."""
         while True:
             try:
-                await self.beat()
+                if self._is_due():
+                    await self.beat()
             except exceptions.TableError as error:
                 _log.warning("Could not write the heartbeat.", error=str(error))
             await asyncio.sleep(self._interval_s)
@@ -45,6 +50,8 @@
         """Tell peers, write the own row, read all rows; raises TableError."""
         self._beat += 1
         row = self._make_row(self._beat)
+        self._told = row
+        self._quiet = 0
         self._dial()
         self._peers.broadcast(messages.Hello(sender=row.entry, row=row))
         write = platform.Write(members.PREFIX + row.entry, codecs.pack(row))
@@ -57,6 +64,16 @@
         if self._dial():
             self._peers.broadcast(messages.Hello(sender=row.entry, row=row))
 
+    def _is_due(self) -> bool:
+        """Say whether this beat must be told: peers' other messages also say that one lives."""
+        now_s = asyncio.get_running_loop().time()
+        is_new = self._dial()
+        self._quiet += 1
+        staying = self._members.staying(now_s)
+        is_heard = bool(staying) and len(self._members.sharing(now_s)) == len(staying)
+        is_same = self._make_row(self._beat) == self._told
+        return is_new or not (is_heard and is_same) or self._quiet >= _QUIET_INTERVALS
+
     def _dial(self) -> bool:
         now_s = asyncio.get_running_loop().time()
         live = self._members.live(now_s)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/peers.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/peers.py
@@ -46,16 +46,20 @@
 
     def broadcast(self, message: messages.Any) -> None:
         """Send to every peer without waiting."""
-        for address in self._push:
-            self.send(address, message)
+        data = codecs.pack(message)
+        for address, socket in self._push.items():
+            self._send(address, socket, data)
 
     def send(self, address: str, message: messages.Any) -> None:
         """Send to one peer without waiting; drops the message where the peer is slow or away."""
         socket = self._push.get(address)
-        if socket is None:
-            return
+        if socket is not None:
+            self._send(address, socket, codecs.pack(message))
+
+    @staticmethod
+    def _send(address: str, socket: pynng.Push0, data: bytes) -> None:
         try:
-            socket.send(codecs.pack(message), block=False)
+            socket.send(data, block=False)
         except pynng.TryAgain:
             _log.debug("Dropped a message to a slow peer.", peer=address)
 
