--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -6,6 +6,7 @@
 import behave
 import msgspec
 from nutmegshelf import (
+    blame,
     configuration,
     decisions,
     declarations,
@@ -350,3 +351,23 @@
 @behave.then("at no time did the team use more than 4 cores, and in the end just these")
 def check_quota(context):
     assert context.most == 4, context.most
+
+
+@behave.given("jobs that each succeeded at another worker")
+def prove_jobs(context):
+    context.blame = blame.Blame()
+    for job in ("j0", "j1", "j2"):
+        context.blame.succeeded(job, "sound")
+
+
+@behave.when("{failures:d} of them fail at a worker that had {successes:d} successes")
+def fail_jobs(context, failures, successes):
+    for _ in range(successes):
+        context.blame.succeeded("other", "suspect")
+    for job in ("j0", "j1", "j2")[:failures]:
+        context.blame.failed(job, "suspect")
+
+
+@behave.then("that worker is {judged}")
+def check_judged(context, judged):
+    assert context.blame.is_apart("suspect") is (judged == "set apart")
