--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -1,8 +1,10 @@
 """Build one entry from its parts, run it and stop it gracefully."""
 
 import asyncio
+import collections.abc
 import contextlib
 import random
+import typing
 import uuid
 
 from nutmegshelf import (
@@ -56,13 +58,23 @@
         self._in_force = configuration.InForce()
         self._telemetry = telemetry.Telemetry(own.trace_fraction, own.trace_exporter)
         self._table = table.Table(own.platform.host, own.platform.port, own.platform.timeout_s)
+        self._members = members.Members(own.entry, _SILENCE_BEATS * own.heartbeat_interval_s)
+        self._peers = peers.Peers(own.entry, own.peers.host, own.peers.port)
+        # Each part is made after those that it speaks to.
+        self._make_slots(own)
+        self._make_configuration(own)
+        self._make_relay(own)
+        self._make_membership(own)
+        self._make_fleet(own)
+        self._make_servers(own)
+        self._add_gauges()
+
+    def _make_slots(self, own: settings.Settings) -> None:
         self._slots = slots.Slots(own.zone, own.seats, random.Random(own.seed))
         self._pool = minions.MinionPool()
         # Without a seat no connection to a minion may be opened.
         self._slots.set_seating(None)
         self._is_seated = False
-        self._members = members.Members(own.entry, _SILENCE_BEATS * own.heartbeat_interval_s)
-        self._peers = peers.Peers(own.entry, own.peers.host, own.peers.port)
         self._lending = lending.Lending(
             self._slots, self._members, self._peers, random.Random(own.seed)
         )
@@ -79,6 +91,8 @@
             self._seated,
             own.seat_interval_s,
         )
+
+    def _make_configuration(self, own: settings.Settings) -> None:
         self._decisions = explain.Decisions()
         self._configurator = configurator.Configurator(
             own=own.entry,
@@ -92,13 +106,17 @@
             push=own.push,
             decisions=self._decisions,
         )
+        self._collector = collector.Collector(self._table, own.collect_interval_s)
+
+    def _make_relay(self, own: settings.Settings) -> None:
         self._claimant = claimant.Claimant(self._table, own.entry)
         self._claim_sweeper = claim_sweeper.ClaimSweeper(self._table, random.Random(own.seed))
         self._relay = relay.Relay(
             self._in_force, self._slots, self._pool, self._claimant, self._telemetry
         )
         self._relay.check_standing = self._configurator.judge
-        self._collector = collector.Collector(self._table, own.collect_interval_s)
+
+    def _make_membership(self, own: settings.Settings) -> None:
         self._health = health.Health(own.entry, self._peers.broadcast, self._slots.set_records)
         self._pool.on_refused = self._health.refused
         self._pool.on_ended = self._health.suspect
@@ -114,6 +132,8 @@
             own.heartbeat_interval_s,
             on_entries=self._health.targets.set_entries,
         )
+
+    def _make_fleet(self, own: settings.Settings) -> None:
         self._fleet_decisions = decisions.ring()
         self._planner = planner.Planner(own.entry, self._peers, self._slots)
         self._pools = pools.Pools(
@@ -128,6 +148,8 @@
             plan=self._planner.plan,
             told=self._fleet_decisions.append,
         )
+
+    def _make_servers(self, own: settings.Settings) -> None:
         self._operator = operator.Operator(
             own=own,
             in_force=self._in_force,
@@ -149,7 +171,6 @@
             on_error=self._report,
         )
         self._operators = server.Server(self._operator.handle, on_error=self._report)
-        self._add_gauges()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; ends when all work is done."""
@@ -159,19 +180,7 @@
         callers_port = await self._callers.start(own.callers.host, own.callers.port)
         _log.info("Listening.", callers=callers_port, operators=self._operators_port)
         async with asyncio.TaskGroup() as group:
-            tasks = [
-                group.create_task(self._peers.run(self._take_message)),
-                group.create_task(self._heartbeat.run()),
-                group.create_task(self._seat.run()),
-                group.create_task(self._configurator.run()),
-                group.create_task(self._collector.run()),
-                group.create_task(self._fleet.run()),
-                group.create_task(self._prober.run()),
-                group.create_task(self._pools.run()),
-                group.create_task(self._claimant.run()),
-                group.create_task(self._claim_sweeper.run()),
-                group.create_task(self._planner.run()),
-            ]
+            tasks = [group.create_task(part) for part in self._parts()]
             await self._shutdown.wait_asked()
             self._operator.ready = False
             await self._shutdown.run(
@@ -193,6 +202,21 @@
         self._table.close()
         _log.info("Stopped.")
 
+    def _parts(self) -> list[collections.abc.Coroutine[typing.Any, typing.Any, None]]:
+        return [
+            self._peers.run(self._take_message),
+            self._heartbeat.run(),
+            self._seat.run(),
+            self._configurator.run(),
+            self._collector.run(),
+            self._fleet.run(),
+            self._prober.run(),
+            self._pools.run(),
+            self._claimant.run(),
+            self._claim_sweeper.run(),
+            self._planner.run(),
+        ]
+
     def _refuse(self) -> None:
         self._relay.refusing = exceptions.ErrorKind.SHUTTING_DOWN
 
