--- a/features/hosts.py
+++ b/features/hosts.py
@@ -6,6 +6,7 @@
 import random
 import unittest.mock
 
+import h11
 from nutmegshelf import codecs, configuration, declarations, ids, messages, platform
 from nutmegshelf_entry import daemon, peers, settings
 from nutmegshelf_http import client, server
@@ -198,7 +199,8 @@
         link = client.Client("127.0.0.1", self.ports[name].operators.port)
         try:
             return (await link.request("GET", target)).status
-        except OSError:
+        except (OSError, h11.ProtocolError):
+            # Nobody listens yet, or the entry was killed while it answered.
             return 0
         finally:
             link.close()
