--- a/features/paused_hosts.feature
+++ b/features/paused_hosts.feature
@@ -21,3 +21,15 @@
 
   Scenario: The fault matrix holds every cell of its tables
     Then the matrix's feature is as its tables say
+
+  Scenario Outline: A leaving minion gets no new work after 2 s when <trouble>
+    Given 2 entries and 3 minions on faked hosts
+    When "minion-0" is listed as leaving when <trouble>
+    Then no new work reached "minion-0" later than 2 s after it was listed
+
+    Examples:
+      | trouble                                        |
+      | nothing else is wrong                          |
+      | the table is slow                              |
+      | the entries are cut from each other            |
+      | they are cut from each other and it is slow    |
--- a/features/steps/hosts_steps.py
+++ b/features/steps/hosts_steps.py
@@ -5,10 +5,14 @@
 import signal
 
 import behave
+from nutmegshelf_standins import platform
 
 from features import hosts
+from features.faults import actions
 
 _CONFIRM_LIMIT_S = 1.5
+_CUT_S = 6.0
+_CALLS = 600
 
 
 @behave.given("{entries:d} entries and {count:d} minions on faked hosts")
@@ -69,3 +73,33 @@
 @behave.then('the entry "{name}" has ended')
 def check_ended(context, name):
     context.run_hosts(asyncio.wait_for(context.hosts.entries[name], 20))
+
+
+@behave.when('"{minion}" is listed as leaving when {trouble}')
+def list_leaving(context, minion, trouble):
+    site = context.hosts
+    if "slow" in trouble:
+        site.platform.faults = platform.Faults(delay_s=1.0)
+    if "cut" in trouble:
+        site.network.cut("entry-0", "entry-1")
+
+    async def main():
+        # The news comes at any moment between two reads of the list.
+        await asyncio.sleep(_CUT_S + context.rng.random())
+        disturbance = actions.Disturbance(site, "")
+        disturbance.minion = minion
+        disturbance.list_leaving()
+        context.listed_s = site.loop.time()
+        for number in range(_CALLS):
+            for entry in ("entry-0", "entry-1"):
+                await site.call(f"{entry}-{number}", entry, method="GET", work_ms=5)
+
+    context.run_hosts(main())
+
+
+@behave.then('no new work reached "{minion}" later than {limit_s:g} s after it was listed')
+def check_no_late_work(context, minion, limit_s):
+    runs = context.hosts.minions[minion].records.runs
+    late_s = [run.started_s - context.listed_s for run in runs]
+    assert context.hosts.loop.time() - context.listed_s > 2 * limit_s
+    assert max(late_s, default=0.0) <= limit_s, max(late_s)
