Take out an unused way to close minions, and fit lines and make records once

Cause, from reading the whole change: Slots.set_leaving had no caller since bad news comes through the targets, so its set was always empty; two benches fitted the same line; two step files held the same maker of records.

--- a/bench/nutmegshelf_bench/control.py
+++ b/bench/nutmegshelf_bench/control.py
@@ -208,14 +208,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
     for name, unit in _UNITS.items():
         values = [one[name] for one in found]
-        fit = statistics.linear_regression(_SIZES, values)
-        errors = [
-            abs(fit.slope * size + fit.intercept - value) / value
-            for size, value in zip(_SIZES, values, strict=True)
-        ]
+        fit = figures.fit(_SIZES, values)
         figures.show(f"control.slope.{name}", fit.slope, f"{unit}/worker")
         figures.show(f"control.intercept.{name}", fit.intercept, unit)
-        figures.show(f"control.fit_error.{name}", max(errors), "ratio")
+        figures.show(f"control.fit_error.{name}", fit.worst_error, "ratio")
 
 
 @figures.register("control")
--- a/bench/nutmegshelf_bench/figures.py
+++ b/bench/nutmegshelf_bench/figures.py
@@ -1,6 +1,7 @@
 """Keep the registry of benches and print their figures."""
 
 import collections.abc
+import dataclasses
 import statistics
 
 Bench = collections.abc.Callable[[int], None]
@@ -23,6 +24,25 @@
     print(f"{name} {value:.6g} {unit}", flush=True)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fit:
+    """Describe a line through figures by size, and its greatest relative error."""
+
+    slope: float
+    intercept: float
+    worst_error: float
+
+
+def fit(sizes: collections.abc.Sequence[float], values: collections.abc.Sequence[float]) -> Fit:
+    """Fit a line by least squares."""
+    line = statistics.linear_regression(sizes, values)
+    errors = [
+        abs(line.slope * size + line.intercept - value) / value
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    return Fit(line.slope, line.intercept, max(errors))
+
+
 def show_spread(name: str, values: collections.abc.Sequence[float], unit: str) -> None:
     """Print the median of repeated runs and their least and greatest."""
     show(name, statistics.median(values), unit)
--- a/bench/nutmegshelf_bench/fleet_size.py
+++ b/bench/nutmegshelf_bench/fleet_size.py
@@ -264,11 +264,7 @@
         values = [found[count][name] for count in _WORKERS]
         for count, value in zip(_WORKERS, values, strict=True):
             figures.show(f"fleet_size.{name}.{count}", value, unit)
-        fit = statistics.linear_regression(_WORKERS, values)
-        errors = [
-            abs(fit.slope * count + fit.intercept - value) / value
-            for count, value in zip(_WORKERS, values, strict=True)
-        ]
+        fit = figures.fit(_WORKERS, values)
         figures.show(f"fleet_size.{name}.slope", fit.slope, f"{unit}/worker")
         figures.show(f"fleet_size.{name}.intercept", fit.intercept, unit)
-        figures.show(f"fleet_size.{name}.worst_error", max(errors), "ratio")
+        figures.show(f"fleet_size.{name}.worst_error", fit.worst_error, "ratio")
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -5,23 +5,13 @@
 import itertools
 
 import behave
-from nutmegshelf import declarations, dispatch, exceptions, ids, platform, routing
+from nutmegshelf import declarations, dispatch, exceptions, ids, routing
 from nutmegshelf_standins import clock
 
-SERVICE = ids.ServiceName("orders")
-MINIONS = [ids.MinionId(f"orders-{number}") for number in range(8)]
-
+from features import records
 
-def record(minion, zone="z0", port=1):
-    return platform.MinionRecord(
-        minion=ids.MinionId(minion),
-        service=SERVICE,
-        host="127.0.0.1",
-        port=port,
-        zone=ids.ZoneName(zone),
-        rack=ids.RackName("r"),
-        worker=ids.WorkerId(f"w-{minion}"),
-    )
+SERVICE = records.SERVICE
+MINIONS = [ids.MinionId(f"orders-{number}") for number in range(8)]
 
 
 class RouteWorld:
@@ -31,7 +21,7 @@
         self.rng = rng
         self.dispatcher = dispatch.Dispatcher(256, ids.ZoneName("z0"), rng)
         zones = ["z0" if not near or number < near else "z1" for number in range(count)]
-        self.records = [record(f"orders-{n}", zone) for n, zone in enumerate(zones)]
+        self.records = [records.record(f"orders-{n}", zone) for n, zone in enumerate(zones)]
         self.dispatcher.set_targets(self.records, lambda minion: 8, 8, 0.0)
         self.number = itertools.count()
         self.sent = collections.Counter()
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -13,30 +13,19 @@
     ids,
     members,
     messages,
-    platform,
     seats,
 )
 from nutmegshelf_bench import _seating
 from nutmegshelf_entry import lending, minions, slots
 from nutmegshelf_standins import clock
 
-SERVICE = ids.ServiceName("orders")
+from features import records
+
+SERVICE = records.SERVICE
 SEATS = _seating.SEATS
 MINIONS = _seating.MINIONS
 
 
-def record(minion, zone="z0", port=1):
-    return platform.MinionRecord(
-        minion=ids.MinionId(minion),
-        service=SERVICE,
-        host="127.0.0.1",
-        port=port,
-        zone=ids.ZoneName(zone),
-        rack=ids.RackName("r"),
-        worker=ids.WorkerId(f"w-{minion}"),
-    )
-
-
 def declared(**limits):
     service = declarations.Service(pool=ids.PoolName("p"), wanted_minions=4, **limits)
     return declarations.DeclarationSet(services={SERVICE: service})
@@ -114,7 +103,7 @@
         self.network = Network()
         self.rng = rng
         self.names = [ids.EntryId(f"entry-{number}") for number in range(count)]
-        self.records = tuple(record(f"orders-{number}") for number in range(minion_count))
+        self.records = tuple(records.record(f"orders-{number}") for number in range(minion_count))
         self.running = collections.Counter()
         self.most = self.most_at_first = self.first_running = 0
 
@@ -261,7 +250,7 @@
     async def ask():
         pool = minions.MinionPool()
         pool.limits = {SERVICE: limit}
-        target = record("orders-0", port=context.port)
+        target = records.record("orders-0", port=context.port)
         results = await asyncio.gather(
             *(pool.checkout(target, fresh=True) for _ in range(count)), return_exceptions=True
         )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/slots.py
@@ -25,7 +25,6 @@
         self._services: dict[ids.ServiceName, dispatch.Dispatcher] = {}
         self._loans: dict[ids.ServiceName, loans.Loans] = {}
         self._waiting: dict[ids.RequestId, asyncio.Future[dispatch.Grant]] = {}
-        self._leaving: set[ids.MinionId] = set()
         self._records: tuple[platform.MinionRecord, ...] = ()
         self._declared = declarations.DeclarationSet()
         self.tally = demand.Tally()
@@ -142,11 +141,6 @@
                     future.set_exception(exceptions.RequestError(exceptions.ErrorKind.NOT_READY))
         self._refresh()
 
-    def set_leaving(self, minion: ids.MinionId) -> None:
-        """Give a leaving minion no new work, whatever the list says."""
-        self._leaving.add(minion)
-        self._refresh()
-
     def set_declared(self, declared: declarations.DeclarationSet) -> None:
         """Take the services of the configuration in force."""
         self._declared = declared
@@ -155,7 +149,6 @@
     def set_records(self, records: tuple[platform.MinionRecord, ...]) -> None:
         """Take the platform's list of minions."""
         self._records = records
-        self._leaving &= {record.minion for record in records}
         self._refresh()
 
     def connection_limits(self) -> dict[ids.ServiceName, int]:
@@ -177,11 +170,7 @@
     def _refresh_service(
         self, name: ids.ServiceName, service: declarations.Service, found: dispatch.Dispatcher
     ) -> None:
-        records = [
-            record
-            for record in self._records
-            if record.service == name and record.minion not in self._leaving
-        ]
+        records = [record for record in self._records if record.service == name]
         found.queue_limit = service.queue_limit
         limit = seats.connection_limit(service.connections_per_minion, self._seat_count)
         now_s = asyncio.get_running_loop().time()
