--- a/features/sites.py
+++ b/features/sites.py
@@ -45,7 +45,7 @@
             telemetry.Telemetry(0.0),
         )
         self.relay.refusing = None
-        self.entry = server.Server(self.relay.handle, bad_head=relay.bad_head)
+        self.entry = server.Server(self.relay.handle, bad_head=problems.bad_head)
         self.port = await self.entry.start("127.0.0.1", 0)
         self.calls = caller.Caller([self.port], self.rng)
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -167,7 +167,7 @@
         self._callers = server.Server(
             self._relay.handle,
             server.Limits(max_connections=own.max_connections),
-            bad_head=relay.bad_head,
+            bad_head=problems.bad_head,
             on_error=self._report,
         )
         self._operators = server.Server(self._operator.handle, on_error=self._report)
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -0,0 +1,126 @@
+"""Answer callers about jobs: through the holder of the service, else through the table."""
+
+import asyncio
+import dataclasses
+
+from nutmegshelf import calls, exceptions, ids, jobs, queues
+
+from nutmegshelf_entry import logs, mesh, ports, shards, writer
+
+# A holder that does not answer within this time is passed over.
+_HOLDER_LIMIT_S = 0.8
+# The holder may wait for the table, which is slow at times; its answer then goes on to the caller.
+_STORING_LIMIT_S = 1.6
+
+_log = logs.part("desk")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """Say whether a call to the holder may have had an effect, and what it answered."""
+
+    reply: calls.Reply | None
+    may_be_done: bool
+
+
+class Desk:
+    """Own the choice of the way for each caller's request."""
+
+    def __init__(self, rows: ports.Rows, held: shards.Shards, peers: mesh.Mesh) -> None:
+        self._rows = rows
+        self._shards = held
+        self._mesh = peers
+
+    async def answer(self, call: calls.AnyCall) -> calls.Reply:
+        """Answer another entry's call, which is for a service that is held here."""
+        held = self._shards.holder(call.service)
+        if held is None:
+            return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+        return await held.call(call)
+
+    async def _ask(self, call: calls.AnyCall, limit_s: float) -> Standing:
+        held = self._shards.holder(call.service)
+        try:
+            if held is not None:
+                async with asyncio.timeout(limit_s):
+                    reply = await held.call(call)
+            elif (address := self._shards.address(call.service)) is not None:
+                reply = await self._mesh.ask(address, call, limit_s)
+            else:
+                return Standing(None, may_be_done=False)
+        except exceptions.PeerUnreachable as error:
+            _log.info("The holder can't be reached.", service=call.service, why=str(error))
+            return Standing(None, may_be_done=False)
+        except (exceptions.PeerAnswerLost, TimeoutError) as error:
+            _log.info("The holder gave no answer.", service=call.service, why=repr(error))
+            return Standing(None, may_be_done=True)
+        if reply.verdict is calls.Verdict.NOT_HOLDER:
+            return Standing(None, may_be_done=False)
+        return Standing(reply, may_be_done=reply.verdict is calls.Verdict.UNSETTLED)
+
+    async def submit(self, job: jobs.Job) -> None:
+        """Have a job stored and run; raises RequestError."""
+        found = await self._ask(calls.Submit(service=job.service, job=job), _STORING_LIMIT_S)
+        match found.reply:
+            case calls.Reply(verdict=calls.Verdict.DONE):
+                return
+            case calls.Reply(verdict=calls.Verdict.REFUSED_FULL, retry_after_s=after_s):
+                kind = exceptions.ErrorKind.QUEUE_FULL
+                raise exceptions.RequestError(kind, retry_after_s=after_s)
+            case calls.Reply(verdict=calls.Verdict.REFUSED_HOPELESS):
+                raise exceptions.RequestError(exceptions.ErrorKind.JOB_HOPELESS)
+            case _:
+                pass
+        try:
+            committed = await self._rows.commit(jobs.submitting(job))
+        except exceptions.TableUnavailable as error:
+            kind = (
+                exceptions.ErrorKind.JOB_UNSETTLED
+                if found.may_be_done
+                else exceptions.ErrorKind.TABLE_UNAVAILABLE
+            )
+            raise exceptions.RequestError(kind, str(error)) from error
+        except exceptions.TableAnswerLost as error:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.JOB_UNSETTLED, str(error)
+            ) from error
+        _log.info("A job is stored for its holder.", job=job.job, is_new=committed.ok)
+
+    async def show(self, queue: queues.Queue, job: ids.JobId) -> jobs.JobState:
+        """Give a job's state; raises RequestError."""
+        found = await self._ask(calls.Show(service=queue.service, job=job), _HOLDER_LIMIT_S)
+        if found.reply is not None and found.reply.verdict is calls.Verdict.DONE:
+            return found.reply.state
+        try:
+            stored = await self._rows.read(jobs.job_key(queue.service, job))
+            if not stored.version:
+                raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
+            row = await self._rows.read(jobs.progress_key(queue.service, job))
+        except exceptions.TableError as error:
+            kind = exceptions.ErrorKind.JOB_UNREADABLE
+            raise exceptions.RequestError(kind, str(error)) from error
+        return writer.read_progress(row).state if row.version else jobs.JobState.QUEUED
+
+    async def cancel(self, queue: queues.Queue, job: ids.JobId) -> None:
+        """Have a job cancelled; raises RequestError."""
+        found = await self._ask(calls.Cancel(service=queue.service, job=job), _STORING_LIMIT_S)
+        if found.reply is not None and found.reply.verdict is calls.Verdict.DONE:
+            return
+        try:
+            row = await self._rows.read(jobs.job_key(queue.service, job))
+            known = writer.read_job(row) if row.version else None
+            if known is None:
+                raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
+            await self._rows.commit(jobs.cancelling(known, row.version))
+        except exceptions.TableError as error:
+            kind = exceptions.ErrorKind.JOB_UNSETTLED
+            raise exceptions.RequestError(kind, str(error)) from error
+        _log.info("A job's cancelling is stored for its holder.", job=job)
+
+    async def count(self, queue: queues.Queue) -> int:
+        """Give how many jobs of a queue have not begun; raises RequestError."""
+        call = calls.CountPending(service=queue.service, queue=queue.name)
+        found = await self._ask(call, _HOLDER_LIMIT_S)
+        if found.reply is None:
+            raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNREADABLE)
+        return found.reply.count
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
@@ -0,0 +1,144 @@
+"""Serve callers: find the queue of a request and answer for the job that it names."""
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+import h11
+from nutmegshelf import exceptions, ids, jobs, queues
+from nutmegshelf_http import channel, server
+
+from nutmegshelf_entry import desk, logs, problems
+
+# Kept back from the caller's patience, so that the final answer still arrives in time.
+_ANSWER_RESERVE_S = 0.1
+_LEAST_LIMIT_S = 0.05
+
+_log = logs.part("front")
+
+
+class Codec(typing.Protocol):
+    """Read callers' requests and write answers in the form that the callers speak."""
+
+    def patience_s(self, exchange: server.Exchange) -> float | None:
+        """Give how long the caller waits, where it says so."""
+
+    def read_job(
+        self, body: bytes, job: ids.JobId, queue: queues.Queue, accepted_ms: int
+    ) -> jobs.Job:
+        """Read a submitted job; raises RequestError."""
+
+    def state(self, state: jobs.JobState) -> bytes:
+        """Write a job's state."""
+
+    def pending(self, count: int) -> bytes:
+        """Write a queue's count."""
+
+
+class Front:
+    """Own the answers to callers."""
+
+    def __init__(
+        self,
+        in_force: queues.InForce,
+        codec: Codec,
+        wire: desk.Desk,
+        counted: collections.abc.Callable[[str, int, float], None],
+    ) -> None:
+        self.refusing: exceptions.ErrorKind | None = exceptions.ErrorKind.NOT_READY
+        self._in_force = in_force
+        self._codec = codec
+        self._desk = wire
+        self._counted = counted
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Give one request its final answer."""
+        began_s = asyncio.get_running_loop().time()
+        status, headers, body = 500, list[tuple[bytes, bytes]](), b""
+        try:
+            limit_s = self._limit_s(exchange)
+            async with asyncio.timeout(limit_s):
+                body = await self._serve(exchange)
+            status, headers = 200, [(b"content-type", b"application/json")]
+        except exceptions.RequestError as error:
+            status, (headers, body) = error.answer.status, problems.problem(error, None)
+            self._note(exchange, error)
+        except TimeoutError:
+            # The job may still be stored after this, so nothing else can be said truthfully.
+            late = exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, "out of time")
+            status, (headers, body) = late.answer.status, problems.problem(late, None)
+            self._note(exchange, late)
+        took_s = asyncio.get_running_loop().time() - began_s
+        self._counted(exchange.method, status, took_s)
+        try:
+            await exchange.respond(status, headers, body)
+        except (ConnectionError, h11.LocalProtocolError) as error:
+            _log.info("A caller left before its answer.", target=exchange.target, why=repr(error))
+            exchange.link.abort()
+
+    def _note(self, exchange: server.Exchange, error: exceptions.RequestError) -> None:
+        routes = self._in_force.routes
+        _log.log(
+            error.answer.log_level,
+            "A request got no success.",
+            method=exchange.method,
+            target=exchange.target,
+            kind=error.kind.value,
+            status=error.answer.status,
+            detail=error.detail,
+            version=routes.declared.version if routes else None,
+        )
+
+    def _limit_s(self, exchange: server.Exchange) -> float | None:
+        patience_s = self._codec.patience_s(exchange)
+        if patience_s is None:
+            return None
+        return max(_LEAST_LIMIT_S, patience_s - _ANSWER_RESERVE_S)
+
+    async def _serve(self, exchange: server.Exchange) -> bytes:
+        routes = self._in_force.routes
+        if self.refusing is not None or routes is None:
+            raise exceptions.RequestError(self.refusing or exceptions.ErrorKind.NOT_READY)
+        host = (exchange.header(b"host") or b"").decode("latin-1")
+        target = routes.find(host, exchange.target.partition("?")[0])
+        if target is None:
+            raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_QUEUE)
+        match exchange.method, bool(target.job):
+            case "POST", True:
+                return await self._submit(exchange, target, routes.declared.limits)
+            case "GET", True:
+                return self._codec.state(await self._desk.show(target.queue, target.job))
+            case "DELETE", True:
+                await self._desk.cancel(target.queue, target.job)
+                return self._codec.state(jobs.JobState.CANCELLED)
+            case "GET", False:
+                return self._codec.pending(await self._desk.count(target.queue))
+            case _:
+                raise exceptions.RequestError(exceptions.ErrorKind.METHOD_NOT_SERVED)
+
+    async def _submit(
+        self, exchange: server.Exchange, target: queues.Target, limits: queues.Limits
+    ) -> bytes:
+        try:
+            body = await exchange.link.read_body(limits.body_bytes)
+        except ValueError as error:
+            kind = exceptions.ErrorKind.BODY_TOO_LARGE
+            raise exceptions.RequestError(kind, str(error)) from error
+        now_ms = int(time.time() * 1000)
+        job = self._codec.read_job(body, target.job, target.queue, now_ms)
+        await self._desk.submit(job)
+        return self._codec.state(jobs.JobState.QUEUED)
+
+
+def ready_handler(
+    is_ready: collections.abc.Callable[[], bool],
+) -> collections.abc.Callable[[server.Exchange], collections.abc.Awaitable[None]]:
+    """Make the handler that tells the balancer whether to send new connections."""
+
+    async def handle(exchange: server.Exchange) -> None:
+        headers: channel.Headers = [(b"content-type", b"text/plain")]
+        ready = is_ready()
+        await exchange.respond(200 if ready else 503, headers, b"ready" if ready else b"not ready")
+
+    return handle
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -0,0 +1,295 @@
+"""Run the jobs of one service while this entry holds its lease."""
+
+import asyncio
+import collections.abc
+import time
+
+from nutmegshelf import (
+    calls,
+    codecs,
+    exceptions,
+    fleetview,
+    ids,
+    jobs,
+    ledger,
+    leases,
+    platform,
+    queues,
+    scheduler,
+)
+
+from nutmegshelf_entry import logs, notelog, ports, worker_link, writer
+
+_PASS_GAP_S = 0.008
+_TICK_S = 0.1
+_RETRY_S = 0.2
+USED = "used"
+
+_log = logs.part("holder")
+
+
+class Holder:
+    """Own the scheduler of one service, its writer and its workers' links."""
+
+    def __init__(
+        self,
+        pool: ids.PoolName,
+        rows: ports.Rows,
+        workers: ports.Workers,
+        book: leases.Leases,
+        in_force: queues.InForce,
+        *,
+        lease_s: float,
+        hold_limit_s: float,
+        taken_s: float,
+    ) -> None:
+        held = book.held[pool]
+        self.pool = pool
+        self.epoch = held.lease.epoch
+        self._rows = rows
+        self._workers = workers
+        self._in_force = in_force
+        self._lease_s = lease_s
+        self._hold_limit_s = hold_limit_s
+        self._loop = asyncio.get_running_loop()
+        lapse_s = lease_s / (1 - fleetview.SLOW_CLOCK_FRACTION) + book.duration_s / 4
+        self.scheduler = scheduler.Scheduler(
+            self.epoch, lapse_s=lapse_s, now_s=self._loop.time(), recovers=self.epoch > 1
+        )
+        self.writer = writer.Writer(rows, book, pool, taken_s)
+        self.writer.wake = self.wake
+        self._links: dict[fleetview.Life, worker_link.Link] = {}
+        self._used: set[fleetview.Life] = set()
+        self._woken = asyncio.Event()
+        self._may_order = asyncio.Event()
+        self.is_loaded = False
+        self._listed: list[fleetview.WorkerFacts] = []
+        self._group: asyncio.TaskGroup | None = None
+        self._notes = notelog.NoteLog("holder", pool)
+
+    def wake(self) -> None:
+        """Have the next pass run soon."""
+        self._woken.set()
+
+    # --- what entries ask
+
+    async def call(self, call: calls.AnyCall) -> calls.Reply:
+        """Answer a call about a job or a host of the service."""
+        if not self.is_loaded:
+            return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+        match call:
+            case calls.Submit():
+                return await self._submit(call.job)
+            case calls.Show():
+                return self._show(call.job)
+            case calls.Cancel():
+                return await self._cancel(call.job)
+            case calls.CountPending():
+                return calls.Reply(verdict=calls.Verdict.DONE, count=self._pending(call.queue))
+            case _:
+                return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+
+    async def _submit(self, job: jobs.Job) -> calls.Reply:
+        book = self.scheduler.ledger
+        if job.job in book.records:
+            return calls.Reply(verdict=calls.Verdict.DONE)
+        arrived_s = self._loop.time()
+        try:
+            await self.writer.accept(job)
+        except exceptions.TableError:
+            return calls.Reply(verdict=calls.Verdict.UNSETTLED)
+        self._add(job, None, arrived_s, may_run=False)
+        self.wake()
+        return calls.Reply(verdict=calls.Verdict.DONE)
+
+    def _show(self, job: ids.JobId) -> calls.Reply:
+        record = self.scheduler.ledger.records.get(job)
+        if record is None:
+            return calls.Reply(verdict=calls.Verdict.UNKNOWN_JOB)
+        return calls.Reply(verdict=calls.Verdict.DONE, state=record.shown)
+
+    async def _cancel(self, job: ids.JobId) -> calls.Reply:
+        book = self.scheduler.ledger
+        record = book.records.get(job)
+        if record is None:
+            return calls.Reply(verdict=calls.Verdict.UNKNOWN_JOB)
+        if record.is_live:
+            book.end(record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time())
+            _log.info("A job is cancelled.", job=job, pool=self.pool)
+            self.wake()
+        while record.shown not in jobs.ENDED:
+            self.writer.poke()
+            await asyncio.sleep(_PASS_GAP_S)
+        return calls.Reply(verdict=calls.Verdict.DONE, state=record.shown)
+
+    def _pending(self, queue: ids.QueueName) -> int:
+        return sum(
+            record.progress.state is jobs.JobState.QUEUED and record.job.queue.name == queue
+            for record in self.scheduler.ledger.records.values()
+        )
+
+    def _add(
+        self,
+        job: jobs.Job,
+        progress: jobs.Progress | None,
+        arrived_s: float,
+        *,
+        may_run: bool,
+    ) -> None:
+        known = job.job in self.scheduler.ledger.records
+        record = self.scheduler.ledger.add(job, progress, arrived_s, _now_ms(), may_run=may_run)
+        if not known and not may_run:
+            _log.info(
+                "A job is taken in.",
+                job=job.job,
+                queue=job.queue.name,
+                pool=self.pool,
+                tasks=sum(step.count for step in job.steps),
+                due_in_s=round(record.due_by_s - self._loop.time(), 3),
+            )
+
+    # --- what the store and the fleet's list say
+
+    async def take_notice(self, notice: jobs.Notice) -> None:
+        """Take in a job that another entry stored, or cancel one."""
+        known = notice.job in self.scheduler.ledger.records
+        if not known:
+            row = await self._rows.read(jobs.job_key(self.pool, notice.job))
+            job = writer.read_job(row) if row.version else None
+            if job is not None:
+                self._add(job, None, self._loop.time(), may_run=False)
+        record = self.scheduler.ledger.records.get(notice.job)
+        if notice.cancels and record is not None and record.is_live:
+            self.scheduler.ledger.end(
+                record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time()
+            )
+        self.writer.write(platform.Write(jobs.notice_key(notice), None))
+        self.wake()
+
+    def list_workers(self, listed: collections.abc.Iterable[fleetview.WorkerFacts]) -> None:
+        """Take the fleet's list of this service."""
+        self._listed = list(listed)
+        if not self.is_loaded or self._group is None:
+            return
+        added = self.scheduler.list_workers(self._listed, self._loop.time())
+        for worker in added:
+            self._link(worker)
+        if added:
+            self._store_used()
+        self.wake()
+
+    def _link(self, worker: fleetview.Worker) -> None:
+        assert self._group is not None
+        life = worker.facts.life
+        link = worker_link.Link(
+            self.scheduler,
+            life,
+            self._workers,
+            self.epoch,
+            self._lease_s,
+            self.wake,
+            self._may_order,
+        )
+        self._links[life] = link
+        task = self._group.create_task(link.run())
+        facts = worker.facts
+        task.add_done_callback(lambda _: self._unlink(facts))
+
+    def _unlink(self, facts: fleetview.WorkerFacts) -> None:
+        self._links.pop(facts.life, None)
+        self._workers.forget(facts)
+
+    # --- the daemon's side
+
+    async def run(self) -> None:
+        """Load what is stored, then serve until the lease is lost; raises LeaseLost."""
+        await self._load()
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._group = group
+                group.create_task(self.writer.run(self.scheduler.ledger))
+                self.list_workers(self._listed)
+                group.create_task(self._passes())
+                group.create_task(self._guard())
+        finally:
+            self.is_loaded = False
+            self.writer.give_up()
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                stored_jobs = await self._rows.scan(f"{jobs.JOBS}/{self.pool}/")
+                progress = await self._rows.scan(f"{jobs.PROGRESS}/{self.pool}/")
+                notices = await self._rows.scan(f"{jobs.INBOX}/{self.pool}/")
+                used = await self._rows.scan(f"{USED}/{self.pool}/")
+                break
+            except exceptions.TableError as error:
+                _log.warning("The rows can't be read.", pool=self.pool, why=str(error))
+                await asyncio.sleep(_RETRY_S)
+        found = {one.job: one for one in map(writer.read_progress, progress)}
+        now_ms, now_s = _now_ms(), self._loop.time()
+        for row in stored_jobs:
+            job = writer.read_job(row)
+            if job is not None:
+                age_s = max(0, now_ms - job.accepted_ms) / 1000
+                self._add(job, found.get(job.job), now_s - age_s, may_run=True)
+        lives = [fleetview.Life(*one) for row in used for one in codecs.unpack(row.value, list)]
+        self.scheduler.list_workers(self._listed, now_s)
+        self.scheduler.expect_lives(lives)
+        self.scheduler.workers.clear()
+        self.is_loaded = True
+        _log.info(
+            "A service is held.",
+            pool=self.pool,
+            epoch=self.epoch,
+            jobs=len(stored_jobs),
+            live=sum(record.is_live for record in self.scheduler.ledger.records.values()),
+        )
+        for row in notices:
+            await self.take_notice(codecs.unpack(row.value, jobs.Notice))
+
+    def _store_used(self) -> None:
+        lives = sorted(self.scheduler.workers)
+        key = f"{USED}/{self.pool}/lives"
+        self.writer.write(platform.Write(key, codecs.pack([tuple(life) for life in lives])))
+
+    async def _guard(self) -> None:
+        # Orders wait while the lease can't be renewed: another entry may take it over.
+        while True:
+            fresh = self._loop.time() - self.writer.renewed_s < self._hold_limit_s
+            if fresh and not self._may_order.is_set():
+                _log.info("Orders go out.", pool=self.pool, epoch=self.epoch)
+                self._may_order.set()
+                self.wake()
+            if not fresh and self._may_order.is_set():
+                _log.warning("Orders wait, as the lease can't be renewed.", pool=self.pool)
+                self._may_order.clear()
+            await asyncio.sleep(_TICK_S)
+
+    async def _passes(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(_TICK_S):
+                    await self._woken.wait()
+            except TimeoutError:
+                pass  # Time alone may have made something due.
+            self._woken.clear()
+            self._pass()
+            await asyncio.sleep(_PASS_GAP_S)
+
+    def _pass(self) -> None:
+        now_s = self._loop.time()
+        self.scheduler.tick(now_s, _now_ms())
+        fresh = now_s - self.writer.renewed_s < self._hold_limit_s
+        if fresh and self._may_order.is_set():
+            for order in [*self.scheduler.stops(now_s), *self.scheduler.starts(now_s)]:
+                link = self._links.get(order.life)
+                if link is not None and self._group is not None:
+                    self._group.create_task(link.send(order))
+        if self.scheduler.ledger.dirty:
+            self.writer.poke()
+        self._notes.write(self.scheduler.notes)
+
+
+def _now_ms() -> int:
+    return int(time.time() * 1000)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/logs.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/logs.py
@@ -2,11 +2,12 @@
 
 import logging
 import sys
+import typing
 
 import structlog
 
 
-def configure(level: str) -> None:
+def configure(level: str, file: typing.TextIO | None = None) -> None:
     """Set the least level and the form of all log lines."""
     structlog.configure(
         processors=[
@@ -18,7 +19,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file or sys.stderr),
         cache_logger_on_first_use=False,
     )
 
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
@@ -0,0 +1,45 @@
+"""Write the kernel's decisions down, within a bound a second; what is left out is counted."""
+
+import asyncio
+import collections
+
+from nutmegshelf import notes
+
+from nutmegshelf_entry import logs
+
+# Lines a second and event; more of one kind are only counted.
+_MOST_LINES = 20
+
+
+class NoteLog:
+    """Own the lines of one part."""
+
+    def __init__(self, part: str, pool: str) -> None:
+        self._log = logs.part(part)
+        self._pool = pool
+        self._second = 0
+        self._lines: collections.Counter[str] = collections.Counter()
+
+    def write(self, taken: notes.Notes) -> None:
+        """Write all new notes, as far as the bound allows."""
+        second = int(asyncio.get_running_loop().time())
+        if second != self._second:
+            self._flush()
+            self._second = second
+        for note in taken.take():
+            self._lines[note.event] += 1
+            if self._lines[note.event] <= _MOST_LINES:
+                self._log.info(note.event, pool=self._pool, **note.fields)
+        if taken.left_out:
+            self._lines["notes of the kernel"] += taken.left_out + _MOST_LINES
+            taken.left_out = 0
+
+    def _flush(self) -> None:
+        left_out = {
+            event: count - _MOST_LINES
+            for event, count in self._lines.items()
+            if count > _MOST_LINES
+        }
+        if left_out:
+            self._log.info("Lines were left out.", pool=self._pool, left_out=left_out)
+        self._lines.clear()
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -0,0 +1,75 @@
+"""Name what the daemon needs of the outside, so that an adapter or a fake can give it."""
+
+import collections.abc
+import typing
+
+from nutmegshelf import fleetview, orders, platform, scheduler
+
+
+class Changes(typing.NamedTuple):
+    """Hold rows of one kind that changed; deleted ones have no value."""
+
+    rows: tuple[platform.Row, ...]
+    version: int
+    is_whole: bool = False
+
+
+class Rows(typing.Protocol):
+    """Read, change and watch the rows that outlive every process.
+
+    A key has the form KIND/PARTITION/NAME; a transaction stays within one partition.
+    """
+
+    async def read(self, key: str) -> platform.Row:
+        """Read a row; raises TableUnavailable."""
+
+    async def scan(self, prefix: str) -> list[platform.Row]:
+        """Read all rows of a kind in a partition; raises TableUnavailable."""
+
+    async def commit(self, transaction: platform.Transaction) -> platform.Committed:
+        """Apply a transaction; raises TableUnavailable or TableAnswerLost."""
+
+    async def changes(self, kind: str, after: int, wait_s: float) -> Changes:
+        """Wait for changes of a kind; gives all rows where the history is gone, or at first."""
+
+
+class Workers(typing.Protocol):
+    """Give orders to workers; every call ends within its time limit."""
+
+    async def look(
+        self,
+        facts: fleetview.WorkerFacts,
+        *,
+        fence: int,
+        seen: int,
+        until_ms: int | None,
+        wait_s: float,
+    ) -> orders.Looked:
+        """Ask what runs and what ended, and renew the lease; raises WorkerError."""
+
+    async def start(
+        self,
+        facts: fleetview.WorkerFacts,
+        order: scheduler.StartRun,
+        *,
+        fence: int,
+        until_ms: int,
+        ticket: str | None,
+    ) -> orders.Refusal | None:
+        """Start a run; gives the reason where it was turned away; raises WorkerError."""
+
+    async def stop(
+        self, facts: fleetview.WorkerFacts, order: scheduler.StopRun, *, fence: int
+    ) -> None:
+        """Stop a run and bar orders to start it; raises WorkerError."""
+
+    async def pace(
+        self, facts: fleetview.WorkerFacts, order: scheduler.SetPace, *, fence: int
+    ) -> None:
+        """Let a run work at a share of its speed; raises WorkerError."""
+
+    def forget(self, facts: fleetview.WorkerFacts) -> None:
+        """Close the connections to a worker."""
+
+
+Wake = collections.abc.Callable[[], None]
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -3,8 +3,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import json
-import math
 
 import h11
 from nutmegshelf import claims, configuration, dispatch, exceptions, ids
@@ -17,6 +15,7 @@
     logs,
     minions,
     patience,
+    problems,
     requests,
     slots,
     telemetry,
@@ -204,54 +203,13 @@
             # A part of the answer is out: only a broken connection tells the caller the truth.
             exchange.link.reset()
             return
-        headers, body = problem(error, request.id if request else None)
+        headers, body = problems.problem(error, request.id if request else None)
         try:
             await exchange.respond(answer.status, headers, body)
         except (ConnectionError, h11.LocalProtocolError):
             exchange.link.abort()
 
 
-def problem(
-    error: exceptions.RequestError, request: ids.RequestId | None
-) -> tuple[channel.Headers, bytes]:
-    """Make the headers and the problem body (RFC 9457) of an error answer."""
-    answer = error.answer
-    headers = [
-        (b"content-type", b"application/problem+json"),
-        (b"nutmegshelf-outcome", error.outcome.value.encode()),
-        (b"nutmegshelf-error", error.kind.value.encode()),
-    ]
-    if request:
-        headers.append((b"nutmegshelf-request", request.encode()))
-    if error.retry_after_s is not None:
-        headers.append((b"retry-after", str(math.ceil(error.retry_after_s)).encode()))
-    fields = {
-        "type": f"urn:nutmegshelf:error:{error.kind.value}",
-        "title": answer.title,
-        "status": answer.status,
-        "detail": error.detail,
-        "outcome": error.outcome.value,
-        "request": request,
-    }
-    return headers, json.dumps(fields).encode()
-
-
-def bad_head(status: int, detail: str) -> tuple[int, channel.Headers, bytes]:
-    """Answer a head that can't be read, in the form of every other error answer."""
-    kinds = {
-        431: exceptions.ErrorKind.HEAD_TOO_LARGE,
-        408: exceptions.ErrorKind.HEAD_TIMEOUT,
-        500: exceptions.ErrorKind.INTERNAL,
-        503: exceptions.ErrorKind.OVERLOADED,
-    }
-    error = exceptions.RequestError(kinds.get(status, exceptions.ErrorKind.BAD_REQUEST), detail)
-    if error.kind is exceptions.ErrorKind.INTERNAL:
-        # Nothing is known here of how far the request had come.
-        error.mark_sent()
-    headers, body = problem(error, None)
-    return error.answer.status, headers, body
-
-
 def _may_retry(work: attempts.Work, error: exceptions.RequestError) -> bool:
     if work.exchange.started or not work.body.is_replayable:
         return False
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -0,0 +1,210 @@
+"""Hold a share of the services: take leases, run their holders, give leases back."""
+
+import asyncio
+import collections.abc
+import typing
+
+import msgspec
+from nutmegshelf import calls, codecs, exceptions, ids, leases, members, platform
+
+from nutmegshelf_entry import logs, ports, writer
+
+_TICK_S = 0.1
+# Leases are looked at together, so that a change does not cost a call by itself.
+_WATCH_GAP_S = 0.35
+_WATCH_WAIT_S = 5.0
+_RETRY_S = 0.25
+BEAT_INTERVAL_S = 2.0
+MEMBER_SILENCE_S = 5.0
+# A starting entry first learns who else is there, so that leases spread evenly.
+_SETTLE_S = 0.7
+_RELEASE_LIMIT_S = 1.0
+
+_log = logs.part("shards")
+
+
+class Held(typing.Protocol):
+    """Name what the shards need of a holder."""
+
+    writer: writer.Writer
+
+    async def run(self) -> None:
+        """Serve until the lease is lost."""
+
+    async def call(self, call: calls.AnyCall) -> calls.Reply:
+        """Answer a call."""
+
+
+MakeHolder = collections.abc.Callable[[ids.PoolName, float], Held]
+
+
+class Shards:
+    """Own the leases of this entry and the holders that run under them."""
+
+    def __init__(
+        self,
+        rows: ports.Rows,
+        book: leases.Leases,
+        known: members.Members,
+        row: collections.abc.Callable[[int], members.EntryRow],
+        make: MakeHolder,
+    ) -> None:
+        self._rows = rows
+        self._book = book
+        self._members = known
+        self._row = row
+        self._make = make
+        self._loop = asyncio.get_running_loop()
+        self._holders: dict[ids.PoolName, tuple[Held, asyncio.Task[None]]] = {}
+        self._lease_rows: dict[str, platform.Row] = {}
+        self._leaving = False
+        self._beat_done = False
+        self.pools: list[ids.PoolName] = []
+        self.is_watching = False
+
+    def holder(self, pool: str) -> Held | None:
+        """Give the own holder of a pool, or none."""
+        found = self._holders.get(ids.PoolName(pool))
+        return found[0] if found else None
+
+    def holders(self) -> dict[ids.PoolName, Held]:
+        """Give all own holders."""
+        return {pool: held for pool, (held, _) in self._holders.items()}
+
+    def address(self, pool: str) -> str | None:
+        """Give the address of the entry that holds a pool, as last seen."""
+        lease = self._book.holder(ids.PoolName(pool))
+        return lease.address if lease is not None and lease.address else None
+
+    async def run(self) -> None:
+        """Take part until the entry leaves."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch())
+            group.create_task(self._beat())
+            group.create_task(self._hold(group))
+
+    async def _watch(self) -> None:
+        after = 0
+        while True:
+            try:
+                found = await self._rows.changes("leases", after, _WATCH_WAIT_S)
+            except exceptions.TableError as error:
+                _log.warning("Leases can't be watched.", why=str(error))
+                self.is_watching = False
+                await asyncio.sleep(_RETRY_S)
+                continue
+            after = found.version
+            self.is_watching = True
+            for row in found.rows:
+                known = self._lease_rows.get(row.key)
+                if known is None or row.version >= known.version:
+                    self._lease_rows[row.key] = row
+            self._observe()
+            await asyncio.sleep(_WATCH_GAP_S)
+
+    def _observe(self) -> None:
+        newest: list[platform.Row] = []
+        for row in self._lease_rows.values():
+            own = self._book.held.get(_pool_of(row.key))
+            if own is not None and own.version > row.version:
+                # An own transaction went on from what was watched.
+                row = platform.Row(row.key, own.version, codecs.pack(own.lease))
+            newest.append(row)
+        for pool in self._book.observe(newest, self._loop.time()):
+            _log.warning("A lease was lost.", pool=pool)
+            self._end(pool)
+
+    async def _beat(self) -> None:
+        beat = 0
+        while True:
+            beat += 1
+            row = self._row(beat)
+            write = platform.Write(f"entries//{row.entry}", codecs.pack(row))
+            try:
+                await self._rows.commit(platform.Transaction(writes=(write,)))
+                found = await self._rows.scan("entries//")
+                rows = [codecs.unpack(one.value, members.EntryRow) for one in found]
+                self._members.take_rows(rows, self._loop.time())
+                self._beat_done = True
+            except (exceptions.TableError, msgspec.DecodeError) as error:
+                _log.warning("The own row can't be renewed.", why=str(error))
+                await asyncio.sleep(_RETRY_S)
+                continue
+            await asyncio.sleep(BEAT_INTERVAL_S if beat > 1 else _SETTLE_S)
+
+    async def _hold(self, group: asyncio.TaskGroup) -> None:
+        await asyncio.sleep(_SETTLE_S)
+        while True:
+            if self.is_watching and self._beat_done and not self._leaving:
+                now_s = self._loop.time()
+                entries = self._entries(now_s)
+                for pool in self._book.to_take(self.pools, entries, now_s):
+                    await self._take(pool, group)
+                for pool in self._book.to_release(self.pools, entries, now_s):
+                    await self._release(pool)
+            await asyncio.sleep(_TICK_S)
+
+    def _entries(self, now_s: float) -> list[ids.EntryId]:
+        live = {row.entry for row in self._members.live(now_s) if not row.leaving}
+        live -= self._book.lapsed_holders(now_s)
+        return sorted(live | {self._book.own})
+
+    async def _take(self, pool: ids.PoolName, group: asyncio.TaskGroup) -> None:
+        sent_s = self._loop.time()
+        try:
+            committed = await self._rows.commit(self._book.taking(pool))
+        except exceptions.TableError as error:
+            _log.warning("A lease can't be taken.", pool=pool, why=str(error))
+            await asyncio.sleep(_RETRY_S)
+            return
+        for row in committed.rows:
+            self._lease_rows[row.key] = row
+        if not committed.ok:
+            self._observe()
+            return
+        own = leases.key(pool)
+        row = next(row for row in committed.rows if row.key == own)
+        self._book.observe_own(row, self._loop.time())
+        _log.info("A lease is taken.", pool=pool, epoch=self._book.held[pool].lease.epoch)
+        held = self._make(pool, sent_s)
+        self._holders[pool] = held, group.create_task(self._serve(pool, held))
+
+    async def _serve(self, pool: ids.PoolName, held: Held) -> None:
+        try:
+            await held.run()
+        except* writer.LeaseLost as lost:
+            _log.warning("A lease was lost.", pool=pool, why=str(lost.exceptions[0]))
+            self._book.drop(pool)
+        finally:
+            found = self._holders.get(pool)
+            if found is not None and found[0] is held:
+                del self._holders[pool]
+
+    def _end(self, pool: ids.PoolName) -> None:
+        found = self._holders.pop(pool, None)
+        if found is not None:
+            found[1].cancel()
+
+    async def _release(self, pool: ids.PoolName) -> None:
+        found = self._holders.get(pool)
+        self._end(pool)
+        if found is not None:
+            await asyncio.wait([found[1]])
+            await found[0].writer.release()
+            _log.info("A lease is given back.", pool=pool)
+
+    async def leave(self) -> None:
+        """Give all leases back and say that the entry leaves."""
+        self._leaving = True
+        try:
+            async with asyncio.timeout(_RELEASE_LIMIT_S):
+                await asyncio.gather(*[self._release(pool) for pool in list(self._holders)])
+                row = msgspec.structs.replace(self._row(0), leaving=True)
+                write = platform.Write(f"entries//{row.entry}", codecs.pack(row))
+                await self._rows.commit(platform.Transaction(writes=(write,)))
+        except (exceptions.TableError, TimeoutError) as error:
+            _log.warning("The leases were not all given back.", why=repr(error))
+
+
+def _pool_of(key: str) -> ids.PoolName:
+    return ids.PoolName(key.removeprefix(leases.PREFIX))
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -0,0 +1,166 @@
+"""Look at one worker again and again, and carry orders to it."""
+
+import asyncio
+
+from nutmegshelf import exceptions, fleetview, scheduler
+
+from nutmegshelf_entry import logs, ports
+
+# Ends that come close together are taken in one look.
+_LOOK_GAP_S = 0.025
+_IDLE_WAIT_S = 2.0
+_BUSY_WAIT_S = 1.0
+# Where tasks share a worker with filling ones, their response times are watched closely.
+_SHARED_WAIT_S = 0.4
+_FIRST_BACKOFF_S = 0.05
+_MOST_BACKOFF_S = 0.5
+_ORDERS_AT_ONCE = 6
+# A start that comes later than this is refused by the worker.
+START_VALID_S = 2.5
+
+_log = logs.part("worker")
+
+
+class Link:
+    """Own the calls to one life of a worker."""
+
+    def __init__(
+        self,
+        service: scheduler.Scheduler,
+        life: fleetview.Life,
+        calls: ports.Workers,
+        fence: int,
+        lease_s: float,
+        wake: ports.Wake,
+        may_order: asyncio.Event,
+    ) -> None:
+        self._scheduler = service
+        self._life = life
+        self._calls = calls
+        self._fence = fence
+        self._lease_s = lease_s
+        self._wake = wake
+        self._may_order = may_order
+        self._seen = 0
+        self._slots = asyncio.Semaphore(_ORDERS_AT_ONCE)
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self) -> None:
+        """Look until the worker is no longer known."""
+        backoff_s = _FIRST_BACKOFF_S
+        while (worker := self._scheduler.workers.get(self._life)) is not None:
+            await self._may_order.wait()
+            try:
+                await self._look(worker)
+                backoff_s = _FIRST_BACKOFF_S
+                await asyncio.sleep(_LOOK_GAP_S)
+            except exceptions.WorkerError as error:
+                if worker.unheard_since_s is None:
+                    worker.unheard_since_s = self._loop.time()
+                    _log.warning("A worker doesn't answer.", worker=self._life.worker, why=str(error))
+                await asyncio.sleep(backoff_s)
+                backoff_s = min(2 * backoff_s, _MOST_BACKOFF_S)
+        _log.info("A worker is gone.", worker=self._life.worker)
+
+    async def _look(self, worker: fleetview.Worker) -> None:
+        sent_s = self._loop.time()
+        if (settled := self._scheduler.settled_end(self._life)) is not None:
+            self._seen = settled
+        until_ms = self._until_ms(worker, self._lease_s)
+        if until_ms is not None:
+            worker.note_lease(sent_s, self._lease_s)
+        looked = await self._calls.look(
+            worker.facts,
+            fence=self._fence,
+            seen=self._seen,
+            until_ms=until_ms,
+            wait_s=_wait_s(worker) if until_ms is not None else 0.0,
+        )
+        received_s = self._loop.time()
+        if looked.born_ms != self._life.born_ms:
+            self._scheduler.reborn(self._life, looked.born_ms, received_s)
+            self._wake()
+            return
+        self._note_clock(worker, looked.clock_ms, received_s)
+        if worker.unheard_since_s is not None:
+            _log.info("A worker answers again.", worker=self._life.worker)
+        self._scheduler.reported(
+            fleetview.Report(
+                self._life, looked.clock_ms, sent_s, received_s, looked.running, looked.ends
+            )
+        )
+        self._wake()
+
+    def _note_clock(self, worker: fleetview.Worker, clock_ms: int, received_s: float) -> None:
+        # An answer that took long makes the worker's clock look slow, so the largest value counts,
+        # lowered with time as far as clocks may drift.
+        ahead_ms = clock_ms - received_s * 1000
+        if worker.clock_ahead_ms is not None:
+            drift_ms = (received_s - worker.clock_read_s) * 1000 * fleetview.SLOW_CLOCK_FRACTION
+            ahead_ms = max(ahead_ms, worker.clock_ahead_ms - drift_ms)
+        worker.clock_ahead_ms, worker.clock_read_s = ahead_ms, received_s
+
+    def _until_ms(self, worker: fleetview.Worker, lease_s: float) -> int | None:
+        if worker.clock_ahead_ms is None:
+            return None
+        return int(worker.clock_ahead_ms + (self._loop.time() + lease_s) * 1000)
+
+    async def send(self, order: scheduler.Order, ticket: str | None = None) -> None:
+        """Carry one order and report its outcome to the scheduler."""
+        worker = self._scheduler.workers.get(self._life)
+        if worker is None:
+            return
+        async with self._slots:
+            match order:
+                case scheduler.StartRun():
+                    await self._start(worker, order, ticket)
+                case scheduler.StopRun():
+                    await self._stop(worker, order)
+                case scheduler.SetPace():
+                    await self._pace(worker, order)
+        self._wake()
+
+    async def _start(
+        self, worker: fleetview.Worker, order: scheduler.StartRun, ticket: str | None
+    ) -> None:
+        until_ms = self._until_ms(worker, START_VALID_S)
+        if until_ms is None or not self._may_order.is_set():
+            self._scheduler.refused(order, "not ordered", self._loop.time())
+            return
+        worker.note_lease(self._loop.time(), START_VALID_S)
+        try:
+            refusal = await self._calls.start(
+                worker.facts, order, fence=self._fence, until_ms=until_ms, ticket=ticket
+            )
+        except (exceptions.OrderNotDone, exceptions.WrongLife, exceptions.Fenced) as error:
+            self._scheduler.refused(order, str(error) or type(error).__name__, self._loop.time())
+            if worker.unheard_since_s is None:
+                worker.unheard_since_s = self._loop.time()
+        except exceptions.WorkerError:
+            self._scheduler.unanswered(order, self._loop.time())
+        else:
+            if refusal is None:
+                self._scheduler.started(order, self._loop.time())
+            else:
+                self._scheduler.refused(order, refusal.value, self._loop.time())
+
+    async def _stop(self, worker: fleetview.Worker, order: scheduler.StopRun) -> None:
+        try:
+            await self._calls.stop(worker.facts, order, fence=self._fence)
+        except exceptions.WorkerError as error:
+            _log.info("A stop got no answer.", task=order.task, run=order.run, why=str(error))
+        else:
+            self._scheduler.stopped(order, self._loop.time())
+
+    async def _pace(self, worker: fleetview.Worker, order: scheduler.SetPace) -> None:
+        try:
+            await self._calls.pace(worker.facts, order, fence=self._fence)
+        except exceptions.WorkerError as error:
+            _log.info("A pace got no answer.", task=order.task, run=order.run, why=str(error))
+
+
+def _wait_s(worker: fleetview.Worker) -> float:
+    if not worker.tasks:
+        return _IDLE_WAIT_S
+    shared = {task.step.fills for task in worker.tasks.values() if task.step.lasting}
+    return _SHARED_WAIT_S if len(shared) > 1 else _BUSY_WAIT_S
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -0,0 +1,194 @@
+"""Store the changes of one service in groups, under the condition that its lease still holds."""
+
+import asyncio
+import collections.abc
+
+import msgspec
+from nutmegshelf import codecs, exceptions, ids, jobs, leases, ledger, platform
+
+from nutmegshelf_entry import logs, ports
+
+# Changes that come within this time are stored together.
+_LINGER_S = 0.012
+_MOST_JOBS = 40
+_RETRY_S = 0.1
+_RENEW_FRACTION = 0.25
+
+_log = logs.part("writer")
+
+
+class LeaseLost(exceptions.NutmegshelfError):
+    """Report that another entry holds the lease."""
+
+
+class Writer:
+    """Own the transactions of one held lease; they go one after the other."""
+
+    def __init__(
+        self, rows: ports.Rows, book: leases.Leases, pool: ids.PoolName, book_s: float
+    ) -> None:
+        self._rows = rows
+        self._book = book
+        self._pool = pool
+        self._accepting: dict[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]] = {}
+        self._writes: dict[str, platform.Write] = {}
+        self._work = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._lease = book.held[pool].lease
+        self.renewed_s = book_s
+        self.wake: ports.Wake = lambda: None
+
+    def poke(self) -> None:
+        """Note that there may be something to store."""
+        self._work.set()
+
+    def write(self, change: platform.Write) -> None:
+        """Change another row of the service with the next transaction."""
+        self._writes[change.key] = change
+        self._work.set()
+
+    async def accept(self, job: jobs.Job) -> None:
+        """Store a new job; ends when it is stored, whoever did it."""
+        known = self._accepting.get(job.job)
+        if known is None:
+            known = self._accepting[job.job] = (job, self._loop.create_future())
+        self._work.set()
+        await asyncio.shield(known[1])
+
+    async def run(self, book: ledger.Ledger) -> None:
+        """Store what changes and renew the lease; raises LeaseLost."""
+        renew_s = self._book.duration_s * _RENEW_FRACTION
+        while True:
+            due_s = self.renewed_s + renew_s - self._loop.time()
+            if not self._has_work(book):
+                self._work.clear()
+                try:
+                    async with asyncio.timeout(max(0.0, due_s)):
+                        await self._work.wait()
+                except TimeoutError:
+                    # It is time to renew the lease, with or without changes.
+                    await self._store(book)
+                    continue
+                if not self._has_work(book):
+                    continue
+            await asyncio.sleep(_LINGER_S)
+            await self._store(book)
+
+    def _has_work(self, book: ledger.Ledger) -> bool:
+        return bool(book.dirty or self._accepting or self._writes)
+
+    async def _store(self, book: ledger.Ledger) -> None:
+        taken = book.take_dirty(_MOST_JOBS)
+        accepting = dict(list(self._accepting.items())[:_MOST_JOBS])
+        shown = {record.job.job: record.progress.state for record in taken}
+        writes = [
+            platform.Write(
+                jobs.progress_key(self._pool, record.job.job), codecs.pack_row(record.progress)
+            )
+            for record in taken
+        ]
+        writes += self._writes.values()
+        self._writes = {}
+        try:
+            await self._commit(writes, accepting)
+        except BaseException:
+            book.not_stored()
+            raise
+        book.stored(shown)
+        self.wake()
+
+    async def _commit(
+        self,
+        writes: list[platform.Write],
+        accepting: dict[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]],
+    ) -> None:
+        """Repeat one group until it is stored or the lease is lost."""
+        while True:
+            sent_s = self._loop.time()
+            conditions, new = [], []
+            for job, _ in accepting.values():
+                key = jobs.job_key(self._pool, job.job)
+                conditions.append(platform.Condition(key, 0))
+                new.append(platform.Write(key, codecs.pack(job)))
+            transaction = leases.fenced(
+                self._held(), tuple(conditions), (*writes, *new), revises=False
+            )
+            try:
+                committed = await self._rows.commit(transaction)
+            except exceptions.TableError as error:
+                _log.warning("The table gave no answer.", pool=self._pool, why=str(error))
+                await asyncio.sleep(_RETRY_S)
+                continue
+            if committed.ok:
+                self._take_lease(committed, sent_s)
+                self._accepted(accepting)
+                return
+            self._take_lease(committed, None)
+            found = {row.key for row in committed.rows if row.version}
+            stored = {
+                name: entry
+                for name, entry in accepting.items()
+                if jobs.job_key(self._pool, name) in found
+            }
+            self._accepted(stored)
+            accepting = {name: one for name, one in accepting.items() if name not in stored}
+
+    def _held(self) -> leases.Held:
+        held = self._book.held.get(self._pool)
+        if held is None or held.lease.epoch != self._lease.epoch:
+            raise LeaseLost(f"the lease of {self._pool} is held no more")
+        return held
+
+    def _take_lease(self, committed: platform.Committed, sent_s: float | None) -> None:
+        own = leases.key(self._pool)
+        row = next((row for row in committed.rows if row.key == own), None)
+        if row is None:
+            return
+        if not row.version:
+            raise LeaseLost(f"the lease of {self._pool} is gone")
+        lease = codecs.unpack(row.value, leases.LeaseRow)
+        if (lease.incarnation, lease.epoch) != (self._lease.incarnation, self._lease.epoch):
+            self._book.drop(self._pool)
+            raise LeaseLost(f"{lease.holder} holds the lease of {self._pool}")
+        # After a lost answer the row may be newer than was thought: an own write was done.
+        self._book.observe_own(row, self._loop.time())
+        if sent_s is not None:
+            self.renewed_s = sent_s
+
+    def _accepted(
+        self, stored: collections.abc.Mapping[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]]
+    ) -> None:
+        for name, (_, future) in stored.items():
+            self._accepting.pop(name, None)
+            if not future.done():
+                future.set_result(None)
+
+    def give_up(self) -> None:
+        """End those who wait for a job to be stored; it may still come to be."""
+        for _, future in self._accepting.values():
+            if not future.done():
+                future.set_exception(exceptions.TableAnswerLost("the lease was lost"))
+        self._accepting.clear()
+
+    async def release(self) -> None:
+        """Give the lease back."""
+        if self._pool in self._book.held:
+            try:
+                await self._rows.commit(self._book.releasing(self._pool))
+            except exceptions.TableError as error:
+                _log.warning("A lease was not given back.", pool=self._pool, why=str(error))
+            self._book.drop(self._pool)
+
+
+def read_progress(row: platform.Row) -> jobs.Progress:
+    """Decode the row of a job's progress."""
+    return codecs.unpack(row.value, jobs.Progress)
+
+
+def read_job(row: platform.Row) -> jobs.Job | None:
+    """Decode the row of a job, or give none and say so where it can't be read."""
+    try:
+        return codecs.unpack(row.value, jobs.Job)
+    except msgspec.DecodeError as error:
+        _log.error("A job's row can't be read.", key=row.key, why=str(error))
+        return None
--- a/packages/nutmegshelf/src/nutmegshelf/codecs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/codecs.py
@@ -33,11 +33,19 @@
 }
 
 
+_ROWS = msgspec.msgpack.Encoder()
+
+
 def pack(value: object) -> bytes:
     """Encode a value for a row or a peer."""
     return CODECS["msgpack"].encode(value)
 
 
+def pack_row(value: object) -> bytes:
+    """Encode a value whose bytes are never compared, which may have numbers as keys."""
+    return _ROWS.encode(value)
+
+
 def unpack(data: bytes, kind: type[T]) -> T:
     """Decode a value; raises msgspec.DecodeError where the bytes are not of the kind."""
     return typing.cast(T, CODECS["msgpack"].decode(data, kind))
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -42,6 +42,12 @@
     MINION_BAD_ANSWER = "minion-bad-answer"
     TABLE_UNAVAILABLE = "table-unavailable"
     CONFIGURATION_STALE = "configuration-stale"
+    UNKNOWN_QUEUE = "unknown-queue"
+    UNKNOWN_JOB = "unknown-job"
+    QUEUE_FULL = "queue-full"
+    JOB_HOPELESS = "job-hopeless"
+    JOB_UNSETTLED = "job-unsettled"
+    JOB_UNREADABLE = "job-unreadable"
     INTERNAL = "internal"
 
 
@@ -106,6 +112,20 @@
     ErrorKind.CONFIGURATION_STALE: Answer(
         503, Outcome.NOT_RUN, "The entry can't confirm its configuration.", 5, logging.WARNING
     ),
+    ErrorKind.UNKNOWN_QUEUE: Answer(404, Outcome.NOT_RUN, "No queue takes this path."),
+    ErrorKind.UNKNOWN_JOB: Answer(410, Outcome.NOT_RUN, "No job has this id."),
+    ErrorKind.QUEUE_FULL: Answer(
+        429, Outcome.NOT_RUN, "The jobs accepted before this one fill its time.", 2
+    ),
+    ErrorKind.JOB_HOPELESS: Answer(
+        503, Outcome.NOT_RUN, "No worker of the service can run the job.", 5
+    ),
+    ErrorKind.JOB_UNSETTLED: Answer(
+        504, Outcome.UNKNOWN, "The job may have been accepted.", None, logging.WARNING
+    ),
+    ErrorKind.JOB_UNREADABLE: Answer(
+        503, Outcome.UNKNOWN, "The job's state can't be read now.", 1, logging.WARNING
+    ),
     ErrorKind.INTERNAL: Answer(500, Outcome.NOT_RUN, "Internal error.", None, logging.ERROR),
 }
 
@@ -156,6 +176,38 @@
     """Report that the call may have taken effect."""
 
 
+class WorkerError(NutmegshelfError):
+    """Report that a worker gave no usable answer to a call."""
+
+
+class OrderNotDone(WorkerError):
+    """Report that the worker surely did nothing."""
+
+
+class OrderAnswerLost(WorkerError):
+    """Report that the order may have been carried out, or may be carried out later."""
+
+
+class WrongLife(WorkerError):
+    """Report that another worker answers at the address."""
+
+
+class Fenced(WorkerError):
+    """Report that the worker has seen an order of a later epoch."""
+
+
+class PeerError(NutmegshelfError):
+    """Report that another entry gave no usable answer."""
+
+
+class PeerUnreachable(PeerError):
+    """Report that the call surely had no effect there."""
+
+
+class PeerAnswerLost(PeerError):
+    """Report that the call may have had an effect there."""
+
+
 class DeclarationError(NutmegshelfError):
     """Report that a declaration or a settings file can't be used."""
 
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -0,0 +1,136 @@
+"""Choose the worker of a task, or the workers of a gang."""
+
+import collections
+import collections.abc
+
+from nutmegshelf import fleetview, jobs
+
+
+class Blocked:
+    """Remember within one pass which shapes fit nowhere, so that their like are passed over."""
+
+    def __init__(self) -> None:
+        self._by_label: dict[str, list[tuple[int, int, int]]] = {}
+
+    def note(self, step: jobs.Step) -> None:
+        """Note that a task of a step fits nowhere."""
+        self._by_label.setdefault(step.label, []).append(_shape(step))
+
+    def covers(self, step: jobs.Step) -> bool:
+        """Say whether a task at most as large as one of the step fitted nowhere."""
+        cpu, memory, accelerators = _shape(step)
+        return any(
+            cpu >= low[0] and memory >= low[1] and accelerators >= low[2]
+            for low in self._by_label.get(step.label, ())
+        )
+
+
+def _shape(step: jobs.Step) -> tuple[int, int, int]:
+    return (0 if step.fills else step.cpu_millis, step.memory_mb, step.accelerators)
+
+
+def best(
+    step: jobs.Step,
+    open_workers: collections.abc.Iterable[fleetview.Worker],
+    here: collections.Counter[fleetview.Life],
+    filling: int,
+) -> fleetview.Worker | None:
+    """Give the worker for one task of a step, or none.
+
+    Data nearby goes first. Tasks that last spread over workers and racks, so that one loss
+    takes few; others fill the fullest worker that has room, which leaves whole workers free for
+    large tasks and for other pools.
+    """
+    chosen: fleetview.Worker | None = None
+    chosen_rank: tuple[object, ...] = ()
+    racks: collections.Counter[str] = collections.Counter()
+    found = list(open_workers)
+    if step.lasting:
+        for worker in found:
+            racks[worker.facts.rack] += here[worker.facts.life]
+    for worker in found:
+        if not worker.fits(step):
+            continue
+        if step.label and step.label not in worker.facts.labels:
+            continue
+        count = here[worker.facts.life]
+        if step.max_per_worker and count >= step.max_per_worker:
+            continue
+        far = bool(step.data_rack) and worker.facts.rack != step.data_rack
+        rank: tuple[object, ...]
+        if step.lasting:
+            rank = (
+                far,
+                worker.failures_in_row,
+                _crowding(worker, step) if filling else 0,
+                not worker.tasks,
+                count,
+                racks[worker.facts.rack],
+                worker.free_cpu_millis,
+                worker.facts.life,
+            )
+        else:
+            rank = (
+                far,
+                worker.failures_in_row,
+                not worker.tasks,
+                worker.free_cpu_millis,
+                worker.facts.life,
+            )
+        if chosen is None or rank < chosen_rank:
+            chosen, chosen_rank = worker, rank
+    return chosen
+
+
+def _crowding(worker: fleetview.Worker, step: jobs.Step) -> int:
+    # Filling tasks and serving tasks disturb one another, so they are kept apart where possible.
+    if step.fills:
+        return sum(task.step.target_ms > 0 for task in worker.tasks.values())
+    if step.target_ms:
+        return sum(task.step.fills for task in worker.tasks.values())
+    return 0
+
+
+def gang(
+    step: jobs.Step,
+    count: int,
+    open_workers: collections.abc.Iterable[fleetview.Worker],
+) -> list[fleetview.Worker] | None:
+    """Give the workers for all tasks of a gang at once, or none where they don't all fit."""
+    racks: dict[str, list[fleetview.Worker]] = {}
+    for worker in open_workers:
+        if not step.label or step.label in worker.facts.labels:
+            racks.setdefault(worker.facts.rack, []).append(worker)
+    near_first = sorted(racks, key=lambda rank: (rank != step.data_rack, rank))
+    for rack in near_first:
+        if (places := _pack(step, count, racks[rack])) is not None:
+            return places
+    if step.same_rack:
+        return None
+    return _pack(step, count, [worker for rack in near_first for worker in racks[rack]])
+
+
+def _pack(
+    step: jobs.Step, count: int, found: list[fleetview.Worker]
+) -> list[fleetview.Worker] | None:
+    places: list[fleetview.Worker] = []
+    for worker in sorted(found, key=lambda worker: worker.free_cpu_millis):
+        room = _room(step, worker)
+        places += [worker] * min(room, count - len(places))
+        if len(places) == count:
+            return places
+    return None
+
+
+def _room(step: jobs.Step, worker: fleetview.Worker) -> int:
+    rooms = [
+        free // need
+        for free, need in (
+            (worker.free_cpu_millis, 0 if step.fills else step.cpu_millis),
+            (worker.free_memory_mb, step.memory_mb),
+            (worker.free_accelerators, step.accelerators),
+        )
+        if need > 0
+    ]
+    most = min(rooms, default=step.count)
+    return max(0, min(most, step.max_per_worker or most))
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -0,0 +1,192 @@
+"""Keep what is believed of workers: their shape, their room and what runs there."""
+
+import collections
+import dataclasses
+import enum
+import typing
+
+from nutmegshelf import ids, jobs
+
+# Workers' clocks may be this much slow, so their leases may last longer than was asked.
+SLOW_CLOCK_FRACTION = 0.02
+_LEASE_MARGIN_S = 0.1
+
+
+class Life(typing.NamedTuple):
+    """Name one life of a worker; the same id may start anew and then holds nothing."""
+
+    worker: ids.WorkerId
+    born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerFacts:
+    """Hold what the fleet's list says of one life of a worker."""
+
+    life: Life
+    service: ids.ServiceName
+    host: str
+    port: int
+    zone: ids.ZoneName
+    rack: ids.RackName
+    labels: frozenset[str]
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    is_draining: bool = False
+    left_ms: int | None = None
+
+
+class Phase(enum.Enum):
+    """Say what is believed of one task."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    UNSURE = "unsure"
+    STOPPING = "stopping"
+    ADRIFT = "adrift"
+    DONE = "done"
+
+
+PLACED = frozenset({Phase.STARTING, Phase.RUNNING, Phase.UNSURE, Phase.STOPPING})
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """Hold what is believed of one task."""
+
+    key: jobs.TaskKey
+    step: jobs.Step
+    phase: Phase = Phase.WAITING
+    life: Life | None = None
+    run: int = 0
+    since_s: float = 0.0
+    sent_s: float = 0.0
+    saved: str = ""
+    failed_runs: list[int] = dataclasses.field(default_factory=list)
+    percent: int = 0
+    figure: float = 0.0
+    pace_percent: int = 100
+    stop_sent_s: float | None = None
+    stop_acked_s: float | None = None
+    at_work_s: float | None = None
+
+
+class Listed(typing.NamedTuple):
+    """Hold what a worker says of one task that runs there."""
+
+    task: str
+    run: int
+    saved: str
+    percent: int
+    figure: float
+
+
+class How(enum.Enum):
+    """Say how a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class End(typing.NamedTuple):
+    """Hold the end of one run, numbered within a life of its worker."""
+
+    number: int
+    task: str
+    run: int
+    how: How
+    saved: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Hold one answer of a worker to a look; the times are those of the call."""
+
+    life: Life
+    clock_ms: int
+    sent_s: float
+    received_s: float
+    running: tuple[Listed, ...]
+    ends: tuple[End, ...]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Worker:
+    """Hold what is believed of one life of a worker."""
+
+    facts: WorkerFacts
+    is_listed: bool = True
+    is_closed: bool = False
+    is_asked: bool = False
+    tasks: dict[jobs.TaskKey, Task] = dataclasses.field(default_factory=dict)
+    free_cpu_millis: int = 0
+    free_memory_mb: int = 0
+    free_accelerators: int = 0
+    leased_until_s: float = 0.0
+    heard_s: float = 0.0
+    unheard_since_s: float | None = None
+    last_end: int = 0
+    unstored_ends: collections.deque[tuple[int, int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    strays: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
+    failures_in_row: int = 0
+    failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
+    shunned_until_s: float = 0.0
+    room_refused_s: float = -1.0
+    clock_ahead_ms: float | None = None
+    clock_read_s: float = 0.0
+    idle_since_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.free_cpu_millis = self.facts.cpu_millis
+        self.free_memory_mb = self.facts.memory_mb
+        self.free_accelerators = self.facts.accelerators
+
+    def occupy(self, task: Task) -> None:
+        """Count a task's room."""
+        if task.key in self.tasks:
+            return
+        self.tasks[task.key] = task
+        self._count(task.step, -1)
+
+    def vacate(self, task: Task, now_s: float) -> None:
+        """Give a task's room back."""
+        if self.tasks.pop(task.key, None) is not None:
+            self._count(task.step, 1)
+            if not self.tasks:
+                self.idle_since_s = now_s
+
+    def _count(self, step: jobs.Step, sign: int) -> None:
+        if not step.fills:
+            self.free_cpu_millis += sign * step.cpu_millis
+        self.free_memory_mb += sign * step.memory_mb
+        self.free_accelerators += sign * step.accelerators
+
+    def fits(self, step: jobs.Step) -> bool:
+        """Say whether a task of a step fits beside what runs here."""
+        return (
+            (step.fills or step.cpu_millis <= self.free_cpu_millis)
+            and step.memory_mb <= self.free_memory_mb
+            and step.accelerators <= self.free_accelerators
+        )
+
+    def could_fit(self, step: jobs.Step) -> bool:
+        """Say whether a task of a step fits while nothing else runs here."""
+        return (
+            step.cpu_millis <= self.facts.cpu_millis
+            and step.memory_mb <= self.facts.memory_mb
+            and step.accelerators <= self.facts.accelerators
+            and (not step.label or step.label in self.facts.labels)
+        )
+
+    def note_lease(self, sent_s: float, lease_s: float) -> None:
+        """Note a lease that was asked for at a time; what runs here may run until it ends."""
+        until_s = sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
+        self.leased_until_s = max(self.leased_until_s, until_s)
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -24,6 +24,7 @@
     epoch: ids.Epoch
     beat: int = 0
     revision: int = 0
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,8 +74,11 @@
 class Leases:
     """Watch the lease rows on the own clock alone and choose which to take."""
 
-    def __init__(self, own: ids.EntryId, incarnation: str, duration_s: float) -> None:
+    def __init__(
+        self, own: ids.EntryId, incarnation: str, duration_s: float, address: str = ""
+    ) -> None:
         self.own = own
+        self._address = address
         self.incarnation = incarnation
         self.duration_s = duration_s
         self.held: dict[ids.PoolName, Held] = {}
@@ -109,6 +113,31 @@
         self.held[lease.pool] = Held(lease, row.version)
         self._since_s.setdefault(lease.pool, now_s)
 
+    def holder(self, pool: ids.PoolName) -> LeaseRow | None:
+        """Give a pool's lease as last seen, or none where nobody holds it."""
+        lease = self._leases.get(pool)
+        return lease if lease is not None and lease.holder is not None else None
+
+    def version(self, pool: ids.PoolName) -> int:
+        """Give the version of a lease's row as last seen; 0 where there is none."""
+        row = self._rows.get(pool)
+        return row.version if row else 0
+
+    def drop(self, pool: ids.PoolName) -> None:
+        """Stop holding a lease whose row another transaction changed."""
+        self.held.pop(pool, None)
+        self._since_s.pop(pool, None)
+
+    def lapsed_holders(self, now_s: float) -> set[ids.EntryId]:
+        """Give the entries that let a lease lapse."""
+        return {
+            lease.holder
+            for pool, lease in self._leases.items()
+            if lease.holder is not None
+            and lease.holder != self.own
+            and self._unchanged_s(pool, now_s) >= self.duration_s
+        }
+
     def revisions(self) -> dict[ids.PoolName, int]:
         """Give the revision of each pool as its lease's row was last seen."""
         return {pool: lease.revision for pool, lease in self._leases.items()}
@@ -151,6 +180,7 @@
             incarnation=self.incarnation,
             epoch=ids.Epoch(lease.epoch + 1 if lease else 1),
             revision=lease.revision if lease else 0,
+            address=self._address,
         )
         return platform.Transaction(
             conditions=(platform.Condition(key(pool), row.version if row else 0),),
@@ -160,7 +190,7 @@
     def releasing(self, pool: ids.PoolName) -> platform.Transaction:
         """Make the transaction that gives a lease back; its epoch stays."""
         held = self.held[pool]
-        free = msgspec.structs.replace(held.lease, holder=None, incarnation="")
+        free = msgspec.structs.replace(held.lease, holder=None, incarnation="", address="")
         return platform.Transaction(
             conditions=(platform.Condition(key(pool), held.version),),
             writes=(platform.Write(key(pool), codecs.pack(free)),),
@@ -170,6 +200,9 @@
         lease = self._leases.get(pool)
         if lease is None or lease.holder is None:
             return True
+        if lease.holder == self.own:
+            # An earlier process of this entry held it, and that one has ended.
+            return True
         # Entries queue by rank, so that they don't all race for a lapsed lease at once.
         rank = sum(_weight(pool, entry) > _weight(pool, self.own) for entry in entries)
         wait_s = self.duration_s * (1 + _RANK_DELAY_FRACTION * rank)
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -0,0 +1,318 @@
+"""Keep the jobs of one service: what is settled of them and where their tasks run or may run."""
+
+import collections.abc
+import dataclasses
+
+from nutmegshelf import fleetview, ids, jobs
+
+# Each epoch's run numbers are above those of all earlier epochs.
+RUNS_PER_EPOCH = 1 << 16
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Part:
+    """Hold the tasks of one step in one occurrence."""
+
+    step: jobs.Step
+    tasks: list[fleetview.Task]
+    left: int
+    is_open: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Record:
+    """Hold one job with its live tasks."""
+
+    job: jobs.Job
+    progress: jobs.Progress
+    accepted_s: float
+    due_by_s: float
+    version: int = 0
+    shown: jobs.JobState = jobs.JobState.QUEUED
+    occurrences: dict[int, list[Part]] = dataclasses.field(default_factory=dict)
+    ready: dict[jobs.TaskKey, fleetview.Task] = dataclasses.field(default_factory=dict)
+    placed: int = 0
+    ended_s: float = 0.0
+
+    @property
+    def is_live(self) -> bool:
+        """Say whether there is still something to run."""
+        return self.progress.state not in jobs.ENDED
+
+    def task(self, key: jobs.TaskKey) -> fleetview.Task | None:
+        """Give a task of an occurrence that has begun, or none."""
+        parts = self.occurrences.get(key.occurrence)
+        if parts is None or key.step >= len(parts) or key.index >= len(parts[key.step].tasks):
+            return None
+        return parts[key.step].tasks[key.index]
+
+    def tasks(self) -> collections.abc.Iterator[fleetview.Task]:
+        """Give all tasks of the occurrences that have begun."""
+        for parts in self.occurrences.values():
+            for part in parts:
+                yield from part.tasks
+
+
+class Ledger:
+    """Own the records of one service and every change of a task's phase."""
+
+    def __init__(self, epoch: int) -> None:
+        self.records: dict[ids.JobId, Record] = {}
+        self.dirty: dict[ids.JobId, int] = {}
+        self.in_flight: dict[ids.JobId, int] = {}
+        self.change = 0
+        self.adrift: set[fleetview.Task] = set()
+        self._first_run = epoch * RUNS_PER_EPOCH
+
+    # --- jobs
+
+    def add(
+        self,
+        job: jobs.Job,
+        progress: jobs.Progress | None,
+        accepted_s: float,
+        now_ms: int,
+        *,
+        may_run: bool,
+    ) -> Record:
+        """Take a job in; the tasks of one that an earlier holder knew may run somewhere."""
+        known = self.records.get(job.job)
+        if known is not None:
+            return known
+        progress = progress or jobs.Progress(job=job.job)
+        record = Record(job, progress, accepted_s, accepted_s + objective_s(job))
+        record.shown = progress.state
+        self.records[job.job] = record
+        if record.is_live:
+            self.open_due(record, now_ms, may_run=may_run)
+        return record
+
+    def open_due(self, record: Record, now_ms: int, *, may_run: bool = False) -> None:
+        """Begin the occurrences whose time has come."""
+        for number in range(record.job.runs):
+            if number in record.occurrences or number in record.progress.finished:
+                continue
+            if record.job.due_ms(number) > now_ms:
+                break
+            self._open_occurrence(record, number, may_run)
+
+    def next_due_ms(self, record: Record) -> int | None:
+        """Give when the next occurrence is due, or none."""
+        for number in range(record.job.runs):
+            if number not in record.occurrences and number not in record.progress.finished:
+                return record.job.due_ms(number)
+        return None
+
+    def _open_occurrence(self, record: Record, number: int, may_run: bool) -> None:
+        stored = record.progress.steps.setdefault(
+            number, [jobs.StepProgress() for _ in record.job.steps]
+        )
+        parts: list[Part] = []
+        for index, step in enumerate(record.job.steps):
+            part = Part(step, [], 0)
+            for position in range(step.count):
+                key = jobs.TaskKey(record.job.job, number, index, position)
+                task = fleetview.Task(
+                    key,
+                    step,
+                    run=self._first_run,
+                    saved=stored[index].saved.get(position, ""),
+                    failed_runs=list(stored[index].failures.get(position, ())),
+                )
+                if is_marked(stored[index].done, position):
+                    task.phase = fleetview.Phase.DONE
+                else:
+                    part.left += 1
+                    if may_run:
+                        task.phase = fleetview.Phase.ADRIFT
+                        self.adrift.add(task)
+                part.tasks.append(task)
+            parts.append(part)
+        record.occurrences[number] = parts
+        self._unlock(record, number)
+
+    def _unlock(self, record: Record, number: int) -> None:
+        parts = record.occurrences[number]
+        for part in parts:
+            if part.is_open or not part.left:
+                continue
+            if any(parts[before].left for before in part.step.after):
+                continue
+            part.is_open = True
+            for task in part.tasks:
+                if task.phase is fleetview.Phase.WAITING:
+                    record.ready[task.key] = task
+
+    def touch(self, record: Record) -> None:
+        """Note that a job's row must be stored."""
+        self.change += 1
+        self.dirty.setdefault(record.job.job, self.change)
+
+    def stored_change(self) -> int:
+        """Give the newest change up to which all are stored."""
+        waiting = [*self.dirty.values(), *self.in_flight.values()]
+        return min(waiting) - 1 if waiting else self.change
+
+    def take_dirty(self, most: int) -> list[Record]:
+        """Give the jobs whose rows are to be stored now, the oldest changes first."""
+        chosen = list(self.dirty)[:most]
+        for job in chosen:
+            self.in_flight[job] = self.dirty.pop(job)
+        return [self.records[job] for job in chosen]
+
+    def stored(self, shown: dict[ids.JobId, jobs.JobState]) -> None:
+        """Note that the rows taken were stored, with the states that they hold."""
+        self.in_flight.clear()
+        for job, state in shown.items():
+            record = self.records.get(job)
+            if record is not None:
+                record.shown = state
+
+    def not_stored(self) -> None:
+        """Put the rows taken back among those to be stored."""
+        self.dirty = {**self.in_flight, **self.dirty, **self.in_flight}
+        self.in_flight.clear()
+
+    # --- tasks
+
+    def place(
+        self, record: Record, task: fleetview.Task, worker: fleetview.Worker, run: int, now_s: float
+    ) -> None:
+        """Note that a start is about to be sent."""
+        record.ready.pop(task.key, None)
+        task.phase = fleetview.Phase.STARTING
+        task.life, task.run = worker.facts.life, run
+        task.since_s = task.sent_s = now_s
+        task.stop_sent_s = task.stop_acked_s = task.at_work_s = None
+        task.percent, task.figure, task.pace_percent = 0, 0.0, 100
+        worker.occupy(task)
+        record.placed += 1
+        if record.progress.state is jobs.JobState.QUEUED:
+            record.progress.state = record.shown = jobs.JobState.RUNNING
+
+    def adopt(
+        self, record: Record, task: fleetview.Task, worker: fleetview.Worker, run: int, now_s: float
+    ) -> None:
+        """Take over a run that a worker lists and that was not known of."""
+        self.adrift.discard(task)
+        self.place(record, task, worker, run, now_s)
+        task.phase = fleetview.Phase.RUNNING
+
+    def free(self, record: Record, task: fleetview.Task, worker: fleetview.Worker, now_s: float) -> None:
+        """Note that a task runs nowhere any more, so that it may start again."""
+        worker.vacate(task, now_s)
+        task.life = None
+        task.since_s = now_s
+        record.placed -= 1
+        if task.phase is not fleetview.Phase.DONE:
+            self._wait(record, task)
+
+    def settle(self, task: fleetview.Task) -> None:
+        """Note that a task adrift since a takeover surely runs nowhere."""
+        self.adrift.discard(task)
+        record = self.records[task.key.job]
+        if task.phase is fleetview.Phase.ADRIFT:
+            self._wait(record, task)
+
+    def _wait(self, record: Record, task: fleetview.Task) -> None:
+        task.phase = fleetview.Phase.WAITING
+        part = record.occurrences[task.key.occurrence][task.key.step]
+        if record.is_live and part.is_open:
+            record.ready[task.key] = task
+
+    def finish(self, record: Record, task: fleetview.Task, now_s: float) -> None:
+        """Note that a task ended as done; a gang ends as a whole."""
+        number, index = task.key.occurrence, task.key.step
+        part = record.occurrences[number][index]
+        stored = record.progress.steps[number][index]
+        ended = part.tasks if task.step.gang else [task]
+        for one in ended:
+            if one.phase is fleetview.Phase.DONE:
+                continue
+            one.phase = fleetview.Phase.DONE
+            self.adrift.discard(one)
+            record.ready.pop(one.key, None)
+            stored.done = mark(stored.done, one.key.index)
+            stored.saved.pop(one.key.index, None)
+            part.left -= 1
+        self.touch(record)
+        if part.left:
+            return
+        parts = record.occurrences[number]
+        if any(other.left for other in parts):
+            self._unlock(record, number)
+            return
+        record.progress.finished.add(number)
+        record.progress.steps.pop(number, None)
+        if len(record.progress.finished) == record.job.runs:
+            self.end(record, jobs.JobState.SUCCEEDED, "", now_s)
+
+    def fail(self, record: Record, task: fleetview.Task, run: int, now_s: float) -> None:
+        """Note that a run failed; too many of them fail the job."""
+        if run in task.failed_runs or not record.is_live:
+            return
+        task.failed_runs.append(run)
+        if task.step.lasting:
+            return
+        stored = record.progress.steps[task.key.occurrence][task.key.step]
+        stored.failures[task.key.index] = list(task.failed_runs)
+        self.touch(record)
+        failed = set(task.failed_runs)
+        if task.step.gang:
+            part = record.occurrences[task.key.occurrence][task.key.step]
+            failed = {one for member in part.tasks for one in member.failed_runs}
+        if len(failed) >= record.job.queue.max_attempts:
+            reason = f"task {task.key.name} failed {len(failed)} times"
+            self.end(record, jobs.JobState.FAILED, reason, now_s)
+
+    def save(self, record: Record, task: fleetview.Task, saved: str) -> None:
+        """Keep a task's newest checkpoint; it is stored with the job's next change."""
+        if not saved or saved == task.saved or task.phase is fleetview.Phase.DONE:
+            return
+        task.saved = saved
+        steps = record.progress.steps.get(task.key.occurrence)
+        if steps is not None:
+            steps[task.key.step].saved[task.key.index] = saved
+
+    def end(self, record: Record, state: jobs.JobState, reason: str, now_s: float) -> None:
+        """End a job; what still runs of it has to be stopped."""
+        record.progress.state, record.progress.reason = state, reason
+        record.ready.clear()
+        record.ended_s = now_s
+        for task in record.tasks():
+            if task.phase is fleetview.Phase.ADRIFT:
+                task.phase = fleetview.Phase.WAITING
+                self.adrift.discard(task)
+        record.progress.steps.clear()
+        self.touch(record)
+
+    def forget(self, record: Record) -> None:
+        """Drop a job that ended long ago."""
+        self.records.pop(record.job.job, None)
+        self.dirty.pop(record.job.job, None)
+
+    def next_run(self, task: fleetview.Task) -> int:
+        """Give a run number above all that the task had."""
+        return max(task.run, self._first_run) + 1
+
+
+def objective_s(job: jobs.Job) -> float:
+    """Give how long a job may take to be on time, by its own estimates."""
+    longest: list[float] = []
+    for step in job.steps:
+        before = max((longest[index] for index in step.after if index < len(longest)), default=0.0)
+        longest.append(before + step.estimate_ms / 1000)
+    queue = job.queue
+    return queue.stretch * max(longest, default=0.0) + queue.target_latency_ms / 1000
+
+
+def mark(bits: bytes, position: int) -> bytes:
+    """Set one bit."""
+    value = int.from_bytes(bits, "little") | 1 << position
+    return value.to_bytes((value.bit_length() + 7) // 8, "little")
+
+
+def is_marked(bits: bytes, position: int) -> bool:
+    """Say whether a bit is set."""
+    byte = position // 8
+    return byte < len(bits) and bool(bits[byte] >> position % 8 & 1)
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/notes.py
@@ -0,0 +1,34 @@
+"""Collect what the kernel decided, for the daemon to write down."""
+
+import dataclasses
+import typing
+
+_MOST_NOTES = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """Hold one decision with the inputs that decided it."""
+
+    event: str
+    fields: dict[str, typing.Any]
+
+
+class Notes:
+    """Keep the newest decisions until they are taken; counts those left out."""
+
+    def __init__(self) -> None:
+        self._notes: list[Note] = []
+        self.left_out = 0
+
+    def note(self, event: str, **fields: typing.Any) -> None:
+        """Add a decision."""
+        if len(self._notes) >= _MOST_NOTES:
+            self.left_out += 1
+            return
+        self._notes.append(Note(event, fields))
+
+    def take(self) -> list[Note]:
+        """Give all decisions since the last call."""
+        taken, self._notes = self._notes, []
+        return taken
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/orders.py
@@ -0,0 +1,26 @@
+"""Type what a worker answers to looks and orders."""
+
+import enum
+import typing
+
+from nutmegshelf import fleetview
+
+
+class Refusal(enum.Enum):
+    """Say why a worker turned a start away."""
+
+    OLD = "old"
+    LATE = "late"
+    ROOM = "room"
+    TICKET = "ticket"
+    UNHEALTHY = "unhealthy"
+    BAD = "bad"
+
+
+class Looked(typing.NamedTuple):
+    """Hold what a worker says of itself: its life, its clock, what runs and what ended."""
+
+    born_ms: int
+    clock_ms: int
+    running: tuple[fleetview.Listed, ...]
+    ends: tuple[fleetview.End, ...]
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -0,0 +1,111 @@
+"""Declare the queues that callers submit jobs to, and find the queue of a request."""
+
+import collections.abc
+import dataclasses
+
+import msgspec
+
+from nutmegshelf import ids
+
+
+class Advised(msgspec.Struct, frozen=True, kw_only=True):
+    """Say what the policy service of a queue takes to answer, and how long a ticket is valid."""
+
+    decide_ms: int
+    per_worker_ms: int
+    valid_ms: int
+
+
+class Queue(msgspec.Struct, frozen=True, kw_only=True):
+    """Declare one queue: where its requests come in and how its jobs are run."""
+
+    name: ids.QueueName
+    host: str
+    path_prefix: str
+    service: ids.ServiceName
+    timeout_ms: int
+    target_latency_ms: int
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    advised: Advised | None = None
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """Declare one service: a pool of workers."""
+
+    name: ids.ServiceName
+    is_guarded: bool = True
+    is_spare: bool = False
+    max_connections: int = 64
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bound what a caller's request may take."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 262_144
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class QueueSet(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one version of all queues and services."""
+
+    version: ids.Version
+    queues: tuple[Queue, ...] = ()
+    services: tuple[Service, ...] = ()
+    limits: Limits = Limits()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Name the queue of a request and the job in it; no job for the queue as a whole."""
+
+    queue: Queue
+    job: ids.JobId
+
+
+class Routes:
+    """Find queues by the host and the longest path prefix of a request."""
+
+    def __init__(self, declared: QueueSet) -> None:
+        self.declared = declared
+        self.by_name = {queue.name: queue for queue in declared.queues}
+        self.services = {service.name: service for service in declared.services}
+        self._by_host: dict[str, list[Queue]] = {}
+        for queue in sorted(declared.queues, key=lambda queue: -len(queue.path_prefix)):
+            self._by_host.setdefault(queue.host, []).append(queue)
+
+    def find(self, host: str, path: str) -> Target | None:
+        """Give the queue and the job that a path names, or none."""
+        for queue in self._by_host.get(host.partition(":")[0].lower(), ()):
+            if path.startswith(queue.path_prefix):
+                return Target(queue, ids.JobId(path[len(queue.path_prefix) :]))
+        return None
+
+    def feeds(self, service: str) -> collections.abc.Iterator[Queue]:
+        """Give the queues whose jobs a service runs."""
+        return (queue for queue in self.declared.queues if queue.service == service)
+
+    @property
+    def spare(self) -> ids.ServiceName | None:
+        """Give the service whose hosts are off, if there is one."""
+        found = (service.name for service in self.declared.services if service.is_spare)
+        return next(found, None)
+
+
+class InForce:
+    """Hold the newest version seen; an older one never replaces it."""
+
+    def __init__(self) -> None:
+        self.routes: Routes | None = None
+        self.changed_s = 0.0
+
+    def take(self, declared: QueueSet, now_s: float) -> bool:
+        """Put a version in force unless it is older than the present one."""
+        if self.routes is not None and declared.version <= self.routes.declared.version:
+            return False
+        self.routes = Routes(declared)
+        self.changed_s = now_s
+        return True
