--- a/features/sites.py
+++ b/features/sites.py
@@ -4,7 +4,7 @@
 import random
 
 from nutmegshelf import configuration, declarations, ids, platform
-from nutmegshelf_entry import claimant, minions, relay, slots, telemetry
+from nutmegshelf_entry import claimant, minions, problems, relay, slots, telemetry
 from nutmegshelf_http import server
 from nutmegshelf_standins import caller, minion
 
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -4,7 +4,6 @@
 import re
 
 import behave
-from nutmegshelf_entry import relay
 from nutmegshelf_http import server
 
 _DRIP_S = 0.05
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -36,6 +36,7 @@
     peers,
     planner,
     pools,
+    problems,
     publisher,
     relay,
     seating,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -38,6 +38,10 @@
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
         return await held.call(call)
 
+    async def ask(self, call: calls.AnyCall, limit_s: float) -> calls.Reply | None:
+        """Call the holder of a service; gives none where there is no answer."""
+        return (await self._ask(call, limit_s)).reply
+
     async def _ask(self, call: calls.AnyCall, limit_s: float) -> Standing:
         held = self._shards.holder(call.service)
         try:
@@ -81,9 +85,7 @@
             )
             raise exceptions.RequestError(kind, str(error)) from error
         except exceptions.TableAnswerLost as error:
-            raise exceptions.RequestError(
-                exceptions.ErrorKind.JOB_UNSETTLED, str(error)
-            ) from error
+            raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, str(error)) from error
         _log.info("A job is stored for its holder.", job=job.job, is_new=committed.ok)
 
     async def show(self, queue: queues.Queue, job: ids.JobId) -> jobs.JobState:
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -0,0 +1,291 @@
+"""Move hosts between pools and take them down for upkeep while this entry holds the fleet."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import time
+
+from nutmegshelf import (
+    calls,
+    codecs,
+    exceptions,
+    ids,
+    leases,
+    ledger,
+    platform,
+    pooling,
+    queues,
+    upkeep,
+)
+
+from nutmegshelf_entry import logs, ports, writer
+
+FLEET = ids.PoolName("*fleet")
+_WAVES = f"waves/{FLEET}/"
+_TICK_S = 0.15
+_LIST_INTERVAL_S = 1.0
+_LIST_BUSY_INTERVAL_S = 0.4
+_RETRY_S = 0.25
+_ASK_LIMIT_S = 0.6
+_GIVE_INTERVAL_S = 0.15
+# A pool whose holder has not reported for this long is left alone.
+_REPORT_AGE_S = 1.5
+_CLEARING_LIMIT_S = 12.0
+_MOVE_CLEARING_LIMIT_S = 0.5
+
+_log = logs.part("fleet")
+
+Ask = collections.abc.Callable[
+    [calls.AnyCall, float], collections.abc.Awaitable[calls.Reply | None]
+]
+
+
+class FleetHolder:
+    """Own the orders about hosts, one at a time for each host."""
+
+    def __init__(
+        self,
+        rows: ports.Rows,
+        hosts: ports.Hosts,
+        book: leases.Leases,
+        in_force: queues.InForce,
+        ask: Ask,
+        *,
+        waves: dict[int, upkeep.Wave],
+        upkeep_s: float,
+        quiet_s: float,
+        hold_limit_s: float,
+        taken_s: float,
+    ) -> None:
+        self.epoch = book.held[FLEET].lease.epoch
+        self.writer = writer.Writer(rows, book, FLEET, taken_s)
+        self._rows = rows
+        self._hosts = hosts
+        self._in_force = in_force
+        self._ask = ask
+        self._waves = waves
+        self._upkeep_s = upkeep_s
+        self._quiet_s = quiet_s if self.epoch > 1 else 0.0
+        self._hold_limit_s = hold_limit_s
+        self._loop = asyncio.get_running_loop()
+        self._views: dict[ids.HostId, pooling.HostView] = {}
+        self._listed_s = -1.0
+        self._demands: dict[ids.ServiceName, tuple[float, calls.DemandReport]] = {}
+        self._working: dict[ids.HostId, asyncio.Task[None]] = {}
+        self._plans: dict[int, upkeep.WavePlan] = {}
+        self._stored_waves: dict[int, upkeep.WaveRow] = {}
+        self._group: asyncio.TaskGroup | None = None
+
+    async def call(self, call: calls.AnyCall) -> calls.Reply:
+        """Take a service's report of its demand."""
+        if not isinstance(call, calls.Demand):
+            return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+        self._demands[call.pool] = (self._loop.time(), call.report)
+        return calls.Reply(verdict=calls.Verdict.DONE)
+
+    async def run(self) -> None:
+        """Serve until the lease is lost; raises LeaseLost."""
+        await self._load()
+        began_s = self._loop.time()
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            group.create_task(self.writer.run(ledger.Ledger(0)))
+            group.create_task(self._list())
+            # Another holder's last orders may be this recent; hosts must not get two in turns.
+            await asyncio.sleep(self._quiet_s - (self._loop.time() - began_s))
+            while True:
+                if self._may_order():
+                    self._plan_waves()
+                    self._plan_moves()
+                await asyncio.sleep(_TICK_S)
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                rows = await self._rows.scan(_WAVES)
+                break
+            except exceptions.TableError as error:
+                _log.warning("The waves can't be read.", why=str(error))
+                await asyncio.sleep(_RETRY_S)
+        found = [codecs.unpack(row.value, upkeep.WaveRow) for row in rows]
+        self._stored_waves = {row.number: row for row in found}
+
+    def _may_order(self) -> bool:
+        fresh = self._loop.time() - self.writer.renewed_s < self._hold_limit_s
+        return fresh and self._listed_s >= 0
+
+    async def _list(self) -> None:
+        while True:
+            try:
+                views = await self._hosts.list_hosts()
+                self._views = {view.host: view for view in views}
+                self._listed_s = self._loop.time()
+            except exceptions.HostsError as error:
+                _log.warning("The hosts can't be listed.", why=str(error))
+            busy = self._working or any(plan.down for plan in self._plans.values())
+            await asyncio.sleep(_LIST_BUSY_INTERVAL_S if busy else _LIST_INTERVAL_S)
+
+    # --- waves
+
+    def _plan_waves(self) -> None:
+        now_ms, now_s = int(time.time() * 1000), self._loop.time()
+        for number, wave in list(self._waves.items()):
+            plan = self._plans.get(number)
+            if plan is None:
+                row = self._stored_waves.get(number)
+                if row is not None and row.is_finished:
+                    continue
+                plan = upkeep.WavePlan(wave, row or upkeep.WaveRow(number=number, began_ms=now_ms))
+                self._plans[number] = plan
+                self._store(plan)
+                self._spawn_report(number, is_finished=False)
+            if not plan.row.is_finished:
+                self._advance(plan, now_ms, now_s)
+
+    def _advance(self, plan: upkeep.WavePlan, now_ms: int, now_s: float) -> None:
+        for host, since_s in list(plan.down.items()):
+            view = self._views.get(host)
+            back = view is None or view.state is pooling.HostState.UP
+            if back and self._listed_s > since_s + self._upkeep_s:
+                del plan.down[host]
+        left = plan.left(set(self._views))
+        if not left:
+            if not plan.asked_s:
+                plan.row.is_finished = True
+                _log.info("A wave is done.", wave=plan.wave.number)
+                self._store(plan)
+                self._spawn_report(plan.wave.number, is_finished=True)
+            return
+        candidates = [
+            self._candidate(self._views[host])
+            for host in left
+            if host not in self._working and self._views[host].state is pooling.HostState.UP
+        ]
+        for host in plan.choose(candidates, now_ms, now_s, self._upkeep_s):
+            plan.asked_s[host] = now_s
+            self._spawn(host, self._do_upkeep(plan, host))
+
+    def _candidate(self, view: pooling.HostView) -> upkeep.Candidate:
+        _, report = self._demands.get(view.pool, (0.0, None))
+        load = report.hosts.get(view.host) if report else None
+        return upkeep.Candidate(
+            host=view.host,
+            is_off=self._is_spare(view.pool),
+            idle_s=load.idle_s if load else None,
+            lasting=load.lasting if load else 0,
+            cpu_millis=load.cpu_millis if load else 0,
+        )
+
+    async def _do_upkeep(self, plan: upkeep.WavePlan, host: ids.HostId) -> None:
+        try:
+            view = self._views[host]
+            if not await self._clear(view, "upkeep", _CLEARING_LIMIT_S):
+                return
+            if not self._may_order():
+                return
+            ordered = await self._order(
+                host, self._hosts.upkeep(host, plan.wave.number, self.epoch)
+            )
+            _log.info("Upkeep.", host=host, wave=plan.wave.number, outcome=_outcome(ordered))
+            if ordered in (ports.Ordered.DONE, ports.Ordered.NOT_DUE):
+                plan.row.done.add(host)
+                if ordered is ports.Ordered.DONE:
+                    plan.down[host] = self._loop.time()
+                self._store(plan)
+        finally:
+            plan.asked_s.pop(host, None)
+
+    def _store(self, plan: upkeep.WavePlan) -> None:
+        key = f"{_WAVES}{plan.wave.number}"
+        self.writer.write(platform.Write(key, codecs.pack(plan.row)))
+
+    def _spawn_report(self, number: int, *, is_finished: bool) -> None:
+        assert self._group is not None
+        self._group.create_task(self._report(number, is_finished))
+
+    async def _report(self, number: int, is_finished: bool) -> None:
+        while True:
+            try:
+                await self._hosts.report_wave(number, is_finished=is_finished)
+                return
+            except exceptions.TableError as error:
+                _log.warning("A wave's state can't be told.", wave=number, why=str(error))
+                await asyncio.sleep(_RETRY_S)
+
+    # --- moves
+
+    def _plan_moves(self) -> None:
+        now_s, routes = self._loop.time(), self._in_force.routes
+        fresh = {
+            pool: report
+            for pool, (at_s, report) in self._demands.items()
+            if now_s - at_s < _REPORT_AGE_S
+        }
+        if not fresh or routes is None:
+            return
+        planner = pooling.Planner(routes.spare)
+        held = set(self._working)
+        for plan in self._plans.values():
+            held |= plan.down.keys()
+        for move in planner.plan(self._views.values(), fresh, held):
+            self._spawn(move.host, self._do_move(move))
+
+    async def _do_move(self, move: pooling.Move) -> None:
+        view = self._views[move.host]
+        if not await self._clear(view, move.reason, _MOVE_CLEARING_LIMIT_S):
+            return
+        if not self._may_order():
+            return
+        ordered = await self._order(move.host, self._hosts.move(move, self.epoch))
+        _log.info(
+            "Move.",
+            host=move.host,
+            pool=move.pool,
+            target=move.target,
+            reason=move.reason,
+            outcome=_outcome(ordered),
+        )
+        if ordered is ports.Ordered.DONE:
+            self._views[move.host] = dataclasses.replace(
+                view, pool=move.target, state=pooling.HostState.MOVING
+            )
+
+    # --- both
+
+    def _spawn(self, host: ids.HostId, work: collections.abc.Coroutine[None, None, None]) -> None:
+        assert self._group is not None
+        task = self._group.create_task(work)
+        self._working[host] = task
+        task.add_done_callback(lambda _: self._working.pop(host, None))
+
+    def _is_spare(self, pool: str) -> bool:
+        routes = self._in_force.routes
+        service = routes.services.get(ids.ServiceName(pool)) if routes else None
+        return service is not None and service.is_spare
+
+    async def _clear(self, view: pooling.HostView, reason: str, limit_s: float) -> bool:
+        """Have the host's holder clear it; says whether nothing runs there."""
+        if self._is_spare(view.pool):
+            return True
+        until_s = self._loop.time() + limit_s
+        while self._loop.time() < until_s:
+            call = calls.Give(service=view.pool, host=view.host, reason=reason)
+            reply = await self._ask(call, _ASK_LIMIT_S)
+            if reply is not None and reply.verdict is calls.Verdict.DONE:
+                return True
+            await asyncio.sleep(_GIVE_INTERVAL_S)
+        _log.info("A host was not cleared in time.", host=view.host, reason=reason)
+        return False
+
+    async def _order(
+        self, host: ids.HostId, order: collections.abc.Awaitable[ports.Ordered]
+    ) -> ports.Ordered | None:
+        try:
+            return await order
+        except exceptions.HostsError as error:
+            _log.warning("An order about a host got no answer.", host=host, why=str(error))
+            return None
+
+
+def _outcome(ordered: ports.Ordered | None) -> str:
+    return ordered.value if ordered is not None else "unknown"
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -11,7 +11,6 @@
     fleetview,
     ids,
     jobs,
-    ledger,
     leases,
     platform,
     queues,
@@ -86,9 +85,20 @@
                 return await self._cancel(call.job)
             case calls.CountPending():
                 return calls.Reply(verdict=calls.Verdict.DONE, count=self._pending(call.queue))
+            case calls.Give():
+                cleared = self.scheduler.give(call.host, self._loop.time())
+                self.wake()
+                verdict = calls.Verdict.DONE if cleared else calls.Verdict.WAITS
+                return calls.Reply(verdict=verdict)
             case _:
                 return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
 
+    def demand(self) -> calls.DemandReport | None:
+        """Say what the service needs of hosts, once that is known."""
+        if not self.is_loaded or not self.scheduler.is_settled:
+            return None
+        return self.scheduler.demand(self._loop.time())
+
     async def _submit(self, job: jobs.Job) -> calls.Reply:
         book = self.scheduler.ledger
         if job.job in book.records:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -9,11 +9,24 @@
 import uuid
 
 import msgspec
-from nutmegshelf import exceptions, fleetview, ids, leases, members, queues
+from nutmegshelf import (
+    calls,
+    codecs,
+    exceptions,
+    fleetview,
+    ids,
+    jobs,
+    leases,
+    members,
+    platform,
+    queues,
+    upkeep,
+)
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
     desk,
+    fleet_holder,
     front,
     holder,
     job_metrics,
@@ -33,6 +46,8 @@
 HOLD_LIMIT_S = 2.2
 _INBOX_WAIT_S = 20.0
 _RETRY_S = 0.25
+_DEMAND_INTERVAL_S = 0.2
+_DEMAND_LIMIT_S = 0.4
 
 _log = logs.part("daemon")
 
@@ -54,6 +69,8 @@
     peers: Endpoint
     metrics: Endpoint | None = None
     grace_s: float = 6.0
+    upkeep_s: float = 2.0
+    quiet_s: float = 3.0
     task_lease_s: float = TASK_LEASE_S
     log_level: str = "info"
 
@@ -65,7 +82,10 @@
     rows: ports.Rows
     workers: ports.Workers
     codec: front.Codec
-    configurations: collections.abc.Callable[[], collections.abc.AsyncIterator[queues.QueueSet]]
+    hosts: ports.Hosts
+    operations: collections.abc.Callable[
+        [], collections.abc.AsyncIterator[queues.QueueSet | upkeep.Wave]
+    ]
     fleets: collections.abc.Callable[
         [], collections.abc.AsyncIterator[tuple[fleetview.WorkerFacts, ...]]
     ]
@@ -79,6 +99,7 @@
         self._outside = outside
         self._in_force = queues.InForce()
         self._metrics = job_metrics.JobMetrics()
+        self._waves: dict[int, upkeep.Wave] = {}
         self._fleet: tuple[fleetview.WorkerFacts, ...] = ()
         self._incarnation = uuid.uuid4().hex
         self._book = leases.Leases(
@@ -116,7 +137,8 @@
         _log.info("Started.", entry=own.entry, zone=own.zone, incarnation=self._incarnation)
         async with asyncio.TaskGroup() as group:
             parts = [
-                self._follow_configuration(),
+                self._follow_operators(),
+                self._tell_demand(),
                 self._follow_fleet(),
                 self._follow_inbox(),
                 self._shards.run(),
@@ -151,6 +173,19 @@
         )
 
     def _make_holder(self, pool: ids.PoolName, taken_s: float) -> shards.Held:
+        if pool == fleet_holder.FLEET:
+            return fleet_holder.FleetHolder(
+                self._outside.rows,
+                self._outside.hosts,
+                self._book,
+                self._in_force,
+                self._desk.ask,
+                waves=self._waves,
+                upkeep_s=self._own.upkeep_s,
+                quiet_s=self._own.quiet_s,
+                hold_limit_s=HOLD_LIMIT_S,
+                taken_s=taken_s,
+            )
         made = holder.Holder(
             pool,
             self._outside.rows,
@@ -164,24 +199,42 @@
         made.list_workers(facts for facts in self._fleet if facts.service == pool)
         return made
 
-    async def _answer(self, call: holder.calls.AnyCall) -> holder.calls.Reply:
+    async def _answer(self, call: calls.AnyCall) -> calls.Reply:
         return await self._desk.answer(call)
 
-    async def _follow_configuration(self) -> None:
-        async for declared in self._outside.configurations():
-            now_s = asyncio.get_running_loop().time()
-            if not self._in_force.take(declared, now_s):
-                continue
-            _log.info(
-                "A configuration is in force.",
-                version=declared.version,
-                queues=len(declared.queues),
-            )
-            self._shards.pools = sorted(
-                {ids.PoolName(queue.service) for queue in declared.queues}
-            )
-            if self._front.refusing is exceptions.ErrorKind.NOT_READY:
-                self._front.refusing = None
+    async def _follow_operators(self) -> None:
+        async for one in self._outside.operations():
+            match one:
+                case upkeep.Wave():
+                    if one.number not in self._waves:
+                        _log.info("A wave is asked for.", wave=one.number, hosts=len(one.hosts))
+                    self._waves[one.number] = one
+                case queues.QueueSet():
+                    self._take_configuration(one)
+
+    def _take_configuration(self, declared: queues.QueueSet) -> None:
+        if not self._in_force.take(declared, asyncio.get_running_loop().time()):
+            return
+        _log.info(
+            "A configuration is in force.", version=declared.version, queues=len(declared.queues)
+        )
+        served = {ids.PoolName(queue.service) for queue in declared.queues}
+        self._shards.pools = sorted(served | {fleet_holder.FLEET})
+        if self._front.refusing is exceptions.ErrorKind.NOT_READY:
+            self._front.refusing = None
+
+    async def _tell_demand(self) -> None:
+        while True:
+            await asyncio.sleep(_DEMAND_INTERVAL_S)
+            for pool, held in self._shards.holders().items():
+                report = held.demand() if isinstance(held, holder.Holder) else None
+                if report is not None:
+                    call = calls.Demand(
+                        service=ids.ServiceName(fleet_holder.FLEET),
+                        pool=ids.ServiceName(pool),
+                        report=report,
+                    )
+                    await self._desk.ask(call, _DEMAND_LIMIT_S)
 
     async def _follow_fleet(self) -> None:
         async for fleet in self._outside.fleets():
@@ -202,10 +255,10 @@
                 _log.warning("The inbox can't be watched.", why=str(error))
                 await asyncio.sleep(_RETRY_S * (1 + self._random.random()))
 
-    async def _take_notice(self, row: holder.platform.Row) -> None:
+    async def _take_notice(self, row: platform.Row) -> None:
         if not row.version or not row.value:
             return
-        notice = holder.codecs.unpack(row.value, holder.jobs.Notice)
+        notice = codecs.unpack(row.value, jobs.Notice)
         held = self._shards.holder(notice.service)
         if isinstance(held, holder.Holder) and held.is_loaded:
             await held.take_notice(notice)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -1,9 +1,10 @@
 """Name what the daemon needs of the outside, so that an adapter or a fake can give it."""
 
 import collections.abc
+import enum
 import typing
 
-from nutmegshelf import fleetview, orders, platform, scheduler
+from nutmegshelf import fleetview, ids, orders, platform, pooling, scheduler
 
 
 class Changes(typing.NamedTuple):
@@ -14,6 +15,16 @@
     is_whole: bool = False
 
 
+class Ordered(enum.Enum):
+    """Say what became of an order about a host."""
+
+    DONE = "done"
+    BUSY = "busy"
+    FENCED = "fenced"
+    NOT_DUE = "not-due"
+    NO_SUCH_HOST = "no-such-host"
+
+
 class Rows(typing.Protocol):
     """Read, change and watch the rows that outlive every process.
 
@@ -72,4 +83,20 @@
         """Close the connections to a worker."""
 
 
+class Hosts(typing.Protocol):
+    """Read the platform's list of hosts and order moves and upkeep."""
+
+    async def list_hosts(self) -> tuple[pooling.HostView, ...]:
+        """Read all hosts; raises HostsUnavailable."""
+
+    async def move(self, move: pooling.Move, fence: int) -> Ordered:
+        """Move a cleared host; raises HostsUnavailable or HostsAnswerLost."""
+
+    async def upkeep(self, host: ids.HostId, wave: int, fence: int) -> Ordered:
+        """Take a cleared host down for a wave; raises HostsUnavailable or HostsAnswerLost."""
+
+    async def report_wave(self, wave: int, *, is_finished: bool) -> None:
+        """Tell operators how far a wave is; raises TableError."""
+
+
 Wake = collections.abc.Callable[[], None]
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -6,7 +6,7 @@
 
 import h11
 from nutmegshelf import claims, configuration, dispatch, exceptions, ids
-from nutmegshelf_http import channel, server
+from nutmegshelf_http import server
 
 from nutmegshelf_entry import (
     attempts,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -57,7 +57,9 @@
             except exceptions.WorkerError as error:
                 if worker.unheard_since_s is None:
                     worker.unheard_since_s = self._loop.time()
-                    _log.warning("A worker doesn't answer.", worker=self._life.worker, why=str(error))
+                    _log.warning(
+                        "A worker doesn't answer.", worker=self._life.worker, why=str(error)
+                    )
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(2 * backoff_s, _MOST_BACKOFF_S)
         _log.info("A worker is gone.", worker=self._life.worker)
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -45,20 +45,33 @@
 
 
 class Demand(Call, frozen=True, kw_only=True):
-    """Tell the holder of the fleet what a service needs of hosts now."""
+    """Tell the holder of the fleet what a pool needs of hosts now."""
 
+    pool: ids.ServiceName
     report: "DemandReport"
 
 
+class HostLoad(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Say what runs at one host; an idle one says for how long."""
+
+    cpu_millis: int = 0
+    lasting: int = 0
+    idle_s: float | None = None
+
+
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Say what work waits and runs at one service, and which of its hosts are idle."""
+    """Say what work waits and runs at one service, and what its hosts do."""
 
     cpu_running: int
     cpu_waiting: int
-    cpu_forecast: int
-    hosts: int
-    idle_s: dict[ids.HostId, float]
-    cleared: tuple[ids.HostId, ...] = ()
+    least_hosts: int
+    host_cpu_millis: int
+    hosts: dict[ids.HostId, HostLoad]
+
+    @property
+    def idle_s(self) -> dict[ids.HostId, float]:
+        """Give the idle hosts, and for how long they idle."""
+        return {host: load.idle_s for host, load in self.hosts.items() if load.idle_s is not None}
 
 
 AnyCall = Submit | Show | Cancel | CountPending | Give | Demand
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/clearing.py
@@ -0,0 +1,62 @@
+"""Decide which tasks leave a host that is asked for, within the budgets of their steps."""
+
+import dataclasses
+
+from nutmegshelf import fleetview, ids, jobs, ledger
+
+# A host that nobody asks for again stays closed this long.
+_CLOSED_S = 4.0
+# Tasks that end by themselves are waited for this long; then those that save their state leave.
+_PATIENCE_S = 2.5
+
+
+@dataclasses.dataclass(slots=True)
+class Clearing:
+    """Own the set of closed hosts of one service."""
+
+    _until_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+    _since_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+
+    def close(self, host: ids.HostId, now_s: float) -> None:
+        """Give a host no new tasks from now on."""
+        if not self.is_closed(host, now_s):
+            self._since_s[host] = now_s
+        self._until_s[host] = now_s + _CLOSED_S
+
+    def reopen(self, host: ids.HostId) -> None:
+        """Give a host new tasks again."""
+        self._until_s.pop(host, None)
+
+    def is_closed(self, host: ids.HostId, now_s: float) -> bool:
+        """Say whether a host gets no new tasks."""
+        return now_s < self._until_s.get(host, 0.0)
+
+    def to_leave(
+        self, worker: fleetview.Worker, book: ledger.Ledger, now_s: float
+    ) -> list[fleetview.Task]:
+        """Give the tasks that leave now; a step that lasts gives them up one by one."""
+        waited_s = now_s - self._since_s.get(worker.facts.host, now_s)
+        leaving: list[fleetview.Task] = []
+        counted: dict[tuple[jobs.TaskKey, int], int] = {}
+        for task in worker.tasks.values():
+            if task.phase is not fleetview.Phase.RUNNING:
+                continue
+            if not task.step.lasting:
+                if task.step.checkpointing and waited_s > _PATIENCE_S:
+                    leaving.append(task)
+                continue
+            part = book.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
+            name = task.key._replace(index=0), task.key.step
+            away = counted.get(name, 0) + away_count(part, task)
+            if not task.step.may_miss or away < task.step.may_miss:
+                leaving.append(task)
+                counted[name] = counted.get(name, 0) + 1
+        return leaving
+
+
+def away_count(part: ledger.Part, but: fleetview.Task) -> int:
+    """Count the other tasks of a step that are not at work."""
+    return sum(
+        task is not but and not (task.phase is fleetview.Phase.RUNNING and task.percent >= 100)
+        for task in part.tasks
+    )
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -196,6 +196,18 @@
     """Report that the worker has seen an order of a later epoch."""
 
 
+class HostsError(NutmegshelfError):
+    """Report that the platform's host service gave no usable answer."""
+
+
+class HostsUnavailable(HostsError):
+    """Report that the call surely had no effect."""
+
+
+class HostsAnswerLost(HostsError):
+    """Report that the call may have taken effect."""
+
+
 class PeerError(NutmegshelfError):
     """Report that another entry gave no usable answer."""
 
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 
 from nutmegshelf import fleetview, jobs
 
@@ -37,8 +38,8 @@
 ) -> fleetview.Worker | None:
     """Give the worker for one task of a step, or none.
 
-    Data nearby goes first. Tasks that last spread over workers and racks, so that one loss
-    takes few; others fill the fullest worker that has room, which leaves whole workers free for
+    Data nearby goes first. Tasks that last share few workers, but no worker gets more than half
+    of a step; others fill the fullest worker that has room. Both leave whole workers free for
     large tasks and for other pools.
     """
     chosen: fleetview.Worker | None = None
@@ -54,6 +55,8 @@
         if step.label and step.label not in worker.facts.labels:
             continue
         count = here[worker.facts.life]
+        if step.lasting and count >= most_per_worker(step):
+            continue
         if step.max_per_worker and count >= step.max_per_worker:
             continue
         far = bool(step.data_rack) and worker.facts.rack != step.data_rack
@@ -64,7 +67,7 @@
                 worker.failures_in_row,
                 _crowding(worker, step) if filling else 0,
                 not worker.tasks,
-                count,
+                -worker.lasting,
                 racks[worker.facts.rack],
                 worker.free_cpu_millis,
                 worker.facts.life,
@@ -82,6 +85,12 @@
     return chosen
 
 
+def most_per_worker(step: jobs.Step) -> int:
+    """Give how many tasks of a step that lasts one worker may run, so that a loss leaves some."""
+    half = max(1, math.ceil(step.count / 2))
+    return min(half, step.max_per_worker or half)
+
+
 def _crowding(worker: fleetview.Worker, step: jobs.Step) -> int:
     # Filling tasks and serving tasks disturb one another, so they are kept apart where possible.
     if step.fills:
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -25,8 +25,8 @@
 
     life: Life
     service: ids.ServiceName
-    host: str
-    port: int
+    host: ids.HostId
+    address: str
     zone: ids.ZoneName
     rack: ids.RackName
     labels: frozenset[str]
@@ -169,6 +169,11 @@
         self.free_memory_mb += sign * step.memory_mb
         self.free_accelerators += sign * step.accelerators
 
+    @property
+    def lasting(self) -> int:
+        """Count the tasks here that last."""
+        return sum(task.step.lasting for task in self.tasks.values())
+
     def fits(self, step: jobs.Step) -> bool:
         """Say whether a task of a step fits beside what runs here."""
         return (
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -198,7 +198,9 @@
         self.place(record, task, worker, run, now_s)
         task.phase = fleetview.Phase.RUNNING
 
-    def free(self, record: Record, task: fleetview.Task, worker: fleetview.Worker, now_s: float) -> None:
+    def free(
+        self, record: Record, task: fleetview.Task, worker: fleetview.Worker, now_s: float
+    ) -> None:
         """Note that a task runs nowhere any more, so that it may start again."""
         worker.vacate(task, now_s)
         task.life = None
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -3,8 +3,9 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
-from nutmegshelf import fitting, fleetview, ids, jobs, ledger, notes
+from nutmegshelf import calls, clearing, fitting, fleetview, ids, jobs, ledger, notes
 
 # A stop that was not answered is sent again after this time.
 STOP_AGAIN_S = 0.4
@@ -57,12 +58,11 @@
         self.ledger = ledger.Ledger(epoch)
         self.workers: dict[fleetview.Life, fleetview.Worker] = {}
         self.notes = notes.Notes()
-        # Hosts that other parts want to take away get no new work.
-        self.closed_hosts: set[str] = set()
+        self.clearing = clearing.Clearing()
         self._lapse_s = lapse_s
         self._began_s = now_s
         self._recovers = recovers
-        self._waits_for_unlisted = False
+        self._expected: set[fleetview.Life] = set()
         self._is_settled = not recovers
 
     # --- workers
@@ -97,7 +97,7 @@
 
     def expect_lives(self, lives: collections.abc.Iterable[fleetview.Life]) -> None:
         """Note which lives an earlier holder used; one that isn't listed may still run tasks."""
-        self._waits_for_unlisted = any(life not in self.workers for life in lives)
+        self._expected = set(lives)
 
     def _lost(self, worker: fleetview.Worker, now_s: float, reason: str) -> None:
         for task in list(worker.tasks.values()):
@@ -121,8 +121,8 @@
                     self.ledger.free(self.ledger.records[task.key.job], task, worker, now_s)
                 worker.is_asked = False
                 worker.strays.clear()
-                if not worker.is_listed:
-                    del self.workers[worker.facts.life]
+            if not worker.is_listed and not worker.tasks and now_s > worker.leased_until_s:
+                del self.workers[worker.facts.life]
         for record in self.ledger.records.values():
             if record.job.occurrences and record.is_live:
                 self.ledger.open_due(record, now_ms)
@@ -133,8 +133,11 @@
             return
         lapsed_s = self._began_s + self._lapse_s
         if now_s <= lapsed_s:
-            if self._waits_for_unlisted or not self.workers:
-                return
+            born = {life.worker: life.born_ms for life in self.workers}
+            for life in self._expected - self.workers.keys():
+                # A later life of the same worker says that this one has ended.
+                if born.get(life.worker, -1) <= life.born_ms:
+                    return
             if not all(worker.is_asked for worker in self.workers.values()):
                 return
         self._is_settled = True
@@ -241,9 +244,7 @@
             case _:
                 is_gone = False
         if is_gone:
-            self.ledger.free(
-                self.ledger.records[task.key.job], task, worker, report.received_s
-            )
+            self.ledger.free(self.ledger.records[task.key.job], task, worker, report.received_s)
 
     def settled_end(self, life: fleetview.Life) -> int | None:
         """Give the number up to which a worker's ends are stored, if there is news."""
@@ -253,6 +254,51 @@
             found = worker.unstored_ends.popleft()[0]
         return found
 
+    # --- hosts that are asked for
+
+    def give(self, host: ids.HostId, now_s: float) -> bool:
+        """Clear a host within the budgets of its tasks; says whether nothing runs there now."""
+        self.clearing.close(host, now_s)
+        workers = [one for one in self.workers.values() if one.facts.host == host]
+        if not self._is_settled:
+            return False
+        for worker in workers:
+            for task in self.clearing.to_leave(worker, self.ledger, now_s):
+                self.notes.note("task leaves", task=task.key.name, run=task.run, host=host)
+                self.leave(task)
+        return not any(worker.tasks or worker.strays for worker in workers)
+
+    def demand(self, now_s: float) -> calls.DemandReport:
+        """Say what the service needs of hosts now."""
+        hosts: dict[ids.HostId, calls.HostLoad] = {}
+        running = 0
+        for worker in self.workers.values():
+            used = worker.facts.cpu_millis - worker.free_cpu_millis
+            running += used
+            is_idle = not worker.tasks and not worker.strays and worker.is_asked
+            hosts[worker.facts.host] = calls.HostLoad(
+                cpu_millis=used,
+                lasting=sum(task.step.lasting for task in worker.tasks.values()),
+                idle_s=max(0.0, now_s - worker.idle_since_s) if is_idle else None,
+            )
+        waiting, least = 0, 0
+        for record in self.ledger.records.values():
+            if not record.is_live:
+                continue
+            waiting += sum(
+                task.step.cpu_millis for task in record.ready.values() if not task.step.fills
+            )
+            if record.job.lasts:
+                least = max(least, *(_least_hosts(step) for step in record.job.steps))
+        sizes = [worker.facts.cpu_millis for worker in self.workers.values()]
+        return calls.DemandReport(
+            cpu_running=running,
+            cpu_waiting=waiting,
+            least_hosts=least,
+            host_cpu_millis=max(sizes, default=0),
+            hosts=hosts,
+        )
+
     # --- answers to orders
 
     def started(self, order: StartRun, now_s: float) -> None:
@@ -336,7 +382,7 @@
             for worker in self.workers.values()
             if worker.is_asked
             and not worker.is_closed
-            and worker.facts.host not in self.closed_hosts
+            and not self.clearing.is_closed(worker.facts.host, now_s)
             and worker.unheard_since_s is None
             and now_s >= worker.shunned_until_s
             and now_s >= worker.room_refused_s + _ROOM_PAUSE_S
@@ -421,6 +467,13 @@
         )
 
 
+def _least_hosts(step: jobs.Step) -> int:
+    """Give over how many hosts a step that lasts has to be spread, with one to change over."""
+    if not step.lasting:
+        return 0
+    return math.ceil(step.count / fitting.most_per_worker(step)) + 1
+
+
 def _urgency(record: ledger.Record, now_s: float) -> tuple[bool, int, int, float]:
     """Order jobs: those that last, then by priority, then what can still be on time."""
     slack_s = record.due_by_s - now_s
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/upkeep.py
@@ -0,0 +1,87 @@
+"""Plan waves of upkeep: which hosts go down next, so that a wave is done in time and in bounds."""
+
+import dataclasses
+import math
+
+import msgspec
+
+from nutmegshelf import ids
+
+# Time that clearing a host and its return take beside the upkeep itself.
+_OVERHEAD_S = 3.0
+# Waves are planned to end this much before they are due.
+_RESERVE_FRACTION = 0.25
+_RETRY_S = 1.0
+
+
+class Wave(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask that each of some hosts has its upkeep in time, with a bound on how many at once."""
+
+    number: int
+    hosts: tuple[ids.HostId, ...]
+    duration_s: float
+    at_once: int
+
+
+class WaveRow(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Hold how far a wave has come, as its row has it."""
+
+    number: int
+    began_ms: int
+    done: set[ids.HostId] = msgspec.field(default_factory=set)
+    is_finished: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """Describe a host of a wave that has not had its upkeep: what its absence would cost."""
+
+    host: ids.HostId
+    is_off: bool
+    idle_s: float | None
+    lasting: int
+    cpu_millis: int
+
+
+@dataclasses.dataclass(slots=True)
+class WavePlan:
+    """Own the choices for one wave."""
+
+    wave: Wave
+    row: WaveRow
+    down: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+    asked_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+
+    def left(self, present: set[ids.HostId]) -> list[ids.HostId]:
+        """Give the hosts that still have to go down; those that left for good are not waited for."""
+        return [host for host in self.wave.hosts if host in present and host not in self.row.done]
+
+    def choose(
+        self, candidates: list[Candidate], now_ms: int, now_s: float, upkeep_s: float
+    ) -> list[ids.HostId]:
+        """Give the hosts to clear now: those that cost little at once, others at an even pace."""
+        busy = [host for host in self.down if host not in self.asked_s]
+        room = self.wave.at_once - len(busy) - len(self.asked_s)
+        waiting = [one for one in candidates if one.host not in self.asked_s]
+        if room <= 0 or not waiting:
+            return []
+        chosen: list[ids.HostId] = []
+        pace = self._pace(len(candidates), now_ms, upkeep_s)
+        for one in sorted(waiting, key=_cost):
+            is_cheap = one.is_off or one.idle_s is not None
+            if len(chosen) == room:
+                break
+            if is_cheap or len(busy) + len(self.asked_s) + len(chosen) < pace:
+                chosen.append(one.host)
+        return chosen
+
+    def _pace(self, left: int, now_ms: int, upkeep_s: float) -> int:
+        elapsed_s = (now_ms - self.row.began_ms) / 1000
+        remaining_s = self.wave.duration_s * (1 - _RESERVE_FRACTION) - elapsed_s
+        each_s = upkeep_s + _OVERHEAD_S
+        rounds = max(1, math.floor(remaining_s / each_s))
+        return min(self.wave.at_once, math.ceil(left / rounds))
+
+
+def _cost(one: Candidate) -> tuple[bool, bool, int, int, ids.HostId]:
+    return not one.is_off, one.idle_s is None, one.lasting, one.cpu_millis, one.host
