--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -106,10 +106,9 @@
         newest: list[platform.Row] = []
         for row in self._lease_rows.values():
             own = self._book.held.get(_pool_of(row.key))
-            if own is not None and own.version > row.version:
-                # An own transaction went on from what was watched.
-                row = platform.Row(row.key, own.version, codecs.pack(own.lease))
-            newest.append(row)
+            # An own transaction may have gone on from what was watched.
+            is_older = own is not None and own.version > row.version
+            newest.append(_row_of(own) if own is not None and is_older else row)
         for pool in self._book.observe(newest, self._loop.time()):
             _log.warning("A lease was lost.", pool=pool)
             self._end(pool)
@@ -137,10 +136,12 @@
         while True:
             if self.is_watching and self._beat_done and not self._leaving:
                 now_s = self._loop.time()
-                entries = self._entries(now_s)
-                for pool in self._book.to_take(self.pools, entries, now_s):
+                pool = self._book.to_take_next(self.pools, now_s)
+                if pool is not None:
                     await self._take(pool, group)
-                for pool in self._book.to_release(self.pools, entries, now_s):
+                # One lease above the own share is kept, as every change of hands costs a pause.
+                excess = self._book.to_release(self.pools, self._entries(now_s), now_s)
+                for pool in excess[:-1]:
                     await self._release(pool)
             await asyncio.sleep(_TICK_S)
 
@@ -206,5 +207,9 @@
             _log.warning("The leases were not all given back.", why=repr(error))
 
 
+def _row_of(own: leases.Held) -> platform.Row:
+    return platform.Row(leases.key(own.lease.pool), own.version, codecs.pack(own.lease))
+
+
 def _pool_of(key: str) -> ids.PoolName:
     return ids.PoolName(key.removeprefix(leases.PREFIX))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -10,7 +10,10 @@
 
 # Changes that come within this time are stored together.
 _LINGER_S = 0.012
-_MOST_JOBS = 40
+# The platform takes so many conditions and writes in one transaction; two are the lease's own.
+_MOST_ENTRIES = 100
+_LEASE_ENTRIES = 2
+_MOST_BYTES = 400_000
 _RETRY_S = 0.1
 _RENEW_FRACTION = 0.25
 
@@ -21,6 +24,27 @@
     """Report that another entry holds the lease."""
 
 
+class _Room:
+    """Count what still fits into one transaction."""
+
+    def __init__(self) -> None:
+        self.entries = _MOST_ENTRIES - _LEASE_ENTRIES
+        self._left_bytes = _MOST_BYTES
+
+    def take(self, entries: int, size_bytes: int) -> bool:
+        """Take room, or say that there is none; something always fits into an empty one."""
+        if entries > self.entries or (
+            size_bytes > self._left_bytes and self.entries < _MOST_ENTRIES - _LEASE_ENTRIES
+        ):
+            return False
+        self.entries -= entries
+        self._left_bytes -= size_bytes
+        return True
+
+
+Accepting = dict[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]]
+
+
 class Writer:
     """Own the transactions of one held lease; they go one after the other."""
 
@@ -30,7 +54,7 @@
         self._rows = rows
         self._book = book
         self._pool = pool
-        self._accepting: dict[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]] = {}
+        self._accepting: Accepting = {}
         self._writes: dict[str, platform.Write] = {}
         self._work = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -78,8 +102,10 @@
         return bool(book.dirty or self._accepting or self._writes)
 
     async def _store(self, book: ledger.Ledger) -> None:
-        taken = book.take_dirty(_MOST_JOBS)
-        accepting = dict(list(self._accepting.items())[:_MOST_JOBS])
+        room = _Room()
+        accepting = self._choose_accepting(room)
+        others = self._choose_others(room)
+        taken = book.take_dirty(room.entries)
         shown = {record.job.job: record.progress.state for record in taken}
         writes = [
             platform.Write(
@@ -87,20 +113,37 @@
             )
             for record in taken
         ]
-        writes += self._writes.values()
-        self._writes = {}
+        writes += others
         try:
             await self._commit(writes, accepting)
         except BaseException:
             book.not_stored()
+            self._writes = {one.key: one for one in others} | self._writes
             raise
         book.stored(shown)
         self.wake()
 
+    def _choose_accepting(self, room: "_Room") -> Accepting:
+        chosen: Accepting = {}
+        for name, entry in self._accepting.items():
+            # A new job takes a condition and a write.
+            if not room.take(2, len(codecs.pack(entry[0]))):
+                break
+            chosen[name] = entry
+        return chosen
+
+    def _choose_others(self, room: "_Room") -> list[platform.Write]:
+        chosen: list[platform.Write] = []
+        for key, write in list(self._writes.items()):
+            if not room.take(1, len(write.value or b"")):
+                break
+            chosen.append(self._writes.pop(key))
+        return chosen
+
     async def _commit(
         self,
         writes: list[platform.Write],
-        accepting: dict[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]],
+        accepting: Accepting,
     ) -> None:
         """Repeat one group until it is stored or the lease is lost."""
         while True:
@@ -168,6 +211,8 @@
         for _, future in self._accepting.values():
             if not future.done():
                 future.set_exception(exceptions.TableAnswerLost("the lease was lost"))
+                # Nobody may be waiting for it any more.
+                future.exception()
         self._accepting.clear()
 
     async def release(self) -> None:
--- a/packages/nutmegshelf/src/nutmegshelf/clearing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/clearing.py
@@ -8,6 +8,8 @@
 _CLOSED_S = 4.0
 # Tasks that end by themselves are waited for this long; then those that save their state leave.
 _PATIENCE_S = 2.5
+# Only so recent news counts as proof that a task is at work; a look waits up to a second.
+_NEWS_AGE_S = 1.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,7 +34,11 @@
         return now_s < self._until_s.get(host, 0.0)
 
     def to_leave(
-        self, worker: fleetview.Worker, book: ledger.Ledger, now_s: float
+        self,
+        worker: fleetview.Worker,
+        workers: dict[fleetview.Life, fleetview.Worker],
+        book: ledger.Ledger,
+        now_s: float,
     ) -> list[fleetview.Task]:
         """Give the tasks that leave now; a step that lasts gives them up one by one."""
         waited_s = now_s - self._since_s.get(worker.facts.host, now_s)
@@ -47,16 +53,32 @@
                 continue
             part = book.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
             name = task.key._replace(index=0), task.key.step
-            away = counted.get(name, 0) + away_count(part, task)
+            away = counted.get(name, 0) + away_count(part, task, workers, now_s)
             if not task.step.may_miss or away < task.step.may_miss:
                 leaving.append(task)
                 counted[name] = counted.get(name, 0) + 1
         return leaving
 
 
-def away_count(part: ledger.Part, but: fleetview.Task) -> int:
-    """Count the other tasks of a step that are not at work."""
+def away_count(
+    part: ledger.Part,
+    but: fleetview.Task,
+    workers: dict[fleetview.Life, fleetview.Worker],
+    now_s: float,
+) -> int:
+    """Count the other tasks of a step that are not surely at work."""
     return sum(
-        task is not but and not (task.phase is fleetview.Phase.RUNNING and task.percent >= 100)
+        task is not but
+        and not _is_at_work(task, workers.get(task.life) if task.life else None, now_s)
         for task in part.tasks
     )
+
+
+def _is_at_work(task: fleetview.Task, worker: fleetview.Worker | None, now_s: float) -> bool:
+    return (
+        worker is not None
+        and worker.unheard_since_s is None
+        and now_s - worker.heard_s <= _NEWS_AGE_S
+        and task.phase is fleetview.Phase.RUNNING
+        and task.percent >= 100
+    )
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -13,6 +13,7 @@
 _ABANDONED_LEASES = 2.0
 _RENEWAL_FRACTION = 0.25
 _KEPT_LEASES = 4.0
+_STEP_DELAY_S = 0.15
 
 
 class LeaseRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -160,6 +161,25 @@
                 chosen.append(pool)
         return chosen
 
+    def to_take_next(self, pools: list[ids.PoolName], now_s: float) -> ids.PoolName | None:
+        """Choose one lease that nobody holds; the more an entry holds, the longer it waits.
+
+        No lease waits for an entry with a free share, as work stands still until it is held.
+        """
+        delay_s = _STEP_DELAY_S * len(self.held)
+        for pool in sorted(pools, key=lambda pool: -_weight(pool, self.own)):
+            if pool in self.held:
+                continue
+            self._sights.setdefault(pool, _Sight(0, now_s))
+            lease = self._leases.get(pool)
+            if lease is None or lease.holder is None or lease.holder == self.own:
+                wait_s = delay_s
+            else:
+                wait_s = self.duration_s + delay_s
+            if self._unchanged_s(pool, now_s) >= wait_s:
+                return pool
+        return None
+
     def to_release(
         self, pools: list[ids.PoolName], entries: list[ids.EntryId], now_s: float
     ) -> list[ids.PoolName]:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -263,7 +263,7 @@
         if not self._is_settled:
             return False
         for worker in workers:
-            for task in self.clearing.to_leave(worker, self.ledger, now_s):
+            for task in self.clearing.to_leave(worker, self.workers, self.ledger, now_s):
                 self.notes.note("task leaves", task=task.key.name, run=task.run, host=host)
                 self.leave(task)
         return not any(worker.tasks or worker.strays for worker in workers)
