--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -4,6 +4,7 @@
 import re
 
 import behave
+from nutmegshelf_entry import problems
 from nutmegshelf_http import server
 
 _DRIP_S = 0.05
