--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -59,6 +59,7 @@
         self.writer.wake = self.wake
         self._links: dict[fleetview.Life, worker_link.Link] = {}
         self._used: set[fleetview.Life] = set()
+        self._notices: asyncio.Queue[jobs.Notice] = asyncio.Queue()
         self._woken = asyncio.Event()
         self._may_order = asyncio.Event()
         self.is_loaded = False
@@ -160,8 +161,21 @@
 
     # --- what the store and the fleet's list say
 
-    async def take_notice(self, notice: jobs.Notice) -> None:
-        """Take in a job that another entry stored, or cancel one."""
+    def notify(self, notice: jobs.Notice) -> None:
+        """Take note of a job that another entry stored or cancelled, also while loading."""
+        self._notices.put_nowait(notice)
+
+    async def _follow_notices(self) -> None:
+        while True:
+            notice = await self._notices.get()
+            try:
+                await self._take_notice(notice)
+            except exceptions.TableError as error:
+                _log.warning("A notice waits for the table.", job=notice.job, why=str(error))
+                self._notices.put_nowait(notice)
+                await asyncio.sleep(_RETRY_S)
+
+    async def _take_notice(self, notice: jobs.Notice) -> None:
         known = notice.job in self.scheduler.ledger.records
         if not known:
             row = await self._rows.read(jobs.job_key(self.pool, notice.job))
@@ -220,6 +234,7 @@
                 group.create_task(self.writer.run(self.scheduler.ledger))
                 self.list_workers(self._listed)
                 group.create_task(self._passes())
+                group.create_task(self._follow_notices())
                 group.create_task(self._guard())
         finally:
             self.is_loaded = False
@@ -256,7 +271,7 @@
             live=sum(record.is_live for record in self.scheduler.ledger.records.values()),
         )
         for row in notices:
-            await self.take_notice(codecs.unpack(row.value, jobs.Notice))
+            self.notify(codecs.unpack(row.value, jobs.Notice))
 
     def _store_used(self) -> None:
         lives = sorted(self.scheduler.workers)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -44,7 +44,7 @@
 TASK_LEASE_S = 5.0
 # A holder gives no orders when it could not renew its lease for this long.
 HOLD_LIMIT_S = 2.2
-_INBOX_WAIT_S = 20.0
+_INBOX_WAIT_S = 2.0
 _RETRY_S = 0.25
 _DEMAND_INTERVAL_S = 0.2
 _DEMAND_LIMIT_S = 0.4
@@ -250,18 +250,18 @@
                 found = await self._outside.rows.changes("inbox", after, _INBOX_WAIT_S)
                 after = found.version
                 for row in found.rows:
-                    await self._take_notice(row)
+                    self._take_notice(row)
             except exceptions.TableError as error:
                 _log.warning("The inbox can't be watched.", why=str(error))
                 await asyncio.sleep(_RETRY_S * (1 + self._random.random()))
 
-    async def _take_notice(self, row: platform.Row) -> None:
+    def _take_notice(self, row: platform.Row) -> None:
         if not row.version or not row.value:
             return
         notice = codecs.unpack(row.value, jobs.Notice)
         held = self._shards.holder(notice.service)
-        if isinstance(held, holder.Holder) and held.is_loaded:
-            await held.take_notice(notice)
+        if isinstance(held, holder.Holder):
+            held.notify(notice)
 
     def _report(self, error: Exception) -> None:
         _log.error("A handler failed.", exc_info=error)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -12,7 +12,7 @@
 _TICK_S = 0.1
 # Leases are looked at together, so that a change does not cost a call by itself.
 _WATCH_GAP_S = 0.35
-_WATCH_WAIT_S = 5.0
+_WATCH_WAIT_S = 1.0
 _RETRY_S = 0.25
 BEAT_INTERVAL_S = 2.0
 MEMBER_SILENCE_S = 5.0
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -68,7 +68,10 @@
         sent_s = self._loop.time()
         if (settled := self._scheduler.settled_end(self._life)) is not None:
             self._seen = settled
-        until_ms = self._until_ms(worker, self._lease_s)
+        # A worker that may be gone gets no longer lease: what ran there can start elsewhere when
+        # the lease that it has ends.
+        is_heard = worker.unheard_since_s is None
+        until_ms = self._until_ms(worker, self._lease_s) if is_heard else None
         if until_ms is not None:
             worker.note_lease(sent_s, self._lease_s)
         looked = await self._calls.look(
