--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -23,6 +23,9 @@
 FLEET = ids.PoolName("*fleet")
 _WAVES = f"waves/{FLEET}/"
 _TICK_S = 0.15
+_PLAN_GAP_S = 0.03
+# The first holder of all waits until the hosts have started.
+_START_S = 2.0
 _LIST_INTERVAL_S = 1.0
 _LIST_BUSY_INTERVAL_S = 0.4
 _RETRY_S = 0.25
@@ -65,13 +68,15 @@
         self._ask = ask
         self._waves = waves
         self._upkeep_s = upkeep_s
-        self._quiet_s = quiet_s if self.epoch > 1 else 0.0
+        self._quiet_s = quiet_s if self.epoch > 1 else _START_S
         self._hold_limit_s = hold_limit_s
         self._loop = asyncio.get_running_loop()
+        self._woken = asyncio.Event()
         self._views: dict[ids.HostId, pooling.HostView] = {}
         self._listed_s = -1.0
         self._demands: dict[ids.ServiceName, tuple[float, calls.DemandReport]] = {}
         self._working: dict[ids.HostId, asyncio.Task[None]] = {}
+        self._planner = pooling.Planner()
         self._plans: dict[int, upkeep.WavePlan] = {}
         self._stored_waves: dict[int, upkeep.WaveRow] = {}
         self._group: asyncio.TaskGroup | None = None
@@ -81,6 +86,8 @@
         if not isinstance(call, calls.Demand):
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
         self._demands[call.pool] = (self._loop.time(), call.report)
+        if call.report.cpu_waiting:
+            self._woken.set()
         return calls.Reply(verdict=calls.Verdict.DONE)
 
     async def run(self) -> None:
@@ -97,7 +104,13 @@
                 if self._may_order():
                     self._plan_waves()
                     self._plan_moves()
-                await asyncio.sleep(_TICK_S)
+                try:
+                    async with asyncio.timeout(_TICK_S):
+                        await self._woken.wait()
+                except TimeoutError:
+                    continue  # Waves go on by time alone.
+                self._woken.clear()
+                await asyncio.sleep(_PLAN_GAP_S)
 
     async def _load(self) -> None:
         while True:
@@ -223,11 +236,10 @@
         }
         if not fresh or routes is None:
             return
-        planner = pooling.Planner(routes.spare)
         held = set(self._working)
         for plan in self._plans.values():
             held |= plan.down.keys()
-        for move in planner.plan(self._views.values(), fresh, held):
+        for move in self._planner.plan(self._views.values(), fresh, held, routes.spare, now_s):
             self._spawn(move.host, self._do_move(move))
 
     async def _do_move(self, move: pooling.Move) -> None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -150,6 +150,7 @@
         known = job.job in self.scheduler.ledger.records
         record = self.scheduler.ledger.add(job, progress, arrived_s, _now_ms(), may_run=may_run)
         if not known and not may_run:
+            self.scheduler.arrived(job)
             _log.info(
                 "A job is taken in.",
                 job=job.job,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -46,7 +46,7 @@
 HOLD_LIMIT_S = 2.2
 _INBOX_WAIT_S = 2.0
 _RETRY_S = 0.25
-_DEMAND_INTERVAL_S = 0.2
+_DEMAND_INTERVAL_S = 0.15
 _DEMAND_LIMIT_S = 0.4
 
 _log = logs.part("daemon")
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -60,10 +60,17 @@
 
 
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Say what work waits and runs at one service, and what its hosts do."""
+    """Say what work waits and runs at one service, and what its hosts do.
+
+    The work that arrived is counted since the service's holder began; what waits is expected to
+    run for some time on average.
+    """
 
     cpu_running: int
     cpu_waiting: int
+    cpu_lasting: int
+    waiting_ms: int
+    arrived_core_ms: int
     least_hosts: int
     host_cpu_millis: int
     hosts: dict[ids.HostId, HostLoad]
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -11,7 +11,7 @@
 import enum
 import math
 
-from nutmegshelf import calls, ids
+from nutmegshelf import calls, ids, turns
 
 
 class HostState(enum.Enum):
@@ -53,93 +53,149 @@
     reason: str
 
 
-# A pool keeps room for this much more than what runs and waits.
-_HEADROOM = 1.25
 _LEAST_HOSTS = 2
+# Room for tasks that don't share a host well, as a part of the need.
+_HEADROOM = 1.15
+# Work that waits is to be done within this time, as callers leave little more.
+_CLEARED_S = 1.0
+# The time over which the rate of arriving work is taken.
+_RATE_S = 1.0
+# Time from the choice of a move until the host's worker is known, beside the move itself.
+_REACTION_S = 0.8
+# A host that is not needed for long is put away when it idled for this time.
+_SETTLE_S = 0.4
 
 
 @dataclasses.dataclass(slots=True)
+class _Arrivals:
+    samples: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+
+    def take(self, total_core_ms: int, now_s: float) -> float:
+        """Take the work that arrived so far; gives the cores that keep up with it."""
+        if self.samples and total_core_ms < self.samples[-1][1]:
+            self.samples.clear()
+        self.samples = [one for one in self.samples if one[0] >= now_s - _RATE_S]
+        self.samples.append((now_s, total_core_ms))
+        first_s, first = self.samples[0]
+        # A young series is not scaled up, as a single job would look like a flood.
+        return (total_core_ms - first) / 1000 / max(_RATE_S, now_s - first_s)
+
+
 class Planner:
-    """Own the choice of moves."""
+    """Own the forecast and the choice of moves."""
 
-    spare: ids.ServiceName | None
-    costs: Costs = dataclasses.field(default_factory=Costs)
+    def __init__(self, costs: Costs | None = None) -> None:
+        self._costs = costs or Costs()
+        self._arrivals: dict[ids.ServiceName, _Arrivals] = {}
+        self.turns = turns.Turns()
 
     def plan(
         self,
         hosts: collections.abc.Iterable[HostView],
         demands: dict[ids.ServiceName, calls.DemandReport],
         held: set[ids.HostId],
+        spare: ids.ServiceName | None,
+        now_s: float,
     ) -> list[Move]:
         """Choose moves; hosts that are held for other reasons stay."""
         views = list(hosts)
         coming: dict[ids.ServiceName, int] = {}
         for view in views:
             coming[view.pool] = coming.get(view.pool, 0) + (view.state is not HostState.DOWN)
-        wanted = {
-            pool: _wanted(report, [view for view in views if view.pool == pool])
-            for pool, report in demands.items()
-        }
+        wanted = self._wanted(views, demands, now_s)
         lacking = {
             pool: count - coming.get(pool, 0)
             for pool, count in wanted.items()
             if count > coming.get(pool, 0)
         }
-        free = self._free(views, demands, wanted, coming, held)
+        free = _free(views, demands, wanted, coming, held, spare)
         moves: list[Move] = []
         for pool in sorted(lacking, key=lambda pool: -lacking[pool]):
             for _ in range(lacking[pool]):
                 if not free:
                     break
                 view = free.pop(0)
-                moves.append(Move(view.host, view.pool, pool, "work waits"))
-        moves += self._put_away(free, demands)
+                reason = "its turn comes" if not demands[pool].cpu_waiting else "work waits"
+                moves.append(Move(view.host, view.pool, pool, reason))
+        if spare is not None:
+            moves += self._put_away(free, demands, spare, now_s)
         return moves
 
-    def _free(
+    def _wanted(
         self,
         views: list[HostView],
         demands: dict[ids.ServiceName, calls.DemandReport],
-        wanted: dict[ids.ServiceName, int],
-        coming: dict[ids.ServiceName, int],
-        held: set[ids.HostId],
-    ) -> list[HostView]:
-        """Give the hosts that may go, those of pools with the most to spare first."""
-        free: list[HostView] = []
-        for view in views:
-            if view.state is HostState.UP and view.pool == self.spare and view.host not in held:
-                free.append(view)
+        now_s: float,
+    ) -> dict[ids.ServiceName, int]:
+        size = max((view.cpu_millis for view in views), default=0)
+        wanted: dict[ids.ServiceName, int] = {}
         for pool, report in demands.items():
-            surplus = coming.get(pool, 0) - wanted[pool]
-            idle = [
-                view
-                for view in views
-                if view.pool == pool
-                and view.state is HostState.UP
-                and view.host in report.idle_s
-                and view.host not in held
-            ]
-            idle.sort(key=lambda view: -report.idle_s[view.host])
-            free[:0] = idle[: max(0, surplus)]
-        return free
+            need = self._need_cpu(pool, report, now_s) / size if size else 0.0
+            self.turns.observe(pool, need - report.cpu_lasting / max(1, size), now_s)
+            wanted[pool] = max(_LEAST_HOSTS, report.least_hosts, math.ceil(_HEADROOM * need))
+        coming = self.turns.forecast(now_s)
+        lead_s = self._costs.move_s + _REACTION_S
+        if coming is not None and coming.begins_s - lead_s <= now_s:
+            hosts = _HEADROOM * self.turns.usual_peak_hosts / len(coming.pools)
+            for pool in coming.pools:
+                if pool in demands:
+                    wanted[pool] = max(wanted[pool], demands[pool].least_hosts + math.ceil(hosts))
+        return wanted
+
+    def _need_cpu(self, pool: ids.ServiceName, report: calls.DemandReport, now_s: float) -> float:
+        """Give the cores that do what runs, keep up with what comes and clear what waits."""
+        cores = self._arrivals.setdefault(pool, _Arrivals()).take(report.arrived_core_ms, now_s)
+        keeps_up = cores * 1000 + report.cpu_lasting
+        clears = report.cpu_waiting * min(1.0, report.waiting_ms / 1000 / _CLEARED_S)
+        return max(report.cpu_running, keeps_up) + clears
 
     def _put_away(
-        self, free: list[HostView], demands: dict[ids.ServiceName, calls.DemandReport]
+        self,
+        free: list[HostView],
+        demands: dict[ids.ServiceName, calls.DemandReport],
+        spare: ids.ServiceName,
+        now_s: float,
     ) -> list[Move]:
-        if self.spare is None:
-            return []
-        # A host is put away and fetched back for two moves, so it idles that long first.
-        patience_s = 2 * self.costs.move_host_s
-        return [
-            Move(view.host, view.pool, self.spare, "it idles")
-            for view in free
-            if view.pool != self.spare and demands[view.pool].idle_s[view.host] >= patience_s
-        ]
+        coming = self.turns.forecast(now_s)
+        # Putting a host away and fetching it back costs two moves. Where the next turn is known
+        # and another pool's, the host is surely idle for longer than these are worth.
+        until_s = 2 * self._costs.move_host_s
+        moves: list[Move] = []
+        for view in free:
+            if view.pool == spare:
+                continue
+            known = coming is not None and view.pool not in coming.pools
+            patience_s = _SETTLE_S if known and not self.turns.in_turn(view.pool) else until_s
+            if demands[view.pool].idle_s[view.host] >= patience_s:
+                moves.append(Move(view.host, view.pool, spare, "it idles"))
+        return moves
 
 
-def _wanted(report: calls.DemandReport, own: list[HostView]) -> int:
-    size = max((view.cpu_millis for view in own), default=0) or report.host_cpu_millis
-    if not size:
-        return _LEAST_HOSTS
-    need = report.cpu_running + report.cpu_waiting
-    return max(_LEAST_HOSTS, report.least_hosts, math.ceil(_HEADROOM * need / size))
+def _free(
+    views: list[HostView],
+    demands: dict[ids.ServiceName, calls.DemandReport],
+    wanted: dict[ids.ServiceName, int],
+    coming: dict[ids.ServiceName, int],
+    held: set[ids.HostId],
+    spare: ids.ServiceName | None,
+) -> list[HostView]:
+    """Give the hosts that may go: idle ones beyond what their pool wants, then those that are off."""
+    free: list[HostView] = []
+    for pool, report in demands.items():
+        surplus = coming.get(pool, 0) - wanted[pool]
+        idle = [
+            view
+            for view in views
+            if view.pool == pool
+            and view.state is HostState.UP
+            and view.host in report.idle_s
+            and view.host not in held
+        ]
+        idle.sort(key=lambda view: -report.idle_s[view.host])
+        free += idle[: max(0, surplus)]
+    free += [
+        view
+        for view in views
+        if view.state is HostState.UP and view.pool == spare and view.host not in held
+    ]
+    return free
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -5,7 +5,7 @@
 import dataclasses
 import math
 
-from nutmegshelf import calls, clearing, fitting, fleetview, ids, jobs, ledger, notes
+from nutmegshelf import calls, clearing, estimates, fitting, fleetview, ids, jobs, ledger, notes
 
 # A stop that was not answered is sent again after this time.
 STOP_AGAIN_S = 0.4
@@ -59,12 +59,23 @@
         self.workers: dict[fleetview.Life, fleetview.Worker] = {}
         self.notes = notes.Notes()
         self.clearing = clearing.Clearing()
+        self.estimates = estimates.Estimates()
+        self._arrived_core_ms = 0.0
         self._lapse_s = lapse_s
         self._began_s = now_s
         self._recovers = recovers
         self._expected: set[fleetview.Life] = set()
         self._is_settled = not recovers
 
+    def arrived(self, job: jobs.Job) -> None:
+        """Count the work of a new job."""
+        ratio = self.estimates.ratio(job.queue.name)
+        self._arrived_core_ms += ratio * sum(
+            step.count * step.cpu_millis / 1000 * step.estimate_ms
+            for step in job.steps
+            if not step.fills
+        )
+
     # --- workers
 
     def list_workers(
@@ -212,6 +223,10 @@
             case fleetview.How.DONE if record.is_live and not task.step.lasting:
                 worker.failures_in_row = 0
                 worker.failed_jobs.clear()
+                if is_own and task.step.estimate_ms and not task.saved:
+                    took_s = now_s - task.sent_s
+                    queue = record.job.queue.name
+                    self.estimates.note(queue, task.step.estimate_ms / 1000, took_s)
                 self.ledger.finish(record, task, now_s)
             case fleetview.How.FAILED:
                 self._blame(worker, record, now_s)
@@ -271,8 +286,15 @@
     def demand(self, now_s: float) -> calls.DemandReport:
         """Say what the service needs of hosts now."""
         hosts: dict[ids.HostId, calls.HostLoad] = {}
-        running = 0
+        running, lasting = 0, 0
         for worker in self.workers.values():
+            if not worker.is_listed:
+                continue
+            lasting += sum(
+                task.step.cpu_millis
+                for task in worker.tasks.values()
+                if task.step.lasting and not task.step.fills
+            )
             used = worker.facts.cpu_millis - worker.free_cpu_millis
             running += used
             is_idle = not worker.tasks and not worker.strays and worker.is_asked
@@ -281,19 +303,25 @@
                 lasting=sum(task.step.lasting for task in worker.tasks.values()),
                 idle_s=max(0.0, now_s - worker.idle_since_s) if is_idle else None,
             )
-        waiting, least = 0, 0
+        waiting, least, weighted_ms = 0, 0, 0.0
         for record in self.ledger.records.values():
             if not record.is_live:
                 continue
-            waiting += sum(
-                task.step.cpu_millis for task in record.ready.values() if not task.step.fills
-            )
+            ratio = self.estimates.ratio(record.job.queue.name)
+            for task in record.ready.values():
+                if not task.step.fills:
+                    waiting += task.step.cpu_millis
+                    weighted_ms += task.step.cpu_millis * task.step.estimate_ms * ratio
             if record.job.lasts:
                 least = max(least, *(_least_hosts(step) for step in record.job.steps))
+        waiting_ms = weighted_ms / waiting if waiting else 0.0
         sizes = [worker.facts.cpu_millis for worker in self.workers.values()]
         return calls.DemandReport(
             cpu_running=running,
             cpu_waiting=waiting,
+            cpu_lasting=lasting,
+            waiting_ms=int(waiting_ms),
+            arrived_core_ms=int(self._arrived_core_ms),
             least_hosts=least,
             host_cpu_millis=max(sizes, default=0),
             hosts=hosts,
