--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -1,6 +1,7 @@
 """Move hosts between pools and take them down for upkeep while this entry holds the fleet."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import time
@@ -29,6 +30,7 @@
 _LIST_INTERVAL_S = 1.0
 _LIST_BUSY_INTERVAL_S = 0.4
 _RETRY_S = 0.25
+_NOTE_INTERVAL_S = 0.5
 _ASK_LIMIT_S = 0.6
 _GIVE_INTERVAL_S = 0.15
 # A pool whose holder has not reported for this long is left alone.
@@ -77,6 +79,7 @@
         self._demands: dict[ids.ServiceName, tuple[float, calls.DemandReport]] = {}
         self._working: dict[ids.HostId, asyncio.Task[None]] = {}
         self._planner = pooling.Planner()
+        self._noted_s = 0.0
         self._plans: dict[int, upkeep.WavePlan] = {}
         self._stored_waves: dict[int, upkeep.WaveRow] = {}
         self._group: asyncio.TaskGroup | None = None
@@ -236,12 +239,34 @@
         }
         if not fresh or routes is None:
             return
+        self._note_plan(fresh, now_s)
         held = set(self._working)
         for plan in self._plans.values():
             held |= plan.down.keys()
         for move in self._planner.plan(self._views.values(), fresh, held, routes.spare, now_s):
             self._spawn(move.host, self._do_move(move))
 
+    def _note_plan(self, fresh: dict[ids.ServiceName, calls.DemandReport], now_s: float) -> None:
+        if now_s - self._noted_s < _NOTE_INTERVAL_S:
+            return
+        self._noted_s = now_s
+        hosts = collections.Counter(view.pool for view in self._views.values())
+        _log.info(
+            "What pools have and need.",
+            pools={
+                pool: {
+                    "hosts": hosts[pool],
+                    "wanted": self._planner.wanted.get(pool),
+                    "in_turn": self._planner.turns.in_turn(pool),
+                    "idle": len(report.idle_s),
+                    "cpu_running": report.cpu_running,
+                    "cpu_waiting": report.cpu_waiting,
+                }
+                for pool, report in sorted(fresh.items())
+            },
+            forecast=str(self._planner.turns.forecast(now_s)),
+        )
+
     async def _do_move(self, move: pooling.Move) -> None:
         view = self._views[move.host]
         if not await self._clear(view, move.reason, _MOVE_CLEARING_LIMIT_S):
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -53,13 +53,14 @@
     reason: str
 
 
-_LEAST_HOSTS = 2
+_LEAST_HOSTS = 1
 # Room for tasks that don't share a host well, as a part of the need.
 _HEADROOM = 1.15
 # Work that waits is to be done within this time, as callers leave little more.
 _CLEARED_S = 1.0
 # The time over which the rate of arriving work is taken.
-_RATE_S = 1.0
+_RATE_S = 2.0
+_MOST_AHEAD = 1.5
 # Time from the choice of a move until the host's worker is known, beside the move itself.
 _REACTION_S = 0.8
 # A host that is not needed for long is put away when it idled for this time.
@@ -88,6 +89,7 @@
         self._costs = costs or Costs()
         self._arrivals: dict[ids.ServiceName, _Arrivals] = {}
         self.turns = turns.Turns()
+        self.wanted: dict[ids.ServiceName, int] = {}
 
     def plan(
         self,
@@ -102,7 +104,7 @@
         coming: dict[ids.ServiceName, int] = {}
         for view in views:
             coming[view.pool] = coming.get(view.pool, 0) + (view.state is not HostState.DOWN)
-        wanted = self._wanted(views, demands, now_s)
+        self.wanted = wanted = self._wanted(views, demands, now_s)
         lacking = {
             pool: count - coming.get(pool, 0)
             for pool, count in wanted.items()
@@ -131,7 +133,9 @@
         wanted: dict[ids.ServiceName, int] = {}
         for pool, report in demands.items():
             need = self._need_cpu(pool, report, now_s) / size if size else 0.0
-            self.turns.observe(pool, need - report.cpu_lasting / max(1, size), now_s)
+            used = (report.cpu_running - report.cpu_lasting) / max(1, size)
+            asked = used + report.cpu_waiting / max(1, size)
+            self.turns.observe(pool, asked, used, now_s)
             wanted[pool] = max(_LEAST_HOSTS, report.least_hosts, math.ceil(_HEADROOM * need))
         coming = self.turns.forecast(now_s)
         lead_s = self._costs.move_s + _REACTION_S
@@ -147,7 +151,9 @@
         cores = self._arrivals.setdefault(pool, _Arrivals()).take(report.arrived_core_ms, now_s)
         keeps_up = cores * 1000 + report.cpu_lasting
         clears = report.cpu_waiting * min(1.0, report.waiting_ms / 1000 / _CLEARED_S)
-        return max(report.cpu_running, keeps_up) + clears
+        # Estimates are off by far, so a rate counts only as far as work is really there.
+        seen = _MOST_AHEAD * (report.cpu_running + report.cpu_waiting)
+        return max(report.cpu_running, min(keeps_up, seen)) + clears
 
     def _put_away(
         self,
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -313,7 +313,8 @@
                     waiting += task.step.cpu_millis
                     weighted_ms += task.step.cpu_millis * task.step.estimate_ms * ratio
             if record.job.lasts:
-                least = max(least, *(_least_hosts(step) for step in record.job.steps))
+                homeless = bool(record.ready)
+                least = max(least, *(_least_hosts(step) + homeless for step in record.job.steps))
         waiting_ms = weighted_ms / waiting if waiting else 0.0
         sizes = [worker.facts.cpu_millis for worker in self.workers.values()]
         return calls.DemandReport(
@@ -496,10 +497,10 @@
 
 
 def _least_hosts(step: jobs.Step) -> int:
-    """Give over how many hosts a step that lasts has to be spread, with one to change over."""
+    """Give over how many hosts a step that lasts has to be spread."""
     if not step.lasting:
         return 0
-    return math.ceil(step.count / fitting.most_per_worker(step)) + 1
+    return math.ceil(step.count / fitting.most_per_worker(step))
 
 
 def _urgency(record: ledger.Record, now_s: float) -> tuple[bool, int, int, float]:
--- a/packages/nutmegshelf/src/nutmegshelf/turns.py
+++ b/packages/nutmegshelf/src/nutmegshelf/turns.py
@@ -11,7 +11,7 @@
 from nutmegshelf import ids
 
 # A turn begins when a pool's work needs so many hosts, or this part of the largest need seen.
-_BEGINS_HOSTS = 1.5
+_BEGINS_HOSTS = 2.0
 _BEGINS_PART = 0.25
 _ENDS_PART = 0.5
 # A forecast turn that has not begun this long after its time is given up.
@@ -19,7 +19,10 @@
 _MOST_MISSES = 2
 _GAPS_KEPT = 8
 # Needs that come this soon after another turn's begin are not turns of their own.
-_LEAST_GAP_S = 1.5
+_LEAST_GAP_S = 3.0
+# Turns are forecast once so many gaps are known and differ by no more than this part of them.
+_LEAST_GAPS = 3
+_MOST_SPREAD = 0.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,8 +50,10 @@
     _misses: int = 0
     _missed_s: float = -1.0
 
-    def observe(self, pool: ids.ServiceName, need_hosts: float, now_s: float) -> None:
-        """Take how many hosts a pool's work needs now."""
+    def observe(
+        self, pool: ids.ServiceName, need_hosts: float, used_hosts: float, now_s: float
+    ) -> None:
+        """Take how many hosts a pool's work asks for and uses now."""
         known = self._pools.setdefault(pool, _Pool())
         threshold = max(_BEGINS_HOSTS, _BEGINS_PART * self.peak_hosts)
         if not known.in_turn and need_hosts >= threshold:
@@ -57,7 +62,7 @@
         elif known.in_turn and need_hosts < _ENDS_PART * threshold:
             known.in_turn = False
         if known.in_turn:
-            known.peak_hosts = max(known.peak_hosts, need_hosts)
+            known.peak_hosts = max(known.peak_hosts, used_hosts)
 
     def _begin(self, known: _Pool, now_s: float) -> None:
         known.began_s, known.peak_hosts = now_s, 0.0
@@ -84,9 +89,12 @@
 
     def forecast(self, now_s: float) -> Forecast | None:
         """Give the next turn, or none where the history does not tell."""
-        if self._last_s is None or not self._gaps_s:
+        if self._last_s is None or len(self._gaps_s) < _LEAST_GAPS:
             return None
-        begins_s = self._last_s + statistics.median(self._gaps_s)
+        gap_s = statistics.median(self._gaps_s)
+        if max(self._gaps_s) - min(self._gaps_s) > _MOST_SPREAD * gap_s:
+            return None
+        begins_s = self._last_s + gap_s
         if now_s > begins_s + _PATIENCE_S:
             if self._missed_s != begins_s:
                 self._missed_s = begins_s
