--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -10,7 +10,7 @@
 # A holder that does not answer within this time is passed over.
 _HOLDER_LIMIT_S = 0.8
 # The holder may wait for the table, which is slow at times; its answer then goes on to the caller.
-_STORING_LIMIT_S = 1.6
+_STORING_LIMIT_S = 0.9
 
 _log = logs.part("desk")
 
@@ -75,6 +75,14 @@
                 raise exceptions.RequestError(exceptions.ErrorKind.JOB_HOPELESS)
             case _:
                 pass
+        if not self._rows.is_answering:
+            # Nothing is sent that could be carried out later, so this refusal stays true.
+            kind = (
+                exceptions.ErrorKind.JOB_UNSETTLED
+                if found.may_be_done
+                else exceptions.ErrorKind.TABLE_UNAVAILABLE
+            )
+            raise exceptions.RequestError(kind, "the table does not answer")
         try:
             committed = await self._rows.commit(jobs.submitting(job))
         except exceptions.TableUnavailable as error:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -77,6 +77,7 @@
         self._views: dict[ids.HostId, pooling.HostView] = {}
         self._listed_s = -1.0
         self._demands: dict[ids.ServiceName, tuple[float, calls.DemandReport]] = {}
+        self._epochs: dict[ids.ServiceName, ids.Epoch] = {}
         self._working: dict[ids.HostId, asyncio.Task[None]] = {}
         self._planner = pooling.Planner()
         self._noted_s = 0.0
@@ -88,6 +89,9 @@
         """Take a service's report of its demand."""
         if not isinstance(call, calls.Demand):
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+        if call.epoch < self._epochs.get(call.pool, call.epoch):
+            return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+        self._epochs[call.pool] = call.epoch
         self._demands[call.pool] = (self._loop.time(), call.report)
         if call.report.cpu_waiting:
             self._woken.set()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -22,6 +22,8 @@
 _PASS_GAP_S = 0.008
 _TICK_S = 0.1
 _RETRY_S = 0.2
+# A job that is not stored within this time is given back to the entry that took it.
+_ACCEPT_LIMIT_S = 0.7
 USED = "used"
 
 _log = logs.part("holder")
@@ -57,6 +59,8 @@
         )
         self.writer = writer.Writer(rows, book, pool, taken_s)
         self.writer.wake = self.wake
+        self.writer.on_accepted = self._accepted
+        self._arrived_s: dict[ids.JobId, float] = {}
         self._links: dict[fleetview.Life, worker_link.Link] = {}
         self._used: set[fleetview.Life] = set()
         self._notices: asyncio.Queue[jobs.Notice] = asyncio.Queue()
@@ -75,7 +79,7 @@
 
     async def call(self, call: calls.AnyCall) -> calls.Reply:
         """Answer a call about a job or a host of the service."""
-        if not self.is_loaded:
+        if not self.is_loaded or not self._is_fresh():
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
         match call:
             case calls.Submit():
@@ -94,9 +98,12 @@
             case _:
                 return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
 
+    def _is_fresh(self) -> bool:
+        return self._loop.time() - self.writer.renewed_s < self._hold_limit_s
+
     def demand(self) -> calls.DemandReport | None:
         """Say what the service needs of hosts, once that is known."""
-        if not self.is_loaded or not self.scheduler.is_settled:
+        if not self.is_loaded or not self.scheduler.is_settled or not self._is_fresh():
             return None
         return self.scheduler.demand(self._loop.time())
 
@@ -104,14 +111,20 @@
         book = self.scheduler.ledger
         if job.job in book.records:
             return calls.Reply(verdict=calls.Verdict.DONE)
-        arrived_s = self._loop.time()
+        self._arrived_s.setdefault(job.job, self._loop.time())
         try:
-            await self.writer.accept(job)
-        except exceptions.TableError:
+            await self.writer.accept(job, _ACCEPT_LIMIT_S)
+        except exceptions.TableUnavailable:
+            self._arrived_s.pop(job.job, None)
+            return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+        except exceptions.TableAnswerLost:
             return calls.Reply(verdict=calls.Verdict.UNSETTLED)
+        return calls.Reply(verdict=calls.Verdict.DONE)
+
+    def _accepted(self, job: jobs.Job) -> None:
+        arrived_s = self._arrived_s.pop(job.job, self._loop.time())
         self._add(job, None, arrived_s, may_run=False)
         self.wake()
-        return calls.Reply(verdict=calls.Verdict.DONE)
 
     def _show(self, job: ids.JobId) -> calls.Reply:
         record = self.scheduler.ledger.records.get(job)
@@ -282,7 +295,7 @@
     async def _guard(self) -> None:
         # Orders wait while the lease can't be renewed: another entry may take it over.
         while True:
-            fresh = self._loop.time() - self.writer.renewed_s < self._hold_limit_s
+            fresh = self._is_fresh()
             if fresh and not self._may_order.is_set():
                 _log.info("Orders go out.", pool=self.pool, epoch=self.epoch)
                 self._may_order.set()
@@ -306,8 +319,7 @@
     def _pass(self) -> None:
         now_s = self._loop.time()
         self.scheduler.tick(now_s, _now_ms())
-        fresh = now_s - self.writer.renewed_s < self._hold_limit_s
-        if fresh and self._may_order.is_set():
+        if self._is_fresh() and self._may_order.is_set():
             for order in [*self.scheduler.stops(now_s), *self.scheduler.starts(now_s)]:
                 link = self._links.get(order.life)
                 if link is not None and self._group is not None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -227,11 +227,14 @@
         while True:
             await asyncio.sleep(_DEMAND_INTERVAL_S)
             for pool, held in self._shards.holders().items():
-                report = held.demand() if isinstance(held, holder.Holder) else None
+                if not isinstance(held, holder.Holder):
+                    continue
+                report = held.demand()
                 if report is not None:
                     call = calls.Demand(
                         service=ids.ServiceName(fleet_holder.FLEET),
                         pool=ids.ServiceName(pool),
+                        epoch=held.epoch,
                         report=report,
                     )
                     await self._desk.ask(call, _DEMAND_LIMIT_S)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -31,6 +31,10 @@
     A key has the form KIND/PARTITION/NAME; a transaction stays within one partition.
     """
 
+    @property
+    def is_answering(self) -> bool:
+        """Say whether the table answered lately."""
+
     async def read(self, key: str) -> platform.Row:
         """Read a row; raises TableUnavailable."""
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -61,6 +61,10 @@
         self._lease = book.held[pool].lease
         self.renewed_s = book_s
         self.wake: ports.Wake = lambda: None
+        self.on_accepted: collections.abc.Callable[[jobs.Job], None] = lambda job: None
+        # Jobs of which a transaction was sent, so that they may be stored.
+        self._sent: set[ids.JobId] = set()
+        self._failed_s: float | None = None
 
     def poke(self) -> None:
         """Note that there may be something to store."""
@@ -71,13 +75,22 @@
         self._writes[change.key] = change
         self._work.set()
 
-    async def accept(self, job: jobs.Job) -> None:
-        """Store a new job; ends when it is stored, whoever did it."""
+    async def accept(self, job: jobs.Job, limit_s: float) -> None:
+        """Store a new job; raises TableUnavailable where it surely isn't, else TableAnswerLost."""
         known = self._accepting.get(job.job)
         if known is None:
+            if self._failed_s is not None:
+                raise exceptions.TableUnavailable("the table does not answer")
             known = self._accepting[job.job] = (job, self._loop.create_future())
         self._work.set()
-        await asyncio.shield(known[1])
+        try:
+            async with asyncio.timeout(limit_s):
+                await asyncio.shield(known[1])
+        except TimeoutError as error:
+            if job.job in self._sent:
+                raise exceptions.TableAnswerLost("the job may be stored") from error
+            self._accepting.pop(job.job, None)
+            raise exceptions.TableUnavailable("the job waited for the table") from error
 
     async def run(self, book: ledger.Ledger) -> None:
         """Store what changes and renew the lease; raises LeaseLost."""
@@ -156,12 +169,15 @@
             transaction = leases.fenced(
                 self._held(), tuple(conditions), (*writes, *new), revises=False
             )
+            self._sent.update(accepting)
             try:
                 committed = await self._rows.commit(transaction)
             except exceptions.TableError as error:
+                self._failed_s = self._failed_s or self._loop.time()
                 _log.warning("The table gave no answer.", pool=self._pool, why=str(error))
                 await asyncio.sleep(_RETRY_S)
                 continue
+            self._failed_s = None
             if committed.ok:
                 self._take_lease(committed, sent_s)
                 self._accepted(accepting)
@@ -201,8 +217,10 @@
     def _accepted(
         self, stored: collections.abc.Mapping[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]]
     ) -> None:
-        for name, (_, future) in stored.items():
+        for name, (job, future) in stored.items():
             self._accepting.pop(name, None)
+            self._sent.discard(name)
+            self.on_accepted(job)
             if not future.done():
                 future.set_result(None)
 
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -48,6 +48,7 @@
     """Tell the holder of the fleet what a pool needs of hosts now."""
 
     pool: ids.ServiceName
+    epoch: ids.Epoch
     report: "DemandReport"
 
 
