--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -23,6 +23,7 @@
 
 FLEET = ids.PoolName("*fleet")
 _WAVES = f"waves/{FLEET}/"
+_ORDERED = f"ordered/{FLEET}/hosts"
 _TICK_S = 0.15
 _PLAN_GAP_S = 0.03
 # The first holder of all waits until the hosts have started.
@@ -70,7 +71,12 @@
         self._ask = ask
         self._waves = waves
         self._upkeep_s = upkeep_s
-        self._quiet_s = quiet_s if self.epoch > 1 else _START_S
+        self._quiet_s = quiet_s
+        self._start_s = _START_S if self.epoch == 1 else 0.0
+        # Hosts that this or an earlier holder gave orders for, with the time until which another
+        # holder's would come too soon after.
+        self._ordered_s: dict[ids.HostId, float] = {}
+        self._resting_s: dict[ids.HostId, float] = {}
         self._hold_limit_s = hold_limit_s
         self._loop = asyncio.get_running_loop()
         self._woken = asyncio.Event()
@@ -100,13 +106,11 @@
     async def run(self) -> None:
         """Serve until the lease is lost; raises LeaseLost."""
         await self._load()
-        began_s = self._loop.time()
         async with asyncio.TaskGroup() as group:
             self._group = group
             group.create_task(self.writer.run(ledger.Ledger(0)))
             group.create_task(self._list())
-            # Another holder's last orders may be this recent; hosts must not get two in turns.
-            await asyncio.sleep(self._quiet_s - (self._loop.time() - began_s))
+            await asyncio.sleep(self._start_s)
             while True:
                 if self._may_order():
                     self._plan_waves()
@@ -123,12 +127,17 @@
         while True:
             try:
                 rows = await self._rows.scan(_WAVES)
+                ordered = await self._rows.read(_ORDERED)
                 break
             except exceptions.TableError as error:
                 _log.warning("The waves can't be read.", why=str(error))
                 await asyncio.sleep(_RETRY_S)
         found = [codecs.unpack(row.value, upkeep.WaveRow) for row in rows]
         self._stored_waves = {row.number: row for row in found}
+        if ordered.version:
+            until_s = self._loop.time() + self._quiet_s
+            hosts = codecs.unpack(ordered.value, list[ids.HostId])
+            self._resting_s = dict.fromkeys(hosts, until_s)
 
     def _may_order(self) -> bool:
         fresh = self._loop.time() - self.writer.renewed_s < self._hold_limit_s
@@ -181,6 +190,7 @@
             for host in left
             if host not in self._working and self._views[host].state is pooling.HostState.UP
         ]
+        candidates = [one for one in candidates if not self._rests(one.host)]
         for host in plan.choose(candidates, now_ms, now_s, self._upkeep_s):
             plan.asked_s[host] = now_s
             self._spawn(host, self._do_upkeep(plan, host))
@@ -201,7 +211,7 @@
             view = self._views[host]
             if not await self._clear(view, "upkeep", _CLEARING_LIMIT_S):
                 return
-            if not self._may_order():
+            if not await self._announce(host):
                 return
             ordered = await self._order(
                 host, self._hosts.upkeep(host, plan.wave.number, self.epoch)
@@ -244,7 +254,7 @@
         if not fresh or routes is None:
             return
         self._note_plan(fresh, now_s)
-        held = set(self._working)
+        held = set(self._working) | {host for host in self._resting_s if self._rests(host)}
         for plan in self._plans.values():
             held |= plan.down.keys()
         for move in self._planner.plan(self._views.values(), fresh, held, routes.spare, now_s):
@@ -275,7 +285,7 @@
         view = self._views[move.host]
         if not await self._clear(view, move.reason, _MOVE_CLEARING_LIMIT_S):
             return
-        if not self._may_order():
+        if not await self._announce(move.host):
             return
         ordered = await self._order(move.host, self._hosts.move(move, self.epoch))
         _log.info(
@@ -318,6 +328,17 @@
         _log.info("A host was not cleared in time.", host=view.host, reason=reason)
         return False
 
+    def _rests(self, host: ids.HostId) -> bool:
+        return self._loop.time() < self._resting_s.get(host, 0.0)
+
+    async def _announce(self, host: ids.HostId) -> bool:
+        """Store that the host is about to get an order; says whether it may still be sent."""
+        now_s = self._loop.time()
+        self._ordered_s[host] = now_s
+        recent = [one for one, at_s in self._ordered_s.items() if now_s - at_s < 2 * self._quiet_s]
+        await self.writer.write_through(platform.Write(_ORDERED, codecs.pack(sorted(recent))))
+        return self._may_order()
+
     async def _order(
         self, host: ids.HostId, order: collections.abc.Awaitable[ports.Ordered]
     ) -> ports.Ordered | None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -62,7 +62,7 @@
         self.writer.on_accepted = self._accepted
         self._arrived_s: dict[ids.JobId, float] = {}
         self._links: dict[fleetview.Life, worker_link.Link] = {}
-        self._used: set[fleetview.Life] = set()
+        self._used: list[fleetview.Life] | None = None
         self._notices: asyncio.Queue[jobs.Notice] = asyncio.Queue()
         self._woken = asyncio.Event()
         self._may_order = asyncio.Event()
@@ -103,7 +103,7 @@
 
     def demand(self) -> calls.DemandReport | None:
         """Say what the service needs of hosts, once that is known."""
-        if not self.is_loaded or not self.scheduler.is_settled or not self._is_fresh():
+        if not self.is_loaded or not self._is_fresh():
             return None
         return self.scheduler.demand(self._loop.time())
 
@@ -212,8 +212,6 @@
         added = self.scheduler.list_workers(self._listed, self._loop.time())
         for worker in added:
             self._link(worker)
-        if added:
-            self._store_used()
         self.wake()
 
     def _link(self, worker: fleetview.Worker) -> None:
@@ -288,7 +286,11 @@
             self.notify(codecs.unpack(row.value, jobs.Notice))
 
     def _store_used(self) -> None:
-        lives = sorted(self.scheduler.workers)
+        lives = self.scheduler.lives_in_use()
+        # Until all is settled, the lives that an earlier holder used have to be kept.
+        if lives == self._used or not self.scheduler.is_settled:
+            return
+        self._used = lives
         key = f"{USED}/{self.pool}/lives"
         self.writer.write(platform.Write(key, codecs.pack([tuple(life) for life in lives])))
 
@@ -324,6 +326,7 @@
                 link = self._links.get(order.life)
                 if link is not None and self._group is not None:
                     self._group.create_task(link.send(order))
+        self._store_used()
         if self.scheduler.ledger.dirty:
             self.writer.poke()
         self._notes.write(self.scheduler.notes)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -64,6 +64,8 @@
         self.on_accepted: collections.abc.Callable[[jobs.Job], None] = lambda job: None
         # Jobs of which a transaction was sent, so that they may be stored.
         self._sent: set[ids.JobId] = set()
+        self._storing: set[str] = set()
+        self._stored = asyncio.Event()
         self._failed_s: float | None = None
 
     def poke(self) -> None:
@@ -75,6 +77,13 @@
         self._writes[change.key] = change
         self._work.set()
 
+    async def write_through(self, change: platform.Write) -> None:
+        """Change another row and wait until that is stored."""
+        self.write(change)
+        while self._writes.get(change.key) is change or change.key in self._storing:
+            self._stored.clear()
+            await self._stored.wait()
+
     async def accept(self, job: jobs.Job, limit_s: float) -> None:
         """Store a new job; raises TableUnavailable where it surely isn't, else TableAnswerLost."""
         known = self._accepting.get(job.job)
@@ -127,12 +136,15 @@
             for record in taken
         ]
         writes += others
+        self._storing = {one.key for one in others}
         try:
             await self._commit(writes, accepting)
         except BaseException:
             book.not_stored()
             self._writes = {one.key: one for one in others} | self._writes
             raise
+        self._storing = set()
+        self._stored.set()
         book.stored(shown)
         self.wake()
 
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -132,13 +132,23 @@
                     self.ledger.free(self.ledger.records[task.key.job], task, worker, now_s)
                 worker.is_asked = False
                 worker.strays.clear()
-            if not worker.is_listed and not worker.tasks and now_s > worker.leased_until_s:
+            if not worker.is_listed and self._is_empty(worker, now_s):
                 del self.workers[worker.facts.life]
         for record in self.ledger.records.values():
             if record.job.occurrences and record.is_live:
                 self.ledger.open_due(record, now_ms)
         self._settle(now_s)
 
+    def _is_empty(self, worker: fleetview.Worker, now_s: float) -> bool:
+        # All that was started there is known, unless an earlier holder's word is still missing.
+        return not worker.tasks and (self._is_settled or now_s > worker.leased_until_s)
+
+    def lives_in_use(self) -> list[fleetview.Life]:
+        """Give the lives that a later holder has to ask or to wait for."""
+        return sorted(
+            life for life, worker in self.workers.items() if worker.is_listed or worker.tasks
+        )
+
     def _settle(self, now_s: float) -> None:
         if self._is_settled:
             return
