--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 READY = $(VENV)/.ready-$(shell cat constraints.txt requirements.txt | cksum | cut -d' ' -f1)
 ROOTS = packages/nutmegshelf/src packages/nutmegshelf-http/src packages/nutmegshelf-entry/src \
-	packages/nutmegshelf-cli/src standins/src bench
+	packages/nutmegshelf-cli/src standins/src bench platform
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(strip $(ROOTS))))
--- a/features/environment.py
+++ b/features/environment.py
@@ -20,7 +20,7 @@
     number, _, count = context.config.userdata.get("shard", "0/1").partition("/")
     context.shard = int(number), int(count)
     context.numbers = itertools.count()
-    logs.configure("critical")
+    logs.configure(context.config.userdata.get("log", "critical"))
     # Hosts that were killed leave spans open, as a killed process would.
     logging.getLogger("opentelemetry").setLevel(logging.CRITICAL)
 
--- /dev/null
+++ b/features/fleet_jobs.feature
@@ -0,0 +1,46 @@
+Feature: Hosts move to where work waits, and upkeep keeps to its bounds
+
+  Scenario: A host is cleared of tasks that last one by one
+    Given 2 entries and 5 workers of one service
+    And a job of 4 tasks that last, of which 1 may be away
+    When a wave asks for upkeep of all hosts within 40 s, 2 at once
+    Then within 40 s the wave is said to be done
+    And at most 1 of the tasks that last was ever away
+    And no bound of the hosts was broken
+
+  Scenario: A task at a silent worker counts as away
+    Given a step of 4 tasks that last over 2 workers, of which 1 may be away
+    When one of the workers was not heard of for 2 s
+    Then no task of the other worker may leave
+
+  Scenario: Hosts that idle go to the spare pool and come back for a burst
+    Given 2 entries and 6 workers of one service and 2 spare hosts
+    When no work comes for 8 s
+    Then at most 2 hosts are paid for
+    When jobs for 5 hosts come every second for 4 s
+    Then at least 5 hosts were in the pool at some time
+    And no bound of the hosts was broken
+
+  Scenario: The next holder of the fleet rests only for hosts with recent orders
+    Given 3 entries and 6 workers of one service and 2 spare hosts
+    When no work comes for 5 s
+    And the holder of the fleet is stopped gracefully while hosts move
+    Then within 8 s at most 2 hosts are paid for
+    And no bound of the hosts was broken
+
+  Scenario Outline: The need of a pool that runs <running> and has <waiting> waiting hosts' worth is <hosts>
+    Given a planner for hosts of 16 cores
+    When a pool runs <running> and has <waiting> waiting, each task for <seconds> s
+    Then it wants <hosts> hosts
+
+    Examples:
+      | running | waiting | seconds | hosts |
+      | 0       | 0       | 1       | 1     |
+      | 4       | 0       | 1       | 5     |
+      | 4       | 4       | 1       | 10    |
+      | 4       | 4       | 0.5     | 7     |
+
+  Scenario: Turns are forecast only from turns that come regularly
+    Given turns of pools "a, b, c, d" that begin every 8 s
+    Then after the fourth turn the next is forecast for pool "a" within 1 s of its time
+    And with turns at 0, 3, 12 and 14 s none is forecast
--- /dev/null
+++ b/features/jobs.feature
@@ -0,0 +1,115 @@
+Feature: Callers' jobs run to their end once, whatever fails
+
+  Scenario: A job's steps run in order and it is shown as succeeded
+    Given 3 entries and 4 workers of one service
+    When a job of steps "2, 3 after 0" is submitted at entry 0
+    Then within 3 s it is shown as succeeded at every entry
+    And every task ran once
+
+  Scenario: The same job handed in everywhere stays one job
+    Given 3 entries and 4 workers of one service
+    When the same job is submitted at every entry twice
+    Then within 3 s it is shown as succeeded at every entry
+    And every task ran once
+
+  Scenario: Many jobs at once fit the table's limits
+    Given 3 entries and 8 workers of one service
+    When 150 jobs of one task are submitted together
+    Then within 20 s all are shown as succeeded
+    And every task ran once
+
+  Scenario: A job whose tasks always fail ends as failed after its attempts
+    Given 2 entries and 4 workers of one service
+    And its tasks fail
+    When a job of steps "1" is submitted at entry 0
+    Then within 6 s it is shown as failed at every entry
+    And its task was started 3 times
+
+  Scenario: A cancelled job's tasks stop and start no more
+    Given 2 entries and 4 workers of one service
+    And its tasks take 60 s
+    When a job of steps "3" is submitted at entry 0
+    And after 1 s it is cancelled at entry 1
+    Then within 2 s nothing of it runs
+    And within 1 s it is shown as cancelled at every entry
+
+  Scenario Outline: The holder is <fault> while jobs run
+    Given 3 entries and 6 workers of one service
+    And its tasks take 1 s
+    When 20 jobs of two steps come over 4 s and the holder is <fault> after 2 s
+    Then within 30 s all accepted jobs are shown as succeeded
+    And no task ran twice at a time or after its end was taken note of
+
+    Examples:
+      | fault                      |
+      | killed                     |
+      | killed and started again   |
+      | stopped gracefully         |
+      | cut from the table         |
+      | losing answers             |
+      | losing answers, done late  |
+
+  Scenario: All entries are killed right after a job was accepted
+    Given 3 entries and 4 workers of one service
+    When a job of steps "2, 2 after 0" is submitted at entry 0
+    And all entries are killed at once and started after 1 s
+    Then within 12 s it is shown as succeeded at every entry
+
+  Scenario: New work starts soon after a graceful stop of the holder, also where hosts moved away
+    Given 3 entries and 4 workers of one service
+    And a job ran and a host was moved away since
+    When the holder is stopped gracefully
+    And a job of steps "1" is submitted after 1 s
+    Then within 2 s it is shown as succeeded at every entry
+
+  Scenario: A notice that comes while a holder loads is taken in
+    Given 2 entries and 4 workers of one service
+    When the holder is killed and a job is stored by another entry while the next one loads
+    Then within 10 s it is shown as succeeded at every entry
+
+  Scenario: A holder that lost the table does not keep callers waiting
+    Given 3 entries and 4 workers of one service
+    And no work comes for 6 s
+    When the holder is cut from the table
+    And a job of steps "1" is submitted at another entry after 0.3 s
+    Then it is accepted within 1.5 s
+    And within 8 s it is shown as succeeded at the other entries
+
+  Scenario: A refusal while the table is away is true
+    Given 2 entries and 4 workers of one service
+    When the table refuses everybody for 6 s
+    And a job of steps "1" is submitted at entry 0 after 3 s
+    Then it is refused as not run
+    And 6 s later it is not known anywhere
+
+  Scenario: A caller that stops waiting does not lose its job
+    Given 2 entries and 4 workers of one service
+    When a job of steps "1" is submitted at the holder by a caller that gives up at once
+    Then within 4 s it is shown as succeeded at every entry
+
+  Scenario: Tasks of a worker that falls silent start elsewhere when its lease has ended
+    Given 2 entries and 4 workers of one service
+    And its tasks take 2 s
+    When a job of steps "4" is submitted at entry 0
+    And after 0.5 s one of its workers falls silent for good
+    Then within 10 s it is shown as succeeded at every entry
+    And no task ran twice at a time or after its end was taken note of
+
+  Scenario: A start that got no answer and is carried out late does not double its task
+    Given 2 entries and 3 workers of one service
+    And each worker carries the first start out late and unanswered
+    When a job of steps "3" is submitted at entry 0
+    Then within 12 s it is shown as succeeded at every entry
+    And no task ran twice at a time or after its end was taken note of
+
+  Scenario: A worker that starts anew under its host gives its tasks back at once
+    Given 2 entries and 2 workers of one service
+    And its tasks take 1 s
+    When a job of steps "2" is submitted at entry 0
+    And after 0.5 s all workers start anew
+    Then within 4 s it is shown as succeeded at every entry
+
+  Scenario: A configuration never goes back to an older version
+    Given 2 entries and 2 workers of one service
+    When version 5 is declared and then version 4
+    Then version 5 stays in force at every entry
--- /dev/null
+++ b/features/jobworld.py
@@ -0,0 +1,573 @@
+"""Fake what the job service stands on: the table, the workers, the hosts, and its peers.
+
+Everything runs on one event loop; its clock may be a paused one. The workers check by themselves
+that no task runs twice at a time and that none starts after an end that was taken note of.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+
+from nutmegshelf import exceptions, fleetview, ids, jobs, orders, platform, pooling, queues, upkeep
+from nutmegshelf_entry import job_service, ports
+
+CALL_S = 0.004
+MOST_ENTRIES = 100
+MOVE_S = 1.5
+UPKEEP_S = 2.0
+NEVER = asyncio.Event
+
+
+class Table:
+    """Keep rows with versions, within the platform's limits for one transaction."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.log = []
+        self.first_version = 0
+        self.changed = asyncio.Event()
+        self.transactions = 0
+
+    def apply(self, transaction):
+        entries = len(transaction.conditions) + len(transaction.writes)
+        assert entries <= MOST_ENTRIES, f"{entries} entries in one transaction"
+        keys = [one.key for one in (*transaction.conditions, *transaction.writes)]
+        assert len({tuple(key.split("/")[1:2]) for key in keys}) <= 1, f"partitions differ: {keys}"
+        self.transactions += 1
+        for condition in transaction.conditions:
+            if self.read(condition.key).version != condition.version:
+                found = tuple(self.read(one.key) for one in transaction.conditions)
+                return platform.Committed(ok=False, rows=found)
+        self.version += 1
+        written = []
+        for write in transaction.writes:
+            if write.value is None:
+                self.rows.pop(write.key, None)
+                self.log.append(platform.Row(write.key, 0))
+            else:
+                row = platform.Row(write.key, self.version, write.value)
+                self.rows[write.key] = row
+                self.log.append(row)
+                written.append(row)
+        self.log[-1:] and self.changed.set()
+        self.changed = asyncio.Event()
+        return platform.Committed(ok=True, rows=tuple(written))
+
+    def read(self, key):
+        return self.rows.get(key, platform.Row(key, 0))
+
+
+class View:
+    """Be one entry's way to the table, which can be cut or lose answers."""
+
+    def __init__(self, table):
+        self.table = table
+        self.is_cut = False
+        self.is_refusing = False
+        self.lost_answers = 0
+        self.late_s = None
+        self.scanned = None
+
+    @property
+    def is_answering(self):
+        return not self.is_cut and not self.is_refusing
+
+    async def _arrive(self, lost):
+        if self.is_cut:
+            await asyncio.sleep(1.0)
+            raise lost("no answer")
+        if self.is_refusing:
+            raise exceptions.TableUnavailable("503")
+        await asyncio.sleep(CALL_S)
+
+    async def read(self, key):
+        await self._arrive(exceptions.TableUnavailable)
+        return self.table.read(key)
+
+    async def scan(self, prefix):
+        await self._arrive(exceptions.TableUnavailable)
+        found = [row for key, row in sorted(self.table.rows.items()) if key.startswith(prefix)]
+        if self.scanned is not None:
+            await self.scanned(prefix)
+        return found
+
+    async def commit(self, transaction):
+        await self._arrive(exceptions.TableAnswerLost)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            if self.late_s is None:
+                self.table.apply(transaction)
+            else:
+                asyncio.get_running_loop().call_later(self.late_s, self.table.apply, transaction)
+            await asyncio.sleep(1.0)
+            raise exceptions.TableAnswerLost("lost")
+        return self.table.apply(transaction)
+
+    async def changes(self, kind, after, wait_s):
+        await self._arrive(exceptions.TableUnavailable)
+        if after <= 0:
+            rows = tuple(row for key, row in self.table.rows.items() if key.startswith(f"{kind}/"))
+            return ports.Changes(rows, max(1, self.table.version), is_whole=True)
+        until_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            found = [row for row in self.table.log if row.key.startswith(f"{kind}/")]
+            newest = {row.key: row for row in found if row.version > after}
+            left_s = until_s - asyncio.get_running_loop().time()
+            if newest or left_s <= 0:
+                return ports.Changes(tuple(newest.values()), self.table.version)
+            await asyncio.sleep(min(left_s, 0.02))
+
+
+@dataclasses.dataclass
+class Run:
+    """Hold one run at a fake worker."""
+
+    task: str
+    number: int
+    ends_s: float
+    how: fleetview.How
+    stop: bool = False
+
+
+class Minion:
+    """Be one life of a worker."""
+
+    def __init__(self, world, facts):
+        self.world = world
+        self.facts = facts
+        self.fence = 0
+        self.runs = {}
+        self.barred = collections.defaultdict(int)
+        self.ends = []
+        self.numbers = itertools.count(1)
+        self.seen = 0
+        self.until_ms = 0
+        self.is_dark = False
+        self.is_gone = False
+        self.loses_starts = 0
+        self.ended = asyncio.Event()
+
+    def clock_ms(self):
+        return int(asyncio.get_running_loop().time() * 1000) + 5_000
+
+    def check(self, fence):
+        if fence < self.fence:
+            raise exceptions.Fenced("fence")
+        self.fence = fence
+
+    def tick(self):
+        now_s = asyncio.get_running_loop().time()
+        for name, run in list(self.runs.items()):
+            if self.clock_ms() > self.until_ms:
+                self.finish(name, fleetview.How.LAPSED)
+            elif run.stop:
+                self.finish(name, fleetview.How.STOPPED)
+            elif now_s >= run.ends_s:
+                self.finish(name, run.how)
+
+    def finish(self, name, how):
+        run = self.runs.pop(name)
+        self.barred[name] = max(self.barred[name], run.number)
+        self.ends.append(fleetview.End(next(self.numbers), name, run.number, how, ""))
+        self.world.note_end(self, run, how)
+        self.ended.set()
+        self.ended = asyncio.Event()
+
+    def start(self, order, until_ms):
+        self.tick()
+        now_ms = self.clock_ms()
+        name, number = order.key.name, order.run
+        if until_ms <= now_ms:
+            return orders.Refusal.LATE
+        known = self.runs.get(name)
+        if known is not None and known.number == number:
+            return None
+        if number <= self.barred[name] or known is not None:
+            return orders.Refusal.OLD
+        step = self.world.step(order.key)
+        if not self.fits(step):
+            return orders.Refusal.ROOM
+        self.until_ms = max(self.until_ms, until_ms)
+        took_s, how = self.world.work(order.key, self)
+        ends_s = asyncio.get_running_loop().time() + took_s
+        self.runs[name] = Run(name, number, ends_s, how)
+        self.world.note_start(self, self.runs[name])
+        return None
+
+    def fits(self, step):
+        used = [self.world.step(jobs.parse_task(name)) for name in self.runs]
+        cpu = sum(one.cpu_millis for one in used if not one.fills)
+        return cpu + (0 if step.fills else step.cpu_millis) <= self.facts.cpu_millis
+
+    def end_life(self):
+        for run in self.runs.values():
+            self.world.note_end(self, run, None)
+        self.runs.clear()
+        self.is_gone = True
+
+
+class World:
+    """Own the fake workers and hosts, and judge what they saw."""
+
+    def __init__(self, pools, spare="spare", spare_count=0, cpu_millis=16_000):
+        self.table = Table()
+        self.minions = {}
+        self.hosts = {}
+        self.jobs = {}
+        self.works = {}
+        self.default_work = (0.5, fleetview.How.DONE)
+        self.spare = spare
+        self.cpu_millis = cpu_millis
+        self.numbers = itertools.count(1)
+        self.running = collections.defaultdict(set)
+        self.noted_done = set()
+        self.starts = collections.Counter()
+        self.done = collections.Counter()
+        self.broken = []
+        self.moves = []
+        self.upkeeps = []
+        self.down = {}
+        self.waves_told = []
+        self.declared = None
+        self.waves = []
+        self.operations_changed = asyncio.Event()
+        for pool, count in {**pools, spare: spare_count}.items():
+            for index in range(count):
+                self.add_host(pool, f"h{next(self.numbers)}", f"r{index % 3}")
+
+    def add_host(self, pool, host, rack):
+        self.hosts[host] = {"pool": pool, "state": pooling.HostState.UP, "rack": rack}
+        if pool != self.spare:
+            self.add_minion(host)
+
+    def add_minion(self, host):
+        number = next(self.numbers)
+        facts = fleetview.WorkerFacts(
+            life=fleetview.Life(ids.WorkerId(f"w{number}"), number),
+            service=self.hosts[host]["pool"],
+            host=host,
+            address=f"{host}:{number}",
+            zone="z",
+            rack=self.hosts[host]["rack"],
+            labels=frozenset({"a", self.hosts[host]["rack"]}),
+            cpu_millis=self.cpu_millis,
+            memory_mb=64_000,
+            accelerators=0,
+        )
+        self.minions[facts.life] = Minion(self, facts)
+        return self.minions[facts.life]
+
+    def minions_of(self, pool):
+        return [one for one in self.minions.values() if one.facts.service == pool]
+
+    def step(self, key):
+        return self.jobs[key.job].steps[key.step]
+
+    def work(self, key, minion):
+        found = self.works.get((key.job, key.step, key.position)) or self.works.get(key.job)
+        if found is not None:
+            return found
+        if self.step(key).lasting:
+            return 1e9, fleetview.How.DONE
+        return self.default_work
+
+    def note_start(self, minion, run):
+        self.starts[run.task] += 1
+        for other in list(self.minions.values()):
+            other.tick()
+        if self.running[run.task]:
+            self.broken.append(f"{run.task} runs twice at a time")
+        if run.task in self.noted_done:
+            self.broken.append(f"{run.task} starts after its end was taken note of")
+        self.running[run.task].add((minion.facts.life, run.number))
+
+    def note_end(self, minion, run, how):
+        self.running[run.task].discard((minion.facts.life, run.number))
+        if how is fleetview.How.DONE:
+            self.done[run.task] += 1
+
+    def start_again(self, minion):
+        """Have a worker begin a new life at its host; what ran there ends."""
+        minion.end_life()
+        del self.minions[minion.facts.life]
+        return self.add_minion(minion.facts.host)
+
+    def replace(self, host, after_s, pool=None, state=pooling.HostState.MOVING):
+        for minion in [one for one in self.minions.values() if one.facts.host == host]:
+            minion.end_life()
+            del self.minions[minion.facts.life]
+        self.hosts[host]["state"] = state
+        self.hosts[host]["pool"] = pool or self.hosts[host]["pool"]
+
+        def back():
+            self.hosts[host]["state"] = pooling.HostState.UP
+            if self.hosts[host]["pool"] != self.spare:
+                self.add_minion(host)
+
+        asyncio.get_running_loop().call_later(after_s, back)
+
+    def declare(self, declared):
+        self.declared = declared
+        self.operations_changed.set()
+        self.operations_changed = asyncio.Event()
+
+    def ask_wave(self, wave):
+        self.waves.append(wave)
+        self.operations_changed.set()
+        self.operations_changed = asyncio.Event()
+
+    async def operations(self):
+        while True:
+            changed = self.operations_changed
+            if self.declared is not None:
+                yield self.declared
+            for wave in self.waves:
+                yield wave
+            await changed.wait()
+
+    async def fleets(self):
+        while True:
+            yield tuple(one.facts for one in self.minions.values())
+            await asyncio.sleep(0.15)
+
+
+class Workers:
+    """Carry calls to the fake workers."""
+
+    def __init__(self, world):
+        self.world = world
+        self.is_cut = False
+
+    async def _minion(self, facts):
+        await asyncio.sleep(CALL_S)
+        minion = self.world.minions.get(facts.life)
+        if minion is None:
+            raise exceptions.OrderNotDone("refused")
+        if minion.is_dark or self.is_cut:
+            await asyncio.sleep(0.8)
+            raise exceptions.OrderAnswerLost("silent")
+        return minion
+
+    async def look(self, facts, *, fence, seen, until_ms, wait_s):
+        minion = await self._minion(facts)
+        minion.check(fence)
+        if until_ms is not None:
+            minion.until_ms = max(minion.until_ms, until_ms)
+        for end in minion.ends:
+            if end.number <= seen and end.how is fleetview.How.DONE:
+                self.world.noted_done.add(end.task)
+        minion.ends = [end for end in minion.ends if end.number > seen]
+        until_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            minion.tick()
+            if minion.ends or asyncio.get_running_loop().time() >= until_s:
+                break
+            await asyncio.sleep(0.02)
+            if minion.is_dark or minion.is_gone:
+                raise exceptions.OrderAnswerLost("cut")
+        listed = tuple(
+            fleetview.Listed(run.task, run.number, "", 100, 0.0) for run in minion.runs.values()
+        )
+        return orders.Looked(facts.life.born_ms, minion.clock_ms(), listed, tuple(minion.ends))
+
+    async def start(self, facts, order, *, fence, until_ms, ticket):
+        minion = await self._minion(facts)
+        if minion.loses_starts:
+            minion.loses_starts -= 1
+            asyncio.get_running_loop().call_later(
+                1.5, self._start_late, minion, order, fence, until_ms
+            )
+            await asyncio.sleep(0.8)
+            raise exceptions.OrderAnswerLost("lost")
+        minion.check(fence)
+        return minion.start(order, until_ms)
+
+    def _start_late(self, minion, order, fence, until_ms):
+        if fence >= minion.fence and not minion.is_gone:
+            minion.start(order, until_ms)
+
+    async def stop(self, facts, order, *, fence):
+        minion = await self._minion(facts)
+        minion.check(fence)
+        minion.barred[order.task] = max(minion.barred[order.task], order.run)
+        run = minion.runs.get(order.task)
+        if run is not None and run.number <= order.run:
+            run.stop = True
+
+    async def pace(self, facts, order, *, fence):
+        (await self._minion(facts)).check(fence)
+
+    def forget(self, facts):
+        pass
+
+
+class Hosts:
+    """Carry orders about hosts, and note who gave them."""
+
+    def __init__(self, world, entry):
+        self.world = world
+        self.entry = entry
+
+    async def list_hosts(self):
+        await asyncio.sleep(CALL_S)
+        return tuple(
+            pooling.HostView(
+                host, one["pool"], one["state"], "z", one["rack"], self.world.cpu_millis
+            )
+            for host, one in self.world.hosts.items()
+        )
+
+    def _refuse(self, host):
+        if self.world.hosts[host]["state"] is not pooling.HostState.UP:
+            return ports.Ordered.BUSY
+        lasting = [
+            run.task
+            for minion in self.world.minions.values()
+            if minion.facts.host == host
+            for run in minion.runs.values()
+        ]
+        if lasting:
+            self.world.broken.append(f"{host} is taken while {lasting} run there")
+        return None
+
+    def _note(self, host, what):
+        now_s = asyncio.get_running_loop().time()
+        for at_s, other, holder, _ in self.world.moves:
+            if other == host and holder != self.entry and now_s - at_s < 3.0:
+                self.world.broken.append(f"{host} gets orders of two holders within 3 s")
+        self.world.moves.append((now_s, host, self.entry, what))
+
+    async def move(self, move, fence):
+        await asyncio.sleep(CALL_S)
+        if (refused := self._refuse(move.host)) is not None:
+            return refused
+        self._note(move.host, move.target)
+        self.world.replace(move.host, MOVE_S, move.target)
+        return ports.Ordered.DONE
+
+    async def upkeep(self, host, wave, fence):
+        await asyncio.sleep(CALL_S)
+        if (refused := self._refuse(host)) is not None:
+            return refused
+        self._note(host, "upkeep")
+        self.world.upkeeps.append(host)
+        busy = [
+            one for one in self.world.hosts.values() if one["state"] is pooling.HostState.UPKEEP
+        ]
+        cap = next(one.at_once for one in self.world.waves if one.number == wave)
+        if len(busy) >= cap:
+            self.world.broken.append(f"over {cap} hosts are down for wave {wave}")
+        self.world.replace(host, UPKEEP_S, state=pooling.HostState.UPKEEP)
+        return ports.Ordered.DONE
+
+    async def report_wave(self, wave, *, is_finished):
+        self.world.waves_told.append((wave, is_finished))
+
+
+class Net:
+    """Carry calls between entries without sockets."""
+
+    def __init__(self):
+        self.services = {}
+
+    async def ask(self, address, call, limit_s):
+        await asyncio.sleep(0.002)
+        service = self.services.get(address)
+        if service is None:
+            raise exceptions.PeerUnreachable(address)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await service.desk.answer(call)
+        except TimeoutError as error:
+            raise exceptions.PeerAnswerLost(address) from error
+
+
+class Site:
+    """Run entries over one world."""
+
+    def __init__(self, world):
+        self.world = world
+        self.net = Net()
+        self.entries = {}
+        self.views = {}
+        self.workers = {}
+
+    def start(self, name):
+        own = job_service.JobSettings(
+            entry=name,
+            zone="z",
+            callers=job_service.Endpoint(host=name, port=1),
+            ready=job_service.Endpoint(host=name, port=2),
+            peers=job_service.Endpoint(host=name, port=3),
+        )
+        self.views[name] = View(self.world.table)
+        self.workers[name] = Workers(self.world)
+        outside = job_service.Outside(
+            rows=self.views[name],
+            workers=self.workers[name],
+            codec=None,
+            hosts=Hosts(self.world, name),
+            operations=self.world.operations,
+            fleets=self.world.fleets,
+        )
+        service = job_service.JobService(own, outside, self.net)
+        self.net.services[own.peers.address] = service
+        self.entries[name] = service, asyncio.ensure_future(service.run())
+        return service
+
+    async def kill(self, name):
+        """End an entry at once, as a power loss would: nothing of it is sent any more."""
+        service, task = self.entries.pop(name)
+        self.views[name].is_cut = True
+        self.net.services.pop(f"{name}:3", None)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return service
+
+    async def stop(self, name):
+        """Have an entry leave gracefully."""
+        service, _ = self.entries[name]
+        service.leaving = True
+        await service.shards.leave()
+        await asyncio.sleep(0.5)
+        await self.kill(name)
+
+    async def close(self):
+        for name in list(self.entries):
+            await self.kill(name)
+
+    def holder_of(self, pool):
+        return next(
+            (name for name, (one, _) in self.entries.items() if one.shards.holder(pool)), None
+        )
+
+
+def queue(name="q", service="a", **fields):
+    terms = {"timeout_ms": 3000, "target_latency_ms": 600, "max_attempts": 3, "stretch": 1.6}
+    return queues.Queue(
+        name=name, host="x", path_prefix=f"/{name}/", service=service, **{**terms, **fields}
+    )
+
+
+def declare(*found, version=1, spare="spare"):
+    served = sorted({one.service for one in found})
+    return queues.QueueSet(
+        version=version,
+        queues=found,
+        services=(
+            *(queues.Service(name=name) for name in served),
+            queues.Service(name=spare, is_spare=True),
+        ),
+    )
+
+
+def job(number, steps, **fields):
+    return jobs.Job(
+        job=f"{number:016x}", queue=fields.pop("queue", queue()), spec="s", steps=steps, **fields
+    )
+
+
+def wave(number, hosts, duration_s, at_once):
+    return upkeep.Wave(number=number, hosts=tuple(hosts), duration_s=duration_s, at_once=at_once)
--- /dev/null
+++ b/features/steps/fleet_jobs_steps.py
@@ -0,0 +1,188 @@
+"""Check moves and upkeep over fakes, and the decisions behind them alone."""
+
+import asyncio
+
+import behave
+from nutmegshelf import calls, clearing, fleetview, jobs, ledger, pooling, turns
+
+from features import jobworld
+from features.steps import jobs_steps
+
+LASTING = {"cpu_millis": 2000, "memory_mb": 100, "lasting": True, "max_per_worker": 2}
+
+
+@behave.given("a job of {count:d} tasks that last, of which {most:d} may be away")
+@jobs_steps.paused
+async def run_lasting(context, count, most):
+    step = jobs.Step(count=count, may_miss=most, **LASTING)
+    context.made = await jobs_steps.submit(context, 1, (step,), "e0")
+    await asyncio.sleep(3.0)
+    context.most_away = 0
+
+
+@behave.when("a wave asks for upkeep of all hosts within {seconds:g} s, {at_once:d} at once")
+@jobs_steps.paused
+async def ask_wave(context, seconds, at_once):
+    context.world.ask_wave(jobworld.wave(1, context.world.hosts, seconds, at_once))
+
+
+@behave.then("within {seconds:g} s the wave is said to be done")
+@jobs_steps.paused
+async def check_wave(context, seconds):
+    async def check():
+        names = [name for name, runs in context.world.running.items() if runs]
+        context.most_away = max(context.most_away, 4 - len(names))
+        return (1, True) in context.world.waves_told or context.world.upkeeps
+
+    await jobs_steps.until(seconds, check, "upkeeps")
+    assert sorted(context.world.upkeeps) == sorted(context.world.hosts), context.world.upkeeps
+
+
+@behave.then("at most {most:d} of the tasks that last was ever away")
+def check_away(context, most):
+    assert context.most_away <= most, context.most_away
+
+
+@behave.then("no bound of the hosts was broken")
+def check_bounds(context):
+    jobs_steps.judge(context)
+
+
+@behave.given("a step of {count:d} tasks that last over 2 workers, of which {most:d} may be away")
+def place_lasting(context, count, most):
+    step = jobs.Step(count=count, may_miss=most, **LASTING)
+    made = jobworld.job(1, (step,))
+    context.book = ledger.Ledger(1)
+    record = context.book.add(made, None, 0.0, 0, may_run=False)
+    context.workers = {}
+    for number in range(2):
+        facts = fleetview.WorkerFacts(
+            fleetview.Life(f"w{number}", 1), "a", f"h{number}", "", "z", "r", frozenset(), 9, 9, 0
+        )
+        context.workers[facts.life] = fleetview.Worker(facts, heard_s=10.0)
+    lives = list(context.workers.values())
+    for index, task in enumerate(record.tasks()):
+        context.book.adopt(record, task, lives[index % 2], 1, 0.0)
+        task.percent = 100
+
+
+@behave.when("one of the workers was not heard of for {seconds:g} s")
+def age_news(context, seconds):
+    next(iter(context.workers.values())).heard_s = 10.0 - seconds
+
+
+@behave.then("no task of the other worker may leave")
+def check_stay(context):
+    other = list(context.workers.values())[1]
+    found = clearing.Clearing().to_leave(other, context.workers, context.book, 10.0)
+    assert not found, found
+
+
+def paid_hosts(context):
+    hosts = context.world.hosts.values()
+    return sum(one["pool"] != context.world.spare for one in hosts)
+
+
+@behave.step("no work comes for {seconds:g} s")
+@jobs_steps.paused
+async def rest(context, seconds):
+    await asyncio.sleep(seconds)
+
+
+@behave.then("at most {most:d} hosts are paid for")
+def check_paid(context, most):
+    assert paid_hosts(context) <= most, context.world.hosts
+
+
+@behave.then("within {seconds:g} s at most {most:d} hosts are paid for")
+@jobs_steps.paused
+async def check_paid_within(context, seconds, most):
+    async def check():
+        return paid_hosts(context) <= most or paid_hosts(context)
+
+    await jobs_steps.until(seconds, check, "paid hosts")
+
+
+@behave.when("jobs for {hosts:d} hosts come every second for {seconds:d} s")
+@jobs_steps.paused
+async def burst(context, hosts, seconds):
+    context.world.default_work = (1.0, fleetview.How.DONE)
+    step = jobs.Step(count=8, cpu_millis=2000, memory_mb=100, estimate_ms=1000)
+    context.most_paid = 0
+    for second in range(seconds):
+        for number in range(hosts):
+            await jobs_steps.submit(context, 100 + second * hosts + number, (step,), "e0")
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            context.most_paid = max(context.most_paid, paid_hosts(context))
+
+
+@behave.then("at least {hosts:d} hosts were in the pool at some time")
+def check_most(context, hosts):
+    assert context.most_paid >= hosts, context.most_paid
+
+
+@behave.when("the holder of the fleet is stopped gracefully while hosts move")
+@jobs_steps.paused
+async def stop_fleet(context):
+    name = context.site.holder_of("*fleet")
+    await context.site.stop(name)
+
+
+@behave.given("a planner for hosts of {cores:d} cores")
+def make_planner(context, cores):
+    context.size = cores * 1000
+    context.planner = pooling.Planner()
+
+
+@behave.when("a pool runs {running:g} and has {waiting:g} waiting, each task for {seconds:g} s")
+def plan_once(context, running, waiting, seconds):
+    report = calls.DemandReport(
+        cpu_running=int(running * context.size),
+        cpu_waiting=int(waiting * context.size),
+        cpu_lasting=0,
+        waiting_ms=int(seconds * 1000),
+        arrived_core_ms=0,
+        least_hosts=0,
+        host_cpu_millis=context.size,
+        hosts={},
+    )
+    view = pooling.HostView("h", "spare", pooling.HostState.UP, "z", "r", context.size)
+    context.planner.plan([view], {"a": report}, set(), "spare", 0.0)
+
+
+@behave.then("it wants {hosts:d} hosts")
+def check_wanted(context, hosts):
+    assert context.planner.wanted["a"] == hosts, context.planner.wanted
+
+
+@behave.given('turns of pools "{names}" that begin every {seconds:g} s')
+def make_turns(context, names, seconds):
+    context.turns = turns.Turns()
+    context.gap_s = seconds
+    take_turns(
+        context.turns, [(index * seconds, one) for index, one in enumerate(names.split(", "))]
+    )
+
+
+def take_turns(known, begins):
+    pools = {pool for _, pool in begins}
+    for at_s, pool in begins:
+        for other in sorted(pools):
+            need = 5.0 if other == pool else 0.2
+            known.observe(other, need, need, at_s)
+
+
+@behave.then('after the fourth turn the next is forecast for pool "{pool}" within 1 s of its time')
+def check_forecast(context, pool):
+    found = context.turns.forecast(3 * context.gap_s + 1)
+    assert found is not None and found.pools == (pool,), found
+    assert abs(found.begins_s - 4 * context.gap_s) <= 1, found
+
+
+@behave.then("with turns at {times} s none is forecast")
+def check_no_forecast(context, times):
+    known = turns.Turns()
+    starts = [float(one) for one in times.replace(" and", ",").split(",") if one.strip()]
+    take_turns(known, list(zip(starts, "abcd", strict=False)))
+    assert known.forecast(starts[-1] + 1) is None
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -5,7 +5,7 @@
 
 from nutmegshelf import calls, exceptions, ids, jobs, queues
 
-from nutmegshelf_entry import logs, mesh, ports, shards, writer
+from nutmegshelf_entry import logs, ports, shards, writer
 
 # A holder that does not answer within this time is passed over.
 _HOLDER_LIMIT_S = 0.8
@@ -26,7 +26,7 @@
 class Desk:
     """Own the choice of the way for each caller's request."""
 
-    def __init__(self, rows: ports.Rows, held: shards.Shards, peers: mesh.Mesh) -> None:
+    def __init__(self, rows: ports.Rows, held: shards.Shards, peers: ports.Peers) -> None:
         self._rows = rows
         self._shards = held
         self._mesh = peers
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -37,7 +37,7 @@
 # A pool whose holder has not reported for this long is left alone.
 _REPORT_AGE_S = 1.5
 _CLEARING_LIMIT_S = 12.0
-_MOVE_CLEARING_LIMIT_S = 0.5
+_MOVE_CLEARING_LIMIT_S = 0.3
 
 _log = logs.part("fleet")
 
@@ -84,6 +84,7 @@
         self._listed_s = -1.0
         self._demands: dict[ids.ServiceName, tuple[float, calls.DemandReport]] = {}
         self._epochs: dict[ids.ServiceName, ids.Epoch] = {}
+        self._moving: dict[ids.HostId, ids.ServiceName] = {}
         self._working: dict[ids.HostId, asyncio.Task[None]] = {}
         self._planner = pooling.Planner()
         self._noted_s = 0.0
@@ -209,7 +210,7 @@
     async def _do_upkeep(self, plan: upkeep.WavePlan, host: ids.HostId) -> None:
         try:
             view = self._views[host]
-            if not await self._clear(view, "upkeep", _CLEARING_LIMIT_S):
+            if not await self._clear(view, "upkeep", _CLEARING_LIMIT_S, only_idle=False):
                 return
             if not await self._announce(host):
                 return
@@ -257,9 +258,22 @@
         held = set(self._working) | {host for host in self._resting_s if self._rests(host)}
         for plan in self._plans.values():
             held |= plan.down.keys()
-        for move in self._planner.plan(self._views.values(), fresh, held, routes.spare, now_s):
+        views = self._views_after_moves()
+        for move in self._planner.plan(views, fresh, held, routes.spare, now_s):
+            self._moving[move.host] = move.target
             self._spawn(move.host, self._do_move(move))
 
+    def _views_after_moves(self) -> list[pooling.HostView]:
+        """Give the hosts as they are when the moves under way are done."""
+        return [
+            (
+                dataclasses.replace(view, pool=self._moving[host], state=pooling.HostState.MOVING)
+                if host in self._moving
+                else view
+            )
+            for host, view in self._views.items()
+        ]
+
     def _note_plan(self, fresh: dict[ids.ServiceName, calls.DemandReport], now_s: float) -> None:
         if now_s - self._noted_s < _NOTE_INTERVAL_S:
             return
@@ -283,7 +297,7 @@
 
     async def _do_move(self, move: pooling.Move) -> None:
         view = self._views[move.host]
-        if not await self._clear(view, move.reason, _MOVE_CLEARING_LIMIT_S):
+        if not await self._clear(view, move.reason, _MOVE_CLEARING_LIMIT_S, only_idle=True):
             return
         if not await self._announce(move.host):
             return
@@ -307,20 +321,26 @@
         assert self._group is not None
         task = self._group.create_task(work)
         self._working[host] = task
-        task.add_done_callback(lambda _: self._working.pop(host, None))
+        task.add_done_callback(lambda _: self._end_work(host))
+
+    def _end_work(self, host: ids.HostId) -> None:
+        self._working.pop(host, None)
+        self._moving.pop(host, None)
 
     def _is_spare(self, pool: str) -> bool:
         routes = self._in_force.routes
         service = routes.services.get(ids.ServiceName(pool)) if routes else None
         return service is not None and service.is_spare
 
-    async def _clear(self, view: pooling.HostView, reason: str, limit_s: float) -> bool:
+    async def _clear(
+        self, view: pooling.HostView, reason: str, limit_s: float, *, only_idle: bool
+    ) -> bool:
         """Have the host's holder clear it; says whether nothing runs there."""
         if self._is_spare(view.pool):
             return True
         until_s = self._loop.time() + limit_s
         while self._loop.time() < until_s:
-            call = calls.Give(service=view.pool, host=view.host, reason=reason)
+            call = calls.Give(service=view.pool, host=view.host, reason=reason, only_idle=only_idle)
             reply = await self._ask(call, _ASK_LIMIT_S)
             if reply is not None and reply.verdict is calls.Verdict.DONE:
                 return True
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
@@ -46,7 +46,7 @@
         wire: desk.Desk,
         counted: collections.abc.Callable[[str, int, float], None],
     ) -> None:
-        self.refusing: exceptions.ErrorKind | None = exceptions.ErrorKind.NOT_READY
+        self.refusing: exceptions.ErrorKind | None = None
         self._in_force = in_force
         self._codec = codec
         self._desk = wire
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -83,20 +83,27 @@
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
         match call:
             case calls.Submit():
-                return await self._submit(call.job)
+                reply = await self._submit(call.job)
             case calls.Show():
-                return self._show(call.job)
+                reply = self._show(call.job)
             case calls.Cancel():
-                return await self._cancel(call.job)
+                reply = await self._cancel(call.job)
             case calls.CountPending():
-                return calls.Reply(verdict=calls.Verdict.DONE, count=self._pending(call.queue))
+                reply = self._count(call.queue)
             case calls.Give():
-                cleared = self.scheduler.give(call.host, self._loop.time())
-                self.wake()
-                verdict = calls.Verdict.DONE if cleared else calls.Verdict.WAITS
-                return calls.Reply(verdict=verdict)
+                reply = await self._give(call)
             case _:
-                return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+                reply = calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
+        return reply
+
+    async def _give(self, call: calls.Give) -> calls.Reply:
+        cleared = self.scheduler.give(call.host, self._loop.time(), only_idle=call.only_idle)
+        self.wake()
+        if not cleared:
+            return calls.Reply(verdict=calls.Verdict.WAITS)
+        # A later holder must not wait for a host that was given away.
+        await self._store_used()
+        return calls.Reply(verdict=calls.Verdict.DONE)
 
     def _is_fresh(self) -> bool:
         return self._loop.time() - self.writer.renewed_s < self._hold_limit_s
@@ -146,11 +153,12 @@
             await asyncio.sleep(_PASS_GAP_S)
         return calls.Reply(verdict=calls.Verdict.DONE, state=record.shown)
 
-    def _pending(self, queue: ids.QueueName) -> int:
-        return sum(
+    def _count(self, queue: ids.QueueName) -> calls.Reply:
+        pending = sum(
             record.progress.state is jobs.JobState.QUEUED and record.job.queue.name == queue
             for record in self.scheduler.ledger.records.values()
         )
+        return calls.Reply(verdict=calls.Verdict.DONE, count=pending)
 
     def _add(
         self,
@@ -221,10 +229,10 @@
             self.scheduler,
             life,
             self._workers,
-            self.epoch,
-            self._lease_s,
-            self.wake,
-            self._may_order,
+            fence=self.epoch,
+            lease_s=self._lease_s,
+            wake=self.wake,
+            may_order=self._may_order,
         )
         self._links[life] = link
         task = self._group.create_task(link.run())
@@ -247,6 +255,7 @@
                 self.list_workers(self._listed)
                 group.create_task(self._passes())
                 group.create_task(self._follow_notices())
+                group.create_task(self._keep_used())
                 group.create_task(self._guard())
         finally:
             self.is_loaded = False
@@ -285,14 +294,21 @@
         for row in notices:
             self.notify(codecs.unpack(row.value, jobs.Notice))
 
-    def _store_used(self) -> None:
-        lives = self.scheduler.lives_in_use()
+    async def _store_used(self) -> None:
+        lives = self.scheduler.lives_in_use(self._loop.time())
         # Until all is settled, the lives that an earlier holder used have to be kept.
         if lives == self._used or not self.scheduler.is_settled:
             return
         self._used = lives
         key = f"{USED}/{self.pool}/lives"
-        self.writer.write(platform.Write(key, codecs.pack([tuple(life) for life in lives])))
+        await self.writer.write_through(
+            platform.Write(key, codecs.pack([tuple(life) for life in lives]))
+        )
+
+    async def _keep_used(self) -> None:
+        while True:
+            await self._store_used()
+            await asyncio.sleep(_TICK_S)
 
     async def _guard(self) -> None:
         # Orders wait while the lease can't be renewed: another entry may take it over.
@@ -326,7 +342,6 @@
                 link = self._links.get(order.life)
                 if link is not None and self._group is not None:
                     self._group.create_task(link.send(order))
-        self._store_used()
         if self.scheduler.ledger.dirty:
             self.writer.poke()
         self._notes.write(self.scheduler.notes)
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -0,0 +1,216 @@
+"""Put the parts of the job service together, apart from its sockets."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import uuid
+
+import msgspec
+from nutmegshelf import (
+    calls,
+    codecs,
+    exceptions,
+    fleetview,
+    ids,
+    jobs,
+    leases,
+    members,
+    platform,
+    queues,
+    upkeep,
+)
+
+from nutmegshelf_entry import desk, fleet_holder, front, holder, logs, ports, shards
+
+# Others may take a lease over when it was not renewed for this long.
+LEASE_S = 2.5
+# What runs at a worker ends this long after the last look, if no look renews it.
+TASK_LEASE_S = 5.0
+# A holder gives no orders when it could not renew its lease for this long.
+HOLD_LIMIT_S = 2.2
+_INBOX_WAIT_S = 2.0
+_RETRY_S = 0.25
+_DEMAND_INTERVAL_S = 0.15
+_DEMAND_LIMIT_S = 0.4
+
+_log = logs.part("service")
+
+
+class Endpoint(msgspec.Struct, frozen=True, kw_only=True):
+    """Name where a socket listens."""
+
+    host: str
+    port: int
+
+    @property
+    def address(self) -> str:
+        """Give host and port as one text."""
+        return f"{self.host}:{self.port}"
+
+
+class JobSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the settings of one entry that serves jobs."""
+
+    entry: ids.EntryId
+    zone: ids.ZoneName
+    callers: Endpoint
+    ready: Endpoint
+    peers: Endpoint
+    metrics: Endpoint | None = None
+    grace_s: float = 6.0
+    upkeep_s: float = 2.0
+    quiet_s: float = 3.0
+    task_lease_s: float = TASK_LEASE_S
+    log_level: str = "info"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outside:
+    """Hold what an adapter gives the daemon."""
+
+    rows: ports.Rows
+    workers: ports.Workers
+    codec: front.Codec
+    hosts: ports.Hosts
+    operations: collections.abc.Callable[
+        [], collections.abc.AsyncIterator[queues.QueueSet | upkeep.Wave]
+    ]
+    fleets: collections.abc.Callable[
+        [], collections.abc.AsyncIterator[tuple[fleetview.WorkerFacts, ...]]
+    ]
+
+
+class JobService:
+    """Own what an entry knows and holds, and the tasks that keep it up."""
+
+    def __init__(self, own: JobSettings, outside: Outside, peers: ports.Peers) -> None:
+        self.in_force = queues.InForce()
+        self.leaving = False
+        self.incarnation = uuid.uuid4().hex
+        self._own = own
+        self._outside = outside
+        self._waves: dict[int, upkeep.Wave] = {}
+        self._fleet: tuple[fleetview.WorkerFacts, ...] = ()
+        self._book = leases.Leases(own.entry, self.incarnation, LEASE_S, own.peers.address)
+        self.shards = shards.Shards(
+            outside.rows,
+            self._book,
+            members.Members(own.entry, shards.MEMBER_SILENCE_S),
+            self._row,
+            self._make_holder,
+        )
+        self.desk = desk.Desk(outside.rows, self.shards, peers)
+        self._random = random.Random(self.incarnation)
+
+    async def run(self) -> None:
+        """Follow what is declared and what happens, and hold a share of the services."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_operators())
+            group.create_task(self._follow_fleet())
+            group.create_task(self._follow_inbox())
+            group.create_task(self._tell_demand())
+            group.create_task(self.shards.run())
+
+    def _row(self, beat: int) -> members.EntryRow:
+        own, routes = self._own, self.in_force.routes
+        return members.EntryRow(
+            entry=own.entry,
+            zone=own.zone,
+            peer_address=own.peers.address,
+            operator_address="",
+            version=routes.declared.version if routes else ids.NO_VERSION,
+            leaving=self.leaving,
+            beat=beat,
+        )
+
+    def _make_holder(self, pool: ids.PoolName, taken_s: float) -> shards.Held:
+        if pool == fleet_holder.FLEET:
+            return fleet_holder.FleetHolder(
+                self._outside.rows,
+                self._outside.hosts,
+                self._book,
+                self.in_force,
+                self.desk.ask,
+                waves=self._waves,
+                upkeep_s=self._own.upkeep_s,
+                quiet_s=self._own.quiet_s,
+                hold_limit_s=HOLD_LIMIT_S,
+                taken_s=taken_s,
+            )
+        made = holder.Holder(
+            pool,
+            self._outside.rows,
+            self._outside.workers,
+            self._book,
+            self.in_force,
+            lease_s=self._own.task_lease_s,
+            hold_limit_s=HOLD_LIMIT_S,
+            taken_s=taken_s,
+        )
+        made.list_workers(facts for facts in self._fleet if facts.service == ids.ServiceName(pool))
+        return made
+
+    async def _follow_operators(self) -> None:
+        async for one in self._outside.operations():
+            match one:
+                case upkeep.Wave():
+                    if one.number not in self._waves:
+                        _log.info("A wave is asked for.", wave=one.number, hosts=len(one.hosts))
+                    self._waves[one.number] = one
+                case queues.QueueSet():
+                    self._take_configuration(one)
+
+    def _take_configuration(self, declared: queues.QueueSet) -> None:
+        if not self.in_force.take(declared, asyncio.get_running_loop().time()):
+            return
+        _log.info(
+            "A configuration is in force.", version=declared.version, queues=len(declared.queues)
+        )
+        served = {ids.PoolName(queue.service) for queue in declared.queues}
+        self.shards.pools = sorted(served | {fleet_holder.FLEET})
+
+    async def _tell_demand(self) -> None:
+        while True:
+            await asyncio.sleep(_DEMAND_INTERVAL_S)
+            for pool, held in self.shards.holders().items():
+                if not isinstance(held, holder.Holder):
+                    continue
+                report = held.demand()
+                if report is not None:
+                    call = calls.Demand(
+                        service=ids.ServiceName(fleet_holder.FLEET),
+                        pool=ids.ServiceName(pool),
+                        epoch=held.epoch,
+                        report=report,
+                    )
+                    await self.desk.ask(call, _DEMAND_LIMIT_S)
+
+    async def _follow_fleet(self) -> None:
+        async for fleet in self._outside.fleets():
+            self._fleet = fleet
+            for pool, held in self.shards.holders().items():
+                if isinstance(held, holder.Holder):
+                    held.list_workers(
+                        facts for facts in fleet if facts.service == ids.ServiceName(pool)
+                    )
+
+    async def _follow_inbox(self) -> None:
+        after = 0
+        while True:
+            try:
+                found = await self._outside.rows.changes("inbox", after, _INBOX_WAIT_S)
+                after = found.version
+                for row in found.rows:
+                    self._take_notice(row)
+            except exceptions.TableError as error:
+                _log.warning("The inbox can't be watched.", why=str(error))
+                await asyncio.sleep(_RETRY_S * (1 + self._random.random()))
+
+    def _take_notice(self, row: platform.Row) -> None:
+        if not row.version or not row.value:
+            return
+        notice = codecs.unpack(row.value, jobs.Notice)
+        held = self.shards.holder(notice.service)
+        if isinstance(held, holder.Holder):
+            held.notify(notice)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -4,7 +4,7 @@
 import enum
 import typing
 
-from nutmegshelf import fleetview, ids, orders, platform, pooling, scheduler
+from nutmegshelf import calls, fleetview, ids, orders, platform, pooling, scheduler
 
 
 class Changes(typing.NamedTuple):
@@ -103,4 +103,11 @@
         """Tell operators how far a wave is; raises TableError."""
 
 
+class Peers(typing.Protocol):
+    """Call other entries."""
+
+    async def ask(self, address: str, call: calls.AnyCall, limit_s: float) -> calls.Reply:
+        """Call another entry; raises PeerUnreachable or PeerAnswerLost."""
+
+
 Wake = collections.abc.Callable[[], None]
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -29,6 +29,7 @@
         service: scheduler.Scheduler,
         life: fleetview.Life,
         calls: ports.Workers,
+        *,
         fence: int,
         lease_s: float,
         wake: ports.Wake,
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -38,10 +38,14 @@
 
 
 class Give(Call, frozen=True, kw_only=True):
-    """Ask the holder of a service to clear one of its hosts; a repeat asks how far it is."""
+    """Ask the holder of a service to clear one of its hosts; a repeat asks how far it is.
+
+    A host that is asked for only if it idles stays open where it doesn't.
+    """
 
     host: ids.HostId
     reason: str
+    only_idle: bool = False
 
 
 class Demand(Call, frozen=True, kw_only=True):
@@ -53,11 +57,12 @@
 
 
 class HostLoad(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Say what runs at one host; an idle one says for how long."""
+    """Say what runs at one host; an idle one says for how long, a useless one gets no tasks."""
 
     cpu_millis: int = 0
     lasting: int = 0
     idle_s: float | None = None
+    is_useless: bool = False
 
 
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/nutmegshelf/src/nutmegshelf/clearing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/clearing.py
@@ -52,7 +52,7 @@
                     leaving.append(task)
                 continue
             part = book.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
-            name = task.key._replace(index=0), task.key.step
+            name = task.key._replace(position=0), task.key.step
             away = counted.get(name, 0) + away_count(part, task, workers, now_s)
             if not task.step.may_miss or away < task.step.may_miss:
                 leaving.append(task)
--- a/packages/nutmegshelf/src/nutmegshelf/jobs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/jobs.py
@@ -88,12 +88,12 @@
     job: ids.JobId
     occurrence: int
     step: int
-    index: int
+    position: int
 
     @property
     def name(self) -> ids.TaskId:
         """Give the name that workers know the task by."""
-        return ids.TaskId(f"{self.job}.{self.occurrence}.{self.step}.{self.index}")
+        return ids.TaskId(f"{self.job}.{self.occurrence}.{self.step}.{self.position}")
 
 
 def parse_task(name: str) -> TaskKey | None:
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -42,9 +42,9 @@
     def task(self, key: jobs.TaskKey) -> fleetview.Task | None:
         """Give a task of an occurrence that has begun, or none."""
         parts = self.occurrences.get(key.occurrence)
-        if parts is None or key.step >= len(parts) or key.index >= len(parts[key.step].tasks):
+        if parts is None or key.step >= len(parts) or key.position >= len(parts[key.step].tasks):
             return None
-        return parts[key.step].tasks[key.index]
+        return parts[key.step].tasks[key.position]
 
     def tasks(self) -> collections.abc.Iterator[fleetview.Task]:
         """Give all tasks of the occurrences that have begun."""
@@ -234,8 +234,8 @@
             one.phase = fleetview.Phase.DONE
             self.adrift.discard(one)
             record.ready.pop(one.key, None)
-            stored.done = mark(stored.done, one.key.index)
-            stored.saved.pop(one.key.index, None)
+            stored.done = mark(stored.done, one.key.position)
+            stored.saved.pop(one.key.position, None)
             part.left -= 1
         self.touch(record)
         if part.left:
@@ -257,7 +257,7 @@
         if task.step.lasting:
             return
         stored = record.progress.steps[task.key.occurrence][task.key.step]
-        stored.failures[task.key.index] = list(task.failed_runs)
+        stored.failures[task.key.position] = list(task.failed_runs)
         self.touch(record)
         failed = set(task.failed_runs)
         if task.step.gang:
@@ -274,7 +274,7 @@
         task.saved = saved
         steps = record.progress.steps.get(task.key.occurrence)
         if steps is not None:
-            steps[task.key.step].saved[task.key.index] = saved
+            steps[task.key.step].saved[task.key.position] = saved
 
     def end(self, record: Record, state: jobs.JobState, reason: str, now_s: float) -> None:
         """End a job; what still runs of it has to be stopped."""
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -6,6 +6,7 @@
 and pools with waiting work get hosts from idle pools first, then from the spare pool.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import enum
@@ -101,16 +102,17 @@
     ) -> list[Move]:
         """Choose moves; hosts that are held for other reasons stay."""
         views = list(hosts)
-        coming: dict[ids.ServiceName, int] = {}
-        for view in views:
-            coming[view.pool] = coming.get(view.pool, 0) + (view.state is not HostState.DOWN)
+        coming = collections.Counter(
+            view.pool
+            for view in views
+            if view.state is not HostState.DOWN and not _is_useless(view, demands)
+        )
         self.wanted = wanted = self._wanted(views, demands, now_s)
         lacking = {
-            pool: count - coming.get(pool, 0)
-            for pool, count in wanted.items()
-            if count > coming.get(pool, 0)
+            pool: count - coming[pool] for pool, count in wanted.items() if count > coming[pool]
         }
-        free = _free(views, demands, wanted, coming, held, spare)
+        surplus = {pool: coming[pool] - count for pool, count in wanted.items()}
+        free = _free(views, demands, surplus, held, spare)
         moves: list[Move] = []
         for pool in sorted(lacking, key=lambda pool: -lacking[pool]):
             for _ in range(lacking[pool]):
@@ -177,18 +179,22 @@
         return moves
 
 
+def _is_useless(view: HostView, demands: dict[ids.ServiceName, calls.DemandReport]) -> bool:
+    report = demands.get(view.pool)
+    load = report.hosts.get(view.host) if report is not None else None
+    return load is not None and load.is_useless
+
+
 def _free(
     views: list[HostView],
     demands: dict[ids.ServiceName, calls.DemandReport],
-    wanted: dict[ids.ServiceName, int],
-    coming: dict[ids.ServiceName, int],
+    surplus: dict[ids.ServiceName, int],
     held: set[ids.HostId],
     spare: ids.ServiceName | None,
 ) -> list[HostView]:
-    """Give the hosts that may go: idle ones beyond what their pool wants, then those that are off."""
+    """Give the hosts that may go: idle ones of pools with a surplus, then those that are off."""
     free: list[HostView] = []
     for pool, report in demands.items():
-        surplus = coming.get(pool, 0) - wanted[pool]
         idle = [
             view
             for view in views
@@ -196,9 +202,10 @@
             and view.state is HostState.UP
             and view.host in report.idle_s
             and view.host not in held
+            and not _is_useless(view, demands)
         ]
         idle.sort(key=lambda view: -report.idle_s[view.host])
-        free += idle[: max(0, surplus)]
+        free += idle[: max(0, surplus[pool])]
     free += [
         view
         for view in views
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -95,14 +95,15 @@
             worker.facts = facts
             worker.is_listed = True
             worker.is_closed = facts.is_draining
-        newest: dict[ids.WorkerId, int] = {}
-        for life in found:
-            newest[life.worker] = max(life.born_ms, newest.get(life.worker, 0))
+        # A host has one life of a worker at a time, so a later one says that this one has ended.
+        newest: dict[ids.HostId, int] = {}
+        for life, facts in found.items():
+            newest[facts.host] = max(life.born_ms, newest.get(facts.host, 0))
         for life, worker in list(self.workers.items()):
             if life in found:
                 continue
             worker.is_listed, worker.is_closed = False, True
-            if newest.get(life.worker, -1) > life.born_ms:
+            if newest.get(worker.facts.host, -1) > life.born_ms:
                 self._lost(worker, now_s, "its worker started anew")
         return added
 
@@ -143,10 +144,13 @@
         # All that was started there is known, unless an earlier holder's word is still missing.
         return not worker.tasks and (self._is_settled or now_s > worker.leased_until_s)
 
-    def lives_in_use(self) -> list[fleetview.Life]:
+    def lives_in_use(self, now_s: float) -> list[fleetview.Life]:
         """Give the lives that a later holder has to ask or to wait for."""
         return sorted(
-            life for life, worker in self.workers.items() if worker.is_listed or worker.tasks
+            life
+            for life, worker in self.workers.items()
+            if worker.tasks
+            or (worker.is_listed and not self.clearing.is_closed(worker.facts.host, now_s))
         )
 
     def _settle(self, now_s: float) -> None:
@@ -281,12 +285,13 @@
 
     # --- hosts that are asked for
 
-    def give(self, host: ids.HostId, now_s: float) -> bool:
+    def give(self, host: ids.HostId, now_s: float, *, only_idle: bool = False) -> bool:
         """Clear a host within the budgets of its tasks; says whether nothing runs there now."""
-        self.clearing.close(host, now_s)
         workers = [one for one in self.workers.values() if one.facts.host == host]
-        if not self._is_settled:
+        is_busy = any(worker.tasks or worker.strays for worker in workers)
+        if not self._is_settled or (only_idle and is_busy):
             return False
+        self.clearing.close(host, now_s)
         for worker in workers:
             for task in self.clearing.to_leave(worker, self.workers, self.ledger, now_s):
                 self.notes.note("task leaves", task=task.key.name, run=task.run, host=host)
@@ -312,6 +317,9 @@
                 cpu_millis=used,
                 lasting=sum(task.step.lasting for task in worker.tasks.values()),
                 idle_s=max(0.0, now_s - worker.idle_since_s) if is_idle else None,
+                is_useless=worker.is_closed
+                or worker.unheard_since_s is not None
+                or now_s < worker.shunned_until_s,
             )
         waiting, least, weighted_ms = 0, 0, 0.0
         for record in self.ledger.records.values():
--- a/packages/nutmegshelf/src/nutmegshelf/turns.py
+++ b/packages/nutmegshelf/src/nutmegshelf/turns.py
@@ -89,24 +89,30 @@
 
     def forecast(self, now_s: float) -> Forecast | None:
         """Give the next turn, or none where the history does not tell."""
-        if self._last_s is None or len(self._gaps_s) < _LEAST_GAPS:
-            return None
-        gap_s = statistics.median(self._gaps_s)
-        if max(self._gaps_s) - min(self._gaps_s) > _MOST_SPREAD * gap_s:
+        begins_s = self._next_s()
+        if begins_s is None:
             return None
-        begins_s = self._last_s + gap_s
         if now_s > begins_s + _PATIENCE_S:
             if self._missed_s != begins_s:
                 self._missed_s = begins_s
                 self._misses += 1
             return None
-        if self._misses > _MOST_MISSES:
+        pools = self._candidates()
+        if not pools or self._misses > _MOST_MISSES:
             return None
+        return Forecast(begins_s, pools)
+
+    def _next_s(self) -> float | None:
+        if self._last_s is None or len(self._gaps_s) < _LEAST_GAPS:
+            return None
+        gap_s = statistics.median(self._gaps_s)
+        is_regular = max(self._gaps_s) - min(self._gaps_s) <= _MOST_SPREAD * gap_s
+        return self._last_s + gap_s if is_regular else None
+
+    def _candidates(self) -> tuple[ids.ServiceName, ...]:
+        """Give the pools that had no turn yet, else the one whose turn was longest ago."""
         waiting = {pool: known for pool, known in self._pools.items() if not known.in_turn}
         unseen = sorted(pool for pool, known in waiting.items() if known.began_s is None)
-        if unseen:
-            return Forecast(begins_s, tuple(unseen))
-        if not waiting:
-            return None
-        longest_ago = min(waiting, key=lambda pool: (waiting[pool].began_s or 0.0, pool))
-        return Forecast(begins_s, (longest_ago,))
+        if unseen or not waiting:
+            return tuple(unseen)
+        return (min(waiting, key=lambda pool: (waiting[pool].began_s or 0.0, pool)),)
--- a/packages/nutmegshelf/src/nutmegshelf/upkeep.py
+++ b/packages/nutmegshelf/src/nutmegshelf/upkeep.py
@@ -53,7 +53,7 @@
     asked_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
 
     def left(self, present: set[ids.HostId]) -> list[ids.HostId]:
-        """Give the hosts that still have to go down; those that left for good are not waited for."""
+        """Give the hosts that still have to go down; those that left are not waited for."""
         return [host for host in self.wave.hosts if host in present and host not in self.row.done]
 
     def choose(
