--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -28,6 +28,10 @@
     Then within 8 s at most 2 hosts are paid for
     And no bound of the hosts was broken
 
+  Scenario: Hosts that an earlier holder took down count for the bound of a wave
+    Given a wave of 10 hosts with 3 at once, of which 2 are down by an earlier holder's order
+    Then only 1 host is chosen, though all others idle
+
   Scenario Outline: The need of a pool that runs <running> and has <waiting> waiting hosts' worth is <hosts>
     Given a planner for hosts of 16 cores
     When a pool runs <running> and has <waiting> waiting, each task for <seconds> s
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -95,13 +95,24 @@
     Then within 10 s it is shown as succeeded at every entry
     And no task ran twice at a time or after its end was taken note of
 
-  Scenario: A start that got no answer and is carried out late does not double its task
+  Scenario Outline: Starts that get no answer and are carried out late do not double their tasks
     Given 2 entries and 3 workers of one service
-    And each worker carries the first start out late and unanswered
-    When a job of steps "3" is submitted at entry 0
+    And each worker carries the first <starts> starts out late and unanswered
+    When a job of steps "<tasks>" is submitted at entry 0
     Then within 12 s it is shown as succeeded at every entry
     And no task ran twice at a time or after its end was taken note of
 
+    Examples:
+      | starts | tasks |
+      | 1      | 3     |
+      | 5      | 24    |
+
+  Scenario: A fault in one holder ends only that holder
+    Given 2 entries and 3 workers of one service
+    When a link to a worker fails by a fault of its own
+    And a job of steps "2" is submitted at entry 0
+    Then within 4 s it is shown as succeeded at every entry
+
   Scenario: A worker that starts anew under its host gives its tasks back at once
     Given 2 entries and 2 workers of one service
     And its tasks take 1 s
@@ -113,3 +124,24 @@
     Given 2 entries and 2 workers of one service
     When version 5 is declared and then version 4
     Then version 5 stays in force at every entry
+
+  Scenario: Steps of an advised queue run only where the policy allows
+    Given 2 entries and 6 workers of one service
+    When an advised job of steps "3, 3 after 0" is submitted
+    Then within 4 s it is shown as succeeded at every entry
+    And every task ran once
+    And only workers that the policy allows ran it
+
+  Scenario: A filling task is slowed while it disturbs, and sped up again
+    Given a worker with a serving task of target 100 ms and a filling task
+    Then the filling task's pace goes as follows
+      | tail ms | percent |
+      | 50      | 100     |
+      | 120     | 50      |
+      | 110     | 25      |
+      | 75      | 25      |
+      | 60      | 40      |
+      | 130     | 20      |
+      | 130     | 10      |
+      | 130     | 0       |
+      | 20      | 15      |
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -187,6 +187,9 @@
         if number <= self.barred[name] or known is not None:
             return orders.Refusal.OLD
         step = self.world.step(order.key)
+        advised = self.world.jobs[order.key.job].queue.advised is not None
+        if advised and not (order.ticket or "").endswith(f"-{self.facts.life.worker}"):
+            return orders.Refusal.TICKET
         if not self.fits(step):
             return orders.Refusal.ROOM
         self.until_ms = max(self.until_ms, until_ms)
@@ -233,6 +236,7 @@
         self.declared = None
         self.waves = []
         self.operations_changed = asyncio.Event()
+        self.advice = Policy(self)
         for pool, count in {**pools, spare: spare_count}.items():
             for index in range(count):
                 self.add_host(pool, f"h{next(self.numbers)}", f"r{index % 3}")
@@ -333,6 +337,26 @@
             await asyncio.sleep(0.15)
 
 
+class Policy:
+    """Be the policy service: only workers with an even number may run a step."""
+
+    def __init__(self, world):
+        self.world = world
+        self.asked = []
+        self.busy = 0
+
+    async def ask(self, question, limit_s):
+        self.busy += 1
+        if self.busy > 1:
+            self.world.broken.append("two calls for advice at once")
+        self.asked.append(question.step)
+        await asyncio.sleep(0.02 + 0.005 * len(question.lives))
+        self.busy -= 1
+        good = {life.worker: f"t-{question.step}-{life.worker}" for life in question.lives}
+        good = {worker: one for worker, one in good.items() if int(worker[1:]) % 2 == 0}
+        return orders.Advised(good, 2.0)
+
+
 class Workers:
     """Carry calls to the fake workers."""
 
@@ -372,7 +396,7 @@
         )
         return orders.Looked(facts.life.born_ms, minion.clock_ms(), listed, tuple(minion.ends))
 
-    async def start(self, facts, order, *, fence, until_ms, ticket):
+    async def start(self, facts, order, *, fence, until_ms):
         minion = await self._minion(facts)
         if minion.loses_starts:
             minion.loses_starts -= 1
@@ -509,6 +533,7 @@
             workers=self.workers[name],
             codec=None,
             hosts=Hosts(self.world, name),
+            advice=self.world.advice,
             operations=self.world.operations,
             fleets=self.world.fleets,
         )
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import behave
-from nutmegshelf import calls, clearing, fleetview, jobs, ledger, pooling, turns
+from nutmegshelf import calls, clearing, fleetview, jobs, ledger, pooling, turns, upkeep
 
 from features import jobworld
 from features.steps import jobs_steps
@@ -129,6 +129,27 @@
     await context.site.stop(name)
 
 
+@behave.given(
+    "a wave of {count:d} hosts with {most:d} at once, of which {down:d} are down by an earlier "
+    "holder's order"
+)
+def plan_wave(context, count, most, down):
+    hosts = [f"h{number}" for number in range(count)]
+    row = upkeep.WaveRow(number=1, began_ms=0)
+    context.plan = upkeep.WavePlan(jobworld.wave(1, hosts, 20.0, most), row)
+    context.away = set(hosts[:down])
+    context.candidates = [
+        upkeep.Candidate(host, is_off=False, idle_s=9.0, lasting=0, cpu_millis=0)
+        for host in hosts[down:]
+    ]
+
+
+@behave.then("only {count:d} host is chosen, though all others idle")
+def check_chosen(context, count):
+    found = context.plan.choose(context.candidates, context.away, 1_000, 2.0)
+    assert len(found) == count, found
+
+
 @behave.given("a planner for hosts of {cores:d} cores")
 def make_planner(context, cores):
     context.size = cores * 1000
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -4,7 +4,7 @@
 import functools
 
 import behave
-from nutmegshelf import codecs, exceptions, fleetview, jobs
+from nutmegshelf import exceptions, fleetview, jobs, ledger, queues, sharing
 from nutmegshelf_standins import clock
 
 from features import jobworld
@@ -114,10 +114,27 @@
     context.world.default_work = (seconds, fleetview.How.DONE)
 
 
-@behave.given("each worker carries the first start out late and unanswered")
-def lose_starts(context):
+@behave.given("each worker carries the first {count:d} starts out late and unanswered")
+def lose_starts(context, count):
     for minion in context.world.minions.values():
-        minion.loses_starts = 1
+        minion.loses_starts = count
+
+
+@behave.when("a link to a worker fails by a fault of its own")
+@paused
+async def break_link(context):
+    workers = context.site.workers[context.site.holder_of("a")]
+    look, failures = workers.look, []
+
+    async def fail_once(*args, **kwargs):
+        if not failures:
+            failures.append(1)
+            raise RuntimeError("a fault")
+        return await look(*args, **kwargs)
+
+    workers.look = fail_once
+    await asyncio.sleep(3.0)
+    assert failures
 
 
 @behave.when('a job of steps "{steps}" is submitted at entry {entry:d}')
@@ -421,6 +438,39 @@
     assert set(found) == {version}, found
 
 
-def stored(context, kind):
-    rows = context.world.table.rows
-    return [codecs.unpack(row.value, jobs.Job) for key, row in rows.items() if key.startswith(kind)]
+@behave.when('an advised job of steps "{steps}" is submitted')
+@paused
+async def submit_advised(context, steps):
+    terms = queues.Advised(decide_ms=20, per_worker_ms=5, valid_ms=2000)
+    made = parse_steps(steps)
+    context.made = await submit(context, 8, made, "e0", queue=jobworld.queue(advised=terms))
+
+
+@behave.then("only workers that the policy allows ran it")
+def check_policy(context):
+    asked = context.world.advice.asked
+    assert len(set(asked)) == 2, asked
+
+
+@behave.given("a worker with a serving task of target {target:d} ms and a filling task")
+def share_worker(context, target):
+    facts = fleetview.WorkerFacts(
+        fleetview.Life("w1", 1), "a", "h1", "", "z", "r", frozenset(), 16_000, 64_000, 0
+    )
+    context.worker = fleetview.Worker(facts)
+    serving = jobs.Step(count=1, cpu_millis=1000, lasting=True, target_ms=target)
+    filling = jobs.Step(count=1, cpu_millis=1000, lasting=True, fills=True)
+    book = ledger.Ledger(1)
+    record = book.add(jobworld.job(1, (serving, filling)), None, 0.0, 0, may_run=False)
+    context.serving, context.filling = record.tasks()
+    for task in (context.serving, context.filling):
+        book.adopt(record, task, context.worker, 1, 0.0)
+
+
+@behave.then("the filling task's pace goes as follows")
+def check_paces(context):
+    for number, row in enumerate(context.table):
+        context.serving.figure = float(row["tail ms"])
+        for task, percent in sharing.choose(context.worker, float(number + 1)).items():
+            task.pace_percent = percent
+        assert context.filling.pace_percent == int(row["percent"]), (number, context.filling)
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/advisor.py
@@ -0,0 +1,54 @@
+"""Put the questions of all own holders to the policy service, one after the other."""
+
+import asyncio
+import collections.abc
+
+from nutmegshelf import advising, exceptions
+
+from nutmegshelf_entry import holder, logs, ports
+
+_IDLE_S = 0.02
+_RETRY_S = 0.1
+# Beside the time that the service says it needs.
+_SLACK_S = 1.0
+
+_log = logs.part("advice")
+
+Holders = collections.abc.Callable[[], list[holder.Holder]]
+
+
+class Advisor:
+    """Own the line of questions; the service answers one call of an entry at a time."""
+
+    def __init__(self, calls: ports.Advice | None, holders: Holders) -> None:
+        self._calls = calls
+        self._holders = holders
+
+    async def run(self) -> None:
+        """Ask as long as there are questions."""
+        while self._calls is not None:
+            found = self._next()
+            if found is None:
+                await asyncio.sleep(_IDLE_S)
+                continue
+            await self._ask(self._calls, *found)
+
+    def _next(self) -> tuple[holder.Holder, advising.Question] | None:
+        for held in self._holders():
+            question = held.scheduler.advice.take_question()
+            if question is not None:
+                return held, question
+        return None
+
+    async def _ask(
+        self, calls: ports.Advice, held: holder.Holder, question: advising.Question
+    ) -> None:
+        asked_s = asyncio.get_running_loop().time()
+        try:
+            answer = await calls.ask(question, held.advice_time_s(question) + _SLACK_S)
+        except exceptions.AdviceError as error:
+            _log.warning("Advice got no answer.", step=question.step, why=str(error))
+            await asyncio.sleep(_RETRY_S)
+            return
+        held.scheduler.advice.answered(question, answer.tickets, answer.valid_s, asked_s)
+        held.wake()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -192,7 +192,13 @@
             if host not in self._working and self._views[host].state is pooling.HostState.UP
         ]
         candidates = [one for one in candidates if not self._rests(one.host)]
-        for host in plan.choose(candidates, now_ms, now_s, self._upkeep_s):
+        # An earlier holder's last orders may not show in the list yet.
+        away = {
+            host
+            for host, view in self._views.items()
+            if view.state is not pooling.HostState.UP or self._rests(host)
+        }
+        for host in plan.choose(candidates, away, now_ms, self._upkeep_s):
             plan.asked_s[host] = now_s
             self._spawn(host, self._do_upkeep(plan, host))
 
@@ -218,10 +224,11 @@
                 host, self._hosts.upkeep(host, plan.wave.number, self.epoch)
             )
             _log.info("Upkeep.", host=host, wave=plan.wave.number, outcome=_outcome(ordered))
+            if ordered in (ports.Ordered.DONE, None):
+                # An order without an answer may have been carried out.
+                plan.down[host] = self._loop.time()
             if ordered in (ports.Ordered.DONE, ports.Ordered.NOT_DUE):
                 plan.row.done.add(host)
-                if ordered is ports.Ordered.DONE:
-                    plan.down[host] = self._loop.time()
                 self._store(plan)
         finally:
             plan.asked_s.pop(host, None)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -5,6 +5,7 @@
 import time
 
 from nutmegshelf import (
+    advising,
     calls,
     codecs,
     exceptions,
@@ -105,6 +106,15 @@
         await self._store_used()
         return calls.Reply(verdict=calls.Verdict.DONE)
 
+    def advice_time_s(self, question: advising.Question) -> float:
+        """Give how long the policy service may take for a question."""
+        key = jobs.parse_task(f"{question.step}.0")
+        record = self.scheduler.ledger.records.get(key.job) if key else None
+        terms = record.job.queue.advised if record else None
+        if terms is None:
+            return 0.0
+        return (terms.decide_ms + terms.per_worker_ms * len(question.lives)) / 1000
+
     def _is_fresh(self) -> bool:
         return self._loop.time() - self.writer.renewed_s < self._hold_limit_s
 
@@ -334,11 +344,18 @@
             self._pass()
             await asyncio.sleep(_PASS_GAP_S)
 
+    def _orders(self, now_s: float) -> list[scheduler.Order]:
+        return [
+            *self.scheduler.stops(now_s),
+            *self.scheduler.paces(now_s),
+            *self.scheduler.starts(now_s),
+        ]
+
     def _pass(self) -> None:
         now_s = self._loop.time()
         self.scheduler.tick(now_s, _now_ms())
         if self._is_fresh() and self._may_order.is_set():
-            for order in [*self.scheduler.stops(now_s), *self.scheduler.starts(now_s)]:
+            for order in self._orders(now_s):
                 link = self._links.get(order.life)
                 if link is not None and self._group is not None:
                     self._group.create_task(link.send(order))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -21,7 +21,7 @@
     upkeep,
 )
 
-from nutmegshelf_entry import desk, fleet_holder, front, holder, logs, ports, shards
+from nutmegshelf_entry import advisor, desk, fleet_holder, front, holder, logs, ports, shards
 
 # Others may take a lease over when it was not renewed for this long.
 LEASE_S = 2.5
@@ -73,6 +73,7 @@
     workers: ports.Workers
     codec: front.Codec
     hosts: ports.Hosts
+    advice: ports.Advice | None
     operations: collections.abc.Callable[
         [], collections.abc.AsyncIterator[queues.QueueSet | upkeep.Wave]
     ]
@@ -101,6 +102,7 @@
             self._make_holder,
         )
         self.desk = desk.Desk(outside.rows, self.shards, peers)
+        self._advisor = advisor.Advisor(outside.advice, self._own_holders)
         self._random = random.Random(self.incarnation)
 
     async def run(self) -> None:
@@ -110,8 +112,13 @@
             group.create_task(self._follow_fleet())
             group.create_task(self._follow_inbox())
             group.create_task(self._tell_demand())
+            group.create_task(self._advisor.run())
             group.create_task(self.shards.run())
 
+    def _own_holders(self) -> list[holder.Holder]:
+        held = self.shards.holders().values()
+        return [one for one in held if isinstance(one, holder.Holder)]
+
     def _row(self, beat: int) -> members.EntryRow:
         own, routes = self._own, self.in_force.routes
         return members.EntryRow(
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -4,7 +4,7 @@
 import enum
 import typing
 
-from nutmegshelf import calls, fleetview, ids, orders, platform, pooling, scheduler
+from nutmegshelf import advising, calls, fleetview, ids, orders, platform, pooling, scheduler
 
 
 class Changes(typing.NamedTuple):
@@ -69,7 +69,6 @@
         *,
         fence: int,
         until_ms: int,
-        ticket: str | None,
     ) -> orders.Refusal | None:
         """Start a run; gives the reason where it was turned away; raises WorkerError."""
 
@@ -87,6 +86,13 @@
         """Close the connections to a worker."""
 
 
+class Advice(typing.Protocol):
+    """Ask the policy service which workers may run a step; it answers one call at a time."""
+
+    async def ask(self, question: advising.Question, limit_s: float) -> orders.Advised:
+        """Ask for tickets; raises AdviceError."""
+
+
 class Hosts(typing.Protocol):
     """Read the platform's list of hosts and order moves and upkeep."""
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -58,6 +58,7 @@
         self._holders: dict[ids.PoolName, tuple[Held, asyncio.Task[None]]] = {}
         self._lease_rows: dict[str, platform.Row] = {}
         self._leaving = False
+        self._broken: set[ids.PoolName] = set()
         self._beat_done = False
         self.pools: list[ids.PoolName] = []
         self.is_watching = False
@@ -136,6 +137,9 @@
         while True:
             if self.is_watching and self._beat_done and not self._leaving:
                 now_s = self._loop.time()
+                for broken in list(self._broken):
+                    self._broken.discard(broken)
+                    await self._release_lease(broken)
                 pool = self._book.to_take_next(self.pools, now_s)
                 if pool is not None:
                     await self._take(pool, group)
@@ -176,6 +180,10 @@
         except* writer.LeaseLost as lost:
             _log.warning("A lease was lost.", pool=pool, why=str(lost.exceptions[0]))
             self._book.drop(pool)
+        except* Exception as fault:
+            # Another entry, or a new holder here, starts from what is stored.
+            _log.error("A holder failed.", pool=pool, exc_info=fault)
+            self._broken.add(pool)
         finally:
             found = self._holders.get(pool)
             if found is not None and found[0] is held:
@@ -186,12 +194,21 @@
         if found is not None:
             found[1].cancel()
 
+    async def _release_lease(self, pool: ids.PoolName) -> None:
+        if pool not in self._book.held:
+            return
+        try:
+            await self._rows.commit(self._book.releasing(pool))
+        except exceptions.TableError as error:
+            _log.warning("A lease was not given back.", pool=pool, why=str(error))
+        self._book.drop(pool)
+
     async def _release(self, pool: ids.PoolName) -> None:
         found = self._holders.get(pool)
         self._end(pool)
         if found is not None:
             await asyncio.wait([found[1]])
-            await found[0].writer.release()
+            await self._release_lease(pool)
             _log.info("A lease is given back.", pool=pool)
 
     async def leave(self) -> None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -43,6 +43,7 @@
         self._wake = wake
         self._may_order = may_order
         self._seen = 0
+        self._waiting: asyncio.Timeout | None = None
         self._slots = asyncio.Semaphore(_ORDERS_AT_ONCE)
         self._loop = asyncio.get_running_loop()
 
@@ -52,9 +53,11 @@
         while (worker := self._scheduler.workers.get(self._life)) is not None:
             await self._may_order.wait()
             try:
-                await self._look(worker)
+                await self._look_unless_poked(worker)
                 backoff_s = _FIRST_BACKOFF_S
                 await asyncio.sleep(_LOOK_GAP_S)
+            except TimeoutError:
+                continue  # Another look is wanted at once.
             except exceptions.WorkerError as error:
                 if worker.unheard_since_s is None:
                     worker.unheard_since_s = self._loop.time()
@@ -65,6 +68,13 @@
                 backoff_s = min(2 * backoff_s, _MOST_BACKOFF_S)
         _log.info("A worker is gone.", worker=self._life.worker)
 
+    async def _look_unless_poked(self, worker: fleetview.Worker) -> None:
+        try:
+            async with asyncio.timeout(None) as self._waiting:
+                await self._look(worker)
+        finally:
+            self._waiting = None
+
     async def _look(self, worker: fleetview.Worker) -> None:
         sent_s = self._loop.time()
         if (settled := self._scheduler.settled_end(self._life)) is not None:
@@ -111,7 +121,7 @@
             return None
         return int(worker.clock_ahead_ms + (self._loop.time() + lease_s) * 1000)
 
-    async def send(self, order: scheduler.Order, ticket: str | None = None) -> None:
+    async def send(self, order: scheduler.Order) -> None:
         """Carry one order and report its outcome to the scheduler."""
         worker = self._scheduler.workers.get(self._life)
         if worker is None:
@@ -119,16 +129,14 @@
         async with self._slots:
             match order:
                 case scheduler.StartRun():
-                    await self._start(worker, order, ticket)
+                    await self._start(worker, order)
                 case scheduler.StopRun():
                     await self._stop(worker, order)
                 case scheduler.SetPace():
                     await self._pace(worker, order)
         self._wake()
 
-    async def _start(
-        self, worker: fleetview.Worker, order: scheduler.StartRun, ticket: str | None
-    ) -> None:
+    async def _start(self, worker: fleetview.Worker, order: scheduler.StartRun) -> None:
         until_ms = self._until_ms(worker, START_VALID_S)
         if until_ms is None or not self._may_order.is_set():
             self._scheduler.refused(order, "not ordered", self._loop.time())
@@ -136,7 +144,7 @@
         worker.note_lease(self._loop.time(), START_VALID_S)
         try:
             refusal = await self._calls.start(
-                worker.facts, order, fence=self._fence, until_ms=until_ms, ticket=ticket
+                worker.facts, order, fence=self._fence, until_ms=until_ms
             )
         except (exceptions.OrderNotDone, exceptions.WrongLife, exceptions.Fenced) as error:
             self._scheduler.refused(order, str(error) or type(error).__name__, self._loop.time())
@@ -156,7 +164,12 @@
         except exceptions.WorkerError as error:
             _log.info("A stop got no answer.", task=order.task, run=order.run, why=str(error))
         else:
-            self._scheduler.stopped(order, self._loop.time())
+            if self._scheduler.stopped(order, self._loop.time()):
+                self._look_now()
+
+    def _look_now(self) -> None:
+        if self._waiting is not None:
+            self._waiting.reschedule(self._loop.time())
 
     async def _pace(self, worker: fleetview.Worker, order: scheduler.SetPace) -> None:
         try:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -245,15 +245,6 @@
                 future.exception()
         self._accepting.clear()
 
-    async def release(self) -> None:
-        """Give the lease back."""
-        if self._pool in self._book.held:
-            try:
-                await self._rows.commit(self._book.releasing(self._pool))
-            except exceptions.TableError as error:
-                _log.warning("A lease was not given back.", pool=self._pool, why=str(error))
-            self._book.drop(self._pool)
-
 
 def read_progress(row: platform.Row) -> jobs.Progress:
     """Decode the row of a job's progress."""
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -208,6 +208,10 @@
     """Report that the call may have taken effect."""
 
 
+class AdviceError(NutmegshelfError):
+    """Report that the policy service gave no usable answer."""
+
+
 class PeerError(NutmegshelfError):
     """Report that another entry gave no usable answer."""
 
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -34,7 +34,7 @@
     step: jobs.Step,
     open_workers: collections.abc.Iterable[fleetview.Worker],
     here: collections.Counter[fleetview.Life],
-    filling: int,
+    is_shared: bool,
 ) -> fleetview.Worker | None:
     """Give the worker for one task of a step, or none.
 
@@ -65,7 +65,7 @@
             rank = (
                 far,
                 worker.failures_in_row,
-                _crowding(worker, step) if filling else 0,
+                _crowding(worker, step) if is_shared else 0,
                 not worker.tasks,
                 -worker.lasting,
                 racks[worker.facts.rack],
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -143,6 +143,7 @@
     clock_ahead_ms: float | None = None
     clock_read_s: float = 0.0
     idle_since_s: float = 0.0
+    paced_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.free_cpu_millis = self.facts.cpu_millis
--- a/packages/nutmegshelf/src/nutmegshelf/orders.py
+++ b/packages/nutmegshelf/src/nutmegshelf/orders.py
@@ -3,7 +3,7 @@
 import enum
 import typing
 
-from nutmegshelf import fleetview
+from nutmegshelf import fleetview, ids
 
 
 class Refusal(enum.Enum):
@@ -24,3 +24,10 @@
     clock_ms: int
     running: tuple[fleetview.Listed, ...]
     ends: tuple[fleetview.End, ...]
+
+
+class Advised(typing.NamedTuple):
+    """Hold the tickets of the workers that may run a step, and how long they are valid."""
+
+    tickets: dict[ids.WorkerId, str]
+    valid_s: float
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -5,7 +5,19 @@
 import dataclasses
 import math
 
-from nutmegshelf import calls, clearing, estimates, fitting, fleetview, ids, jobs, ledger, notes
+from nutmegshelf import (
+    advising,
+    calls,
+    clearing,
+    estimates,
+    fitting,
+    fleetview,
+    ids,
+    jobs,
+    ledger,
+    notes,
+    sharing,
+)
 
 # A stop that was not answered is sent again after this time.
 STOP_AGAIN_S = 0.4
@@ -26,6 +38,7 @@
     spec: str
     saved: str
     queue: ids.QueueName
+    ticket: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +73,7 @@
         self.notes = notes.Notes()
         self.clearing = clearing.Clearing()
         self.estimates = estimates.Estimates()
+        self.advice = advising.Advice()
         self._arrived_core_ms = 0.0
         self._lapse_s = lapse_s
         self._began_s = now_s
@@ -361,6 +375,8 @@
             return
         if reason == "room":
             worker.room_refused_s = now_s
+        if reason == "ticket":
+            self.advice.refused(advising.step_name(order.key), order.life)
         self.notes.note("start refused", task=order.key.name, run=order.run, reason=reason)
         self.ledger.free(self.ledger.records[order.key.job], task, worker, now_s)
 
@@ -371,14 +387,16 @@
             task.phase, task.since_s = fleetview.Phase.UNSURE, now_s
             self.notes.note("start unanswered", task=order.key.name, run=order.run)
 
-    def stopped(self, order: StopRun, now_s: float) -> None:
-        """Note that a worker took a stop."""
+    def stopped(self, order: StopRun, now_s: float) -> bool:
+        """Note that a worker took a stop; says whether a look would free its task now."""
         worker, key = self.workers.get(order.life), jobs.parse_task(order.task)
         task = worker.tasks.get(key) if worker and key else None
         if task is not None and task.run == order.run:
             task.stop_acked_s = now_s
             if task.phase is fleetview.Phase.RUNNING:
                 task.phase = fleetview.Phase.STOPPING
+            return task.phase is fleetview.Phase.UNSURE
+        return False
 
     def _task_of(self, order: StartRun) -> fleetview.Task | None:
         worker = self.workers.get(order.life)
@@ -417,6 +435,19 @@
             return "asked to leave"
         return None
 
+    def paces(self, now_s: float) -> list[Order]:
+        """Give the paces to set now."""
+        orders: list[Order] = []
+        for worker in self.workers.values():
+            for task, percent in sharing.choose(worker, now_s).items():
+                self.notes.note(
+                    "pace set", task=task.key.name, percent=percent, was=task.pace_percent
+                )
+                task.pace_percent = percent
+                worker.paced_s = now_s
+                orders.append(SetPace(worker.facts.life, task.key.name, task.run, percent))
+        return orders
+
     def leave(self, task: fleetview.Task) -> None:
         """Have a run stopped so that its task starts elsewhere."""
         if task.phase is fleetview.Phase.RUNNING:
@@ -447,8 +478,39 @@
         blocked = fitting.Blocked()
         for record in sorted(ready, key=lambda record: _urgency(record, now_s)):
             orders += self._start_job(record, found, blocked, now_s)
+        self._ask_ahead(found, now_s)
         return orders
 
+    def _ask_ahead(self, found: list[fleetview.Worker], now_s: float) -> None:
+        """Ask for advice for steps that open next, while the steps before them run."""
+        for record in self.ledger.records.values():
+            if record.job.queue.advised is None or not record.is_live or record.ready:
+                continue
+            for number, parts in record.occurrences.items():
+                for index, part in enumerate(parts):
+                    if part.left and not part.is_open:
+                        key = jobs.TaskKey(record.job.job, number, index, 0)
+                        fitting_ones = [one for one in found if one.could_fit(part.step)]
+                        self.advice.want(advising.step_name(key), fitting_ones, now_s)
+                        break
+
+    def _advised(
+        self,
+        record: ledger.Record,
+        key: jobs.TaskKey,
+        part: ledger.Part,
+        found: list[fleetview.Worker],
+        now_s: float,
+    ) -> list[fleetview.Worker]:
+        """Give the workers that may run a step; asks for advice where they are too few."""
+        if record.job.queue.advised is None:
+            return found
+        step = advising.step_name(key)
+        known = [one for one in found if self.advice.ticket(step, one.facts.life, now_s)]
+        if sum(one.fits(part.step) for one in known) < min(part.left, len(found)):
+            self.advice.want(step, [one for one in found if one.could_fit(part.step)], now_s)
+        return known
+
     def _start_job(
         self,
         record: ledger.Record,
@@ -462,18 +524,20 @@
             by_part.setdefault((task.key.occurrence, task.key.step), []).append(task)
         for (number, index), tasks in by_part.items():
             part = record.occurrences[number][index]
+            allowed = self._advised(record, tasks[0].key, part, found, now_s)
             if part.step.gang:
-                orders += self._start_gang(record, part, found, now_s)
+                orders += self._start_gang(record, part, allowed, now_s)
                 continue
             if blocked.covers(part.step):
                 continue
             here: collections.Counter[fleetview.Life] = collections.Counter(
                 task.life for task in part.tasks if task.life is not None
             )
+            is_shared = part.step.fills or bool(part.step.target_ms)
             for task in tasks:
-                worker = fitting.best(part.step, found, here, part.step.fills)
+                worker = fitting.best(part.step, allowed, here, is_shared)
                 if worker is None:
-                    if not part.step.max_per_worker:
+                    if not part.step.max_per_worker and allowed is found:
                         blocked.note(part.step)
                     break
                 here[worker.facts.life] += 1
@@ -509,8 +573,12 @@
         now_s: float,
     ) -> StartRun:
         self.ledger.place(record, task, worker, run, now_s)
+        life = worker.facts.life
+        ticket = None
+        if record.job.queue.advised is not None:
+            ticket = self.advice.ticket(advising.step_name(task.key), life, now_s)
         return StartRun(
-            worker.facts.life, task.key, run, record.job.spec, task.saved, record.job.queue.name
+            life, task.key, run, record.job.spec, task.saved, record.job.queue.name, ticket
         )
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/upkeep.py
+++ b/packages/nutmegshelf/src/nutmegshelf/upkeep.py
@@ -57,10 +57,17 @@
         return [host for host in self.wave.hosts if host in present and host not in self.row.done]
 
     def choose(
-        self, candidates: list[Candidate], now_ms: int, now_s: float, upkeep_s: float
+        self,
+        candidates: list[Candidate],
+        away: set[ids.HostId],
+        now_ms: int,
+        upkeep_s: float,
     ) -> list[ids.HostId]:
-        """Give the hosts to clear now: those that cost little at once, others at an even pace."""
-        busy = [host for host in self.down if host not in self.asked_s]
+        """Give the hosts to clear now: those that cost little at once, others at an even pace.
+
+        Hosts that are away count, whoever took them down.
+        """
+        busy = (away & set(self.wave.hosts) | self.down.keys()) - self.asked_s.keys()
         room = self.wave.at_once - len(busy) - len(self.asked_s)
         waiting = [one for one in candidates if one.host not in self.asked_s]
         if room <= 0 or not waiting:
