--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -42,7 +42,7 @@
         await self._callers.start(own.callers.host, own.callers.port)
         await self._ready.start(own.ready.host, own.ready.port)
         if own.metrics is not None:
-            await self._shown_metrics.start(own.metrics.host, own.metrics.port)
+            await self._show_metrics(own.metrics)
         _log.info("Started.", entry=own.entry, zone=own.zone, incarnation=self._service.incarnation)
         async with asyncio.TaskGroup() as group:
             task = group.create_task(self._service.run())
@@ -57,6 +57,13 @@
         await self._mesh.close()
         _log.info("Stopped.", entry=own.entry)
 
+    async def _show_metrics(self, where: job_service.Endpoint) -> None:
+        try:
+            await self._shown_metrics.start(where.host, where.port)
+        except OSError as error:
+            # An entry serves on without its metrics.
+            _log.error("Metrics can't be shown.", address=where.address, why=str(error))
+
     async def _answer(self, call: calls.AnyCall) -> calls.Reply:
         return await self._service.desk.answer(call)
 
