--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -195,7 +195,7 @@
         said = {"clockMs": minion.clock_ms(), "born": minion.facts.life.born_ms}
         match path:
             case "/v1/run-start":
-                return self.start(minion, data, said)
+                return self.start_run(minion, data, said)
             case "/v1/run-stop":
                 order = scheduler.StopRun(minion.facts.life, data["task"], data["run"], "")
                 await self.workers.stop(minion.facts, order, fence=fence)
@@ -203,7 +203,7 @@
                 said |= await self.look(minion, data)
         return 200, said
 
-    def start(self, minion, data, said):
+    def start_run(self, minion, data, said):
         key = jobs.parse_task(data["task"])
         order = scheduler.StartRun(
             minion.facts.life, key, data["run"], data["spec"], "", "q", data.get("ticket")
