--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -534,6 +534,7 @@
             codec=None,
             hosts=Hosts(self.world, name),
             advice=self.world.advice,
+            reload=lambda: own,
             operations=self.world.operations,
             fleets=self.world.fleets,
         )
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -281,16 +281,19 @@
             "somethingNew": {"is": "ignored"},
         }
         self.child = None
+        self.file = self.folder / "settings.yaml"
+
+    def write_settings(self):
+        self.file.write_text(yaml.safe_dump(self.settings))
 
     async def start(self):
-        file = self.folder / "settings.yaml"
-        file.write_text(yaml.safe_dump(self.settings))
+        self.write_settings()
         self.log = (self.folder / "log").open("ab")
         self.child = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "nutmegshelf_platform",
-            env={**os.environ, "NUTMEGSHELF_SETTINGS": str(file)},
+            env={**os.environ, "NUTMEGSHELF_SETTINGS": str(self.file)},
             cwd=ROOT,
             stdout=self.log,
             stderr=self.log,
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -327,6 +327,22 @@
     context.run(until(seconds, is_done(context.processes, context.ids[-1]), "states"))
 
 
+@behave.then("SIGHUP with changed settings ends no entry")
+def hang_up(context):
+    async def run():
+        for process in context.processes:
+            process.settings["bounds"]["upkeepS"] = 5
+            process.write_settings()
+            process.child.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        for process in context.processes:
+            assert process.child.returncode is None, process.name
+            said = (process.folder / "log").read_text()
+            assert "Settings were reloaded." in said and "upkeep_s" in said, said[-2000:]
+
+    context.run(run())
+
+
 @behave.then("an unknown job is answered 410, an unknown path 404 and the count is 0")
 def check_others(context):
     async def ask():
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -31,6 +31,7 @@
 HOLD_LIMIT_S = 2.2
 _INBOX_WAIT_S = 2.0
 _RETRY_S = 0.25
+_SETTINGS_INTERVAL_S = 10.0
 _DEMAND_INTERVAL_S = 0.15
 _DEMAND_LIMIT_S = 0.4
 
@@ -74,6 +75,7 @@
     codec: front.Codec
     hosts: ports.Hosts
     advice: ports.Advice | None
+    reload: collections.abc.Callable[[], JobSettings]
     operations: collections.abc.Callable[
         [], collections.abc.AsyncIterator[queues.QueueSet | upkeep.Wave]
     ]
@@ -87,6 +89,7 @@
 
     def __init__(self, own: JobSettings, outside: Outside, peers: ports.Peers) -> None:
         self.in_force = queues.InForce()
+        self.on_limits: collections.abc.Callable[[queues.Limits], None] = lambda limits: None
         self.leaving = False
         self.incarnation = uuid.uuid4().hex
         self._own = own
@@ -113,8 +116,32 @@
             group.create_task(self._follow_inbox())
             group.create_task(self._tell_demand())
             group.create_task(self._advisor.run())
+            group.create_task(self._follow_settings())
             group.create_task(self.shards.run())
 
+    def reload(self) -> None:
+        """Take changed settings; what is held goes on under the old ones."""
+        try:
+            changed = self._outside.reload()
+        except exceptions.DeclarationError as error:
+            _log.error("Changed settings can't be used.", why=str(error))
+            return
+        if changed == self._own:
+            return
+        before, self._own = self._own, changed
+        fields = [
+            name
+            for name in changed.__struct_fields__
+            if getattr(changed, name) != getattr(before, name)
+        ]
+        _log.info("Settings were reloaded.", changed=fields)
+
+    async def _follow_settings(self) -> None:
+        # The file may change without a signal.
+        while True:
+            await asyncio.sleep(_SETTINGS_INTERVAL_S)
+            self.reload()
+
     def _own_holders(self) -> list[holder.Holder]:
         held = self.shards.holders().values()
         return [one for one in held if isinstance(one, holder.Holder)]
@@ -174,6 +201,7 @@
         _log.info(
             "A configuration is in force.", version=declared.version, queues=len(declared.queues)
         )
+        self.on_limits(declared.limits)
         served = {ids.PoolName(queue.service) for queue in declared.queues}
         self.shards.pools = sorted(served | {fleet_holder.FLEET})
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -3,10 +3,11 @@
 import asyncio
 import collections.abc
 import contextlib
+import signal
 import time
 
-from nutmegshelf import calls, exceptions
-from nutmegshelf_http import server
+from nutmegshelf import calls, exceptions, queues
+from nutmegshelf_http import channel, server
 
 from nutmegshelf_entry import front, job_metrics, job_service, logs, mesh, problems, shutdown
 
@@ -30,6 +31,7 @@
         self._callers = server.Server(
             self._front.handle, bad_head=problems.bad_head, on_error=self._report
         )
+        self._service.on_limits = self._set_limits
         self._ready = server.Server(front.ready_handler(self._is_ready), on_error=self._report)
         self._shown_metrics = server.Server(self._metrics.handle, on_error=self._report)
         self._shutdown = shutdown.Shutdown(own.grace_s / 2, own.grace_s / 3)
@@ -38,6 +40,7 @@
         """Serve until SIGTERM, then hand over and finish what is in progress."""
         own = self._own
         self._shutdown.watch_signals()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._service.reload)
         await self._mesh.start(own.peers.host, own.peers.port)
         await self._callers.start(own.callers.host, own.callers.port)
         await self._ready.start(own.ready.host, own.ready.port)
@@ -67,6 +70,15 @@
     async def _answer(self, call: calls.AnyCall) -> calls.Reply:
         return await self._service.desk.answer(call)
 
+    def _set_limits(self, limits: queues.Limits) -> None:
+        self._callers.set_limits(
+            server.Limits(
+                head_timeout_s=limits.head_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+                max_head_bytes=min(limits.head_bytes, channel.MAX_HEAD_BYTES),
+            )
+        )
+
     def _refuse(self) -> None:
         self._front.refusing = exceptions.ErrorKind.SHUTTING_DOWN
 
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
@@ -18,6 +18,7 @@
     idle_timeout_s: float = 75.0
     check_interval_s: float = 0.5
     max_connections: int = 4096
+    max_head_bytes: int = channel.MAX_HEAD_BYTES
 
 
 class Exchange:
@@ -134,6 +135,10 @@
         """Count the open connections."""
         return len(self._links)
 
+    def set_limits(self, limits: Limits) -> None:
+        """Change the limits of what comes from now on."""
+        self._limits = limits
+
     async def start(self, host: str, port: int) -> int:
         """Listen and give the port."""
         loop = asyncio.get_running_loop()
@@ -243,7 +248,7 @@
         event = await link.receive()
         if not isinstance(event, h11.Request):
             return None
-        if _head_bytes(event) > channel.MAX_HEAD_BYTES:
+        if _head_bytes(event) > self._limits.max_head_bytes:
             raise h11.RemoteProtocolError("the head is too large", error_status_hint=431)
         link.limit_each_read(self._limits.body_timeout_s)
         exchange = Exchange(link, event, lambda: self._closing)
