Size pools by all that waits, and put idle hosts away after what one move costs

Causes: at a turn's start pools grew by what would clear in a second, while hosts take two to arrive; hosts idled for what two moves cost, though by way of the spare pool they move once more, not twice. The order by due time has a module and a replay of a burst.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -42,7 +42,7 @@
       | 0       | 0       | 1       | 1     |
       | 4       | 0       | 1       | 5     |
       | 4       | 4       | 1       | 10    |
-      | 4       | 4       | 0.5     | 7     |
+      | 4       | 4       | 0.15    | 7     |
 
   Scenario: Turns are forecast only from turns that come regularly
     Given turns of pools "a, b, c, d" that begin every 8 s
--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -145,3 +145,9 @@
       | 130     | 10      |
       | 130     | 0       |
       | 20      | 15      |
+
+  Scenario: In a burst jobs that can be on time go first
+    Given a burst of 120 jobs over 2 s for workers that do 25 a second
+    When it is replayed in the order of urgency and in the order that jobs came
+    Then at least 1.5 times as many are on time in the order of urgency
+    And both orders end all jobs
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -188,7 +188,7 @@
                 queue=job.queue.name,
                 pool=self.pool,
                 tasks=sum(step.count for step in job.steps),
-                due_in_s=round(record.due_by_s - self._loop.time(), 3),
+                chain_s=round(record.chain_s, 3),
             )
 
     # --- what the store and the fleet's list say
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -26,7 +26,7 @@
     job: jobs.Job
     progress: jobs.Progress
     accepted_s: float
-    due_by_s: float
+    chain_s: float
     version: int = 0
     shown: jobs.JobState = jobs.JobState.QUEUED
     occurrences: dict[int, list[Part]] = dataclasses.field(default_factory=dict)
@@ -80,7 +80,7 @@
         if known is not None:
             return known
         progress = progress or jobs.Progress(job=job.job)
-        record = Record(job, progress, accepted_s, accepted_s + objective_s(job))
+        record = Record(job, progress, accepted_s, chain_s(job))
         record.shown = progress.state
         self.records[job.job] = record
         if record.is_live:
@@ -298,14 +298,13 @@
         return max(task.run, self._first_run) + 1
 
 
-def objective_s(job: jobs.Job) -> float:
-    """Give how long a job may take to be on time, by its own estimates."""
-    longest: list[float] = []
+def chain_s(job: jobs.Job) -> float:
+    """Give the longest chain of a job's steps by their estimates."""
+    ends_s: list[float] = []
     for step in job.steps:
-        before = max((longest[index] for index in step.after if index < len(longest)), default=0.0)
-        longest.append(before + step.estimate_ms / 1000)
-    queue = job.queue
-    return queue.stretch * max(longest, default=0.0) + queue.target_latency_ms / 1000
+        before_s = max((ends_s[index] for index in step.after if index < len(ends_s)), default=0.0)
+        ends_s.append(before_s + step.estimate_ms / 1000)
+    return max(ends_s, default=0.0)
 
 
 def mark(bits: bytes, position: int) -> bytes:
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -58,7 +58,7 @@
 # Room for tasks that don't share a host well, as a part of the need.
 _HEADROOM = 1.15
 # Work that waits is to be done within this time, as callers leave little more.
-_CLEARED_S = 1.0
+_CLEARED_S = 0.3
 # The time over which the rate of arriving work is taken.
 _RATE_S = 2.0
 _MOST_AHEAD = 1.5
@@ -165,9 +165,10 @@
         now_s: float,
     ) -> list[Move]:
         coming = self.turns.forecast(now_s)
-        # Putting a host away and fetching it back costs two moves. Where the next turn is known
-        # and another pool's, the host is surely idle for longer than these are worth.
-        until_s = 2 * self._costs.move_host_s
+        # A host that goes straight to the next pool moves once, by way of the spare pool twice, so
+        # it idles for what one move costs. Where the next turn is known and another pool's, the
+        # host is surely idle for longer.
+        until_s = self._costs.move_host_s
         moves: list[Move] = []
         for view in free:
             if view.pool == spare:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -17,6 +17,7 @@
     ledger,
     notes,
     sharing,
+    urgency,
 )
 
 # A stop that was not answered is sent again after this time.
@@ -476,7 +477,7 @@
             return []
         orders: list[Order] = []
         blocked = fitting.Blocked()
-        for record in sorted(ready, key=lambda record: _urgency(record, now_s)):
+        for record in sorted(ready, key=lambda record: urgency.of(record, now_s)):
             orders += self._start_job(record, found, blocked, now_s)
         self._ask_ahead(found, now_s)
         return orders
@@ -587,16 +588,3 @@
     if not step.lasting:
         return 0
     return math.ceil(step.count / fitting.most_per_worker(step))
-
-
-def _urgency(record: ledger.Record, now_s: float) -> tuple[bool, int, int, float]:
-    """Order jobs: those that last, then by priority, then what can still be on time."""
-    slack_s = record.due_by_s - now_s
-    objective = record.due_by_s - record.accepted_s
-    if slack_s >= 0:
-        lateness = 0
-    elif slack_s >= -2 * objective:
-        lateness = 1
-    else:
-        lateness = 2
-    return not record.job.lasts, record.job.queue.priority, lateness, record.due_by_s
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/urgency.py
@@ -0,0 +1,54 @@
+"""Order the jobs that wait for workers.
+
+Load pattern: in a burst more jobs come than the workers can do in time. Serving them in the order
+that they came makes all of them late, so jobs that can still be on time go first, those with the
+least time to spare before the others, and jobs that are late already use what is left.
+"""
+
+import dataclasses
+import enum
+import functools
+
+from nutmegshelf import ledger
+
+# A job that takes longer than this many times its objective is worth nothing to its caller.
+_WORTHLESS_AT = 3.0
+
+
+class Hope(enum.IntEnum):
+    """Say whether a job can still be on time, in the order that jobs are served."""
+
+    ON_TIME = 0
+    LATE = 1
+    WORTHLESS = 2
+
+
+@functools.total_ordering
+@dataclasses.dataclass(frozen=True, slots=True)
+class Urgency:
+    """Hold what orders a job among others; the least goes first."""
+
+    ends: bool
+    priority: int
+    hope: Hope
+    spare_s: float
+
+    def __lt__(self, other: "Urgency") -> bool:
+        return self._key() < other._key()
+
+    def _key(self) -> tuple[bool, int, Hope, float]:
+        return self.ends, self.priority, self.hope, self.spare_s
+
+
+def of(record: ledger.Record, now_s: float) -> Urgency:
+    """Give a job's urgency."""
+    queue = record.job.queue
+    objective_s = queue.stretch * record.chain_s + queue.target_latency_ms / 1000
+    spare_s = record.accepted_s + objective_s - now_s
+    if spare_s >= 0:
+        hope = Hope.ON_TIME
+    elif spare_s >= -(_WORTHLESS_AT - 1) * objective_s:
+        hope = Hope.LATE
+    else:
+        hope = Hope.WORTHLESS
+    return Urgency(not record.job.lasts, queue.priority, hope, spare_s)
