--- a/features/platform.feature
+++ b/features/platform.feature
@@ -68,6 +68,7 @@
     Given the platform's stand-in with 4 workers and 2 entries as processes
     When a job is handed in over HTTP at the first entry
     Then within 10 s its state is succeeded at both entries
+    And the metrics count the requests and the runs
     And SIGHUP with changed settings ends no entry
     And an unknown job is answered 410, an unknown path 404 and the count is 0
     When the first entry is killed and a job is handed in at the second
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -259,13 +259,22 @@
         return [one.getsockname()[1] for one in found]
 
 
+# Several entries share an address here, so each shows its metrics at a port of its own.
+START = """
+import sys
+from nutmegshelf_platform import settings
+settings.METRICS_PORT = int(sys.argv[1])
+import nutmegshelf_platform.__main__
+"""
+
+
 class Process:
     """Own one entry that runs as a real process with the platform's settings."""
 
     def __init__(self, name, platform_port):
         self.name = name
         self.folder = pathlib.Path(tempfile.mkdtemp())
-        self.callers, self.ready, first = free_ports(3)
+        self.callers, self.ready, first, self.metrics = free_ports(4)
         self.settings = {
             "node": name,
             "ip": "127.0.0.1",
@@ -291,8 +300,9 @@
         self.log = (self.folder / "log").open("ab")
         self.child = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "nutmegshelf_platform",
+            "-c",
+            START,
+            str(self.metrics),
             env={**os.environ, "NUTMEGSHELF_SETTINGS": str(self.file)},
             cwd=ROOT,
             stdout=self.log,
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -327,6 +327,19 @@
     context.run(until(seconds, is_done(context.processes, context.ids[-1]), "states"))
 
 
+@behave.then("the metrics count the requests and the runs")
+def check_metrics(context):
+    async def read():
+        link = client.Client("127.0.0.1", context.processes[0].metrics)
+        answer = await link.request("GET", "/metrics")
+        link.close()
+        return answer.body.decode()
+
+    text = context.run(read())
+    for name in ("nutmegshelf_job_requests_total", "nutmegshelf_configuration_version"):
+        assert name in text, text
+
+
 @behave.then("SIGHUP with changed settings ends no entry")
 def hang_up(context):
     async def run():
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
@@ -9,7 +9,7 @@
 from nutmegshelf import exceptions, ids, jobs, queues
 from nutmegshelf_http import channel, server
 
-from nutmegshelf_entry import desk, logs, problems
+from nutmegshelf_entry import desk, job_metrics, logs, problems
 
 # Kept back from the caller's patience, so that the final answer still arrives in time.
 _ANSWER_RESERVE_S = 0.1
@@ -44,13 +44,13 @@
         in_force: queues.InForce,
         codec: Codec,
         wire: desk.Desk,
-        counted: collections.abc.Callable[[str, int, float], None],
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         self.refusing: exceptions.ErrorKind | None = None
         self._in_force = in_force
         self._codec = codec
         self._desk = wire
-        self._counted = counted
+        self._metrics = metrics
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Give one request its final answer."""
@@ -70,7 +70,7 @@
             status, (headers, body) = late.answer.status, problems.problem(late, None)
             self._note(exchange, late)
         took_s = asyncio.get_running_loop().time() - began_s
-        self._counted(exchange.method, status, took_s)
+        self._metrics.count_request(exchange.method, status, took_s)
         try:
             await exchange.respond(status, headers, body)
         except (ConnectionError, h11.LocalProtocolError) as error:
@@ -78,6 +78,7 @@
             exchange.link.abort()
 
     def _note(self, exchange: server.Exchange, error: exceptions.RequestError) -> None:
+        self._metrics.count_refusal(error.kind.value)
         routes = self._in_force.routes
         _log.log(
             error.answer.log_level,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -70,7 +70,7 @@
         self.is_loaded = False
         self._listed: list[fleetview.WorkerFacts] = []
         self._group: asyncio.TaskGroup | None = None
-        self._notes = notelog.NoteLog("holder", pool)
+        self.notes = notelog.NoteLog("holder", pool)
 
     def wake(self) -> None:
         """Have the next pass run soon."""
@@ -115,6 +115,10 @@
             return 0.0
         return (terms.decide_ms + terms.per_worker_ms * len(question.lives)) / 1000
 
+    def live_jobs(self) -> int:
+        """Count the jobs that have not ended."""
+        return sum(record.is_live for record in self.scheduler.ledger.records.values())
+
     def _is_fresh(self) -> bool:
         return self._loop.time() - self.writer.renewed_s < self._hold_limit_s
 
@@ -361,7 +365,7 @@
                     self._group.create_task(link.send(order))
         if self.scheduler.ledger.dirty:
             self.writer.poke()
-        self._notes.write(self.scheduler.notes)
+        self.notes.write(self.scheduler.notes)
 
 
 def _now_ms() -> int:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_metrics.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_metrics.py
@@ -1,31 +1,65 @@
 """Count and time what the job service does, and show it as text."""
 
 import collections
+import collections.abc
 
 import aioprometheus
 from nutmegshelf_http import server
 
 from nutmegshelf_entry import histograms
 
+Gauges = dict[str, dict[str, float]]
+
 
 class JobMetrics:
-    """Own the counters and histograms of the job service."""
+    """Own the counters and histograms of the job service; gauges are read when they are shown."""
 
     def __init__(self) -> None:
         self._requests: collections.Counter[tuple[str, int]] = collections.Counter()
+        self._refusals: collections.Counter[str] = collections.Counter()
         self._times = histograms.Histograms()
+        self.gauges: collections.abc.Callable[[], Gauges] = dict
+        self.events: collections.abc.Callable[[], Gauges] = dict
 
     def count_request(self, method: str, status: int, took_s: float) -> None:
         """Count one answered request."""
         self._requests[method, status] += 1
         self._times.observe((method,), took_s)
 
-    async def handle(self, exchange: server.Exchange) -> None:
-        """Answer a scrape."""
+    def count_refusal(self, kind: str) -> None:
+        """Count one request that got no success."""
+        self._refusals[kind] += 1
+
+    def render(self) -> bytes:
+        """Write all metrics in the text format."""
         registry = aioprometheus.Registry()
-        counter = aioprometheus.Counter("requests", "Callers' requests", registry=registry)
+        requests = aioprometheus.Counter(
+            "nutmegshelf_job_requests_total", "Callers' requests", registry=registry
+        )
         for (method, status), count in self._requests.items():
-            counter.set({"method": method, "status": str(status)}, count)
-        self._times.render("request_seconds", "Time of requests", ("method",), registry)
+            requests.set({"method": method, "status": str(status)}, count)
+        refusals = aioprometheus.Counter(
+            "nutmegshelf_job_refusals_total", "Requests without success by kind", registry=registry
+        )
+        for kind, count in self._refusals.items():
+            refusals.set({"kind": kind}, count)
+        events = aioprometheus.Counter(
+            "nutmegshelf_job_events_total", "Decisions by service", registry=registry
+        )
+        for pool, counts in self.events().items():
+            for event, total in counts.items():
+                events.set({"pool": pool, "event": event}, total)
+        for name, values in self.gauges().items():
+            gauge = aioprometheus.Gauge(f"nutmegshelf_{name}", "Now", registry=registry)
+            for label, value in values.items():
+                gauge.set({"of": label}, value)
+        self._times.render(
+            "nutmegshelf_job_request_seconds", "Time to answer callers", ("method",), registry
+        )
         content, _ = aioprometheus.render(registry, ["text/plain"])
-        await exchange.respond(200, [(b"content-type", b"text/plain; version=0.0.4")], content)
+        return bytes(content)
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer a scrape."""
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await exchange.respond(200, headers, self.render())
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -119,6 +119,24 @@
             group.create_task(self._follow_settings())
             group.create_task(self.shards.run())
 
+    def gauges(self) -> dict[str, dict[str, float]]:
+        """Give what is so now, for the metrics."""
+        held = self._own_holders()
+        routes = self.in_force.routes
+        now_s = asyncio.get_running_loop().time()
+        age_s = now_s - self.in_force.changed_s
+        return {
+            "configuration_version": {"entry": float(routes.declared.version) if routes else 0.0},
+            "configuration_age_seconds": {"entry": age_s if routes else 0.0},
+            "workers_listed": {"entry": float(len(self._fleet))},
+            "lease_age_seconds": {one.pool: now_s - one.writer.renewed_s for one in held},
+            "jobs_live": {one.pool: float(one.live_jobs()) for one in held},
+        }
+
+    def events(self) -> dict[str, dict[str, float]]:
+        """Give how often each decision was taken by the services held here."""
+        return {one.pool: dict(one.notes.totals) for one in self._own_holders()}
+
     def reload(self) -> None:
         """Take changed settings; what is held goes on under the old ones."""
         try:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -26,7 +26,7 @@
             self._service.in_force,
             outside.codec,
             self._service.desk,
-            self._metrics.count_request,
+            self._metrics,
         )
         self._callers = server.Server(
             self._front.handle, bad_head=problems.bad_head, on_error=self._report
@@ -34,6 +34,8 @@
         self._service.on_limits = self._set_limits
         self._ready = server.Server(front.ready_handler(self._is_ready), on_error=self._report)
         self._shown_metrics = server.Server(self._metrics.handle, on_error=self._report)
+        self._metrics.gauges = self._service.gauges
+        self._metrics.events = self._service.events
         self._shutdown = shutdown.Shutdown(own.grace_s / 2, own.grace_s / 3)
 
     async def run(self) -> None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
@@ -18,6 +18,8 @@
         self._log = logs.part(part)
         self._pool = pool
         self._second = 0
+        # What was noted since the start, with what was left out of the log.
+        self.totals: collections.Counter[str] = collections.Counter()
         self._lines: collections.Counter[str] = collections.Counter()
 
     def write(self, taken: notes.Notes) -> None:
@@ -27,6 +29,7 @@
             self._flush()
             self._second = second
         for note in taken.take():
+            self.totals[note.event] += 1
             self._lines[note.event] += 1
             if self._lines[note.event] <= _MOST_LINES:
                 self._log.info(note.event, pool=self._pool, **note.fields)
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -262,6 +262,14 @@
                 self.ledger.fail(record, task, end.run, now_s)
             case _:
                 pass
+        if not record.is_live and record.ended_s == now_s:
+            self.notes.note(
+                "job ended",
+                job=record.job.job,
+                state=record.progress.state.value,
+                reason=record.progress.reason,
+                took_s=round(now_s - record.accepted_s, 3),
+            )
         self.ledger.save(record, task, end.saved)
         if is_own:
             if end.how is not fleetview.How.DONE:
@@ -573,8 +581,12 @@
         run: int,
         now_s: float,
     ) -> StartRun:
-        self.ledger.place(record, task, worker, run, now_s)
         life = worker.facts.life
+        waited_s = round(now_s - max(task.since_s, record.accepted_s), 3)
+        self.notes.note(
+            "run starts", task=task.key.name, run=run, worker=life.worker, waited_s=waited_s
+        )
+        self.ledger.place(record, task, worker, run, now_s)
         ticket = None
         if record.job.queue.advised is not None:
             ticket = self.advice.ticket(advising.step_name(task.key), life, now_s)
