--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -62,6 +62,19 @@
     And a job of steps "1" is submitted after 1 s
     Then within 2 s it is shown as succeeded at every entry
 
+  Scenario: A takeover does not wait for hosts that were moved away behind a cut
+    Given 3 entries and 4 workers of one service
+    And a job ran and a host was moved away since
+    And the row of used lives still names the hosts that moved
+    When the holder is killed
+    And a job of steps "1" is submitted after 1 s
+    Then within 5 s it is shown as succeeded at every entry
+
+  Scenario: A job that may be stored is not called not run when it comes again
+    Given 1 entries and 2 workers of one service
+    When a job is submitted while its answer is lost and again while the table is away
+    Then both times it is said that it may run
+
   Scenario: A notice that comes while a holder loads is taken in
     Given 2 entries and 4 workers of one service
     When the holder is killed and a job is stored by another entry while the next one loads
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -4,7 +4,17 @@
 import functools
 
 import behave
-from nutmegshelf import exceptions, fleetview, jobs, ledger, queues, sharing, urgency
+from nutmegshelf import (
+    codecs,
+    exceptions,
+    fleetview,
+    jobs,
+    ledger,
+    platform,
+    queues,
+    sharing,
+    urgency,
+)
 from nutmegshelf_standins import clock
 
 from features import jobworld
@@ -294,6 +304,41 @@
     assert context.world.moves, "no host moved"
 
 
+@behave.given("the row of used lives still names the hosts that moved")
+def keep_old_lives(context):
+    lives = [(fleetview.Life(f"w{number}", number), f"h{number}") for number in range(1, 9)]
+    write = platform.Write("used/a/lives", codecs.pack(lives))
+    context.world.table.apply(platform.Transaction(writes=(write,)))
+
+
+@behave.when("the holder is killed")
+@paused
+async def kill_holder(context):
+    await context.site.kill(context.site.holder_of("a"))
+
+
+@behave.when("a job is submitted while its answer is lost and again while the table is away")
+@paused
+async def submit_unsettled(context):
+    view = context.site.views["e0"]
+    context.kinds = []
+    made = jobworld.job(9, parse_steps("1"))
+    context.world.jobs[made.job] = made
+    service, _ = context.site.entries["e0"]
+    view.lost_answers, view.late_s = 100, 9.0
+    for _ in range(2):
+        try:
+            await service.desk.submit(made)
+        except exceptions.RequestError as error:
+            context.kinds.append(error.kind.value)
+        view.is_refusing = True
+
+
+@behave.then("both times it is said that it may run")
+def check_unsettled(context):
+    assert context.kinds == ["job-unsettled", "job-unsettled"], context.kinds
+
+
 @behave.when("the holder is stopped gracefully")
 @paused
 async def stop_holder(context):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -12,6 +12,8 @@
 # The holder may wait for the table, which is slow at times; its answer then goes on to the caller.
 _STORING_LIMIT_S = 0.9
 
+_MOST_UNSETTLED = 4_096
+
 _log = logs.part("desk")
 
 
@@ -30,6 +32,8 @@
         self._rows = rows
         self._shards = held
         self._mesh = peers
+        # Jobs that may be stored though their callers were not told so, the oldest first.
+        self._unsettled: dict[ids.JobId, None] = {}
 
     async def answer(self, call: calls.AnyCall) -> calls.Reply:
         """Answer another entry's call, which is for a service that is held here."""
@@ -75,27 +79,28 @@
                 raise exceptions.RequestError(exceptions.ErrorKind.JOB_HOPELESS)
             case _:
                 pass
+        may_be_done = found.may_be_done or job.job in self._unsettled
         if not self._rows.is_answering:
             # Nothing is sent that could be carried out later, so this refusal stays true.
-            kind = (
-                exceptions.ErrorKind.JOB_UNSETTLED
-                if found.may_be_done
-                else exceptions.ErrorKind.TABLE_UNAVAILABLE
-            )
-            raise exceptions.RequestError(kind, "the table does not answer")
+            raise self._refusal(job, may_be_done, "the table does not answer")
         try:
             committed = await self._rows.commit(jobs.submitting(job))
         except exceptions.TableUnavailable as error:
-            kind = (
-                exceptions.ErrorKind.JOB_UNSETTLED
-                if found.may_be_done
-                else exceptions.ErrorKind.TABLE_UNAVAILABLE
-            )
-            raise exceptions.RequestError(kind, str(error)) from error
+            raise self._refusal(job, may_be_done, str(error)) from error
         except exceptions.TableAnswerLost as error:
-            raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, str(error)) from error
+            raise self._refusal(job, True, str(error)) from error
+        self._unsettled.pop(job.job, None)
         _log.info("A job is stored for its holder.", job=job.job, is_new=committed.ok)
 
+    def _refusal(self, job: jobs.Job, may_be_done: bool, why: str) -> exceptions.RequestError:
+        if not may_be_done:
+            return exceptions.RequestError(exceptions.ErrorKind.TABLE_UNAVAILABLE, why)
+        # The same job may come again, and must not be called not run then either.
+        self._unsettled[job.job] = None
+        while len(self._unsettled) > _MOST_UNSETTLED:
+            del self._unsettled[next(iter(self._unsettled))]
+        return exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, why)
+
     async def show(self, queue: queues.Queue, job: ids.JobId) -> jobs.JobState:
         """Give a job's state; raises RequestError."""
         found = await self._ask(calls.Show(service=queue.service, job=job), _HOLDER_LIMIT_S)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -14,7 +14,7 @@
     jobs,
     leases,
     platform,
-    queues,
+    pooling,
     scheduler,
 )
 
@@ -26,6 +26,7 @@
 # A job that is not stored within this time is given back to the entry that took it.
 _ACCEPT_LIMIT_S = 0.7
 USED = "used"
+_Lives = list[tuple[fleetview.Life, ids.HostId]]
 
 _log = logs.part("holder")
 
@@ -38,8 +39,8 @@
         pool: ids.PoolName,
         rows: ports.Rows,
         workers: ports.Workers,
+        hosts: ports.Hosts,
         book: leases.Leases,
-        in_force: queues.InForce,
         *,
         lease_s: float,
         hold_limit_s: float,
@@ -50,7 +51,7 @@
         self.epoch = held.lease.epoch
         self._rows = rows
         self._workers = workers
-        self._in_force = in_force
+        self._hosts = hosts
         self._lease_s = lease_s
         self._hold_limit_s = hold_limit_s
         self._loop = asyncio.get_running_loop()
@@ -63,7 +64,7 @@
         self.writer.on_accepted = self._accepted
         self._arrived_s: dict[ids.JobId, float] = {}
         self._links: dict[fleetview.Life, worker_link.Link] = {}
-        self._used: list[fleetview.Life] | None = None
+        self._used: list[tuple[fleetview.Life, ids.HostId]] | None = None
         self._notices: asyncio.Queue[jobs.Notice] = asyncio.Queue()
         self._woken = asyncio.Event()
         self._may_order = asyncio.Event()
@@ -293,9 +294,10 @@
             if job is not None:
                 age_s = max(0, now_ms - job.accepted_ms) / 1000
                 self._add(job, found.get(job.job), now_s - age_s, may_run=True)
-        lives = [fleetview.Life(*one) for row in used for one in codecs.unpack(row.value, list)]
+        lives = [one for row in used for one in codecs.unpack(row.value, _Lives)]
+        expected = await self._still_here(lives)
         self.scheduler.list_workers(self._listed, now_s)
-        self.scheduler.expect_lives(lives)
+        self.scheduler.expect_lives(expected)
         self.scheduler.workers.clear()
         self.is_loaded = True
         _log.info(
@@ -308,6 +310,23 @@
         for row in notices:
             self.notify(codecs.unpack(row.value, jobs.Notice))
 
+    async def _still_here(self, lives: _Lives) -> _Lives:
+        """Leave out lives whose host was moved, taken down or removed: they have ended."""
+        if self.epoch == 1:
+            return []
+        try:
+            views = await self._hosts.list_hosts()
+        except exceptions.HostsError as error:
+            _log.warning("The hosts can't be listed.", pool=self.pool, why=str(error))
+            return lives
+        ended = (pooling.HostState.MOVING, pooling.HostState.UPKEEP)
+        own = {
+            view.host
+            for view in views
+            if view.pool == ids.ServiceName(self.pool) and view.state not in ended
+        }
+        return [(life, host) for life, host in lives if host in own]
+
     async def _store_used(self) -> None:
         lives = self.scheduler.lives_in_use(self._loop.time())
         # Until all is settled, the lives that an earlier holder used have to be kept.
@@ -315,9 +334,7 @@
             return
         self._used = lives
         key = f"{USED}/{self.pool}/lives"
-        await self.writer.write_through(
-            platform.Write(key, codecs.pack([tuple(life) for life in lives]))
-        )
+        await self.writer.write_through(platform.Write(key, codecs.pack(lives)))
 
     async def _keep_used(self) -> None:
         while True:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -79,7 +79,7 @@
         self._lapse_s = lapse_s
         self._began_s = now_s
         self._recovers = recovers
-        self._expected: set[fleetview.Life] = set()
+        self._expected: dict[fleetview.Life, ids.HostId] = {}
         self._is_settled = not recovers
 
     def arrived(self, job: jobs.Job) -> None:
@@ -122,9 +122,11 @@
                 self._lost(worker, now_s, "its worker started anew")
         return added
 
-    def expect_lives(self, lives: collections.abc.Iterable[fleetview.Life]) -> None:
+    def expect_lives(
+        self, lives: collections.abc.Iterable[tuple[fleetview.Life, ids.HostId]]
+    ) -> None:
         """Note which lives an earlier holder used; one that isn't listed may still run tasks."""
-        self._expected = set(lives)
+        self._expected = dict(lives)
 
     def _lost(self, worker: fleetview.Worker, now_s: float, reason: str) -> None:
         for task in list(worker.tasks.values()):
@@ -159,10 +161,10 @@
         # All that was started there is known, unless an earlier holder's word is still missing.
         return not worker.tasks and (self._is_settled or now_s > worker.leased_until_s)
 
-    def lives_in_use(self, now_s: float) -> list[fleetview.Life]:
-        """Give the lives that a later holder has to ask or to wait for."""
+    def lives_in_use(self, now_s: float) -> list[tuple[fleetview.Life, ids.HostId]]:
+        """Give the lives, with their hosts, that a later holder has to ask or to wait for."""
         return sorted(
-            life
+            (life, worker.facts.host)
             for life, worker in self.workers.items()
             if worker.tasks
             or (worker.is_listed and not self.clearing.is_closed(worker.facts.host, now_s))
@@ -173,10 +175,10 @@
             return
         lapsed_s = self._began_s + self._lapse_s
         if now_s <= lapsed_s:
-            born = {life.worker: life.born_ms for life in self.workers}
-            for life in self._expected - self.workers.keys():
-                # A later life of the same worker says that this one has ended.
-                if born.get(life.worker, -1) <= life.born_ms:
+            born = {worker.facts.host: life.born_ms for life, worker in self.workers.items()}
+            for life, host in self._expected.items():
+                # A later life at the same host says that this one has ended.
+                if life not in self.workers and born.get(host, -1) <= life.born_ms:
                     return
             if not all(worker.is_asked for worker in self.workers.values()):
                 return
