--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -69,16 +69,8 @@
     async def submit(self, job: jobs.Job) -> None:
         """Have a job stored and run; raises RequestError."""
         found = await self._ask(calls.Submit(service=job.service, job=job), _STORING_LIMIT_S)
-        match found.reply:
-            case calls.Reply(verdict=calls.Verdict.DONE):
-                return
-            case calls.Reply(verdict=calls.Verdict.REFUSED_FULL, retry_after_s=after_s):
-                kind = exceptions.ErrorKind.QUEUE_FULL
-                raise exceptions.RequestError(kind, retry_after_s=after_s)
-            case calls.Reply(verdict=calls.Verdict.REFUSED_HOPELESS):
-                raise exceptions.RequestError(exceptions.ErrorKind.JOB_HOPELESS)
-            case _:
-                pass
+        if found.reply is not None and found.reply.verdict is calls.Verdict.DONE:
+            return
         may_be_done = found.may_be_done or job.job in self._unsettled
         if not self._rows.is_answering:
             # Nothing is sent that could be carried out later, so this refusal stays true.
--- a/packages/nutmegshelf/src/nutmegshelf/advising.py
+++ b/packages/nutmegshelf/src/nutmegshelf/advising.py
@@ -93,9 +93,3 @@
         known = self._steps.get(step)
         if known is not None:
             known.tickets.pop(life, None)
-
-    def forget_job(self, job: ids.JobId) -> None:
-        """Drop all that is known of a job's steps."""
-        for step in [step for step in self._steps if step.startswith(f"{job}.")]:
-            del self._steps[step]
-            self.questions.pop(step, None)
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -95,8 +95,6 @@
 
     DONE = "done"
     UNKNOWN_JOB = "unknown-job"
-    REFUSED_FULL = "refused-full"
-    REFUSED_HOPELESS = "refused-hopeless"
     NOT_HOLDER = "not-holder"
     UNSETTLED = "unsettled"
     WAITS = "waits"
@@ -108,4 +106,3 @@
     verdict: Verdict
     state: jobs.JobState = jobs.JobState.QUEUED
     count: int = 0
-    retry_after_s: float = 0.0
--- a/packages/nutmegshelf/src/nutmegshelf/clearing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/clearing.py
@@ -25,10 +25,6 @@
             self._since_s[host] = now_s
         self._until_s[host] = now_s + _CLOSED_S
 
-    def reopen(self, host: ids.HostId) -> None:
-        """Give a host new tasks again."""
-        self._until_s.pop(host, None)
-
     def is_closed(self, host: ids.HostId, now_s: float) -> bool:
         """Say whether a host gets no new tasks."""
         return now_s < self._until_s.get(host, 0.0)
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -44,8 +44,6 @@
     CONFIGURATION_STALE = "configuration-stale"
     UNKNOWN_QUEUE = "unknown-queue"
     UNKNOWN_JOB = "unknown-job"
-    QUEUE_FULL = "queue-full"
-    JOB_HOPELESS = "job-hopeless"
     JOB_UNSETTLED = "job-unsettled"
     JOB_UNREADABLE = "job-unreadable"
     INTERNAL = "internal"
@@ -114,12 +112,6 @@
     ),
     ErrorKind.UNKNOWN_QUEUE: Answer(404, Outcome.NOT_RUN, "No queue takes this path."),
     ErrorKind.UNKNOWN_JOB: Answer(410, Outcome.NOT_RUN, "No job has this id."),
-    ErrorKind.QUEUE_FULL: Answer(
-        429, Outcome.NOT_RUN, "The jobs accepted before this one fill its time.", 2
-    ),
-    ErrorKind.JOB_HOPELESS: Answer(
-        503, Outcome.NOT_RUN, "No worker of the service can run the job.", 5
-    ),
     ErrorKind.JOB_UNSETTLED: Answer(
         504, Outcome.UNKNOWN, "The job may have been accepted.", None, logging.WARNING
     ),
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -70,7 +70,6 @@
     pace_percent: int = 100
     stop_sent_s: float | None = None
     stop_acked_s: float | None = None
-    at_work_s: float | None = None
 
 
 class Listed(typing.NamedTuple):
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -119,11 +119,6 @@
         lease = self._leases.get(pool)
         return lease if lease is not None and lease.holder is not None else None
 
-    def version(self, pool: ids.PoolName) -> int:
-        """Give the version of a lease's row as last seen; 0 where there is none."""
-        row = self._rows.get(pool)
-        return row.version if row else 0
-
     def drop(self, pool: ids.PoolName) -> None:
         """Stop holding a lease whose row another transaction changed."""
         self.held.pop(pool, None)
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -96,13 +96,6 @@
                 break
             self._open_occurrence(record, number, may_run)
 
-    def next_due_ms(self, record: Record) -> int | None:
-        """Give when the next occurrence is due, or none."""
-        for number in range(record.job.runs):
-            if number not in record.occurrences and number not in record.progress.finished:
-                return record.job.due_ms(number)
-        return None
-
     def _open_occurrence(self, record: Record, number: int, may_run: bool) -> None:
         stored = record.progress.steps.setdefault(
             number, [jobs.StepProgress() for _ in record.job.steps]
@@ -183,7 +176,7 @@
         task.phase = fleetview.Phase.STARTING
         task.life, task.run = worker.facts.life, run
         task.since_s = task.sent_s = now_s
-        task.stop_sent_s = task.stop_acked_s = task.at_work_s = None
+        task.stop_sent_s = task.stop_acked_s = None
         task.percent, task.figure, task.pace_percent = 0, 0.0, 100
         worker.occupy(task)
         record.placed += 1
@@ -288,11 +281,6 @@
         record.progress.steps.clear()
         self.touch(record)
 
-    def forget(self, record: Record) -> None:
-        """Drop a job that ended long ago."""
-        self.records.pop(record.job.job, None)
-        self.dirty.pop(record.job.job, None)
-
     def next_run(self, task: fleetview.Task) -> int:
         """Give a run number above all that the task had."""
         return max(task.run, self._first_run) + 1
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -238,8 +238,6 @@
             task.phase is fleetview.Phase.UNSURE and task.stop_sent_s is None
         ):
             task.phase, task.since_s = fleetview.Phase.RUNNING, now_s
-        if listed.percent >= 100 and task.percent < 100 and task.step.lasting:
-            task.at_work_s = now_s
         task.percent, task.figure = listed.percent, listed.figure
         self.ledger.save(record, task, listed.saved)
 
