--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -55,9 +55,8 @@
         if step.label and step.label not in worker.facts.labels:
             continue
         count = here[worker.facts.life]
-        if step.lasting and count >= most_per_worker(step):
-            continue
-        if step.max_per_worker and count >= step.max_per_worker:
+        most = most_per_worker(step) if step.lasting else step.max_per_worker
+        if most and count >= most:
             continue
         far = bool(step.data_rack) and worker.facts.rack != step.data_rack
         rank: tuple[object, ...]
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -27,11 +27,9 @@
     progress: jobs.Progress
     accepted_s: float
     chain_s: float
-    version: int = 0
     shown: jobs.JobState = jobs.JobState.QUEUED
     occurrences: dict[int, list[Part]] = dataclasses.field(default_factory=dict)
     ready: dict[jobs.TaskKey, fleetview.Task] = dataclasses.field(default_factory=dict)
-    placed: int = 0
     ended_s: float = 0.0
 
     @property
@@ -179,7 +177,6 @@
         task.stop_sent_s = task.stop_acked_s = None
         task.percent, task.figure, task.pace_percent = 0, 0.0, 100
         worker.occupy(task)
-        record.placed += 1
         if record.progress.state is jobs.JobState.QUEUED:
             record.progress.state = record.shown = jobs.JobState.RUNNING
 
@@ -198,7 +195,6 @@
         worker.vacate(task, now_s)
         task.life = None
         task.since_s = now_s
-        record.placed -= 1
         if task.phase is not fleetview.Phase.DONE:
             self._wait(record, task)
 
