Split the choice of starts and the report of needs from the scheduler, and index live jobs

Starts are chosen in starting.py, needs of hosts in needs.py, orders are typed in orders.py, and the ledger keeps the live jobs apart.

--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -13,7 +13,7 @@
 import urllib.parse
 
 import yaml
-from nutmegshelf import exceptions, jobs, platform, pooling, scheduler
+from nutmegshelf import exceptions, jobs, orders, platform, pooling
 from nutmegshelf_http import server
 
 from features import jobworld
@@ -197,7 +197,7 @@
             case "/v1/run-start":
                 return self.start_run(minion, data, said)
             case "/v1/run-stop":
-                order = scheduler.StopRun(minion.facts.life, data["task"], data["run"], "")
+                order = orders.StopRun(minion.facts.life, data["task"], data["run"], "")
                 await self.workers.stop(minion.facts, order, fence=fence)
             case "/v1/hold":
                 said |= await self.look(minion, data)
@@ -205,7 +205,7 @@
 
     def start_run(self, minion, data, said):
         key = jobs.parse_task(data["task"])
-        order = scheduler.StartRun(
+        order = orders.StartRun(
             minion.facts.life, key, data["run"], data["spec"], "", "q", data.get("ticket")
         )
         refused = minion.start(order, data["deadlineMs"])
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,7 +6,7 @@
 import time
 
 import behave
-from nutmegshelf import exceptions, fleetview, jobs, orders, platform, scheduler
+from nutmegshelf import exceptions, fleetview, jobs, orders, platform
 from nutmegshelf_http import client
 from nutmegshelf_platform import fleet, ingress, minions, operators, store
 
@@ -118,7 +118,7 @@
     (minion,) = context.world.minions.values()
     facts = fleet.read_entry(context.world.table.read(f"servers//{minion.facts.life.worker}"))
     key = jobs.TaskKey("f" * 16, 0, 0, 0)
-    order = scheduler.StartRun(facts.life, key, 1, "s", "", "q")
+    order = orders.StartRun(facts.life, key, 1, "s", "", "q")
     call = minions.Minions().start(facts, order, fence=1, until_ms=10**9)
     try:
         refusal = context.run(call)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -13,6 +13,7 @@
     ids,
     jobs,
     leases,
+    orders,
     platform,
     pooling,
     scheduler,
@@ -118,7 +119,7 @@
 
     def live_jobs(self) -> int:
         """Count the jobs that have not ended."""
-        return sum(record.is_live for record in self.scheduler.ledger.records.values())
+        return len(self.scheduler.ledger.live)
 
     def _is_fresh(self) -> bool:
         return self._loop.time() - self.writer.renewed_s < self._hold_limit_s
@@ -171,7 +172,7 @@
     def _count(self, queue: ids.QueueName) -> calls.Reply:
         pending = sum(
             record.progress.state is jobs.JobState.QUEUED and record.job.queue.name == queue
-            for record in self.scheduler.ledger.records.values()
+            for record in self.scheduler.ledger.live.values()
         )
         return calls.Reply(verdict=calls.Verdict.DONE, count=pending)
 
@@ -305,7 +306,7 @@
             pool=self.pool,
             epoch=self.epoch,
             jobs=len(stored_jobs),
-            live=sum(record.is_live for record in self.scheduler.ledger.records.values()),
+            live=self.live_jobs(),
         )
         for row in notices:
             self.notify(codecs.unpack(row.value, jobs.Notice))
@@ -365,7 +366,7 @@
             self._pass()
             await asyncio.sleep(_PASS_GAP_S)
 
-    def _orders(self, now_s: float) -> list[scheduler.Order]:
+    def _orders(self, now_s: float) -> list[orders.Order]:
         return [
             *self.scheduler.stops(now_s),
             *self.scheduler.paces(now_s),
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -4,7 +4,7 @@
 import enum
 import typing
 
-from nutmegshelf import advising, calls, fleetview, ids, orders, platform, pooling, scheduler
+from nutmegshelf import advising, calls, fleetview, ids, orders, platform, pooling
 
 
 class Changes(typing.NamedTuple):
@@ -65,7 +65,7 @@
     async def start(
         self,
         facts: fleetview.WorkerFacts,
-        order: scheduler.StartRun,
+        order: orders.StartRun,
         *,
         fence: int,
         until_ms: int,
@@ -73,12 +73,12 @@
         """Start a run; gives the reason where it was turned away; raises WorkerError."""
 
     async def stop(
-        self, facts: fleetview.WorkerFacts, order: scheduler.StopRun, *, fence: int
+        self, facts: fleetview.WorkerFacts, order: orders.StopRun, *, fence: int
     ) -> None:
         """Stop a run and bar orders to start it; raises WorkerError."""
 
     async def pace(
-        self, facts: fleetview.WorkerFacts, order: scheduler.SetPace, *, fence: int
+        self, facts: fleetview.WorkerFacts, order: orders.SetPace, *, fence: int
     ) -> None:
         """Let a run work at a share of its speed; raises WorkerError."""
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from nutmegshelf import exceptions, fleetview, scheduler
+from nutmegshelf import exceptions, fleetview, orders, scheduler
 
 from nutmegshelf_entry import logs, ports
 
@@ -121,22 +121,22 @@
             return None
         return int(worker.clock_ahead_ms + (self._loop.time() + lease_s) * 1000)
 
-    async def send(self, order: scheduler.Order) -> None:
+    async def send(self, order: orders.Order) -> None:
         """Carry one order and report its outcome to the scheduler."""
         worker = self._scheduler.workers.get(self._life)
         if worker is None:
             return
         async with self._slots:
             match order:
-                case scheduler.StartRun():
+                case orders.StartRun():
                     await self._start(worker, order)
-                case scheduler.StopRun():
+                case orders.StopRun():
                     await self._stop(worker, order)
-                case scheduler.SetPace():
+                case orders.SetPace():
                     await self._pace(worker, order)
         self._wake()
 
-    async def _start(self, worker: fleetview.Worker, order: scheduler.StartRun) -> None:
+    async def _start(self, worker: fleetview.Worker, order: orders.StartRun) -> None:
         until_ms = self._until_ms(worker, START_VALID_S)
         if until_ms is None or not self._may_order.is_set():
             self._scheduler.refused(order, "not ordered", self._loop.time())
@@ -158,7 +158,7 @@
             else:
                 self._scheduler.refused(order, refusal.value, self._loop.time())
 
-    async def _stop(self, worker: fleetview.Worker, order: scheduler.StopRun) -> None:
+    async def _stop(self, worker: fleetview.Worker, order: orders.StopRun) -> None:
         try:
             await self._calls.stop(worker.facts, order, fence=self._fence)
         except exceptions.WorkerError as error:
@@ -171,7 +171,7 @@
         if self._waiting is not None:
             self._waiting.reschedule(self._loop.time())
 
-    async def _pace(self, worker: fleetview.Worker, order: scheduler.SetPace) -> None:
+    async def _pace(self, worker: fleetview.Worker, order: orders.SetPace) -> None:
         try:
             await self._calls.pace(worker.facts, order, fence=self._fence)
         except exceptions.WorkerError as error:
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -56,6 +56,7 @@
 
     def __init__(self, epoch: int) -> None:
         self.records: dict[ids.JobId, Record] = {}
+        self.live: dict[ids.JobId, Record] = {}
         self.dirty: dict[ids.JobId, int] = {}
         self.in_flight: dict[ids.JobId, int] = {}
         self.change = 0
@@ -82,9 +83,14 @@
         record.shown = progress.state
         self.records[job.job] = record
         if record.is_live:
+            self.live[job.job] = record
             self.open_due(record, now_ms, may_run=may_run)
         return record
 
+    def ready_records(self) -> list[Record]:
+        """Give the jobs with tasks that wait for a worker."""
+        return [record for record in self.live.values() if record.ready]
+
     def open_due(self, record: Record, now_ms: int, *, may_run: bool = False) -> None:
         """Begin the occurrences whose time has come."""
         for number in range(record.job.runs):
@@ -268,6 +274,7 @@
     def end(self, record: Record, state: jobs.JobState, reason: str, now_s: float) -> None:
         """End a job; what still runs of it has to be stopped."""
         record.progress.state, record.progress.reason = state, reason
+        self.live.pop(record.job.job, None)
         record.ready.clear()
         record.ended_s = now_s
         for task in record.tasks():
--- a/packages/nutmegshelf/src/nutmegshelf/orders.py
+++ b/packages/nutmegshelf/src/nutmegshelf/orders.py
@@ -1,9 +1,10 @@
-"""Type what a worker answers to looks and orders."""
+"""Type the orders to workers, and what workers answer to looks and orders."""
 
+import dataclasses
 import enum
 import typing
 
-from nutmegshelf import fleetview, ids
+from nutmegshelf import fleetview, ids, jobs
 
 
 class Refusal(enum.Enum):
@@ -31,3 +32,39 @@
 
     tickets: dict[ids.WorkerId, str]
     valid_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRun:
+    """Start a run of a task at a worker."""
+
+    life: fleetview.Life
+    key: jobs.TaskKey
+    run: int
+    spec: str
+    saved: str
+    queue: ids.QueueName
+    ticket: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRun:
+    """Stop a run at a worker and bar any order to start it that is still under way."""
+
+    life: fleetview.Life
+    task: str
+    run: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetPace:
+    """Let a run work at a share of its speed."""
+
+    life: fleetview.Life
+    task: str
+    run: int
+    percent: int
+
+
+Order = StartRun | StopRun | SetPace
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -1,23 +1,21 @@
-"""Decide for one service which tasks start where, and which runs have to be stopped."""
+"""Know what runs where for one service, and decide which runs start and which are stopped."""
 
-import collections
 import collections.abc
-import dataclasses
-import math
 
 from nutmegshelf import (
     advising,
     calls,
     clearing,
     estimates,
-    fitting,
     fleetview,
     ids,
     jobs,
     ledger,
+    needs,
     notes,
+    orders,
     sharing,
-    urgency,
+    starting,
 )
 
 # A stop that was not answered is sent again after this time.
@@ -29,42 +27,6 @@
 _ROOM_PAUSE_S = 0.3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartRun:
-    """Start a run of a task at a worker."""
-
-    life: fleetview.Life
-    key: jobs.TaskKey
-    run: int
-    spec: str
-    saved: str
-    queue: ids.QueueName
-    ticket: str | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopRun:
-    """Stop a run at a worker and bar any order to start it that is still under way."""
-
-    life: fleetview.Life
-    task: str
-    run: int
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetPace:
-    """Let a run work at a share of its speed."""
-
-    life: fleetview.Life
-    task: str
-    run: int
-    percent: int
-
-
-Order = StartRun | StopRun | SetPace
-
-
 class Scheduler:
     """Own the workers and the ledger of one service for one epoch of its lease."""
 
@@ -75,6 +37,7 @@
         self.clearing = clearing.Clearing()
         self.estimates = estimates.Estimates()
         self.advice = advising.Advice()
+        self._starter = starting.Starter(self.ledger, self.advice, self.notes)
         self._arrived_core_ms = 0.0
         self._lapse_s = lapse_s
         self._began_s = now_s
@@ -152,8 +115,8 @@
                 worker.strays.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
                 del self.workers[worker.facts.life]
-        for record in self.ledger.records.values():
-            if record.job.occurrences and record.is_live:
+        for record in self.ledger.live.values():
+            if record.job.occurrences:
                 self.ledger.open_due(record, now_ms)
         self._settle(now_s)
 
@@ -323,61 +286,20 @@
 
     def demand(self, now_s: float) -> calls.DemandReport:
         """Say what the service needs of hosts now."""
-        hosts: dict[ids.HostId, calls.HostLoad] = {}
-        running, lasting = 0, 0
-        for worker in self.workers.values():
-            if not worker.is_listed:
-                continue
-            lasting += sum(
-                task.step.cpu_millis
-                for task in worker.tasks.values()
-                if task.step.lasting and not task.step.fills
-            )
-            used = worker.facts.cpu_millis - worker.free_cpu_millis
-            running += used
-            is_idle = not worker.tasks and not worker.strays and worker.is_asked
-            hosts[worker.facts.host] = calls.HostLoad(
-                cpu_millis=used,
-                lasting=sum(task.step.lasting for task in worker.tasks.values()),
-                idle_s=max(0.0, now_s - worker.idle_since_s) if is_idle else None,
-                is_useless=worker.is_closed
-                or worker.unheard_since_s is not None
-                or now_s < worker.shunned_until_s,
-            )
-        waiting, least, weighted_ms = 0, 0, 0.0
-        for record in self.ledger.records.values():
-            if not record.is_live:
-                continue
-            ratio = self.estimates.ratio(record.job.queue.name)
-            for task in record.ready.values():
-                if not task.step.fills:
-                    waiting += task.step.cpu_millis
-                    weighted_ms += task.step.cpu_millis * task.step.estimate_ms * ratio
-            if record.job.lasts:
-                homeless = bool(record.ready)
-                least = max(least, *(_least_hosts(step) + homeless for step in record.job.steps))
-        waiting_ms = weighted_ms / waiting if waiting else 0.0
-        sizes = [worker.facts.cpu_millis for worker in self.workers.values()]
-        return calls.DemandReport(
-            cpu_running=running,
-            cpu_waiting=waiting,
-            cpu_lasting=lasting,
-            waiting_ms=int(waiting_ms),
-            arrived_core_ms=int(self._arrived_core_ms),
-            least_hosts=least,
-            host_cpu_millis=max(sizes, default=0),
-            hosts=hosts,
+        live = self.ledger.live.values()
+        return needs.report(
+            self.workers.values(), live, self.estimates, self._arrived_core_ms, now_s
         )
 
     # --- answers to orders
 
-    def started(self, order: StartRun, now_s: float) -> None:
+    def started(self, order: orders.StartRun, now_s: float) -> None:
         """Note that a worker took a start."""
         task = self._task_of(order)
         if task is not None and task.phase is fleetview.Phase.STARTING:
             task.phase, task.since_s = fleetview.Phase.RUNNING, now_s
 
-    def refused(self, order: StartRun, reason: str, now_s: float) -> None:
+    def refused(self, order: orders.StartRun, reason: str, now_s: float) -> None:
         """Note that a worker turned a start away; the run does not begin there."""
         worker, task = self.workers.get(order.life), self._task_of(order)
         if worker is None or task is None:
@@ -389,14 +311,14 @@
         self.notes.note("start refused", task=order.key.name, run=order.run, reason=reason)
         self.ledger.free(self.ledger.records[order.key.job], task, worker, now_s)
 
-    def unanswered(self, order: StartRun, now_s: float) -> None:
+    def unanswered(self, order: orders.StartRun, now_s: float) -> None:
         """Note that a start got no answer, so that it may be carried out at any time."""
         task = self._task_of(order)
         if task is not None and task.phase is fleetview.Phase.STARTING:
             task.phase, task.since_s = fleetview.Phase.UNSURE, now_s
             self.notes.note("start unanswered", task=order.key.name, run=order.run)
 
-    def stopped(self, order: StopRun, now_s: float) -> bool:
+    def stopped(self, order: orders.StopRun, now_s: float) -> bool:
         """Note that a worker took a stop; says whether a look would free its task now."""
         worker, key = self.workers.get(order.life), jobs.parse_task(order.task)
         task = worker.tasks.get(key) if worker and key else None
@@ -407,30 +329,30 @@
             return task.phase is fleetview.Phase.UNSURE
         return False
 
-    def _task_of(self, order: StartRun) -> fleetview.Task | None:
+    def _task_of(self, order: orders.StartRun) -> fleetview.Task | None:
         worker = self.workers.get(order.life)
         task = worker.tasks.get(order.key) if worker else None
         return task if task is not None and task.run == order.run else None
 
     # --- choices
 
-    def stops(self, now_s: float) -> list[Order]:
+    def stops(self, now_s: float) -> list[orders.Order]:
         """Give the runs to stop now: of ended jobs, of lost orders, and those not known."""
-        orders: list[Order] = []
+        chosen: list[orders.Order] = []
         for worker in self.workers.values():
             life = worker.facts.life
             for (name, run), sent_s in worker.strays.items():
                 if now_s - sent_s >= STOP_AGAIN_S:
                     worker.strays[name, run] = now_s
-                    orders.append(StopRun(life, name, run, "not wanted here"))
+                    chosen.append(orders.StopRun(life, name, run, "not wanted here"))
             for task in worker.tasks.values():
                 reason = self._why_stop(task)
                 if reason is None or task.stop_acked_s is not None:
                     continue
                 if task.stop_sent_s is None or now_s - task.stop_sent_s >= STOP_AGAIN_S:
                     task.stop_sent_s = now_s
-                    orders.append(StopRun(life, task.key.name, task.run, reason))
-        return orders
+                    chosen.append(orders.StopRun(life, task.key.name, task.run, reason))
+        return chosen
 
     def _why_stop(self, task: fleetview.Task) -> str | None:
         record = self.ledger.records[task.key.job]
@@ -444,9 +366,9 @@
             return "asked to leave"
         return None
 
-    def paces(self, now_s: float) -> list[Order]:
+    def paces(self, now_s: float) -> list[orders.Order]:
         """Give the paces to set now."""
-        orders: list[Order] = []
+        chosen: list[orders.Order] = []
         for worker in self.workers.values():
             for task, percent in sharing.choose(worker, now_s).items():
                 self.notes.note(
@@ -454,8 +376,8 @@
                 )
                 task.pace_percent = percent
                 worker.paced_s = now_s
-                orders.append(SetPace(worker.facts.life, task.key.name, task.run, percent))
-        return orders
+                chosen.append(orders.SetPace(worker.facts.life, task.key.name, task.run, percent))
+        return chosen
 
     def leave(self, task: fleetview.Task) -> None:
         """Have a run stopped so that its task starts elsewhere."""
@@ -475,128 +397,6 @@
             and now_s >= worker.room_refused_s + _ROOM_PAUSE_S
         ]
 
-    def starts(self, now_s: float) -> list[Order]:
+    def starts(self, now_s: float) -> list[orders.StartRun]:
         """Choose what starts now, the most urgent first."""
-        ready = [record for record in self.ledger.records.values() if record.ready]
-        if not ready:
-            return []
-        found = self.open_workers(now_s)
-        if not found:
-            return []
-        orders: list[Order] = []
-        blocked = fitting.Blocked()
-        for record in sorted(ready, key=lambda record: urgency.of(record, now_s)):
-            orders += self._start_job(record, found, blocked, now_s)
-        self._ask_ahead(found, now_s)
-        return orders
-
-    def _ask_ahead(self, found: list[fleetview.Worker], now_s: float) -> None:
-        """Ask for advice for steps that open next, while the steps before them run."""
-        for record in self.ledger.records.values():
-            if record.job.queue.advised is None or not record.is_live or record.ready:
-                continue
-            for number, parts in record.occurrences.items():
-                for index, part in enumerate(parts):
-                    if part.left and not part.is_open:
-                        key = jobs.TaskKey(record.job.job, number, index, 0)
-                        fitting_ones = [one for one in found if one.could_fit(part.step)]
-                        self.advice.want(advising.step_name(key), fitting_ones, now_s)
-                        break
-
-    def _advised(
-        self,
-        record: ledger.Record,
-        key: jobs.TaskKey,
-        part: ledger.Part,
-        found: list[fleetview.Worker],
-        now_s: float,
-    ) -> list[fleetview.Worker]:
-        """Give the workers that may run a step; asks for advice where they are too few."""
-        if record.job.queue.advised is None:
-            return found
-        step = advising.step_name(key)
-        known = [one for one in found if self.advice.ticket(step, one.facts.life, now_s)]
-        if sum(one.fits(part.step) for one in known) < min(part.left, len(found)):
-            self.advice.want(step, [one for one in found if one.could_fit(part.step)], now_s)
-        return known
-
-    def _start_job(
-        self,
-        record: ledger.Record,
-        found: list[fleetview.Worker],
-        blocked: fitting.Blocked,
-        now_s: float,
-    ) -> list[Order]:
-        orders: list[Order] = []
-        by_part: dict[tuple[int, int], list[fleetview.Task]] = {}
-        for task in record.ready.values():
-            by_part.setdefault((task.key.occurrence, task.key.step), []).append(task)
-        for (number, index), tasks in by_part.items():
-            part = record.occurrences[number][index]
-            allowed = self._advised(record, tasks[0].key, part, found, now_s)
-            if part.step.gang:
-                orders += self._start_gang(record, part, allowed, now_s)
-                continue
-            if blocked.covers(part.step):
-                continue
-            here: collections.Counter[fleetview.Life] = collections.Counter(
-                task.life for task in part.tasks if task.life is not None
-            )
-            is_shared = part.step.fills or bool(part.step.target_ms)
-            for task in tasks:
-                worker = fitting.best(part.step, allowed, here, is_shared)
-                if worker is None:
-                    if not part.step.max_per_worker and allowed is found:
-                        blocked.note(part.step)
-                    break
-                here[worker.facts.life] += 1
-                orders.append(self._start(record, task, worker, self.ledger.next_run(task), now_s))
-        return orders
-
-    def _start_gang(
-        self,
-        record: ledger.Record,
-        part: ledger.Part,
-        found: list[fleetview.Worker],
-        now_s: float,
-    ) -> list[Order]:
-        if any(task.phase is not fleetview.Phase.WAITING for task in part.tasks):
-            return []
-        places = fitting.gang(part.step, len(part.tasks), found)
-        if places is None:
-            return []
-        run = max(self.ledger.next_run(task) for task in part.tasks)
-        saved = max(task.saved for task in part.tasks)
-        orders: list[Order] = []
-        for task, worker in zip(part.tasks, places, strict=True):
-            task.saved = saved
-            orders.append(self._start(record, task, worker, run, now_s))
-        return orders
-
-    def _start(
-        self,
-        record: ledger.Record,
-        task: fleetview.Task,
-        worker: fleetview.Worker,
-        run: int,
-        now_s: float,
-    ) -> StartRun:
-        life = worker.facts.life
-        waited_s = round(now_s - max(task.since_s, record.accepted_s), 3)
-        self.notes.note(
-            "run starts", task=task.key.name, run=run, worker=life.worker, waited_s=waited_s
-        )
-        self.ledger.place(record, task, worker, run, now_s)
-        ticket = None
-        if record.job.queue.advised is not None:
-            ticket = self.advice.ticket(advising.step_name(task.key), life, now_s)
-        return StartRun(
-            life, task.key, run, record.job.spec, task.saved, record.job.queue.name, ticket
-        )
-
-
-def _least_hosts(step: jobs.Step) -> int:
-    """Give over how many hosts a step that lasts has to be spread."""
-    if not step.lasting:
-        return 0
-    return math.ceil(step.count / fitting.most_per_worker(step))
+        return self._starter.choose(self.open_workers(now_s), now_s)
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -0,0 +1,137 @@
+"""Choose which waiting tasks start where, the most urgent first.
+
+Load pattern: in a burst many tasks of the same shape wait for few workers, so a shape that fits
+nowhere is not tried again in the same pass.
+"""
+
+import collections
+
+from nutmegshelf import advising, fitting, fleetview, jobs, ledger, notes, orders, urgency
+
+
+class Starter:
+    """Own the choice of starts for one service."""
+
+    def __init__(self, book: ledger.Ledger, advice: advising.Advice, written: notes.Notes) -> None:
+        self._ledger = book
+        self._advice = advice
+        self._notes = written
+        # Records that had a task no open worker had room for, in the last pass.
+        self.homeless: list[ledger.Record] = []
+
+    def choose(self, found: list[fleetview.Worker], now_s: float) -> list[orders.StartRun]:
+        """Choose what starts now at the open workers."""
+        self.homeless = []
+        ready = self._ledger.ready_records()
+        if not ready or not found:
+            return []
+        chosen: list[orders.StartRun] = []
+        blocked = fitting.Blocked()
+        for record in sorted(ready, key=lambda record: urgency.of(record, now_s)):
+            chosen += self._start_job(record, found, blocked, now_s)
+        self._ask_ahead(found, now_s)
+        return chosen
+
+    def _ask_ahead(self, found: list[fleetview.Worker], now_s: float) -> None:
+        """Ask for advice for steps that open next, while the steps before them run."""
+        for record in self._ledger.live.values():
+            if record.job.queue.advised is None or record.ready:
+                continue
+            for number, parts in record.occurrences.items():
+                for index, part in enumerate(parts):
+                    if part.left and not part.is_open:
+                        key = jobs.TaskKey(record.job.job, number, index, 0)
+                        fitting_ones = [one for one in found if one.could_fit(part.step)]
+                        self._advice.want(advising.step_name(key), fitting_ones, now_s)
+                        break
+
+    def _advised(
+        self,
+        record: ledger.Record,
+        key: jobs.TaskKey,
+        part: ledger.Part,
+        found: list[fleetview.Worker],
+        now_s: float,
+    ) -> list[fleetview.Worker]:
+        """Give the workers that may run a step; asks for advice where they are too few."""
+        if record.job.queue.advised is None:
+            return found
+        step = advising.step_name(key)
+        known = [one for one in found if self._advice.ticket(step, one.facts.life, now_s)]
+        if sum(one.fits(part.step) for one in known) < min(part.left, len(found)):
+            self._advice.want(step, [one for one in found if one.could_fit(part.step)], now_s)
+        return known
+
+    def _start_job(
+        self,
+        record: ledger.Record,
+        found: list[fleetview.Worker],
+        blocked: fitting.Blocked,
+        now_s: float,
+    ) -> list[orders.StartRun]:
+        chosen: list[orders.StartRun] = []
+        by_part: dict[tuple[int, int], list[fleetview.Task]] = {}
+        for task in record.ready.values():
+            by_part.setdefault((task.key.occurrence, task.key.step), []).append(task)
+        for (number, index), tasks in by_part.items():
+            part = record.occurrences[number][index]
+            allowed = self._advised(record, tasks[0].key, part, found, now_s)
+            if part.step.gang:
+                chosen += self._start_gang(record, part, allowed, now_s)
+                continue
+            if blocked.covers(part.step):
+                continue
+            here: collections.Counter[fleetview.Life] = collections.Counter(
+                task.life for task in part.tasks if task.life is not None
+            )
+            is_shared = part.step.fills or bool(part.step.target_ms)
+            for task in tasks:
+                worker = fitting.best(part.step, allowed, here, is_shared)
+                if worker is None:
+                    if not part.step.max_per_worker and allowed is found:
+                        blocked.note(part.step)
+                    break
+                here[worker.facts.life] += 1
+                chosen.append(self._start(record, task, worker, self._ledger.next_run(task), now_s))
+        return chosen
+
+    def _start_gang(
+        self,
+        record: ledger.Record,
+        part: ledger.Part,
+        found: list[fleetview.Worker],
+        now_s: float,
+    ) -> list[orders.StartRun]:
+        if any(task.phase is not fleetview.Phase.WAITING for task in part.tasks):
+            return []
+        places = fitting.gang(part.step, len(part.tasks), found)
+        if places is None:
+            return []
+        run = max(self._ledger.next_run(task) for task in part.tasks)
+        saved = max(task.saved for task in part.tasks)
+        chosen: list[orders.StartRun] = []
+        for task, worker in zip(part.tasks, places, strict=True):
+            task.saved = saved
+            chosen.append(self._start(record, task, worker, run, now_s))
+        return chosen
+
+    def _start(
+        self,
+        record: ledger.Record,
+        task: fleetview.Task,
+        worker: fleetview.Worker,
+        run: int,
+        now_s: float,
+    ) -> orders.StartRun:
+        life = worker.facts.life
+        waited_s = round(now_s - max(task.since_s, record.accepted_s), 3)
+        self._notes.note(
+            "run starts", task=task.key.name, run=run, worker=life.worker, waited_s=waited_s
+        )
+        self._ledger.place(record, task, worker, run, now_s)
+        ticket = None
+        if record.job.queue.advised is not None:
+            ticket = self._advice.ticket(advising.step_name(task.key), life, now_s)
+        return orders.StartRun(
+            life, task.key, run, record.job.spec, task.saved, record.job.queue.name, ticket
+        )
