Move work off draining workers, preempt for urgent queues, run speculative copies, forget ended jobs

Cause: work on a worker that drains was lost when it left; an urgent job waited for long work of a less urgent queue; a speculative step waited for its slowest worker; ended jobs stayed in memory and in the table for good.

The room that a draining worker reports is counted from when it was last told. Only runs that save their state are preempted or leave early. Ended jobs keep no tasks, and go after ended_kept_s.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -128,8 +128,15 @@
     number: int
     ends_s: float
     how: fleetview.How
+    saves: bool = False
+    saved_s: float = 0.0
+    began_s: float = 0.0
     stop: bool = False
 
+    def saved(self, now_s):
+        """Give the checkpoint: the seconds of work that were done."""
+        return f"{self.saved_s + now_s - self.began_s:09.3f}" if self.saves else ""
+
 
 class Minion:
     """Be one life of a worker."""
@@ -147,6 +154,7 @@
         self.is_dark = False
         self.is_gone = False
         self.loses_starts = 0
+        self.slowness = 1.0
         self.ended = asyncio.Event()
 
     def clock_ms(self):
@@ -170,7 +178,8 @@
     def finish(self, name, how):
         run = self.runs.pop(name)
         self.barred[name] = max(self.barred[name], run.number)
-        self.ends.append(fleetview.End(next(self.numbers), name, run.number, how, ""))
+        saved = run.saved(asyncio.get_running_loop().time())
+        self.ends.append(fleetview.End(next(self.numbers), name, run.number, how, saved))
         self.world.note_end(self, run, how)
         self.ended.set()
         self.ended = asyncio.Event()
@@ -194,8 +203,10 @@
             return orders.Refusal.ROOM
         self.until_ms = max(self.until_ms, until_ms)
         took_s, how = self.world.work(order.key, self)
-        ends_s = asyncio.get_running_loop().time() + took_s
-        self.runs[name] = Run(name, number, ends_s, how)
+        now_s = asyncio.get_running_loop().time()
+        saved_s = float(order.saved or 0)
+        ends_s = now_s + took_s * self.slowness - saved_s
+        self.runs[name] = Run(name, number, ends_s, how, step.checkpointing, saved_s, now_s)
         self.world.note_start(self, self.runs[name])
         return None
 
@@ -281,7 +292,7 @@
         self.starts[run.task] += 1
         for other in list(self.minions.values()):
             other.tick()
-        if self.running[run.task]:
+        if self.running[run.task] and not self.step(jobs.parse_task(run.task)).speculative:
             self.broken.append(f"{run.task} runs twice at a time")
         if run.task in self.noted_done:
             self.broken.append(f"{run.task} starts after its end was taken note of")
@@ -292,6 +303,18 @@
         if how is fleetview.How.DONE:
             self.done[run.task] += 1
 
+    def drain(self, minion, left_s):
+        """Have a worker announce that it leaves, and leave after a time."""
+        minion.facts = dataclasses.replace(
+            minion.facts, is_draining=True, left_ms=int(left_s * 1000)
+        )
+
+        def leave():
+            minion.end_life()
+            del self.minions[minion.facts.life]
+
+        asyncio.get_running_loop().call_later(left_s, leave)
+
     def start_again(self, minion):
         """Have a worker begin a new life at its host; what ran there ends."""
         minion.end_life()
@@ -391,11 +414,19 @@
             await asyncio.sleep(0.02)
             if minion.is_dark or minion.is_gone:
                 raise exceptions.OrderAnswerLost("cut")
+        now_s = asyncio.get_running_loop().time()
         listed = tuple(
-            fleetview.Listed(run.task, run.number, "", 100, 0.0) for run in minion.runs.values()
+            fleetview.Listed(run.task, run.number, "", self._percent(run, now_s), 0.0)
+            for run in minion.runs.values()
         )
         return orders.Looked(facts.life.born_ms, minion.clock_ms(), listed, tuple(minion.ends))
 
+    def _percent(self, run, now_s):
+        if self.world.step(jobs.parse_task(run.task)).lasting:
+            return 100
+        whole_s = max(0.001, run.ends_s - run.began_s)
+        return int(100 * (now_s - run.began_s) / whole_s)
+
     async def start(self, facts, order, *, fence, until_ms):
         minion = await self._minion(facts)
         if minion.loses_starts:
@@ -517,6 +548,7 @@
         self.entries = {}
         self.views = {}
         self.workers = {}
+        self.terms = {}
 
     def start(self, name):
         own = job_service.JobSettings(
@@ -525,6 +557,7 @@
             callers=job_service.Endpoint(host=name, port=1),
             ready=job_service.Endpoint(host=name, port=2),
             peers=job_service.Endpoint(host=name, port=3),
+            **self.terms,
         )
         self.views[name] = View(self.world.table)
         self.workers[name] = Workers(self.world)
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,119 @@
+"""Run work at workers that drain, that are slow, or that more urgent work wants."""
+
+import asyncio
+
+import behave
+from nutmegshelf import fleetview, jobs
+
+from features import jobworld
+from features.steps import jobs_steps
+
+
+def step(count, **fields):
+    terms = {"cpu_millis": 4000, "memory_mb": 100, "estimate_ms": 500}
+    return jobs.Step(count=count, **{**terms, **fields})
+
+
+@behave.when("a job of {count:d} saving tasks is submitted")
+@jobs_steps.paused
+async def submit_saving(context, count):
+    estimate_ms = int(context.world.default_work[0] * 1000)
+    made = step(count, checkpointing=True, estimate_ms=estimate_ms)
+    context.made = await jobs_steps.submit(context, 1, (made,), "e0")
+
+
+@behave.when("after {seconds:g} s the worker of a task drains, and leaves after {left_s:g} s")
+@jobs_steps.paused
+async def drain_later(context, seconds, left_s):
+    await asyncio.sleep(seconds)
+    busy = next(one for one in context.world.minions.values() if one.runs)
+    context.world.drain(busy, left_s)
+
+
+@behave.when("the worker of a task that lasts drains, and leaves after {left_s:g} s")
+@jobs_steps.paused
+async def drain_lasting(context, left_s):
+    context.drained = next(one for one in context.world.minions.values() if one.runs)
+    context.world.drain(context.drained, left_s)
+
+
+@behave.then("within {seconds:g} s no task runs at it and {count:d} tasks that last are at work")
+@jobs_steps.paused
+async def check_left(context, seconds, count):
+    async def check():
+        running = [name for name, runs in context.world.running.items() if runs]
+        context.most_away = max(context.most_away, count - len(running))
+        is_left = not context.drained.runs and not context.drained.is_gone
+        return (is_left and len(running) == count) or (context.drained.runs, running)
+
+    await jobs_steps.until(seconds, check, "running")
+
+
+@behave.given("a queue of priority 1 whose tasks fill all workers for {seconds:g} s and {how}")
+@jobs_steps.paused
+async def fill_workers(context, seconds, how):
+    low = jobworld.queue("low", priority=1)
+    urgent = jobworld.queue("urgent", priority=0)
+    context.world.declare(jobworld.declare(low, urgent, version=2))
+    await asyncio.sleep(0.5)
+    saves = how == "save their state"
+    filling = step(4, checkpointing=saves, estimate_ms=int(seconds * 1000))
+    context.all = []
+    for number in range(2):
+        job_id = f"{number + 10:016x}"
+        context.world.works[job_id] = (seconds, fleetview.How.DONE)
+        made = await jobs_steps.submit(context, number + 10, (filling,), "e0", queue=low)
+        context.all.append(made)
+    await asyncio.sleep(1.5)
+    assert sum(len(one.runs) for one in context.world.minions.values()) == 8
+
+
+@behave.when("a job of priority 0 for half a worker is submitted")
+@jobs_steps.paused
+async def submit_urgent(context):
+    urgent = jobworld.queue("urgent", priority=0)
+    context.urgent = await jobs_steps.submit(context, 1, (step(2),), "e1", queue=urgent)
+
+
+@behave.then("within {seconds:g} s the urgent job is shown as succeeded")
+@jobs_steps.paused
+async def check_urgent(context, seconds):
+    done = jobs_steps.is_everywhere(context, context.urgent, "succeeded")
+    await jobs_steps.until(seconds, done, "states")
+
+
+@behave.then("within {seconds:g} s all less urgent jobs are shown as succeeded")
+@jobs_steps.paused
+async def check_others(context, seconds):
+    for made in context.all:
+        done = jobs_steps.is_everywhere(context, made, "succeeded")
+        await jobs_steps.until(seconds, done, "states")
+
+
+@behave.given("one of the workers is {times:d} times slower")
+def slow_worker(context, times):
+    next(iter(context.world.minions.values())).slowness = times
+
+
+@behave.when("a job of {count:d} {kind}tasks, one a worker, is submitted")
+@behave.when("a job of {count:d} tasks, one a worker, is submitted")
+@jobs_steps.paused
+async def submit_spread(context, count, kind=""):
+    made = step(count, max_per_worker=1, speculative=kind.strip() == "speculative")
+    context.made = await jobs_steps.submit(context, 1, (made,), "e0")
+
+
+@behave.then("one task was started twice and the others once")
+def check_starts(context):
+    jobs_steps.judge(context)
+    assert sorted(context.world.starts.values()) == [1, 1, 1, 2], context.world.starts
+
+
+@behave.then("within {seconds:g} s nothing of it runs any more")
+@jobs_steps.paused
+async def check_nothing_runs(context, seconds):
+    async def check():
+        running = [name for name, runs in context.world.running.items() if runs]
+        return running if running else True
+
+    await jobs_steps.until(seconds, check, "running")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -45,6 +45,7 @@
         *,
         lease_s: float,
         hold_limit_s: float,
+        ended_kept_s: float,
         taken_s: float,
     ) -> None:
         held = book.held[pool]
@@ -55,6 +56,7 @@
         self._hosts = hosts
         self._lease_s = lease_s
         self._hold_limit_s = hold_limit_s
+        self._ended_kept_s = ended_kept_s
         self._loop = asyncio.get_running_loop()
         lapse_s = lease_s / (1 - fleetview.SLOW_CLOCK_FRACTION) + book.duration_s / 4
         self.scheduler = scheduler.Scheduler(
@@ -185,7 +187,9 @@
         may_run: bool,
     ) -> None:
         known = job.job in self.scheduler.ledger.records
-        record = self.scheduler.ledger.add(job, progress, arrived_s, _now_ms(), may_run=may_run)
+        record = self.scheduler.ledger.add(
+            job, progress, arrived_s, _now_ms(), may_run=may_run, now_s=self._loop.time()
+        )
         if not known and not may_run:
             self.scheduler.arrived(job)
             _log.info(
@@ -367,6 +371,7 @@
             await asyncio.sleep(_PASS_GAP_S)
 
     def _orders(self, now_s: float) -> list[orders.Order]:
+        self.scheduler.evacuate(now_s)
         return [
             *self.scheduler.stops(now_s),
             *self.scheduler.paces(now_s),
@@ -381,10 +386,17 @@
                 link = self._links.get(order.life)
                 if link is not None and self._group is not None:
                     self._group.create_task(link.send(order))
+        self._tidy(now_s)
         if self.scheduler.ledger.dirty:
             self.writer.poke()
         self.notes.write(self.scheduler.notes)
 
+    def _tidy(self, now_s: float) -> None:
+        for record in self.scheduler.tidy(now_s - self._ended_kept_s):
+            job = record.job.job
+            self.writer.write(platform.Write(jobs.job_key(self.pool, job), None))
+            self.writer.write(platform.Write(jobs.progress_key(self.pool, job), None))
+
 
 def _now_ms() -> int:
     return int(time.time() * 1000)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -29,6 +29,9 @@
 TASK_LEASE_S = 5.0
 # A holder gives no orders when it could not renew its lease for this long.
 HOLD_LIMIT_S = 2.2
+# Callers may ask for a job's state for this long after its end; a job that is handed in again
+# later than this would run again.
+ENDED_KEPT_S = 600.0
 _INBOX_WAIT_S = 2.0
 _RETRY_S = 0.25
 _SETTINGS_INTERVAL_S = 10.0
@@ -63,6 +66,7 @@
     upkeep_s: float = 2.0
     quiet_s: float = 3.0
     task_lease_s: float = TASK_LEASE_S
+    ended_kept_s: float = ENDED_KEPT_S
     log_level: str = "info"
 
 
@@ -198,6 +202,7 @@
             self._book,
             lease_s=self._own.task_lease_s,
             hold_limit_s=HOLD_LIMIT_S,
+            ended_kept_s=self._own.ended_kept_s,
             taken_s=taken_s,
         )
         made.list_workers(facts for facts in self._fleet if facts.service == ids.ServiceName(pool))
--- a/packages/nutmegshelf/src/nutmegshelf/advising.py
+++ b/packages/nutmegshelf/src/nutmegshelf/advising.py
@@ -93,3 +93,9 @@
         known = self._steps.get(step)
         if known is not None:
             known.tickets.pop(life, None)
+
+    def forget(self, job: ids.JobId) -> None:
+        """Drop what is known of a job's steps."""
+        for step in [one for one in self._steps if one.startswith(f"{job}.")]:
+            del self._steps[step]
+            self.questions.pop(step, None)
--- a/packages/nutmegshelf/src/nutmegshelf/clearing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/clearing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from nutmegshelf import fleetview, ids, jobs, ledger
+from nutmegshelf import copies, estimates, fleetview, ids, jobs, ledger
 
 # A host that nobody asks for again stays closed this long.
 _CLOSED_S = 4.0
@@ -38,24 +38,65 @@
     ) -> list[fleetview.Task]:
         """Give the tasks that leave now; a step that lasts gives them up one by one."""
         waited_s = now_s - self._since_s.get(worker.facts.host, now_s)
-        leaving: list[fleetview.Task] = []
-        counted: dict[tuple[jobs.TaskKey, int], int] = {}
-        for task in worker.tasks.values():
-            if task.phase is not fleetview.Phase.RUNNING:
-                continue
-            if not task.step.lasting:
-                if task.step.checkpointing and waited_s > _PATIENCE_S:
-                    leaving.append(task)
-                continue
-            part = book.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
-            name = task.key._replace(position=0), task.key.step
-            away = counted.get(name, 0) + away_count(part, task, workers, now_s)
-            if not task.step.may_miss or away < task.step.may_miss:
-                leaving.append(task)
-                counted[name] = counted.get(name, 0) + 1
+        leaving = _lasting_to_leave(worker, workers, book, now_s)
+        if waited_s > _PATIENCE_S:
+            leaving += _saving(worker)
         return leaving
 
 
+def evacuating(
+    worker: fleetview.Worker,
+    workers: dict[fleetview.Life, fleetview.Worker],
+    book: ledger.Ledger,
+    learned: estimates.Estimates,
+    now_s: float,
+) -> list[fleetview.Task]:
+    """Give the tasks that leave a worker that drains now.
+
+    Tasks that last leave within the budget of their step. Those that save their state leave if
+    they would not end in the time that the worker has left at least.
+    """
+    told_s = worker.drain_told_s if worker.drain_told_s is not None else now_s
+    left_s = (worker.facts.left_ms or 0) / 1000 - (now_s - told_s)
+    leaving = _lasting_to_leave(worker, workers, book, now_s)
+    for task in _saving(worker):
+        ratio = learned.ratio(book.records[task.key.job].job.queue.name)
+        expected_s = task.step.estimate_ms / 1000 * ratio
+        if copies.expected_rest_s(task, worker, expected_s, now_s) > left_s:
+            leaving.append(task)
+    return leaving
+
+
+def _saving(worker: fleetview.Worker) -> list[fleetview.Task]:
+    return [
+        task
+        for task in worker.tasks.values()
+        if task.phase is fleetview.Phase.RUNNING
+        and task.step.checkpointing
+        and not task.step.lasting
+    ]
+
+
+def _lasting_to_leave(
+    worker: fleetview.Worker,
+    workers: dict[fleetview.Life, fleetview.Worker],
+    book: ledger.Ledger,
+    now_s: float,
+) -> list[fleetview.Task]:
+    leaving: list[fleetview.Task] = []
+    counted: dict[tuple[jobs.TaskKey, int], int] = {}
+    for task in worker.tasks.values():
+        if task.phase is not fleetview.Phase.RUNNING or not task.step.lasting:
+            continue
+        part = book.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
+        name = task.key._replace(position=0), task.key.step
+        away = counted.get(name, 0) + away_count(part, task, workers, now_s)
+        if not task.step.may_miss or away < task.step.may_miss:
+            leaving.append(task)
+            counted[name] = counted.get(name, 0) + 1
+    return leaving
+
+
 def away_count(
     part: ledger.Part,
     but: fleetview.Task,
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -70,6 +70,10 @@
     pace_percent: int = 100
     stop_sent_s: float | None = None
     stop_acked_s: float | None = None
+    # Another run of the same task, where its step is speculative.
+    twin: "Task | None" = None
+    # The highest number that a run of the task was given.
+    top_run: int = 0
 
 
 class Listed(typing.NamedTuple):
@@ -143,6 +147,7 @@
     clock_read_s: float = 0.0
     idle_since_s: float = 0.0
     paced_s: float = 0.0
+    drain_told_s: float | None = None
 
     def __post_init__(self) -> None:
         self.free_cpu_millis = self.facts.cpu_millis
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -1,5 +1,6 @@
 """Keep the jobs of one service: what is settled of them and where their tasks run or may run."""
 
+import collections
 import collections.abc
 import dataclasses
 
@@ -57,6 +58,9 @@
     def __init__(self, epoch: int) -> None:
         self.records: dict[ids.JobId, Record] = {}
         self.live: dict[ids.JobId, Record] = {}
+        # Ended jobs in the order of their ends, and those whose tasks are still kept.
+        self._ended: collections.deque[Record] = collections.deque()
+        self._emptying: list[Record] = []
         self.dirty: dict[ids.JobId, int] = {}
         self.in_flight: dict[ids.JobId, int] = {}
         self.change = 0
@@ -73,6 +77,7 @@
         now_ms: int,
         *,
         may_run: bool,
+        now_s: float = 0.0,
     ) -> Record:
         """Take a job in; the tasks of one that an earlier holder knew may run somewhere."""
         known = self.records.get(job.job)
@@ -85,6 +90,10 @@
         if record.is_live:
             self.live[job.job] = record
             self.open_due(record, now_ms, may_run=may_run)
+        else:
+            # Its end is not known, so it is kept for the whole time from now on.
+            record.ended_s = now_s
+            self._ended.append(record)
         return record
 
     def ready_records(self) -> list[Record]:
@@ -140,6 +149,28 @@
                 if task.phase is fleetview.Phase.WAITING:
                     record.ready[task.key] = task
 
+    def tidy(self, before_s: float) -> list[Record]:
+        """Drop the tasks of ended jobs, and give the jobs that ended before a time, to be deleted.
+
+        A job stays while something of it runs or its end is not stored.
+        """
+        left: list[Record] = []
+        for record in self._emptying:
+            if any(task.life is not None for task in record.tasks()):
+                left.append(record)
+            else:
+                record.occurrences.clear()
+        self._emptying = left
+        gone: list[Record] = []
+        while self._ended and self._ended[0].ended_s < before_s:
+            record = self._ended[0]
+            job = record.job.job
+            if record.occurrences or job in self.dirty or job in self.in_flight:
+                break
+            gone.append(self._ended.popleft())
+            del self.records[job]
+        return gone
+
     def touch(self, record: Record) -> None:
         """Note that a job's row must be stored."""
         self.change += 1
@@ -179,6 +210,9 @@
         record.ready.pop(task.key, None)
         task.phase = fleetview.Phase.STARTING
         task.life, task.run = worker.facts.life, run
+        task.top_run = max(task.top_run, run)
+        if task.twin is not None:
+            task.twin.top_run = task.top_run
         task.since_s = task.sent_s = now_s
         task.stop_sent_s = task.stop_acked_s = None
         task.percent, task.figure, task.pace_percent = 0, 0.0, 100
@@ -201,9 +235,34 @@
         worker.vacate(task, now_s)
         task.life = None
         task.since_s = now_s
+        if task.twin is not None:
+            self._part(record, task)
+            return
         if task.phase is not fleetview.Phase.DONE:
             self._wait(record, task)
 
+    def copy(self, task: fleetview.Task) -> fleetview.Task:
+        """Make a second run of a task that runs; either may end it."""
+        made = fleetview.Task(
+            task.key,
+            task.step,
+            run=task.run,
+            saved=task.saved,
+            failed_runs=task.failed_runs,
+            twin=task,
+            top_run=task.top_run,
+        )
+        task.twin = made
+        return made
+
+    def _part(self, record: Record, task: fleetview.Task) -> None:
+        # The other run goes on alone.
+        other, task.twin = task.twin, None
+        assert other is not None
+        other.twin = None
+        tasks = record.occurrences[task.key.occurrence][task.key.step].tasks
+        tasks[task.key.position] = other
+
     def settle(self, task: fleetview.Task) -> None:
         """Note that a task adrift since a takeover surely runs nowhere."""
         self.adrift.discard(task)
@@ -227,6 +286,8 @@
             if one.phase is fleetview.Phase.DONE:
                 continue
             one.phase = fleetview.Phase.DONE
+            if one.twin is not None:
+                one.twin.phase = fleetview.Phase.DONE
             self.adrift.discard(one)
             record.ready.pop(one.key, None)
             stored.done = mark(stored.done, one.key.position)
@@ -274,7 +335,9 @@
     def end(self, record: Record, state: jobs.JobState, reason: str, now_s: float) -> None:
         """End a job; what still runs of it has to be stopped."""
         record.progress.state, record.progress.reason = state, reason
-        self.live.pop(record.job.job, None)
+        if self.live.pop(record.job.job, None) is not None:
+            self._ended.append(record)
+            self._emptying.append(record)
         record.ready.clear()
         record.ended_s = now_s
         for task in record.tasks():
@@ -286,7 +349,7 @@
 
     def next_run(self, task: fleetview.Task) -> int:
         """Give a run number above all that the task had."""
-        return max(task.run, self._first_run) + 1
+        return max(task.run, task.top_run, self._first_run) + 1
 
 
 def chain_s(job: jobs.Job) -> float:
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/preemption.py
@@ -0,0 +1,135 @@
+"""Choose runs that are stopped so that more urgent work gets their room.
+
+Load pattern: a burst of an urgent queue finds the workers full of long work of less urgent ones.
+Only runs that save their state are stopped, so that little is lost, and only those that would hold
+the room for long: waiting for the others is cheaper than a stop and a restart.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+from nutmegshelf import copies, estimates, fleetview, jobs, ledger, urgency
+
+# A run that ends within this time is waited for; a stop and a start elsewhere take about as long.
+_LEAST_REST_S = 1.0
+# A pass stops no more runs than this, so that what it frees is used before more is stopped.
+_MOST_AT_ONCE = 16
+
+
+@dataclasses.dataclass(slots=True)
+class _Room:
+    """Count what a worker has free, with what is being stopped there."""
+
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+
+    def add(self, step: jobs.Step, sign: int) -> None:
+        """Count a task's room as given back, or as taken."""
+        self.cpu_millis += 0 if step.fills else sign * step.cpu_millis
+        self.memory_mb += sign * step.memory_mb
+        self.accelerators += sign * step.accelerators
+
+    def fits(self, step: jobs.Step) -> bool:
+        """Say whether a task fits."""
+        return (
+            (step.fills or step.cpu_millis <= self.cpu_millis)
+            and step.memory_mb <= self.memory_mb
+            and step.accelerators <= self.accelerators
+        )
+
+
+class Preemption:
+    """Own one pass's choice of the runs to stop."""
+
+    def __init__(
+        self,
+        workers: collections.abc.Collection[fleetview.Worker],
+        book: ledger.Ledger,
+        learned: estimates.Estimates,
+        now_s: float,
+    ) -> None:
+        self._workers = workers
+        self._ledger = book
+        self._estimates = learned
+        self._now_s = now_s
+        self._rooms: dict[fleetview.Life, _Room] = {}
+        self._chosen: dict[fleetview.Task, None] = {}
+
+    def choose(self, homeless: collections.abc.Iterable[ledger.Record]) -> list[fleetview.Task]:
+        """Give the runs to stop for jobs that found no room, the most urgent of which come first.
+
+        A job that is late already is not worth the work that a stop throws away.
+        """
+        for record in homeless:
+            if urgency.of(record, self._now_s).hope is not urgency.Hope.ON_TIME:
+                continue
+            for task in record.ready.values():
+                if len(self._chosen) >= _MOST_AT_ONCE:
+                    return list(self._chosen)
+                if not task.step.gang and not self._make_room(record, task.step):
+                    break
+        return list(self._chosen)
+
+    def _make_room(self, record: ledger.Record, step: jobs.Step) -> bool:
+        best: tuple[int, fleetview.Worker, list[fleetview.Task]] | None = None
+        for worker in self._workers:
+            if not worker.could_fit(step):
+                continue
+            victims = self._victims(worker, record, step)
+            if victims is not None and (best is None or len(victims) < best[0]):
+                best = len(victims), worker, victims
+        if best is None:
+            return False
+        _, worker, victims = best
+        room = self._room(worker)
+        for task in victims:
+            room.add(task.step, 1)
+            self._chosen[task] = None
+        room.add(step, -1)
+        return True
+
+    def _room(self, worker: fleetview.Worker) -> _Room:
+        life = worker.facts.life
+        if life not in self._rooms:
+            room = _Room(worker.free_cpu_millis, worker.free_memory_mb, worker.free_accelerators)
+            for task in worker.tasks.values():
+                if task.phase in (fleetview.Phase.STOPPING, fleetview.Phase.DONE):
+                    room.add(task.step, 1)
+            self._rooms[life] = room
+        return self._rooms[life]
+
+    def _victims(
+        self, worker: fleetview.Worker, record: ledger.Record, step: jobs.Step
+    ) -> list[fleetview.Task] | None:
+        room = dataclasses.replace(self._room(worker))
+        victims: list[fleetview.Task] = []
+        if room.fits(step):
+            return victims
+        able = [task for task in worker.tasks.values() if self._may_stop(task, worker, record)]
+        # The least urgent go first, and of those the largest, so that few are stopped.
+        able.sort(key=lambda task: (-self._priority(task), -task.step.cpu_millis, task.key))
+        for task in able:
+            room.add(task.step, 1)
+            victims.append(task)
+            if room.fits(step):
+                return victims
+        return None
+
+    def _priority(self, task: fleetview.Task) -> int:
+        return self._ledger.records[task.key.job].job.queue.priority
+
+    def _may_stop(
+        self, task: fleetview.Task, worker: fleetview.Worker, record: ledger.Record
+    ) -> bool:
+        step = task.step
+        if task.phase is not fleetview.Phase.RUNNING or task in self._chosen:
+            return False
+        if not step.checkpointing or step.lasting or step.gang:
+            return False
+        other = self._ledger.records[task.key.job].job.queue
+        if other.priority <= record.job.queue.priority:
+            return False
+        expected_s = step.estimate_ms / 1000 * self._estimates.ratio(other.name)
+        return copies.expected_rest_s(task, worker, expected_s, self._now_s) > _LEAST_REST_S
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -6,6 +6,7 @@
     advising,
     calls,
     clearing,
+    copies,
     estimates,
     fleetview,
     ids,
@@ -14,6 +15,7 @@
     needs,
     notes,
     orders,
+    preemption,
     sharing,
     starting,
 )
@@ -54,6 +56,13 @@
             if not step.fills
         )
 
+    def tidy(self, before_s: float) -> list[ledger.Record]:
+        """Forget the jobs that ended before a time; gives them, as their rows are to go."""
+        gone = self.ledger.tidy(before_s)
+        for record in gone:
+            self.advice.forget(record.job.job)
+        return gone
+
     # --- workers
 
     def list_workers(
@@ -70,6 +79,10 @@
                     # An earlier holder may have given it a lease until now.
                     worker.leased_until_s = self._began_s + self._lapse_s
                 added.append(worker)
+            if facts.is_draining and (
+                worker.drain_told_s is None or worker.facts.left_ms != facts.left_ms
+            ):
+                worker.drain_told_s = now_s
             worker.facts = facts
             worker.is_listed = True
             worker.is_closed = facts.is_draining
@@ -184,6 +197,8 @@
         key = jobs.parse_task(listed.task)
         record = self.ledger.records.get(key.job) if key else None
         task = record.task(key) if record and key else None
+        if task is not None:
+            task = _run_of(task, worker.facts.life, listed.run)
         if record is None or task is None or not record.is_live:
             worker.strays.setdefault((listed.task, listed.run), -STOP_AGAIN_S)
             if task is not None and task.life == worker.facts.life and task.run == listed.run:
@@ -210,6 +225,7 @@
         task = record.task(key) if record and key else None
         if record is None or task is None:
             return
+        task = _run_of(task, worker.facts.life, end.run)
         is_own = task.life == worker.facts.life and task.run == end.run
         match end.how:
             case fleetview.How.DONE if record.is_live and not task.step.lasting:
@@ -399,4 +415,48 @@
 
     def starts(self, now_s: float) -> list[orders.StartRun]:
         """Choose what starts now, the most urgent first."""
-        return self._starter.choose(self.open_workers(now_s), now_s)
+        found = self.open_workers(now_s)
+        chosen = self._starter.choose(found, now_s)
+        if self._starter.homeless:
+            self._preempt(found, now_s)
+        elif found:
+            for record, task in copies.choose(
+                self.ledger.live.values(), self.workers, self.estimates, now_s
+            ):
+                order = self._starter.copy(record, task, found, now_s)
+                if order is not None:
+                    chosen.append(order)
+        return chosen
+
+    def _preempt(self, found: list[fleetview.Worker], now_s: float) -> None:
+        choice = preemption.Preemption(found, self.ledger, self.estimates, now_s)
+        for task in choice.choose(self._starter.homeless):
+            self.notes.note("run preempted", task=task.key.name, run=task.run)
+            self.leave(task)
+
+    def evacuate(self, now_s: float) -> None:
+        """Have tasks leave workers that drain, where another worker has room for them."""
+        if not self._is_settled:
+            return
+        found = self.open_workers(now_s)
+        for worker in self.workers.values():
+            if worker.drain_told_s is None or not worker.tasks:
+                continue
+            for task in clearing.evacuating(
+                worker, self.workers, self.ledger, self.estimates, now_s
+            ):
+                if any(one.fits(task.step) and one.could_fit(task.step) for one in found):
+                    self.notes.note(
+                        "task leaves",
+                        task=task.key.name,
+                        run=task.run,
+                        host=worker.facts.host,
+                        left_ms=worker.facts.left_ms,
+                    )
+                    self.leave(task)
+
+
+def _run_of(task: fleetview.Task, life: fleetview.Life, run: int) -> fleetview.Task:
+    """Give the run that a worker means, where a task has two."""
+    twin = task.twin
+    return twin if twin is not None and (twin.life, twin.run) == (life, run) else task
--- a/packages/nutmegshelf/src/nutmegshelf/starting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -80,21 +80,40 @@
                 chosen += self._start_gang(record, part, allowed, now_s)
                 continue
             if blocked.covers(part.step):
+                self.homeless.append(record)
                 continue
-            here: collections.Counter[fleetview.Life] = collections.Counter(
-                task.life for task in part.tasks if task.life is not None
-            )
+            here = _counts(part)
             is_shared = part.step.fills or bool(part.step.target_ms)
             for task in tasks:
                 worker = fitting.best(part.step, allowed, here, is_shared)
                 if worker is None:
                     if not part.step.max_per_worker and allowed is found:
                         blocked.note(part.step)
+                    self.homeless.append(record)
                     break
                 here[worker.facts.life] += 1
                 chosen.append(self._start(record, task, worker, self._ledger.next_run(task), now_s))
         return chosen
 
+    def copy(
+        self,
+        record: ledger.Record,
+        task: fleetview.Task,
+        found: list[fleetview.Worker],
+        now_s: float,
+    ) -> orders.StartRun | None:
+        """Start a second run of a task at another worker, or give none where there is no room."""
+        part = record.occurrences[task.key.occurrence][task.key.step]
+        others = [one for one in found if one.facts.life != task.life]
+        allowed = self._advised(record, task.key, part, others, now_s)
+        here = _counts(part)
+        worker = fitting.best(part.step, allowed, here, is_shared=False)
+        if worker is None:
+            return None
+        made = self._ledger.copy(task)
+        self._notes.note("second run", task=task.key.name, run=task.run, percent=task.percent)
+        return self._start(record, made, worker, self._ledger.next_run(task), now_s)
+
     def _start_gang(
         self,
         record: ledger.Record,
@@ -135,3 +154,13 @@
         return orders.StartRun(
             life, task.key, run, record.job.spec, task.saved, record.job.queue.name, ticket
         )
+
+
+def _counts(part: ledger.Part) -> collections.Counter[fleetview.Life]:
+    """Count the runs of a step by worker, second runs too."""
+    found: collections.Counter[fleetview.Life] = collections.Counter()
+    for task in part.tasks:
+        for one in (task, task.twin):
+            if one is not None and one.life is not None:
+                found[one.life] += 1
+    return found
