Give jobs an interface of the product's own, and operators commands for jobs, queues and pools

Cause: callers' jobs could be handed in only in the platform's form, a job that can't be run (a step after itself, no tasks, an id with a slash) was stored and would have ended its holder at each load, and operators had logs only.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -550,28 +550,30 @@
         self.workers = {}
         self.terms = {}
 
-    def start(self, name):
-        own = job_service.JobSettings(
-            entry=name,
-            zone="z",
-            callers=job_service.Endpoint(host=name, port=1),
-            ready=job_service.Endpoint(host=name, port=2),
-            peers=job_service.Endpoint(host=name, port=3),
-            **self.terms,
+    def settings(self, name, host=None, ports=(1, 2, 3)):
+        ends = [job_service.Endpoint(host=host or name, port=port) for port in ports]
+        return job_service.JobSettings(
+            entry=name, zone="z", callers=ends[0], ready=ends[1], peers=ends[2], **self.terms
         )
+
+    def outside(self, own, codec=None):
+        name = own.entry
         self.views[name] = View(self.world.table)
         self.workers[name] = Workers(self.world)
-        outside = job_service.Outside(
+        return job_service.Outside(
             rows=self.views[name],
             workers=self.workers[name],
-            codec=None,
+            codec=codec,
             hosts=Hosts(self.world, name),
             advice=self.world.advice,
             reload=lambda: own,
             operations=self.world.operations,
             fleets=self.world.fleets,
         )
-        service = job_service.JobService(own, outside, self.net)
+
+    def start(self, name):
+        own = self.settings(name)
+        service = job_service.JobService(own, self.outside(own), self.net)
         self.net.services[own.peers.address] = service
         self.entries[name] = service, asyncio.ensure_future(service.run())
         return service
@@ -606,7 +608,10 @@
 def queue(name="q", service="a", **fields):
     terms = {"timeout_ms": 3000, "target_latency_ms": 600, "max_attempts": 3, "stretch": 1.6}
     return queues.Queue(
-        name=name, host="x", path_prefix=f"/{name}/", service=service, **{**terms, **fields}
+        name=name,
+        path_prefix=f"/{name}/",
+        service=service,
+        **{"host": "x", **terms, **fields},
     )
 
 
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/main.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from nutmegshelf_cli import publishing, reading
+from nutmegshelf_cli import jobs, publishing, reading
 
 COMMANDS: dict[str, collections.abc.Callable[..., None]] = {
     "check": publishing.check,
@@ -14,6 +14,13 @@
     "history": reading.history,
     "explain": reading.explain,
     "entries": reading.entries,
+    "jobs": jobs.jobs,
+    "job": jobs.job,
+    "cancel": jobs.cancel,
+    "queues": jobs.queues,
+    "pools": jobs.pools,
+    "waves": jobs.waves,
+    "holders": jobs.holders,
     "version": reading.version,
 }
 
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/output.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/output.py
@@ -54,3 +54,28 @@
         f"{one['field']}: {json.dumps(one['before'])} -> {json.dumps(one['after'])}"
         for one in body.get("differences", [])
     ]
+
+
+def table(columns: tuple[str, ...], rows: list[dict[str, typing.Any]]) -> list[str]:
+    """Show rows under a head, in columns of even width; none where there are no rows."""
+    if not rows:
+        return ["none"]
+    cells = [[_cell(row.get(column)) for column in columns] for row in rows]
+    lines = [list(columns), *cells]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(columns))]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in lines
+    ]
+
+
+def _cell(value: object) -> str:
+    match value:
+        case None | "":
+            return "-"
+        case dict():
+            return ",".join(f"{count} {name}" for name, count in value.items()) or "-"
+        case bool():
+            return "yes" if value else "no"
+        case _:
+            return str(value)
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/reading.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/reading.py
@@ -62,12 +62,14 @@
 def explain(
     name: str, entry: session.Entries, token: session.Token = "", as_json: session.Json = False
 ) -> None:
-    """Say why things were decided on a pool, service, host or entry."""
+    """Say why things were decided on a pool, service, host, entry or job."""
     answer = session.Session(entry, token).get("/explain", name=name)
     lines = [
         f"{output.at(one['at_s'])}  {one['kind']}: {one['reason']}"
         for one in answer.body.get("decisions", [])
     ]
+    if answer.body.get("waits_for"):
+        lines.insert(0, f"waits for {answer.body['waits_for']}")
     output.finish(answer, as_json, lines)
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -6,6 +6,7 @@
 import dataclasses
 import time
 
+import msgspec
 from nutmegshelf import (
     calls,
     codecs,
@@ -17,6 +18,7 @@
     pooling,
     queues,
     upkeep,
+    views,
 )
 
 from nutmegshelf_entry import logs, ports, writer
@@ -64,6 +66,7 @@
         taken_s: float,
     ) -> None:
         self.epoch = book.held[FLEET].lease.epoch
+        self._entry = book.own
         self.writer = writer.Writer(rows, book, FLEET, taken_s)
         self._rows = rows
         self._hosts = hosts
@@ -94,6 +97,8 @@
 
     async def call(self, call: calls.AnyCall) -> calls.Reply:
         """Take a service's report of its demand."""
+        if isinstance(call, calls.Inspect):
+            return self._inspect(call)
         if not isinstance(call, calls.Demand):
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
         if call.epoch < self._epochs.get(call.pool, call.epoch):
@@ -104,6 +109,45 @@
             self._woken.set()
         return calls.Reply(verdict=calls.Verdict.DONE)
 
+    def _inspect(self, call: calls.Inspect) -> calls.Reply:
+        found: list[object] = []
+        match call.view:
+            case calls.View.POOLS:
+                hosts = collections.Counter(view.pool for view in self._views.values())
+                found = [
+                    views.PoolView(
+                        pool=pool, hosts=count, hosts_wanted=self._planner.wanted.get(pool)
+                    )
+                    for pool, count in hosts.items()
+                ]
+            case calls.View.WAVES:
+                found = [
+                    views.WaveView(
+                        wave=number,
+                        hosts=len(plan.wave.hosts),
+                        done=len(plan.row.done),
+                        down=len(plan.down),
+                        at_once=plan.wave.at_once,
+                        is_finished=plan.row.is_finished,
+                    )
+                    for number, plan in sorted(self._plans.items())
+                ]
+            case calls.View.HOLDERS:
+                found = [
+                    views.HolderView(
+                        service=call.service,
+                        entry=self._entry,
+                        epoch=self.epoch,
+                        lease_age_s=round(self._loop.time() - self.writer.renewed_s, 3),
+                        is_settled=True,
+                        jobs_live=0,
+                        jobs_kept=0,
+                    )
+                ]
+            case _:
+                pass
+        return calls.Reply(verdict=calls.Verdict.DONE, shown=msgspec.json.encode(found))
+
     async def run(self) -> None:
         """Serve until the lease is lost; raises LeaseLost."""
         await self._load()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
@@ -105,6 +105,8 @@
         target = routes.find(host, exchange.target.partition("?")[0])
         if target is None:
             raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_QUEUE)
+        if exchange.method != "POST" and target.job and not jobs.is_id(target.job):
+            raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
         match exchange.method, bool(target.job):
             case "POST", True:
                 return await self._submit(exchange, target, routes.declared.limits)
@@ -127,7 +129,12 @@
             kind = exceptions.ErrorKind.BODY_TOO_LARGE
             raise exceptions.RequestError(kind, str(error)) from error
         now_ms = int(time.time() * 1000)
+        if not jobs.is_id(target.job):
+            detail = "a job's id has 1 to 64 letters, digits, - and _"
+            raise exceptions.RequestError(exceptions.ErrorKind.BAD_REQUEST, detail)
         job = self._codec.read_job(body, target.job, target.queue, now_ms)
+        if found := jobs.faults(job):
+            raise exceptions.RequestError(exceptions.ErrorKind.BAD_REQUEST, "; ".join(found))
         await self._desk.submit(job)
         return self._codec.state(jobs.JobState.QUEUED)
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -4,6 +4,7 @@
 import collections.abc
 import time
 
+import msgspec
 from nutmegshelf import (
     advising,
     calls,
@@ -17,6 +18,7 @@
     platform,
     pooling,
     scheduler,
+    views,
 )
 
 from nutmegshelf_entry import logs, notelog, ports, worker_link, writer
@@ -27,6 +29,8 @@
 # A job that is not stored within this time is given back to the entry that took it.
 _ACCEPT_LIMIT_S = 0.7
 USED = "used"
+# Operators are shown no more jobs of a service than this.
+MOST_SHOWN = 200
 _Lives = list[tuple[fleetview.Life, ids.HostId]]
 
 _log = logs.part("holder")
@@ -51,6 +55,7 @@
         held = book.held[pool]
         self.pool = pool
         self.epoch = held.lease.epoch
+        self._entry = book.own
         self._rows = rows
         self._workers = workers
         self._hosts = hosts
@@ -84,6 +89,8 @@
 
     async def call(self, call: calls.AnyCall) -> calls.Reply:
         """Answer a call about a job or a host of the service."""
+        if isinstance(call, calls.Inspect) and self.is_loaded:
+            return self._inspect(call)
         if not self.is_loaded or not self._is_fresh():
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
         match call:
@@ -171,6 +178,40 @@
             await asyncio.sleep(_PASS_GAP_S)
         return calls.Reply(verdict=calls.Verdict.DONE, state=record.shown)
 
+    def _inspect(self, call: calls.Inspect) -> calls.Reply:
+        now_s, records = self._loop.time(), self.scheduler.ledger.records
+        found: object
+        match call.view:
+            case calls.View.JOBS:
+                # Live jobs go first, as there may be more than are shown.
+                ordered = sorted(records.values(), key=lambda one: (not one.is_live, one.ended_s))
+                shown = ordered[:MOST_SHOWN]
+                found = [views.job(self.scheduler, record, now_s) for record in shown]
+            case calls.View.JOB if (record := records.get(call.job)) is not None:
+                found = views.detail(self.scheduler, record, self.notes.decisions, now_s)
+            case calls.View.JOB:
+                return calls.Reply(verdict=calls.Verdict.UNKNOWN_JOB)
+            case calls.View.QUEUES:
+                found = views.queues_of(self.scheduler)
+            case calls.View.POOLS:
+                found = [views.pool(self.scheduler, call.service, now_s)]
+            case calls.View.HOLDERS:
+                found = [self._view(call.service, now_s)]
+            case _:
+                found = []
+        return calls.Reply(verdict=calls.Verdict.DONE, shown=msgspec.json.encode(found))
+
+    def _view(self, service: ids.ServiceName, now_s: float) -> views.HolderView:
+        return views.HolderView(
+            service=service,
+            entry=self._entry,
+            epoch=self.epoch,
+            lease_age_s=round(now_s - self.writer.renewed_s, 3),
+            is_settled=self.scheduler.is_settled,
+            jobs_live=self.live_jobs(),
+            jobs_kept=len(self.scheduler.ledger.records),
+        )
+
     def _count(self, queue: ids.QueueName) -> calls.Reply:
         pending = sum(
             record.progress.state is jobs.JobState.QUEUED and record.job.queue.name == queue
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -9,7 +9,16 @@
 from nutmegshelf import calls, exceptions, queues
 from nutmegshelf_http import channel, server
 
-from nutmegshelf_entry import front, job_metrics, job_service, logs, mesh, problems, shutdown
+from nutmegshelf_entry import (
+    front,
+    job_metrics,
+    job_operator,
+    job_service,
+    logs,
+    mesh,
+    problems,
+    shutdown,
+)
 
 _log = logs.part("daemon")
 
@@ -21,46 +30,58 @@
         self._own = own
         self._metrics = job_metrics.JobMetrics()
         self._mesh = mesh.Mesh(self._answer)
-        self._service = job_service.JobService(own, outside, self._mesh)
+        self.service = job_service.JobService(own, outside, self._mesh)
+        self._mesh.operate = job_operator.JobOperator(
+            own.entry, self.service.in_force, self.service.desk
+        ).handle
         self._front = front.Front(
-            self._service.in_force,
+            self.service.in_force,
             outside.codec,
-            self._service.desk,
+            self.service.desk,
             self._metrics,
         )
         self._callers = server.Server(
             self._front.handle, bad_head=problems.bad_head, on_error=self._report
         )
-        self._service.on_limits = self._set_limits
+        self.service.on_limits = self._set_limits
         self._ready = server.Server(front.ready_handler(self._is_ready), on_error=self._report)
         self._shown_metrics = server.Server(self._metrics.handle, on_error=self._report)
-        self._metrics.gauges = self._service.gauges
-        self._metrics.events = self._service.events
+        self._metrics.gauges = self.service.gauges
+        self._metrics.events = self.service.events
         self._shutdown = shutdown.Shutdown(own.grace_s / 2, own.grace_s / 3)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then hand over and finish what is in progress."""
         own = self._own
         self._shutdown.watch_signals()
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._service.reload)
-        await self._mesh.start(own.peers.host, own.peers.port)
-        await self._callers.start(own.callers.host, own.callers.port)
-        await self._ready.start(own.ready.host, own.ready.port)
-        if own.metrics is not None:
-            await self._show_metrics(own.metrics)
-        _log.info("Started.", entry=own.entry, zone=own.zone, incarnation=self._service.incarnation)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.service.reload)
+        await self.listen()
+        _log.info("Started.", entry=own.entry, zone=own.zone, incarnation=self.service.incarnation)
         async with asyncio.TaskGroup() as group:
-            task = group.create_task(self._service.run())
+            task = group.create_task(self.service.run())
             await self._shutdown.wait_asked()
-            self._service.leaving = True
+            self.service.leaving = True
             await self._shutdown.run(
-                [self._callers, self._ready], self._refuse, self._service.shards.leave, []
+                [self._callers, self._ready], self._refuse, self.service.shards.leave, []
             )
             await shutdown.end([task])
+        await self.close()
+        _log.info("Stopped.", entry=own.entry)
+
+    async def listen(self) -> None:
+        """Open the sockets."""
+        own = self._own
+        await self._mesh.start(own.peers.host, own.peers.port)
+        await self._callers.start(own.callers.host, own.callers.port)
+        await self._ready.start(own.ready.host, own.ready.port)
+        if own.metrics is not None:
+            await self._show_metrics(own.metrics)
+
+    async def close(self) -> None:
+        """Close the sockets."""
         for one in (self._callers, self._ready, self._shown_metrics):
             await one.close()
         await self._mesh.close()
-        _log.info("Stopped.", entry=own.entry)
 
     async def _show_metrics(self, where: job_service.Endpoint) -> None:
         try:
@@ -70,7 +91,7 @@
             _log.error("Metrics can't be shown.", address=where.address, why=str(error))
 
     async def _answer(self, call: calls.AnyCall) -> calls.Reply:
-        return await self._service.desk.answer(call)
+        return await self.service.desk.answer(call)
 
     def _set_limits(self, limits: queues.Limits) -> None:
         self._callers.set_limits(
@@ -85,7 +106,7 @@
         self._front.refusing = exceptions.ErrorKind.SHUTTING_DOWN
 
     def _is_ready(self) -> bool:
-        return not self._shutdown.leaving and self._service.in_force.routes is not None
+        return not self._shutdown.leaving and self.service.in_force.routes is not None
 
     def _report(self, error: Exception) -> None:
         _log.error("A handler failed.", exc_info=error)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/mesh.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/mesh.py
@@ -15,13 +15,18 @@
 _MOST_BYTES = 1024 * 1024
 _log = logs.part("mesh")
 
+Serve = collections.abc.Callable[[server.Exchange], collections.abc.Awaitable[None]]
 Answerer = collections.abc.Callable[[calls.AnyCall], collections.abc.Awaitable[calls.Reply]]
 
 
 class Mesh:
-    """Own the listener for other entries' calls and the connections to them."""
+    """Own the listener for other entries' calls and the connections to them.
+
+    What is no call of an entry goes to the operators' interface, which listens here too.
+    """
 
     def __init__(self, answer: Answerer) -> None:
+        self.operate: Serve | None = None
         self._answer = answer
         self._clients: dict[str, client.Client] = {}
         self._server = server.Server(self._handle, on_error=self._report)
@@ -51,6 +56,9 @@
             raise exceptions.PeerAnswerLost(f"{address}: {error}") from error
 
     async def _handle(self, exchange: server.Exchange) -> None:
+        if exchange.target != _PATH and self.operate is not None:
+            await self.operate(exchange)
+            return
         body = await exchange.link.read_body(_MOST_BYTES)
         try:
             call = msgspec.msgpack.decode(body, type=calls.AnyCall)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import collections
+import time
 
-from nutmegshelf import notes
+from nutmegshelf import explain, jobs, notes
 
 from nutmegshelf_entry import logs
 
 # Lines a second and event; more of one kind are only counted.
 _MOST_LINES = 20
+# Jobs whose decisions are kept in memory; the log has those of all.
+_MOST_JOBS = 200
 
 
 class NoteLog:
@@ -21,6 +24,8 @@
         # What was noted since the start, with what was left out of the log.
         self.totals: collections.Counter[str] = collections.Counter()
         self._lines: collections.Counter[str] = collections.Counter()
+        # The newest decisions on the jobs decided on last, for operators.
+        self.decisions = explain.Decisions(max_subjects=_MOST_JOBS)
 
     def write(self, taken: notes.Notes) -> None:
         """Write all new notes, as far as the bound allows."""
@@ -31,12 +36,23 @@
         for note in taken.take():
             self.totals[note.event] += 1
             self._lines[note.event] += 1
+            self._keep(note)
             if self._lines[note.event] <= _MOST_LINES:
                 self._log.info(note.event, pool=self._pool, **note.fields)
         if taken.left_out:
             self._lines["notes of the kernel"] += taken.left_out + _MOST_LINES
             taken.left_out = 0
 
+    def _keep(self, note: notes.Note) -> None:
+        task = jobs.parse_task(str(note.fields.get("task", "")))
+        subject = task.job if task is not None else note.fields.get("job")
+        if subject is not None:
+            reason = " ".join(f"{name}={value}" for name, value in note.fields.items())
+            found = explain.Decision(
+                kind=note.event, subject=subject, reason=reason, at_s=time.time()
+            )
+            self.decisions.add(found)
+
     def _flush(self) -> None:
         left_out = {
             event: count - _MOST_LINES
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -87,7 +87,25 @@
         return {host: load.idle_s for host, load in self.hosts.items() if load.idle_s is not None}
 
 
-AnyCall = Submit | Show | Cancel | CountPending | Give | Demand
+class View(enum.Enum):
+    """Name what operators may ask a holder for."""
+
+    JOBS = "jobs"
+    JOB = "job"
+    QUEUES = "queues"
+    POOLS = "pools"
+    WAVES = "waves"
+    HOLDERS = "holders"
+
+
+class Inspect(Call, frozen=True, kw_only=True):
+    """Ask a holder what it knows, for operators; it answers also while it can't give orders."""
+
+    view: View
+    job: ids.JobId = ids.JobId("")
+
+
+AnyCall = Submit | Show | Cancel | CountPending | Give | Demand | Inspect
 
 
 class Verdict(enum.Enum):
@@ -106,3 +124,4 @@
     verdict: Verdict
     state: jobs.JobState = jobs.JobState.QUEUED
     count: int = 0
+    shown: bytes = b""
--- a/packages/nutmegshelf/src/nutmegshelf/jobs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/jobs.py
@@ -1,6 +1,7 @@
 """Describe callers' jobs, the names of their tasks and how far each job has come."""
 
 import enum
+import re
 import typing
 
 import msgspec
@@ -12,6 +13,26 @@
 INBOX = "inbox"
 
 
+# A job's row and its progress have to fit into one transaction, and its tasks into memory.
+MOST_TASKS = 20_000
+_AMOUNTS = (
+    "cpu_millis",
+    "memory_mb",
+    "accelerators",
+    "estimate_ms",
+    "max_per_worker",
+    "target_ms",
+    "may_miss",
+)
+# Ids are parts of row keys and of tasks' names, which have separators of their own.
+_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
+
+def is_id(text: str) -> bool:
+    """Say whether a text can name a job."""
+    return _ID.fullmatch(text) is not None
+
+
 class JobState(enum.Enum):
     """Say how far a job has come."""
 
@@ -82,6 +103,29 @@
         return any(step.lasting for step in self.steps)
 
 
+def faults(job: Job) -> list[str]:
+    """Give what is wrong with a submitted job, a line each; one with faults must not be stored."""
+    found: list[str] = []
+    if not job.steps:
+        found.append("there are no steps")
+    for field in ("occurrences", "first_due_ms", "interval_ms"):
+        if getattr(job, field) < 0:
+            found.append(f"{field} is negative")
+    for index, step in enumerate(job.steps):
+        if step.count < 1:
+            found.append(f"step {index} has no tasks")
+        found += [
+            f"step {index}: {field} is negative" for field in _AMOUNTS if getattr(step, field) < 0
+        ]
+        if any(not 0 <= before < index for before in step.after):
+            found.append(f"step {index}: it comes after steps that are not before it")
+        if step.lasting and step.gang:
+            found.append(f"step {index}: tasks that last can't be a gang")
+    if sum(max(0, step.count) for step in job.steps) > MOST_TASKS:
+        found.append(f"there are more than {MOST_TASKS} tasks")
+    return found
+
+
 class TaskKey(typing.NamedTuple):
     """Name one task of a job."""
 
