Declare queues and check them with pools and services

A queue names its service, host, path and terms; check finds a queue of no service, of a spare pool, of a path that another one has, and an objective beyond the timeout. The own interface runs from the declared set in its tests.

--- a/features/declarations.feature
+++ b/features/declarations.feature
@@ -35,6 +35,13 @@
       | teams.toml       | quota_cores = 1024.0           | quota_cores = 2304.0        | teams.studio.quota_cores: the teams' quotas add up to 2816 and all pools have 2560; lower quotas by 256 in all                     |
       | pools.toml       | wanted_workers = 8             | wanted_workers = 0          | pools.desk-a.wanted_workers: the pool has no worker for service desk-a, job scan-meshes; set at least 1, or move its users         |
       | maintenance.toml | [maintenance.billing]          | [maintenance.Billing]       | maintenance.Billing: the name can't be used; use lower-case letters, digits, - and _                                                     |
+      | queues.toml | service = "desk-a" | service = "desk-aa" | queues.scan-previews.service: services has no "desk-aa"; did you mean "desk-a"? |
+      | queues.toml | "/caps/models/" | "/scans/previews/" | queues.cap-models.path_prefix: queue "scan-previews" has the same host and path; give each queue a path of its own |
+      | queues.toml | jobs.dorna.example | orders.dorna.example | queues.scan-previews.host: "orders.dorna.example" is a host of service orders; take jobs in under a host of their own |
+      | queues.toml | service = "desk-b" | service = "billing" | queues.cap-models.service: pool billing is spare, so its workers are off; name a service of another pool |
+      | queues.toml | target_latency_ms = 600 | target_latency_ms = 6000 | queues.scan-previews.target_latency_ms: 6000 ms is longer than the timeout, 3000 ms; set at most 3000, or a longer timeout_ms |
+      | queues.toml | "/caps/models/" | "/caps/models" | queues.cap-models.path_prefix: '/caps/models' can't be used; set a string that matches ^/(.*/)?$ |
+      | queues.toml | priority = 1 | priority = -1 | queues.cap-models.priority: -1 can't be used; set a whole number of at least 0 |
 
   Scenario: Faults in several files come all at once, also those that only the whole set shows
     Given the declarations of "costa_viva"
@@ -56,6 +63,8 @@
       | pools.toml    | pools.logbook.worker_cores  |
       | services.toml | (whole file)                |
       | teams.toml    | (whole file)                |
+      | queues.toml   | queues.lift-reports.service  |
+      | queues.toml   | queues.shed-tallies.service  |
       | budgets.toml  | budgets.arrivals.service    |
       | budgets.toml  | budgets.logbook.service     |
       | budgets.toml  | budgets.office.service      |
--- a/features/steps/own_interface_steps.py
+++ b/features/steps/own_interface_steps.py
@@ -6,7 +6,7 @@
 import threading
 
 import behave
-from nutmegshelf import codecs, jobs
+from nutmegshelf import codecs, declarations, jobs, queues
 from nutmegshelf_cli import main
 from nutmegshelf_entry import job_codec, jobs_daemon
 from nutmegshelf_http import client
@@ -16,6 +16,27 @@
 from features import jobworld
 
 HOST = "127.0.0.1"
+DECLARED = """
+[pools.a]
+wanted_workers = 4
+worker_cores = 16
+worker_memory_gb = 64
+[pools.spare]
+wanted_workers = 1
+worker_cores = 16
+worker_memory_gb = 64
+spare = true
+[services.a]
+pool = "a"
+wanted_minions = 4
+[services.spare]
+pool = "spare"
+wanted_minions = 1
+[queues.q]
+service = "a"
+host = "127.0.0.1"
+path_prefix = "/q/"
+"""
 
 
 class Served:
@@ -36,7 +57,8 @@
         self.world = jobworld.World({"a": workers})
         self.world.works["job-1"] = self.world.default_work
         self.site = jobworld.Site(self.world)
-        self.world.declare(jobworld.declare(jobworld.queue(host=HOST)))
+        declared = declarations.from_toml({"set.toml": DECLARED})
+        self.world.declare(queues.of_declared(declared, 1))
         ports = process.free_ports(3 * len(names))
         for at, name in enumerate(names):
             own = self.site.settings(name, HOST, ports[3 * at : 3 * at + 3])
--- a/packages/nutmegshelf/src/nutmegshelf/check.py
+++ b/packages/nutmegshelf/src/nutmegshelf/check.py
@@ -128,6 +128,49 @@
             yield subject.reading.blame("budgets", name, "min_available_fraction", wrong, remedy)
 
 
+def _queue_paths(subject: Subject) -> Faults:
+    first: dict[tuple[str, str], str] = {}
+    for name, queue in subject.declared.queues.items():
+        if first.setdefault((queue.host, queue.path_prefix), name) != name:
+            other = first[queue.host, queue.path_prefix]
+            wrong = f'queue "{other}" has the same host and path'
+            remedy = "give each queue a path of its own"
+            yield subject.reading.blame("queues", name, "path_prefix", wrong, remedy)
+
+
+def _queue_hosts(subject: Subject) -> Faults:
+    owners = {
+        host: name for name, service in subject.declared.services.items() for host in service.hosts
+    }
+    for name, queue in subject.declared.queues.items():
+        if owner := owners.get(queue.host):
+            wrong = f'"{queue.host}" is a host of service {owner}'
+            remedy = "take jobs in under a host of their own"
+            yield subject.reading.blame("queues", name, "host", wrong, remedy)
+
+
+def _queue_pools(subject: Subject) -> Faults:
+    declared = subject.declared
+    for name, queue in declared.queues.items():
+        service = declared.services.get(queue.service)
+        pool = declared.pools.get(service.pool) if service is not None else None
+        if service is not None and pool is not None and pool.spare:
+            wrong = f"pool {service.pool} is spare, so its workers are off"
+            yield subject.reading.blame(
+                "queues", name, "service", wrong, "name a service of another pool"
+            )
+
+
+def _queue_objectives(subject: Subject) -> Faults:
+    for name, queue in subject.declared.queues.items():
+        if queue.target_latency_ms > queue.timeout_ms:
+            wrong = (
+                f"{queue.target_latency_ms} ms is longer than the timeout, {queue.timeout_ms} ms"
+            )
+            remedy = f"set at most {queue.timeout_ms}, or a longer timeout_ms"
+            yield subject.reading.blame("queues", name, "target_latency_ms", wrong, remedy)
+
+
 def _twice_governed(subject: Subject) -> Faults:
     declared = subject.declared
     governed = (
@@ -231,5 +274,9 @@
     "twice-governed": _twice_governed,
     "large-jobs": _large_jobs,
     "quotas": _quotas,
+    "queue-paths": _queue_paths,
+    "queue-hosts": _queue_hosts,
+    "queue-pools": _queue_pools,
+    "queue-objectives": _queue_objectives,
     "broken-budgets": _broken_budgets,
 }
--- a/packages/nutmegshelf/src/nutmegshelf/declarations.py
+++ b/packages/nutmegshelf/src/nutmegshelf/declarations.py
@@ -16,6 +16,8 @@
 PositiveAmount = typing.Annotated[float, msgspec.Meta(gt=0)]
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 Path = typing.Annotated[str, msgspec.Meta(pattern="^/")]
+# What follows the prefix of a queue is a job's id.
+QueuePath = typing.Annotated[str, msgspec.Meta(pattern="^/(.*/)?$")]
 Method = typing.Annotated[str, msgspec.Meta(pattern="^[A-Z]+$")]
 HostName = typing.Annotated[str, msgspec.Meta(pattern="^[a-z0-9.-]+$")]
 
@@ -112,6 +114,19 @@
     at_most_at_once: Positive = 1
 
 
+class Queue(Declaration, frozen=True, kw_only=True):
+    """Declare a queue that callers submit jobs to, and how its jobs are run."""
+
+    service: ids.ServiceName
+    host: HostName
+    path_prefix: QueuePath
+    timeout_ms: Positive = 10_000
+    target_latency_ms: Count = 1_000
+    priority: Count = 0
+    max_attempts: Positive = 3
+    stretch: PositiveAmount = 1.5
+
+
 class DeclarationSet(Declaration, frozen=True, kw_only=True):
     """Hold everything that is declared, by kind and name."""
 
@@ -121,6 +136,7 @@
     jobs: dict[ids.JobName, Job] = {}
     teams: dict[ids.TeamName, Team] = {}
     maintenance: dict[str, Maintenance] = {}
+    queues: dict[ids.QueueName, Queue] = {}
 
 
 KINDS: dict[str, type[Declaration]] = {
@@ -130,6 +146,7 @@
     "jobs": Job,
     "teams": Team,
     "maintenance": Maintenance,
+    "queues": Queue,
 }
 REFERENCES: dict[tuple[str, str], str] = {
     ("services", "pool"): "pools",
@@ -137,6 +154,7 @@
     ("jobs", "pool"): "pools",
     ("jobs", "team"): "teams",
     ("maintenance", "pool"): "pools",
+    ("queues", "service"): "services",
 }
 _NAME = re.compile(r"[a-z0-9][a-z0-9_-]*")
 
--- a/packages/nutmegshelf/src/nutmegshelf/queues.py
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from nutmegshelf import ids
+from nutmegshelf import declarations, ids
 
 
 class Advised(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,6 +58,36 @@
     limits: Limits = Limits()
 
 
+def of_declared(declared: declarations.DeclarationSet, version: ids.Version) -> QueueSet:
+    """Make the set of queues that a version of the declarations holds."""
+    return QueueSet(
+        version=version,
+        queues=tuple(
+            Queue(
+                name=name,
+                host=queue.host,
+                path_prefix=queue.path_prefix,
+                service=queue.service,
+                timeout_ms=queue.timeout_ms,
+                target_latency_ms=queue.target_latency_ms,
+                priority=queue.priority,
+                max_attempts=queue.max_attempts,
+                stretch=queue.stretch,
+            )
+            for name, queue in declared.queues.items()
+        ),
+        services=tuple(
+            Service(
+                name=name,
+                is_guarded=service.guarded,
+                is_spare=declared.pools[service.pool].spare,
+                max_connections=service.connections_per_minion,
+            )
+            for name, service in declared.services.items()
+        ),
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """Name the queue of a request and the job in it; no job for the queue as a whole."""
