Don't count hosts that change their pool as down for a wave

Cause: what counted as down were all hosts of the wave that were not up, so also those moving between pools; in a busy turn these filled the wave's bound, and hosts with lasting work waited for up to 12 s. Ruled out: the clearing itself (3 s), the budget of lasting tasks, the rest after a takeover.

The test chose no host before.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -32,6 +32,10 @@
     Given a wave of 10 hosts with 3 at once, of which 2 are down by an earlier holder's order
     Then only 1 host is chosen, though all others idle
 
+  Scenario: Hosts that move between pools do not hold a wave up
+    Given a wave of 10 hosts with 3 at once, of which 2 move and 1 is in another wave's upkeep
+    Then only 2 hosts are chosen, though all others idle
+
   Scenario Outline: The need of a pool that runs <running> and has <waiting> waiting hosts' worth is <hosts>
     Given a planner for hosts of 16 cores
     When a pool runs <running> and has <waiting> waiting, each task for <seconds> s
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -144,7 +144,23 @@
     ]
 
 
+@behave.given(
+    "a wave of {count:d} hosts with {most:d} at once, of which {moving:d} move and 1 is in "
+    "another wave's upkeep"
+)
+def plan_wave_while_moving(context, count, most, moving):
+    plan_wave(context, count, most, moving + 1)
+    states = [pooling.HostState.MOVING] * moving + [pooling.HostState.UPKEEP]
+    states += [pooling.HostState.UP] * (count - len(states))
+    views = [
+        pooling.HostView(f"h{number}", "a", state, "z", "r", 1000)
+        for number, state in enumerate(states)
+    ]
+    context.away = upkeep.away(views, set())
+
+
 @behave.then("only {count:d} host is chosen, though all others idle")
+@behave.then("only {count:d} hosts are chosen, though all others idle")
 def check_chosen(context, count):
     found = context.plan.choose(context.candidates, context.away, 1_000, 2.0)
     assert len(found) == count, found
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -236,12 +236,8 @@
             if host not in self._working and self._views[host].state is pooling.HostState.UP
         ]
         candidates = [one for one in candidates if not self._rests(one.host)]
-        # An earlier holder's last orders may not show in the list yet.
-        away = {
-            host
-            for host, view in self._views.items()
-            if view.state is not pooling.HostState.UP or self._rests(host)
-        }
+        resting = {host for host in self._resting_s if self._rests(host)}
+        away = upkeep.away(self._views.values(), resting)
         for host in plan.choose(candidates, away, now_ms, self._upkeep_s):
             plan.asked_s[host] = now_s
             self._spawn(host, self._do_upkeep(plan, host))
--- a/packages/nutmegshelf/src/nutmegshelf/upkeep.py
+++ b/packages/nutmegshelf/src/nutmegshelf/upkeep.py
@@ -1,11 +1,12 @@
 """Plan waves of upkeep: which hosts go down next, so that a wave is done in time and in bounds."""
 
+import collections.abc
 import dataclasses
 import math
 
 import msgspec
 
-from nutmegshelf import ids
+from nutmegshelf import ids, pooling
 
 # Time that clearing a host and its return take beside the upkeep itself.
 _OVERHEAD_S = 3.0
@@ -32,6 +33,17 @@
     is_finished: bool = False
 
 
+def away(
+    views: collections.abc.Iterable[pooling.HostView], resting: set[ids.HostId]
+) -> set[ids.HostId]:
+    """Give the hosts that count as down for a wave, whoever took them down.
+
+    An earlier holder's last orders may not show in the list yet, so its hosts count while they
+    rest. Hosts that only change their pool don't count.
+    """
+    return resting | {view.host for view in views if view.state is pooling.HostState.UPKEEP}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """Describe a host of a wave that has not had its upkeep: what its absence would cost."""
