--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -28,6 +28,24 @@
     Then within 8 s at most 2 hosts are paid for
     And no bound of the hosts was broken
 
+  Scenario Outline: After a takeover a host is given away once its worker said that nothing runs there
+    Given a holder that took over with workers at 2 hosts and tasks that may run anywhere
+    When the worker at the first host <says>, and the other one is silent
+    Then the first host is <given> and the other one is kept
+
+    Examples:
+      | says                               | given |
+      | lists nothing                      | given |
+      | lists a task                       | kept  |
+      | is silent too                      | kept  |
+      | lists nothing, in an earlier life  | kept  |
+
+  Scenario: A host that its pool does not give is left alone for a while, and others move
+    Given 2 entries and 3 workers of one service and 3 spare hosts
+    And a job just ended at all its hosts, and none of them is given away
+    When work for 2 hosts of another service waits for 1.4 s
+    Then the 2 hosts that were spare moved to the other service
+
   Scenario: Hosts that an earlier holder took down count for the bound of a wave
     Given a wave of 10 hosts with 3 at once, of which 2 are down by an earlier holder's order
     Then only 1 host is chosen, though all others idle
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -3,7 +3,17 @@
 import asyncio
 
 import behave
-from nutmegshelf import calls, clearing, fleetview, jobs, ledger, pooling, turns, upkeep
+from nutmegshelf import (
+    calls,
+    clearing,
+    fleetview,
+    jobs,
+    ledger,
+    pooling,
+    scheduler,
+    turns,
+    upkeep,
+)
 
 from features import jobworld
 from features.steps import jobs_steps
@@ -223,3 +233,100 @@
     starts = [float(one) for one in times.replace(" and", ",").split(",") if one.strip()]
     take_turns(known, list(zip(starts, "abcd", strict=False)))
     assert known.forecast(starts[-1] + 1) is None
+
+
+def facts_of(number, born_ms=1):
+    return fleetview.WorkerFacts(
+        fleetview.Life(f"w{number}", born_ms),
+        "a",
+        f"h{number}",
+        "",
+        "z",
+        "r",
+        frozenset(),
+        9000,
+        900,
+        0,
+    )
+
+
+@behave.given(
+    "a holder that took over with workers at {count:d} hosts and tasks that may run anywhere"
+)
+def take_over(context, count):
+    context.scheduler = scheduler.Scheduler(2, lapse_s=6.0, now_s=0.0, recovers=True)
+    made = jobworld.job(1, (jobs.Step(count=2, cpu_millis=1000),))
+    context.scheduler.ledger.add(made, None, 0.0, 0, may_run=True)
+    context.listed = [facts_of(number) for number in range(count)]
+
+
+@behave.when("the worker at the first host {says}, and the other one is silent")
+def report_first(context, says):
+    lives = [(facts.life, facts.host) for facts in context.listed]
+    if "earlier life" in says:
+        # The earlier holder used a later life than the list shows yet.
+        lives[0] = (fleetview.Life("w0", 5), "h0")
+    context.scheduler.list_workers(context.listed, 0.0)
+    context.scheduler.expect_lives(lives)
+    if says == "is silent too":
+        return
+    running = (fleetview.Listed(f"{1:016x}.0.0.0", 65537, "", 0, 0.0),) if "a task" in says else ()
+    report = fleetview.Report(context.listed[0].life, 0, 0.5, 0.6, running, ())
+    context.scheduler.reported(report)
+
+
+@behave.then("the first host is {given} and the other one is kept")
+def check_given(context, given):
+    found = [context.scheduler.give(host, 1.0, only_idle=True) for host in ("h0", "h1")]
+    assert found == [given == "given", False], found
+
+
+@behave.given("a job just ended at all its hosts, and none of them is given away")
+@jobs_steps.paused
+async def keep_hosts(context):
+    context.world.default_work = (4.0, fleetview.How.DONE)
+    step = jobs.Step(count=3, cpu_millis=16_000, memory_mb=100, estimate_ms=4000)
+    made = await jobs_steps.submit(context, 1, (step,), "e0")
+    done = jobs_steps.is_everywhere(context, made, "succeeded")
+    await jobs_steps.until(6, done, "states")
+    hosts = context.world.hosts.items()
+    context.spare = {host for host, one in hosts if one["pool"] == "spare"}
+    for service, _ in context.site.entries.values():
+        ask = service.desk.answer
+
+        async def answer(call, ask=ask):
+            if isinstance(call, calls.Give):
+                return calls.Reply(verdict=calls.Verdict.WAITS)
+            return await ask(call)
+
+        service.desk.answer = answer
+        held = service.shards.holder("a")
+        if held is not None:
+            held.scheduler.give = lambda *args, **kwargs: False
+
+
+@behave.when("work for {hosts:d} hosts of another service waits for {seconds:g} s")
+@jobs_steps.paused
+async def want_hosts(context, hosts, seconds):
+    report = calls.DemandReport(
+        cpu_running=0,
+        cpu_waiting=hosts * context.world.cpu_millis,
+        cpu_lasting=0,
+        waiting_ms=1000,
+        arrived_core_ms=0,
+        least_hosts=0,
+        host_cpu_millis=context.world.cpu_millis,
+        hosts={},
+    )
+    call = calls.Demand(service="*fleet", pool="b", epoch=1, report=report)
+    for _ in range(int(seconds / 0.1)):
+        for service, _ in context.site.entries.values():
+            if (held := service.shards.holder("*fleet")) is not None:
+                await held.call(call)
+        await asyncio.sleep(0.1)
+
+
+@behave.then("the {count:d} hosts that were spare moved to the other service")
+def check_spare_moved(context, count):
+    moved = {host for _, host, _, target in context.world.moves if target == "b"}
+    assert len(context.spare) == count and moved == context.spare, (context.spare, moved)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -40,6 +40,8 @@
 _REPORT_AGE_S = 1.5
 _CLEARING_LIMIT_S = 12.0
 _MOVE_CLEARING_LIMIT_S = 0.3
+# A host that was not cleared in time is not asked for again for a while.
+_KEPT_S = 1.0
 
 _log = logs.part("fleet")
 
@@ -81,6 +83,8 @@
         self._ordered_s: dict[ids.HostId, float] = {}
         self._resting_s: dict[ids.HostId, float] = {}
         self._hold_limit_s = hold_limit_s
+        # Hosts that their pool did not give, with the time until which others are chosen.
+        self._kept_s: dict[ids.HostId, float] = {}
         self._loop = asyncio.get_running_loop()
         self._woken = asyncio.Event()
         self._views: dict[ids.HostId, pooling.HostView] = {}
@@ -303,6 +307,8 @@
             return
         self._note_plan(fresh, now_s)
         held = set(self._working) | {host for host in self._resting_s if self._rests(host)}
+        self._kept_s = {host: at_s for host, at_s in self._kept_s.items() if now_s < at_s}
+        held |= self._kept_s.keys()
         for plan in self._plans.values():
             held |= plan.down.keys()
         views = self._views_after_moves()
@@ -345,6 +351,7 @@
     async def _do_move(self, move: pooling.Move) -> None:
         view = self._views[move.host]
         if not await self._clear(view, move.reason, _MOVE_CLEARING_LIMIT_S, only_idle=True):
+            self._kept_s[move.host] = self._loop.time() + _KEPT_S
             return
         if not await self._announce(move.host):
             return
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -291,7 +291,9 @@
         """Clear a host within the budgets of its tasks; says whether nothing runs there now."""
         workers = [one for one in self.workers.values() if one.facts.host == host]
         is_busy = any(worker.tasks or worker.strays for worker in workers)
-        if not self._is_settled or (only_idle and is_busy):
+        if only_idle and is_busy:
+            return False
+        if not self._is_settled and (is_busy or not self._is_heard(host, workers)):
             return False
         self.clearing.close(host, now_s)
         for worker in workers:
@@ -300,6 +302,17 @@
                 self.leave(task)
         return not any(worker.tasks or worker.strays for worker in workers)
 
+    def _is_heard(self, host: ids.HostId, workers: list[fleetview.Worker]) -> bool:
+        # A worker that answered this holder takes no order of an earlier one any more.
+        known = {worker.facts.life for worker in workers}
+        lacking = {life for life, at in self._expected.items() if at == host} - known
+        newest = max((life.born_ms for life in known), default=-1)
+        return (
+            bool(workers)
+            and all(worker.is_asked for worker in workers)
+            and all(life.born_ms < newest for life in lacking)
+        )
+
     def demand(self, now_s: float) -> calls.DemandReport:
         """Say what the service needs of hosts now."""
         live = self.ledger.live.values()
