Count a host's rest from its last order, by the table's clock

Cause: after a takeover every host with recent orders rested for the whole quiet time from the takeover on, though the last order was seconds older. Announced orders now carry the table's steady clock, which all entries see alike; clocks of hosts may jump, so they can't be compared. An order that was not sent within 0.3 s of its announcement is not sent.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -28,6 +28,14 @@
     Then within 8 s at most 2 hosts are paid for
     And no bound of the hosts was broken
 
+  Scenario: After a restart of all entries hosts rest from their last order, not from the restart
+    Given 3 entries and 6 workers of one service and 2 spare hosts
+    When no work comes for 5 s
+    And all entries are killed at once and started after 3 s
+    And jobs for 5 hosts come every second for 2 s
+    Then at least 4 hosts moved within 2.5 s of the start
+    And no bound of the hosts was broken
+
   Scenario Outline: After a takeover a host is given away once its worker said that nothing runs there
     Given a holder that took over with workers at 2 hosts and tasks that may run anywhere
     When the worker at the first host <says>, and the other one is silent
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -74,6 +74,9 @@
     def is_answering(self):
         return not self.is_cut and not self.is_refusing
 
+    def clock_ms(self):
+        return asyncio.get_running_loop().time() * 1000 + 7e6
+
     async def _arrive(self, lost):
         if self.is_cut:
             await asyncio.sleep(1.0)
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -330,3 +330,10 @@
 def check_spare_moved(context, count):
     moved = {host for _, host, _, target in context.world.moves if target == "b"}
     assert len(context.spare) == count and moved == context.spare, (context.spare, moved)
+
+
+@behave.then("at least {count:d} hosts moved within {seconds:g} s of the start")
+def check_soon(context, count, seconds):
+    moved = [at_s - context.started_s for at_s, *_ in context.world.moves]
+    soon = [at_s for at_s in moved if 0 <= at_s <= seconds]
+    assert len(soon) >= count, moved
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -290,6 +290,7 @@
     for name in names:
         await context.site.kill(name)
     await asyncio.sleep(seconds)
+    context.started_s = now_s()
     for name in names:
         context.site.start(name)
     await asyncio.sleep(1.0)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -38,6 +38,10 @@
 _GIVE_INTERVAL_S = 0.15
 # A pool whose holder has not reported for this long is left alone.
 _REPORT_AGE_S = 1.5
+# An order goes out within this time after it was announced, or not at all.
+_ANNOUNCED_S = 0.3
+# It is carried out within this time after it was announced.
+_ORDER_S = 0.5
 _CLEARING_LIMIT_S = 12.0
 _MOVE_CLEARING_LIMIT_S = 0.3
 # A host that was not cleared in time is not asked for again for a while.
@@ -184,9 +188,12 @@
         found = [codecs.unpack(row.value, upkeep.WaveRow) for row in rows]
         self._stored_waves = {row.number: row for row in found}
         if ordered.version:
-            until_s = self._loop.time() + self._quiet_s
-            hosts = codecs.unpack(ordered.value, list[ids.HostId])
-            self._resting_s = dict.fromkeys(hosts, until_s)
+            now_s, clock_ms = self._loop.time(), self._rows.clock_ms()
+            for host, at_ms in codecs.unpack(ordered.value, dict[ids.HostId, float]).items():
+                # Where the order's age is not known, it may have been sent just now.
+                known = clock_ms is not None and at_ms
+                age_s = max(0.0, (clock_ms - at_ms) / 1000) if clock_ms and known else 0.0
+                self._resting_s[host] = now_s + self._quiet_s + _ORDER_S - age_s
 
     def _may_order(self) -> bool:
         fresh = self._loop.time() - self.writer.renewed_s < self._hold_limit_s
@@ -407,11 +414,16 @@
 
     async def _announce(self, host: ids.HostId) -> bool:
         """Store that the host is about to get an order; says whether it may still be sent."""
-        now_s = self._loop.time()
+        now_s, clock_ms = self._loop.time(), self._rows.clock_ms()
         self._ordered_s[host] = now_s
-        recent = [one for one, at_s in self._ordered_s.items() if now_s - at_s < 2 * self._quiet_s]
-        await self.writer.write_through(platform.Write(_ORDERED, codecs.pack(sorted(recent))))
-        return self._may_order()
+        recent = {
+            one: clock_ms - (now_s - at_s) * 1000 if clock_ms is not None else 0.0
+            for one, at_s in sorted(self._ordered_s.items())
+            if now_s - at_s < 2 * self._quiet_s
+        }
+        await self.writer.write_through(platform.Write(_ORDERED, codecs.pack(recent)))
+        # The next holder counts from the time that was stored, so a late order must not go out.
+        return self._may_order() and self._loop.time() - now_s <= _ANNOUNCED_S
 
     async def _order(
         self, host: ids.HostId, order: collections.abc.Awaitable[ports.Ordered]
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -35,6 +35,9 @@
     def is_answering(self) -> bool:
         """Say whether the table answered lately."""
 
+    def clock_ms(self) -> float | None:
+        """Give the table's steady clock, never ahead of it, or none before its first answer."""
+
     async def read(self, key: str) -> platform.Row:
         """Read a row; raises TableUnavailable."""
 
