--- a/features/own_interface.feature
+++ b/features/own_interface.feature
@@ -5,6 +5,7 @@
     When "POST" "/q/job-1" is asked with 2 steps of 0.2 s
     Then it answers 200 with "queued"
     And within 4 s "GET" "/q/job-1" at every entry answers 200 with "succeeded"
+    And the metrics time the stages "accept, store, wait, start, job, takeover"
     When its tasks take 60 s
     And "POST" "/q/job-2" is asked with 2 steps of 0.2 s
     And "DELETE" "/q/job-2" is asked at the other entry
--- /dev/null
+++ b/features/steps/logs_steps.py
@@ -0,0 +1,84 @@
+"""Write logs to pipes that are full or closed."""
+
+import json
+import os
+import threading
+import time
+
+import behave
+import structlog
+from nutmegshelf_entry import logs
+
+
+@behave.given("logs that go to a pipe that nobody reads")
+def open_pipe(context):
+    context.reader, writer = os.pipe()
+    context.file = os.fdopen(writer, "w")
+    context.sink = logs.configure("info", context.file)
+    context.log = structlog.get_logger(part="test")
+    context.add_cleanup(context.file.close)
+    context.add_cleanup(logs.configure, "critical")
+    context.written = 0
+
+
+def write_lines(context, count, size):
+    for _ in range(count):
+        context.log.info("A line.", number=context.written, filling="x" * (context.written % size))
+        context.written += 1
+
+
+@behave.when("{count:d} lines of up to {size:d} bytes are written")
+def fill_pipe(context, count, size):
+    began_s = time.monotonic()
+    write_lines(context, count, size)
+    context.took_s = time.monotonic() - began_s
+
+
+@behave.then("that took less than {seconds:g} s")
+def check_time(context, seconds):
+    assert context.took_s < seconds, context.took_s
+
+
+@behave.when("the pipe is read while {count:d} more lines are written")
+def read_pipe(context, count):
+    chunks = []
+
+    def read():
+        while data := os.read(context.reader, 65536):
+            chunks.append(data)
+
+    thread = threading.Thread(target=read)
+    thread.start()
+    for _ in range(count):
+        write_lines(context, 1, 100)
+        time.sleep(0.002)
+    context.sink.close()
+    context.file.close()
+    thread.join()
+    context.read = b"".join(chunks).decode()
+
+
+@behave.then("every line that was read is whole")
+def check_whole(context):
+    assert context.read.endswith("\n")
+    context.lines = [json.loads(line) for line in context.read.splitlines()]
+
+
+@behave.then("the lines that were read and those said to be lost are all lines")
+def check_all(context):
+    read = sum(line["event"] == "A line." for line in context.lines)
+    lost = sum(line.get("lost", 0) for line in context.lines)
+    assert lost > 0 and read + lost == context.written, (read, lost, context.written)
+    numbers = [line["number"] for line in context.lines if "number" in line]
+    assert numbers == sorted(numbers)
+
+
+@behave.when("the reader of the pipe goes away and {count:d} lines are written")
+def close_reader(context, count):
+    os.close(context.reader)
+    write_lines(context, count, 100)
+
+
+@behave.then("{count:d} lines are counted as lost")
+def check_lost(context, count):
+    assert context.sink.lost_total == count, context.sink.lost_total
--- a/features/steps/own_interface_steps.py
+++ b/features/steps/own_interface_steps.py
@@ -233,3 +233,14 @@
     for view in context.served.site.views.values():
         view.is_refusing = True
     context.served.run(context.served.end(name))
+
+
+@behave.then('the metrics time the stages "{names}"')
+def check_stages(context, names):
+    async def render():
+        return "".join(one._metrics.render().decode() for _, one in context.served.daemons.values())
+
+    shown = context.served.run(render())
+    for name in names.split(", "):
+        line = f'nutmegshelf_job_stage_seconds_count{{pool="a",stage="{name}"}}'
+        assert line in shown, (name, shown[-3000:])
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -98,6 +98,8 @@
         self._moving: dict[ids.HostId, ids.ServiceName] = {}
         self._working: dict[ids.HostId, asyncio.Task[None]] = {}
         self._planner = pooling.Planner()
+        # What was decided since this holder began, for the metrics.
+        self.totals: collections.Counter[str] = collections.Counter()
         self._noted_s = 0.0
         self._plans: dict[int, upkeep.WavePlan] = {}
         self._stored_waves: dict[int, upkeep.WaveRow] = {}
@@ -274,6 +276,7 @@
             ordered = await self._order(
                 host, self._hosts.upkeep(host, plan.wave.number, self.epoch)
             )
+            self.totals[f"upkeep {_outcome(ordered)}"] += 1
             _log.info("Upkeep.", host=host, wave=plan.wave.number, outcome=_outcome(ordered))
             if ordered in (ports.Ordered.DONE, None):
                 # An order without an answer may have been carried out.
@@ -363,6 +366,7 @@
         if not await self._announce(move.host):
             return
         ordered = await self._order(move.host, self._hosts.move(move, self.epoch))
+        self.totals[f"move {_outcome(ordered)}"] += 1
         _log.info(
             "Move.",
             host=move.host,
@@ -406,6 +410,7 @@
             if reply is not None and reply.verdict is calls.Verdict.DONE:
                 return True
             await asyncio.sleep(_GIVE_INTERVAL_S)
+        self.totals["not cleared"] += 1
         _log.info("A host was not cleared in time.", host=view.host, reason=reason)
         return False
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/histograms.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/histograms.py
@@ -49,3 +49,16 @@
             made.observations = total
             made.sum = buckets.sum_s
             shown.set_value(dict(zip(labels, key, strict=True)), made)
+
+
+class Stages:
+    """Own the durations of one service's stages."""
+
+    def __init__(self, pool: str) -> None:
+        self._pool = pool
+        self.shared: Histograms | None = None
+
+    def observe(self, stage: str, duration_s: float) -> None:
+        """Count how long one pass through a stage took."""
+        if self.shared is not None:
+            self.shared.observe((self._pool, stage), duration_s)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -21,7 +21,7 @@
     views,
 )
 
-from nutmegshelf_entry import logs, notelog, ports, worker_link, writer
+from nutmegshelf_entry import histograms, logs, notelog, ports, worker_link, writer
 
 _PASS_GAP_S = 0.008
 _TICK_S = 0.1
@@ -51,6 +51,7 @@
         hold_limit_s: float,
         ended_kept_s: float,
         taken_s: float,
+        timings: histograms.Histograms,
     ) -> None:
         held = book.held[pool]
         self.pool = pool
@@ -79,7 +80,11 @@
         self.is_loaded = False
         self._listed: list[fleetview.WorkerFacts] = []
         self._group: asyncio.TaskGroup | None = None
-        self.notes = notelog.NoteLog("holder", pool)
+        self.stages = self.writer.stages
+        self.stages.shared = timings
+        self.notes = notelog.NoteLog("holder", pool, self.stages)
+        self._taken_s = taken_s
+        self._was_settled = False
 
     def wake(self) -> None:
         """Have the next pass run soon."""
@@ -294,6 +299,7 @@
             lease_s=self._lease_s,
             wake=self.wake,
             may_order=self._may_order,
+            stages=self.stages,
         )
         self._links[life] = link
         task = self._group.create_task(link.run())
@@ -422,6 +428,9 @@
     def _pass(self) -> None:
         now_s = self._loop.time()
         self.scheduler.tick(now_s, _now_ms())
+        if self.scheduler.is_settled and not self._was_settled:
+            self._was_settled = True
+            self.stages.observe("takeover", now_s - self._taken_s)
         if self._is_fresh() and self._may_order.is_set():
             for order in self._orders(now_s):
                 link = self._links.get(order.life)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_metrics.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_metrics.py
@@ -14,7 +14,8 @@
 class JobMetrics:
     """Own the counters and histograms of the job service; gauges are read when they are shown."""
 
-    def __init__(self) -> None:
+    def __init__(self, stages: histograms.Histograms) -> None:
+        self._stages = stages
         self._requests: collections.Counter[tuple[str, int]] = collections.Counter()
         self._refusals: collections.Counter[str] = collections.Counter()
         self._times = histograms.Histograms()
@@ -56,6 +57,9 @@
         self._times.render(
             "nutmegshelf_job_request_seconds", "Time to answer callers", ("method",), registry
         )
+        self._stages.render(
+            "nutmegshelf_job_stage_seconds", "Time of a stage", ("pool", "stage"), registry
+        )
         content, _ = aioprometheus.render(registry, ["text/plain"])
         return bytes(content)
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -21,7 +21,17 @@
     upkeep,
 )
 
-from nutmegshelf_entry import advisor, desk, fleet_holder, front, holder, logs, ports, shards
+from nutmegshelf_entry import (
+    advisor,
+    desk,
+    fleet_holder,
+    front,
+    histograms,
+    holder,
+    logs,
+    ports,
+    shards,
+)
 
 # Others may take a lease over when it was not renewed for this long.
 LEASE_S = 2.5
@@ -95,6 +105,7 @@
         self.in_force = queues.InForce()
         self.on_limits: collections.abc.Callable[[queues.Limits], None] = lambda limits: None
         self.leaving = False
+        self.timings = histograms.Histograms()
         self.incarnation = uuid.uuid4().hex
         self._own = own
         self._outside = outside
@@ -139,7 +150,13 @@
 
     def events(self) -> dict[str, dict[str, float]]:
         """Give how often each decision was taken by the services held here."""
-        return {one.pool: dict(one.notes.totals) for one in self._own_holders()}
+        found: dict[str, dict[str, float]] = {
+            one.pool: dict(one.notes.totals) for one in self._own_holders()
+        }
+        fleet = self.shards.holder(fleet_holder.FLEET)
+        if isinstance(fleet, fleet_holder.FleetHolder):
+            found[fleet_holder.FLEET] = dict(fleet.totals)
+        return found
 
     def reload(self) -> None:
         """Take changed settings; what is held goes on under the old ones."""
@@ -204,6 +221,7 @@
             hold_limit_s=HOLD_LIMIT_S,
             ended_kept_s=self._own.ended_kept_s,
             taken_s=taken_s,
+            timings=self.timings,
         )
         made.list_workers(facts for facts in self._fleet if facts.service == ids.ServiceName(pool))
         return made
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -28,9 +28,9 @@
 
     def __init__(self, own: job_service.JobSettings, outside: job_service.Outside) -> None:
         self._own = own
-        self._metrics = job_metrics.JobMetrics()
         self._mesh = mesh.Mesh(self._answer)
         self.service = job_service.JobService(own, outside, self._mesh)
+        self._metrics = job_metrics.JobMetrics(self.service.timings)
         self._mesh.operate = job_operator.JobOperator(
             own.entry, self.service.in_force, self.service.desk
         ).handle
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
@@ -6,18 +6,21 @@
 
 from nutmegshelf import explain, jobs, notes
 
-from nutmegshelf_entry import logs
+from nutmegshelf_entry import histograms, logs
 
 # Lines a second and event; more of one kind are only counted.
 _MOST_LINES = 20
 # Jobs whose decisions are kept in memory; the log has those of all.
 _MOST_JOBS = 200
+# Decisions that end a stage, with the field that holds how long it took.
+_STAGES = {"run starts": ("wait", "waited_s"), "job ended": ("job", "took_s")}
 
 
 class NoteLog:
-    """Own the lines of one part."""
+    """Own the lines of one part, and count the waits that they tell of."""
 
-    def __init__(self, part: str, pool: str) -> None:
+    def __init__(self, part: str, pool: str, stages: histograms.Stages) -> None:
+        self._stages = stages
         self._log = logs.part(part)
         self._pool = pool
         self._second = 0
@@ -37,6 +40,9 @@
             self.totals[note.event] += 1
             self._lines[note.event] += 1
             self._keep(note)
+            if note.event in _STAGES:
+                stage, field = _STAGES[note.event]
+                self._stages.observe(stage, note.fields[field])
             if self._lines[note.event] <= _MOST_LINES:
                 self._log.info(note.event, pool=self._pool, **note.fields)
         if taken.left_out:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -4,7 +4,7 @@
 
 from nutmegshelf import exceptions, fleetview, orders, scheduler
 
-from nutmegshelf_entry import logs, ports
+from nutmegshelf_entry import histograms, logs, ports
 
 # Ends that come close together are taken in one look.
 _LOOK_GAP_S = 0.025
@@ -34,6 +34,7 @@
         lease_s: float,
         wake: ports.Wake,
         may_order: asyncio.Event,
+        stages: histograms.Stages,
     ) -> None:
         self._scheduler = service
         self._life = life
@@ -42,6 +43,7 @@
         self._lease_s = lease_s
         self._wake = wake
         self._may_order = may_order
+        self._stages = stages
         self._seen = 0
         self._waiting: asyncio.Timeout | None = None
         self._slots = asyncio.Semaphore(_ORDERS_AT_ONCE)
@@ -141,7 +143,8 @@
         if until_ms is None or not self._may_order.is_set():
             self._scheduler.refused(order, "not ordered", self._loop.time())
             return
-        worker.note_lease(self._loop.time(), START_VALID_S)
+        sent_s = self._loop.time()
+        worker.note_lease(sent_s, START_VALID_S)
         try:
             refusal = await self._calls.start(
                 worker.facts, order, fence=self._fence, until_ms=until_ms
@@ -153,6 +156,7 @@
         except exceptions.WorkerError:
             self._scheduler.unanswered(order, self._loop.time())
         else:
+            self._stages.observe("start", self._loop.time() - sent_s)
             if refusal is None:
                 self._scheduler.started(order, self._loop.time())
             else:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -6,7 +6,7 @@
 import msgspec
 from nutmegshelf import codecs, exceptions, ids, jobs, leases, ledger, platform
 
-from nutmegshelf_entry import logs, ports
+from nutmegshelf_entry import histograms, logs, ports
 
 # Changes that come within this time are stored together.
 _LINGER_S = 0.012
@@ -67,6 +67,7 @@
         self._storing: set[str] = set()
         self._stored = asyncio.Event()
         self._failed_s: float | None = None
+        self.stages = histograms.Stages(pool)
 
     def poke(self) -> None:
         """Note that there may be something to store."""
@@ -92,9 +93,11 @@
                 raise exceptions.TableUnavailable("the table does not answer")
             known = self._accepting[job.job] = (job, self._loop.create_future())
         self._work.set()
+        began_s = self._loop.time()
         try:
             async with asyncio.timeout(limit_s):
                 await asyncio.shield(known[1])
+            self.stages.observe("accept", self._loop.time() - began_s)
         except TimeoutError as error:
             if job.job in self._sent:
                 raise exceptions.TableAnswerLost("the job may be stored") from error
@@ -190,6 +193,7 @@
                 await asyncio.sleep(_RETRY_S)
                 continue
             self._failed_s = None
+            self.stages.observe("store", self._loop.time() - sent_s)
             if committed.ok:
                 self._take_lease(committed, sent_s)
                 self._accepted(accepting)
