--- a/features/steps/own_interface_steps.py
+++ b/features/steps/own_interface_steps.py
@@ -55,7 +55,6 @@
 
     async def _start(self, names, workers):
         self.world = jobworld.World({"a": workers})
-        self.world.works["job-1"] = self.world.default_work
         self.site = jobworld.Site(self.world)
         declared = declarations.from_toml({"set.toml": DECLARED})
         self.world.declare(queues.of_declared(declared, 1))
