--- a/features/steps/own_interface_steps.py
+++ b/features/steps/own_interface_steps.py
@@ -164,7 +164,7 @@
     assert context.answer[0] == status and words in context.answer[1], context.answer
 
 
-@behave.then(
+@behave.step(
     'within {seconds:g} s "{method}" "{path}" at every entry answers {status:d} with "{words}"'
 )
 def check_everywhere(context, seconds, method, path, status, words):
