Give leases back for sure, and ask the list of hosts which workers have ended at a takeover

Ruled out: refused connections as proof that a worker ended, as a cut may look the same.

A host of another pool, or one that runs another worker, has ended the one that it had: its list is read again every 0.4 s while the word of a worker is missing.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -70,6 +70,23 @@
     And a job of steps "1" is submitted after 1 s
     Then within 5 s it is shown as succeeded at every entry
 
+  Scenario: A takeover does not wait for workers that moved away and are still listed
+    Given 3 entries and 6 workers of one service
+    And workers that ended stay listed for 6 s
+    And its tasks take 4 s
+    When a job of steps "1, 1 after 0" is submitted at entry 0
+    And the holder is killed as hosts move away
+    Then within 9 s it is shown as succeeded at every entry
+    And every task ran once
+
+  Scenario: A lease is given back although a transaction of its holder was under way
+    Given 3 entries and 4 workers of one service
+    And its tasks take 3 s
+    And answers of the table take 0.4 s
+    When a job of steps "1, 1 after 0" is submitted and the holder is stopped at once
+    Then another entry holds the service within 1.2 s
+    And within 9 s it is shown as succeeded at every entry
+
   Scenario: A job that may be stored is not called not run when it comes again
     Given 1 entries and 2 workers of one service
     When a job is submitted while its answer is lost and again while the table is away
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -68,6 +68,7 @@
         self.is_refusing = False
         self.lost_answers = 0
         self.late_s = None
+        self.answer_s = 0.0
         self.scanned = None
 
     @property
@@ -106,7 +107,9 @@
                 asyncio.get_running_loop().call_later(self.late_s, self.table.apply, transaction)
             await asyncio.sleep(1.0)
             raise exceptions.TableAnswerLost("lost")
-        return self.table.apply(transaction)
+        committed = self.table.apply(transaction)
+        await asyncio.sleep(self.answer_s)
+        return committed
 
     async def changes(self, kind, after, wait_s):
         await self._arrive(exceptions.TableUnavailable)
@@ -219,6 +222,7 @@
         return cpu + (0 if step.fills else step.cpu_millis) <= self.facts.cpu_millis
 
     def end_life(self):
+        self.world.ended.append((self.facts, asyncio.get_running_loop().time()))
         for run in self.runs.values():
             self.world.note_end(self, run, None)
         self.runs.clear()
@@ -246,6 +250,9 @@
         self.moves = []
         self.upkeeps = []
         self.down = {}
+        # Workers that ended stay in the fleet's list for a while.
+        self.ended = []
+        self.list_lag_s = 0.0
         self.waves_told = []
         self.declared = None
         self.waves = []
@@ -359,7 +366,9 @@
 
     async def fleets(self):
         while True:
-            yield tuple(one.facts for one in self.minions.values())
+            now_s = asyncio.get_running_loop().time()
+            ended = [facts for facts, at_s in self.ended if now_s - at_s < self.list_lag_s]
+            yield (*(one.facts for one in self.minions.values()), *ended)
             await asyncio.sleep(0.15)
 
 
@@ -470,9 +479,16 @@
 
     async def list_hosts(self):
         await asyncio.sleep(CALL_S)
+        workers = {one.facts.host: one.facts.life.worker for one in self.world.minions.values()}
         return tuple(
             pooling.HostView(
-                host, one["pool"], one["state"], "z", one["rack"], self.world.cpu_millis
+                host,
+                one["pool"],
+                one["state"],
+                "z",
+                one["rack"],
+                self.world.cpu_millis,
+                workers.get(host),
             )
             for host, one in self.world.hosts.items()
         )
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -161,12 +161,12 @@
         return [
             {
                 "machine": view.host,
+                "id": view.worker,
                 "pool": view.pool,
                 "state": view.state.value,
                 "zone": view.zone,
                 "labels": ["a", view.rack],
                 "capacity": {"cpu": view.cpu_millis, "memMb": 1, "gpu": 0},
-                "id": "",
             }
             for view in await self.hosts.list_hosts()
         ]
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -318,6 +318,61 @@
     await context.site.kill(context.site.holder_of("a"))
 
 
+@behave.given("workers that ended stay listed for {seconds:g} s")
+def lag_list(context, seconds):
+    context.world.list_lag_s = seconds
+
+
+@behave.when("the holder is killed as hosts move away")
+@paused
+async def kill_while_moving(context):
+    async def check():
+        return len(context.world.moves) >= 2 or context.world.moves
+
+    await until(6, check, "moves")
+    assert any(context.world.running.values()), "the first task has ended"
+    await context.site.kill(context.site.holder_of("a"))
+
+
+@behave.given("answers of the table take {seconds:g} s")
+def slow_answers(context, seconds):
+    for view in context.site.views.values():
+        view.answer_s = seconds
+
+
+@behave.when('a job of steps "{steps}" is submitted and the holder is stopped at once')
+@paused
+async def submit_and_stop(context, steps):
+    name = context.site.holder_of("a")
+    context.made = await submit(context, 1, parse_steps(steps), name)
+    service, _ = context.site.entries[name]
+    service.leaving = True
+    # A transaction is sent, and its answer is not there yet.
+    service.shards.holder("a").writer.write(platform.Write("scratch/a/other", b""))
+    await asyncio.sleep(0.05)
+    context.stopped_s = now_s()
+    context.stop = asyncio.ensure_future(context.site.stop(name))
+    context.stopped = name
+
+
+@behave.then("another entry holds the service within {seconds:g} s")
+@paused
+async def check_taken(context, seconds):
+    async def check():
+        name = next(
+            (
+                name
+                for name, (one, _) in context.site.entries.items()
+                if name != context.stopped and one.shards.holder("a")
+            ),
+            None,
+        )
+        return name is not None or "no other holder"
+
+    await until(seconds, check, "holder")
+    await context.stop
+
+
 @behave.when("a job is submitted while its answer is lost and again while the table is away")
 @paused
 async def submit_unsettled(context):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -28,6 +28,8 @@
 _RETRY_S = 0.2
 # A job that is not stored within this time is given back to the entry that took it.
 _ACCEPT_LIMIT_S = 0.7
+# How often the hosts are listed while the word of workers is missing after a takeover.
+_RULE_OUT_S = 0.4
 USED = "used"
 # Operators are shown no more jobs of a service than this.
 MOST_SHOWN = 200
@@ -323,6 +325,7 @@
                 group.create_task(self._passes())
                 group.create_task(self._follow_notices())
                 group.create_task(self._keep_used())
+                group.create_task(self._rule_out())
                 group.create_task(self._guard())
         finally:
             self.is_loaded = False
@@ -393,6 +396,19 @@
             await self._store_used()
             await asyncio.sleep(_TICK_S)
 
+    async def _rule_out(self) -> None:
+        """Look for lives that ended with their host's move while their word is missing."""
+        while lives := self.scheduler.unheard_lives():
+            try:
+                views = await self._hosts.list_hosts()
+            except exceptions.HostsError as error:
+                _log.warning("The hosts can't be listed.", pool=self.pool, why=str(error))
+            else:
+                pool = ids.ServiceName(self.pool)
+                self.scheduler.rule_out(lives, views, pool, self._loop.time())
+                self.wake()
+            await asyncio.sleep(_RULE_OUT_S)
+
     async def _guard(self) -> None:
         # Orders wait while the lease can't be renewed: another entry may take it over.
         while True:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -19,6 +19,7 @@
 # A starting entry first learns who else is there, so that leases spread evenly.
 _SETTLE_S = 0.7
 _RELEASE_LIMIT_S = 1.0
+_RELEASE_TRIES = 3
 
 _log = logs.part("shards")
 
@@ -194,22 +195,33 @@
         if found is not None:
             found[1].cancel()
 
-    async def _release_lease(self, pool: ids.PoolName) -> None:
-        if pool not in self._book.held:
-            return
-        try:
-            await self._rows.commit(self._book.releasing(pool))
-        except exceptions.TableError as error:
-            _log.warning("A lease was not given back.", pool=pool, why=str(error))
+    async def _release_lease(self, pool: ids.PoolName) -> bool:
+        for _ in range(_RELEASE_TRIES):
+            if pool not in self._book.held:
+                return False
+            try:
+                committed = await self._rows.commit(self._book.releasing(pool))
+            except exceptions.TableError as error:
+                _log.warning("A lease was not given back.", pool=pool, why=str(error))
+                break
+            if committed.ok:
+                self._book.drop(pool)
+                return True
+            # The holder's last transaction may have changed the row after it was told to end.
+            row = next((one for one in committed.rows if one.key == leases.key(pool)), None)
+            if row is None or not self._book.is_own(row):
+                break
+            self._book.observe_own(row, self._loop.time())
         self._book.drop(pool)
+        return False
 
     async def _release(self, pool: ids.PoolName) -> None:
         found = self._holders.get(pool)
         self._end(pool)
         if found is not None:
             await asyncio.wait([found[1]])
-            await self._release_lease(pool)
-            _log.info("A lease is given back.", pool=pool)
+            if await self._release_lease(pool):
+                _log.info("A lease is given back.", pool=pool)
 
     async def leave(self) -> None:
         """Give all leases back and say that the entry leaves."""
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -114,6 +114,17 @@
         self.held[lease.pool] = Held(lease, row.version)
         self._since_s.setdefault(lease.pool, now_s)
 
+    def is_own(self, row: platform.Row) -> bool:
+        """Say whether a row is that of a lease held here."""
+        if not row.version:
+            return False
+        lease = codecs.unpack(row.value, LeaseRow)
+        held = self.held.get(lease.pool)
+        return held is not None and (lease.incarnation, lease.epoch) == (
+            held.lease.incarnation,
+            held.lease.epoch,
+        )
+
     def holder(self, pool: ids.PoolName) -> LeaseRow | None:
         """Give a pool's lease as last seen, or none where nobody holds it."""
         lease = self._leases.get(pool)
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostView:
-    """Hold what the platform says of a host."""
+    """Hold what the platform says of a host, and which worker it runs where that is said."""
 
     host: ids.HostId
     pool: ids.ServiceName
@@ -34,6 +34,7 @@
     zone: ids.ZoneName
     rack: ids.RackName
     cpu_millis: int
+    worker: ids.WorkerId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -15,6 +15,7 @@
     needs,
     notes,
     orders,
+    pooling,
     preemption,
     sharing,
     starting,
@@ -45,6 +46,8 @@
         self._began_s = now_s
         self._recovers = recovers
         self._expected: dict[fleetview.Life, ids.HostId] = {}
+        # Lives that ended, though the fleet's list may still have them.
+        self._over: set[fleetview.Life] = set()
         self._is_settled = not recovers
 
     def arrived(self, job: jobs.Job) -> None:
@@ -72,6 +75,8 @@
         found = {facts.life: facts for facts in listed}
         added: list[fleetview.Worker] = []
         for life, facts in found.items():
+            if life in self._over:
+                continue
             worker = self.workers.get(life)
             if worker is None:
                 worker = self.workers[life] = fleetview.Worker(facts, idle_since_s=now_s)
@@ -104,6 +109,39 @@
         """Note which lives an earlier holder used; one that isn't listed may still run tasks."""
         self._expected = dict(lives)
 
+    def unheard_lives(self) -> dict[fleetview.Life, ids.HostId]:
+        """Give the lives whose word is missing since a takeover."""
+        if self._is_settled:
+            return {}
+        lives = {life: at for life, at in self._expected.items() if life not in self.workers}
+        for life, worker in self.workers.items():
+            if not worker.is_asked:
+                lives[life] = worker.facts.host
+        return lives
+
+    def rule_out(
+        self,
+        lives: dict[fleetview.Life, ids.HostId],
+        views: collections.abc.Iterable[pooling.HostView],
+        pool: ids.ServiceName,
+        now_s: float,
+    ) -> None:
+        """Note which lives have ended, by a list of all hosts that is newer than they are.
+
+        A host that left the pool, or that runs another worker, has ended the one that it had.
+        """
+        by_host = {view.host: view for view in views}
+        for life, host in lives.items():
+            view = by_host.get(host)
+            if view is not None and view.pool == pool and view.worker in (None, life.worker):
+                continue
+            self._over.add(life)
+            self._expected.pop(life, None)
+            worker = self.workers.get(life)
+            if worker is not None and not worker.is_asked:
+                self._lost(worker, now_s, "its host left the pool or runs another worker")
+        self._settle(now_s)
+
     def _lost(self, worker: fleetview.Worker, now_s: float, reason: str) -> None:
         for task in list(worker.tasks.values()):
             self.notes.note("task lost", task=task.key.name, run=task.run, reason=reason)
