--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/main.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from nutmegshelf_cli import jobs, publishing, reading
+from nutmegshelf_cli import jobs, publishing, reading, report
 
 COMMANDS: dict[str, collections.abc.Callable[..., None]] = {
     "check": publishing.check,
@@ -21,6 +21,7 @@
     "pools": jobs.pools,
     "waves": jobs.waves,
     "holders": jobs.holders,
+    "report": report.report,
     "version": reading.version,
 }
 
