--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/listening.py
@@ -0,0 +1,133 @@
+"""Take workers' word on what runs with them and what ended."""
+
+from nutmegshelf import estimates, fleetview, jobs, ledger, notes
+
+# A run that nobody wants is stopped as soon as it is listed.
+_AT_ONCE_S = -1.0
+# A worker that fails this many runs in a row, of two jobs or more, gets no work for a while.
+_SHUN_FAILURES = 4
+_SHUN_S = 4.0
+
+
+class Listener:
+    """Own how reports change the ledger and what is believed of workers."""
+
+    def __init__(
+        self,
+        book: ledger.Ledger,
+        learned: estimates.Estimates,
+        written: notes.Notes,
+    ) -> None:
+        self._ledger = book
+        self._estimates = learned
+        self._notes = written
+
+    def take(self, worker: fleetview.Worker, report: fleetview.Report) -> None:
+        """Take one report of a worker."""
+        now_s = report.received_s
+        worker.is_asked = True
+        worker.heard_s, worker.unheard_since_s = now_s, None
+        listed: set[tuple[str, int]] = set()
+        for end in report.ends:
+            listed.add((end.task, end.run))
+            if end.number > worker.last_end:
+                worker.last_end = end.number
+                self._ended(worker, end, now_s)
+                worker.unstored_ends.append((end.number, self._ledger.change))
+        for run in report.running:
+            listed.add((run.task, run.run))
+            self._runs(worker, run, now_s)
+        worker.strays = {key: at for key, at in worker.strays.items() if key in listed}
+        for task in list(worker.tasks.values()):
+            if (task.key.name, task.run) not in listed:
+                self._absent(worker, task, report)
+
+    def _runs(self, worker: fleetview.Worker, listed: fleetview.Listed, now_s: float) -> None:
+        key = jobs.parse_task(listed.task)
+        record = self._ledger.records.get(key.job) if key else None
+        task = record.task(key) if record and key else None
+        if task is not None:
+            task = _run_of(task, worker.facts.life, listed.run)
+        if record is None or task is None or not record.is_live:
+            worker.strays.setdefault((listed.task, listed.run), _AT_ONCE_S)
+            if task is not None and task.life == worker.facts.life and task.run == listed.run:
+                worker.strays.pop((listed.task, listed.run))
+                task.percent = listed.percent
+            return
+        is_own = task.life == worker.facts.life and task.run == listed.run
+        if not is_own:
+            if task.phase in (fleetview.Phase.ADRIFT, fleetview.Phase.WAITING):
+                self._ledger.adopt(record, task, worker, listed.run, now_s)
+            else:
+                worker.strays.setdefault((listed.task, listed.run), _AT_ONCE_S)
+                return
+        if task.phase is fleetview.Phase.STARTING or (
+            task.phase is fleetview.Phase.UNSURE and task.stop_sent_s is None
+        ):
+            task.phase, task.since_s = fleetview.Phase.RUNNING, now_s
+        task.percent, task.figure = listed.percent, listed.figure
+        self._ledger.save(record, task, listed.saved)
+
+    def _ended(self, worker: fleetview.Worker, end: fleetview.End, now_s: float) -> None:
+        key = jobs.parse_task(end.task)
+        record = self._ledger.records.get(key.job) if key else None
+        task = record.task(key) if record and key else None
+        if record is None or task is None:
+            return
+        task = _run_of(task, worker.facts.life, end.run)
+        is_own = task.life == worker.facts.life and task.run == end.run
+        match end.how:
+            case fleetview.How.DONE if record.is_live and not task.step.lasting:
+                worker.failures_in_row = 0
+                worker.failed_jobs.clear()
+                if is_own and task.step.estimate_ms and not task.saved:
+                    took_s = now_s - task.sent_s
+                    queue = record.job.queue.name
+                    self._estimates.note(queue, task.step.estimate_ms / 1000, took_s)
+                self._ledger.finish(record, task, now_s)
+            case fleetview.How.FAILED:
+                self._blame(worker, record, now_s)
+                self._ledger.fail(record, task, end.run, now_s)
+            case _:
+                pass
+        if not record.is_live and record.ended_s == now_s:
+            self._notes.note(
+                "job ended",
+                job=record.job.job,
+                state=record.progress.state.value,
+                reason=record.progress.reason,
+                took_s=round(now_s - record.accepted_s, 3),
+            )
+        self._ledger.save(record, task, end.saved)
+        if is_own:
+            if end.how is not fleetview.How.DONE:
+                self._notes.note("run ended", task=end.task, run=end.run, how=end.how.value)
+            self._ledger.free(record, task, worker, now_s)
+
+    def _blame(self, worker: fleetview.Worker, record: ledger.Record, now_s: float) -> None:
+        worker.failures_in_row += 1
+        worker.failed_jobs.add(record.job.job)
+        if worker.failures_in_row >= _SHUN_FAILURES and len(worker.failed_jobs) > 1:
+            worker.shunned_until_s = now_s + _SHUN_S
+            worker.failures_in_row = 1
+            self._notes.note("worker shunned", worker=worker.facts.life.worker, for_s=_SHUN_S)
+
+    def _absent(
+        self, worker: fleetview.Worker, task: fleetview.Task, report: fleetview.Report
+    ) -> None:
+        # Only a look that began after the last word on a run can say that it is gone.
+        match task.phase:
+            case fleetview.Phase.RUNNING | fleetview.Phase.DONE:
+                is_gone = report.sent_s >= task.since_s
+            case fleetview.Phase.UNSURE | fleetview.Phase.STOPPING:
+                is_gone = task.stop_acked_s is not None and report.sent_s >= task.stop_acked_s
+            case _:
+                is_gone = False
+        if is_gone:
+            self._ledger.free(self._ledger.records[task.key.job], task, worker, report.received_s)
+
+
+def _run_of(task: fleetview.Task, life: fleetview.Life, run: int) -> fleetview.Task:
+    """Give the run that a worker means, where a task has two."""
+    twin = task.twin
+    return twin if twin is not None and (twin.life, twin.run) == (life, run) else task
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -12,6 +12,7 @@
     ids,
     jobs,
     ledger,
+    listening,
     needs,
     notes,
     orders,
@@ -19,13 +20,11 @@
     preemption,
     sharing,
     starting,
+    takeover,
 )
 
 # A stop that was not answered is sent again after this time.
 STOP_AGAIN_S = 0.4
-# A worker that fails this many runs in a row, of two jobs or more, gets no work for a while.
-_SHUN_FAILURES = 4
-_SHUN_S = 4.0
 # After a refusal for want of room a worker gets no starts until its next report.
 _ROOM_PAUSE_S = 0.3
 
@@ -42,13 +41,8 @@
         self.advice = advising.Advice()
         self._starter = starting.Starter(self.ledger, self.advice, self.notes)
         self._arrived_core_ms = 0.0
-        self._lapse_s = lapse_s
-        self._began_s = now_s
-        self._recovers = recovers
-        self._expected: dict[fleetview.Life, ids.HostId] = {}
-        # Lives that ended, though the fleet's list may still have them.
-        self._over: set[fleetview.Life] = set()
-        self._is_settled = not recovers
+        self._takeover = takeover.Takeover(began_s=now_s, lapse_s=lapse_s, is_needed=recovers)
+        self._listener = listening.Listener(self.ledger, self.estimates, self.notes)
 
     def arrived(self, job: jobs.Job) -> None:
         """Count the work of a new job."""
@@ -75,14 +69,12 @@
         found = {facts.life: facts for facts in listed}
         added: list[fleetview.Worker] = []
         for life, facts in found.items():
-            if life in self._over:
+            if self._takeover.is_over(life):
                 continue
             worker = self.workers.get(life)
             if worker is None:
                 worker = self.workers[life] = fleetview.Worker(facts, idle_since_s=now_s)
-                if self._recovers:
-                    # An earlier holder may have given it a lease until now.
-                    worker.leased_until_s = self._began_s + self._lapse_s
+                worker.leased_until_s = self._takeover.lapsed_s
                 added.append(worker)
             if facts.is_draining and (
                 worker.drain_told_s is None or worker.facts.left_ms != facts.left_ms
@@ -106,37 +98,22 @@
     def expect_lives(
         self, lives: collections.abc.Iterable[tuple[fleetview.Life, ids.HostId]]
     ) -> None:
-        """Note which lives an earlier holder used; one that isn't listed may still run tasks."""
-        self._expected = dict(lives)
+        """Note which lives an earlier holder used."""
+        self._takeover.expect(lives)
 
-    def unheard_lives(self) -> dict[fleetview.Life, ids.HostId]:
+    def unheard_lives(self) -> takeover.Lives:
         """Give the lives whose word is missing since a takeover."""
-        if self._is_settled:
-            return {}
-        lives = {life: at for life, at in self._expected.items() if life not in self.workers}
-        for life, worker in self.workers.items():
-            if not worker.is_asked:
-                lives[life] = worker.facts.host
-        return lives
+        return self._takeover.unheard(self.workers)
 
     def rule_out(
         self,
-        lives: dict[fleetview.Life, ids.HostId],
+        lives: takeover.Lives,
         views: collections.abc.Iterable[pooling.HostView],
         pool: ids.ServiceName,
         now_s: float,
     ) -> None:
-        """Note which lives have ended, by a list of all hosts that is newer than they are.
-
-        A host that left the pool, or that runs another worker, has ended the one that it had.
-        """
-        by_host = {view.host: view for view in views}
-        for life, host in lives.items():
-            view = by_host.get(host)
-            if view is not None and view.pool == pool and view.worker in (None, life.worker):
-                continue
-            self._over.add(life)
-            self._expected.pop(life, None)
+        """Drop the lives that have ended, by a list of all hosts that is newer than they are."""
+        for life in self._takeover.rule_out(lives, views, pool):
             worker = self.workers.get(life)
             if worker is not None and not worker.is_asked:
                 self._lost(worker, now_s, "its host left the pool or runs another worker")
@@ -173,7 +150,7 @@
 
     def _is_empty(self, worker: fleetview.Worker, now_s: float) -> bool:
         # All that was started there is known, unless an earlier holder's word is still missing.
-        return not worker.tasks and (self._is_settled or now_s > worker.leased_until_s)
+        return not worker.tasks and (self.is_settled or now_s > worker.leased_until_s)
 
     def lives_in_use(self, now_s: float) -> list[tuple[fleetview.Life, ids.HostId]]:
         """Give the lives, with their hosts, that a later holder has to ask or to wait for."""
@@ -185,135 +162,23 @@
         )
 
     def _settle(self, now_s: float) -> None:
-        if self._is_settled:
-            return
-        lapsed_s = self._began_s + self._lapse_s
-        if now_s <= lapsed_s:
-            born = {worker.facts.host: life.born_ms for life, worker in self.workers.items()}
-            for life, host in self._expected.items():
-                # A later life at the same host says that this one has ended.
-                if life not in self.workers and born.get(host, -1) <= life.born_ms:
-                    return
-            if not all(worker.is_asked for worker in self.workers.values()):
-                return
-        self._is_settled = True
-        for task in list(self.ledger.adrift):
-            self.ledger.settle(task)
+        if self._takeover.settle(self.workers, now_s):
+            for task in list(self.ledger.adrift):
+                self.ledger.settle(task)
 
     @property
     def is_settled(self) -> bool:
         """Say whether all that an earlier holder started is accounted for."""
-        return self._is_settled
+        return self._takeover.is_settled
 
     # --- reports
 
     def reported(self, report: fleetview.Report) -> None:
         """Take a worker's word on what runs there and what ended."""
         worker = self.workers.get(report.life)
-        if worker is None:
-            return
-        now_s = report.received_s
-        worker.is_asked = True
-        worker.heard_s, worker.unheard_since_s = now_s, None
-        listed: set[tuple[str, int]] = set()
-        for end in report.ends:
-            listed.add((end.task, end.run))
-            if end.number > worker.last_end:
-                worker.last_end = end.number
-                self._ended(worker, end, now_s)
-                worker.unstored_ends.append((end.number, self.ledger.change))
-        for run in report.running:
-            listed.add((run.task, run.run))
-            self._runs(worker, run, now_s)
-        worker.strays = {key: at for key, at in worker.strays.items() if key in listed}
-        for task in list(worker.tasks.values()):
-            if (task.key.name, task.run) not in listed:
-                self._absent(worker, task, report)
-        self._settle(now_s)
-
-    def _runs(self, worker: fleetview.Worker, listed: fleetview.Listed, now_s: float) -> None:
-        key = jobs.parse_task(listed.task)
-        record = self.ledger.records.get(key.job) if key else None
-        task = record.task(key) if record and key else None
-        if task is not None:
-            task = _run_of(task, worker.facts.life, listed.run)
-        if record is None or task is None or not record.is_live:
-            worker.strays.setdefault((listed.task, listed.run), -STOP_AGAIN_S)
-            if task is not None and task.life == worker.facts.life and task.run == listed.run:
-                worker.strays.pop((listed.task, listed.run))
-                task.percent = listed.percent
-            return
-        is_own = task.life == worker.facts.life and task.run == listed.run
-        if not is_own:
-            if task.phase in (fleetview.Phase.ADRIFT, fleetview.Phase.WAITING):
-                self.ledger.adopt(record, task, worker, listed.run, now_s)
-            else:
-                worker.strays.setdefault((listed.task, listed.run), -STOP_AGAIN_S)
-                return
-        if task.phase is fleetview.Phase.STARTING or (
-            task.phase is fleetview.Phase.UNSURE and task.stop_sent_s is None
-        ):
-            task.phase, task.since_s = fleetview.Phase.RUNNING, now_s
-        task.percent, task.figure = listed.percent, listed.figure
-        self.ledger.save(record, task, listed.saved)
-
-    def _ended(self, worker: fleetview.Worker, end: fleetview.End, now_s: float) -> None:
-        key = jobs.parse_task(end.task)
-        record = self.ledger.records.get(key.job) if key else None
-        task = record.task(key) if record and key else None
-        if record is None or task is None:
-            return
-        task = _run_of(task, worker.facts.life, end.run)
-        is_own = task.life == worker.facts.life and task.run == end.run
-        match end.how:
-            case fleetview.How.DONE if record.is_live and not task.step.lasting:
-                worker.failures_in_row = 0
-                worker.failed_jobs.clear()
-                if is_own and task.step.estimate_ms and not task.saved:
-                    took_s = now_s - task.sent_s
-                    queue = record.job.queue.name
-                    self.estimates.note(queue, task.step.estimate_ms / 1000, took_s)
-                self.ledger.finish(record, task, now_s)
-            case fleetview.How.FAILED:
-                self._blame(worker, record, now_s)
-                self.ledger.fail(record, task, end.run, now_s)
-            case _:
-                pass
-        if not record.is_live and record.ended_s == now_s:
-            self.notes.note(
-                "job ended",
-                job=record.job.job,
-                state=record.progress.state.value,
-                reason=record.progress.reason,
-                took_s=round(now_s - record.accepted_s, 3),
-            )
-        self.ledger.save(record, task, end.saved)
-        if is_own:
-            if end.how is not fleetview.How.DONE:
-                self.notes.note("run ended", task=end.task, run=end.run, how=end.how.value)
-            self.ledger.free(record, task, worker, now_s)
-
-    def _blame(self, worker: fleetview.Worker, record: ledger.Record, now_s: float) -> None:
-        worker.failures_in_row += 1
-        worker.failed_jobs.add(record.job.job)
-        if worker.failures_in_row >= _SHUN_FAILURES and len(worker.failed_jobs) > 1:
-            worker.shunned_until_s = now_s + _SHUN_S
-            worker.failures_in_row = 1
-            self.notes.note("worker shunned", worker=worker.facts.life.worker, for_s=_SHUN_S)
-
-    def _absent(
-        self, worker: fleetview.Worker, task: fleetview.Task, report: fleetview.Report
-    ) -> None:
-        # Only a look that began after the last word on a run can say that it is gone.
-        match task.phase:
-            case fleetview.Phase.RUNNING | fleetview.Phase.DONE:
-                is_gone = report.sent_s >= task.since_s
-            case fleetview.Phase.UNSURE | fleetview.Phase.STOPPING:
-                is_gone = task.stop_acked_s is not None and report.sent_s >= task.stop_acked_s
-            case _:
-                is_gone = False
-        if is_gone:
-            self.ledger.free(self.ledger.records[task.key.job], task, worker, report.received_s)
+        if worker is not None:
+            self._listener.take(worker, report)
+            self._settle(report.received_s)
 
     def settled_end(self, life: fleetview.Life) -> int | None:
         """Give the number up to which a worker's ends are stored, if there is news."""
@@ -331,7 +196,7 @@
         is_busy = any(worker.tasks or worker.strays for worker in workers)
         if only_idle and is_busy:
             return False
-        if not self._is_settled and (is_busy or not self._is_heard(host, workers)):
+        if not self.is_settled and (is_busy or not self._takeover.is_heard(host, workers)):
             return False
         self.clearing.close(host, now_s)
         for worker in workers:
@@ -340,17 +205,6 @@
                 self.leave(task)
         return not any(worker.tasks or worker.strays for worker in workers)
 
-    def _is_heard(self, host: ids.HostId, workers: list[fleetview.Worker]) -> bool:
-        # A worker that answered this holder takes no order of an earlier one any more.
-        known = {worker.facts.life for worker in workers}
-        lacking = {life for life, at in self._expected.items() if at == host} - known
-        newest = max((life.born_ms for life in known), default=-1)
-        return (
-            bool(workers)
-            and all(worker.is_asked for worker in workers)
-            and all(life.born_ms < newest for life in lacking)
-        )
-
     def demand(self, now_s: float) -> calls.DemandReport:
         """Say what the service needs of hosts now."""
         live = self.ledger.live.values()
@@ -487,7 +341,7 @@
 
     def evacuate(self, now_s: float) -> None:
         """Have tasks leave workers that drain, where another worker has room for them."""
-        if not self._is_settled:
+        if not self.is_settled:
             return
         found = self.open_workers(now_s)
         for worker in self.workers.values():
@@ -505,9 +359,3 @@
                         left_ms=worker.facts.left_ms,
                     )
                     self.leave(task)
-
-
-def _run_of(task: fleetview.Task, life: fleetview.Life, run: int) -> fleetview.Task:
-    """Give the run that a worker means, where a task has two."""
-    twin = task.twin
-    return twin if twin is not None and (twin.life, twin.run) == (life, run) else task
--- /dev/null
+++ b/packages/nutmegshelf/src/nutmegshelf/takeover.py
@@ -0,0 +1,89 @@
+"""Account for what an earlier holder of a service may have started.
+
+Its tasks run at lives of workers that it used. Each life has to say what runs there, or has to have
+ended: its host runs a later life or another worker, or left the pool, or its lease ran out.
+"""
+
+import collections.abc
+
+from nutmegshelf import fleetview, ids, pooling
+
+Lives = dict[fleetview.Life, ids.HostId]
+Workers = collections.abc.Mapping[fleetview.Life, fleetview.Worker]
+
+
+class Takeover:
+    """Own which lives are still to be accounted for."""
+
+    def __init__(self, *, began_s: float, lapse_s: float, is_needed: bool) -> None:
+        self.is_settled = not is_needed
+        # What an earlier holder leased may run until then.
+        self.lapsed_s = began_s + lapse_s if is_needed else 0.0
+        self._expected: Lives = {}
+        # Lives that ended, though the fleet's list may still have them.
+        self._over: set[fleetview.Life] = set()
+
+    def expect(self, lives: collections.abc.Iterable[tuple[fleetview.Life, ids.HostId]]) -> None:
+        """Note which lives an earlier holder used; one that isn't listed may still run tasks."""
+        self._expected = dict(lives)
+
+    def is_over(self, life: fleetview.Life) -> bool:
+        """Say whether a life has surely ended."""
+        return life in self._over
+
+    def unheard(self, workers: Workers) -> Lives:
+        """Give the lives whose word is missing."""
+        if self.is_settled:
+            return {}
+        lives = {life: at for life, at in self._expected.items() if life not in workers}
+        for life, worker in workers.items():
+            if not worker.is_asked:
+                lives[life] = worker.facts.host
+        return lives
+
+    def rule_out(
+        self,
+        lives: Lives,
+        views: collections.abc.Iterable[pooling.HostView],
+        pool: ids.ServiceName,
+    ) -> list[fleetview.Life]:
+        """Give the lives that have ended, by a list of all hosts that is newer than they are."""
+        by_host = {view.host: view for view in views}
+        found: list[fleetview.Life] = []
+        for life, host in lives.items():
+            view = by_host.get(host)
+            if view is not None and view.pool == pool and view.worker in (None, life.worker):
+                continue
+            self._over.add(life)
+            self._expected.pop(life, None)
+            found.append(life)
+        return found
+
+    def is_heard(self, host: ids.HostId, at_host: list[fleetview.Worker]) -> bool:
+        """Say whether all lives at a host are accounted for.
+
+        A worker that answered this holder takes no order of an earlier one any more.
+        """
+        known = {worker.facts.life for worker in at_host}
+        lacking = {life for life, at in self._expected.items() if at == host} - known
+        newest = max((life.born_ms for life in known), default=-1)
+        return (
+            bool(at_host)
+            and all(worker.is_asked for worker in at_host)
+            and all(life.born_ms < newest for life in lacking)
+        )
+
+    def settle(self, workers: Workers, now_s: float) -> bool:
+        """Say whether everything became accounted for just now."""
+        if self.is_settled:
+            return False
+        self.is_settled = now_s > self.lapsed_s or self._is_all_heard(workers)
+        return self.is_settled
+
+    def _is_all_heard(self, workers: Workers) -> bool:
+        born = {worker.facts.host: life.born_ms for life, worker in workers.items()}
+        for life, host in self._expected.items():
+            # A later life at the same host says that this one has ended.
+            if life not in workers and born.get(host, -1) <= life.born_ms:
+                return False
+        return all(worker.is_asked for worker in workers.values())
