Give leases up at once when only other entries reach the table

An entry whose calls fail now asks others whether the table answers them, by a read of their own; if so its holders end, and then it tells the others, who may take the leases at once. While nobody reaches the table nothing changes. Safe as before: the holders end before anybody is told, a late write fails by the lease's row, workers refuse the older epoch, and hosts rest from their last announced order.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -105,6 +105,23 @@
     Then it is accepted within 1.5 s
     And within 8 s it is shown as succeeded at the other entries
 
+  Scenario: A holder that alone is cut from the table gives its service up to an entry that reaches it
+    Given 3 entries and 4 workers of one service
+    And its tasks take 1 s
+    When a job of steps "2, 2 after 0" is submitted at entry 0
+    And the holder is cut from the table
+    Then another entry holds the service within 1.5 s
+    And within 5 s it is shown as succeeded at the other entries
+    And every task ran once
+
+  Scenario: A holder keeps its service while the table is away from everybody
+    Given 3 entries and 4 workers of one service
+    And its tasks take 1 s
+    When a job of steps "2, 2 after 0" is submitted at entry 0
+    And the table refuses everybody for 1.5 s
+    Then within 5 s it is shown as succeeded at every entry
+    And the same entry held the service all the time
+
   Scenario: A refusal while the table is away is true
     Given 2 entries and 4 workers of one service
     When the table refuses everybody for 6 s
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -370,7 +370,8 @@
         return name is not None or "no other holder"
 
     await until(seconds, check, "holder")
-    await context.stop
+    if hasattr(context, "stop"):
+        await context.stop
 
 
 @behave.when("a job is submitted while its answer is lost and again while the table is away")
@@ -428,7 +429,7 @@
 
 @behave.when("the holder is cut from the table")
 def cut_holder(context):
-    context.cut = context.site.holder_of("a")
+    context.cut = context.stopped = context.site.holder_of("a")
     context.site.views[context.cut].is_cut = True
 
 
@@ -457,6 +458,7 @@
 @behave.when("the table refuses everybody for {seconds:g} s")
 @paused
 async def refuse_all(context, seconds):
+    context.held = context.site.holder_of("a")
     views = context.site.views.values()
     for view in views:
         view.is_refusing = True
@@ -468,6 +470,13 @@
     asyncio.get_running_loop().call_later(seconds, again)
 
 
+@behave.then("the same entry held the service all the time")
+def check_same_holder(context):
+    assert context.site.holder_of("a") == context.held
+    service, _ = context.site.entries[context.held]
+    assert service.shards.holder("a").epoch == 1
+
+
 @behave.when('a job of steps "{steps}" is submitted at entry {entry:d} after {seconds:g} s')
 @paused
 async def submit_refused(context, steps, entry, seconds):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -36,7 +36,15 @@
         self._unsettled: dict[ids.JobId, None] = {}
 
     async def answer(self, call: calls.AnyCall) -> calls.Reply:
-        """Answer another entry's call, which is for a service that is held here."""
+        """Answer another entry's call, which is mostly for a service that is held here."""
+        match call:
+            case calls.Reach():
+                is_reached = await self._shards.is_reached(call.service)
+                done, lost = calls.Verdict.DONE, calls.Verdict.UNSETTLED
+                return calls.Reply(verdict=done if is_reached else lost)
+            case calls.GaveUp():
+                self._shards.note_given_up(call.service, call.epoch)
+                return calls.Reply(verdict=calls.Verdict.DONE)
         held = self._shards.holder(call.service)
         if held is None:
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -116,8 +116,9 @@
             outside.rows,
             self._book,
             members.Members(own.entry, shards.MEMBER_SILENCE_S),
-            self._row,
-            self._make_holder,
+            row=self._row,
+            make=self._make_holder,
+            peers=peers,
         )
         self.desk = desk.Desk(outside.rows, self.shards, peers)
         self._advisor = advisor.Advisor(outside.advice, self._own_holders)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -20,6 +20,11 @@
 _SETTLE_S = 0.7
 _RELEASE_LIMIT_S = 1.0
 _RELEASE_TRIES = 3
+# A holder without the table gives its leases up after this time, if others reach the table.
+_GIVE_UP_AFTER_S = 0.3
+_MOST_ASKED = 3
+_PROOF_LIMIT_S = 0.2
+_TELL_LIMIT_S = 0.3
 
 _log = logs.part("shards")
 
@@ -47,14 +52,17 @@
         rows: ports.Rows,
         book: leases.Leases,
         known: members.Members,
+        *,
         row: collections.abc.Callable[[int], members.EntryRow],
         make: MakeHolder,
+        peers: ports.Peers,
     ) -> None:
         self._rows = rows
         self._book = book
         self._members = known
         self._row = row
         self._make = make
+        self._peers = peers
         self._loop = asyncio.get_running_loop()
         self._holders: dict[ids.PoolName, tuple[Held, asyncio.Task[None]]] = {}
         self._lease_rows: dict[str, platform.Row] = {}
@@ -84,6 +92,7 @@
             group.create_task(self._watch())
             group.create_task(self._beat())
             group.create_task(self._hold(group))
+            group.create_task(self._watch_way())
 
     async def _watch(self) -> None:
         after = 0
@@ -223,6 +232,65 @@
             if await self._release_lease(pool):
                 _log.info("A lease is given back.", pool=pool)
 
+    async def _watch_way(self) -> None:
+        """Give all leases up when the table can't be reached from here, but from elsewhere."""
+        failing_since_s: float | None = None
+        while True:
+            await asyncio.sleep(_TICK_S)
+            if self._rows.is_answering or not self._holders:
+                failing_since_s = None
+                continue
+            now_s = self._loop.time()
+            failing_since_s = failing_since_s if failing_since_s is not None else now_s
+            if now_s - failing_since_s < _GIVE_UP_AFTER_S:
+                continue
+            peers = self._members.staying(now_s)
+            if await self._is_reached_by(peers):
+                await self._give_up(peers)
+
+    async def _is_reached_by(self, peers: list[members.EntryRow]) -> bool:
+        pool = next(iter(self._holders))
+        call = calls.Reach(service=ids.ServiceName(pool))
+        asked = peers[:_MOST_ASKED]
+        replies = await asyncio.gather(*(self._tell(row, call) for row in asked))
+        return any(reply.verdict is calls.Verdict.DONE for reply in replies if reply is not None)
+
+    async def _give_up(self, peers: list[members.EntryRow]) -> None:
+        given = {pool: self._book.held[pool].lease.epoch for pool in self._book.held}
+        # The holders end first, so that no order of theirs goes out after the others know.
+        tasks = [task for _, task in self._holders.values()]
+        for pool in list(self._holders):
+            self._end(pool)
+        if tasks:
+            await asyncio.wait(tasks)
+        for pool, epoch in given.items():
+            self._book.drop(pool)
+            _log.warning("A lease is given up, as only others reach the table.", pool=pool)
+            call = calls.GaveUp(service=ids.ServiceName(pool), epoch=epoch)
+            await asyncio.gather(*(self._tell(row, call) for row in peers))
+
+    async def _tell(self, row: members.EntryRow, call: calls.AnyCall) -> calls.Reply | None:
+        try:
+            return await self._peers.ask(row.peer_address, call, _TELL_LIMIT_S)
+        except exceptions.PeerError as error:
+            _log.info("A peer can't be told.", entry=row.entry, why=str(error))
+            return None
+
+    async def is_reached(self, pool: str) -> bool:
+        """Say whether the table answers here, by reading a lease."""
+        try:
+            async with asyncio.timeout(_PROOF_LIMIT_S):
+                await self._rows.read(leases.key(ids.PoolName(pool)))
+        except (exceptions.TableError, TimeoutError) as error:
+            _log.info("The table does not answer here either.", why=repr(error))
+            return False
+        return True
+
+    def note_given_up(self, pool: str, epoch: ids.Epoch) -> None:
+        """Note that a lease may be taken at once."""
+        _log.info("A lease was given up.", pool=pool, epoch=epoch)
+        self._book.note_given_up(ids.PoolName(pool), epoch)
+
     async def leave(self) -> None:
         """Give all leases back and say that the entry leaves."""
         self._leaving = True
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -105,7 +105,17 @@
     job: ids.JobId = ids.JobId("")
 
 
-AnyCall = Submit | Show | Cancel | CountPending | Give | Demand | Inspect
+class Reach(Call, frozen=True, kw_only=True):
+    """Ask whether an entry reaches the table; it reads the service's lease to know."""
+
+
+class GaveUp(Call, frozen=True, kw_only=True):
+    """Tell that the sender holds a service's lease no more, though it could not store that."""
+
+    epoch: ids.Epoch
+
+
+AnyCall = Submit | Show | Cancel | CountPending | Give | Demand | Inspect | Reach | GaveUp
 
 
 class Verdict(enum.Enum):
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -87,6 +87,8 @@
         self._leases: dict[ids.PoolName, LeaseRow] = {}
         self._sights: dict[ids.PoolName, _Sight] = {}
         self._since_s: dict[ids.PoolName, float] = {}
+        # Leases whose holders said that they gave them up, by the epoch.
+        self._given_up: dict[ids.PoolName, ids.Epoch] = {}
 
     def observe(self, rows: list[platform.Row], now_s: float) -> list[ids.PoolName]:
         """Take the lease rows as read; gives the pools whose lease was lost."""
@@ -135,6 +137,10 @@
         self.held.pop(pool, None)
         self._since_s.pop(pool, None)
 
+    def note_given_up(self, pool: ids.PoolName, epoch: ids.Epoch) -> None:
+        """Note that the holder of a lease's epoch gives no orders any more."""
+        self._given_up[pool] = epoch
+
     def lapsed_holders(self, now_s: float) -> set[ids.EntryId]:
         """Give the entries that let a lease lapse."""
         return {
@@ -178,7 +184,8 @@
                 continue
             self._sights.setdefault(pool, _Sight(0, now_s))
             lease = self._leases.get(pool)
-            if lease is None or lease.holder is None or lease.holder == self.own:
+            is_free = lease is None or lease.holder is None or lease.holder == self.own
+            if is_free or (lease is not None and self._given_up.get(pool) == lease.epoch):
                 wait_s = delay_s
             else:
                 wait_s = self.duration_s + delay_s
