--- a/features/platform.feature
+++ b/features/platform.feature
@@ -7,6 +7,29 @@
     And a change under an old version is refused with the row's present version
     And a watch gives the next change, also after the history was forgotten
 
+  Scenario: A lost answer of the store is known soon, once its answers are known to be quick
+    Given the platform's stand-in
+    When 7 rows are written one by one through the adapter
+    And the store answers no more
+    Then a commit ends with TableAnswerLost within 0.6 s
+
+  Scenario Outline: The time limit of calls follows their answers
+    Given a limit of calls between 0.2 s and 1 s
+    When answers took "<took>" s
+    Then the limit is <limit> s
+
+    Examples:
+      | took                              | limit |
+      |                                   | 1     |
+      | 0.005                             | 0.2   |
+      | 0.1                               | 0.3   |
+      | 0.1 0.1 0.1 0.1 0.1 0.1 0.1 0.1   | 0.2   |
+      | 0.005 lost                        | 0.4   |
+      | 0.005 lost lost                   | 0.8   |
+      | 0.005 lost lost lost              | 1     |
+      | 0.005 lost lost 0.005             | 0.2   |
+      | 0.6                               | 1     |
+
   Scenario Outline: A store that answers <status> counts as <error>
     Given the platform's stand-in
     When the store answers <status>
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -19,6 +19,7 @@
 from features import jobworld
 
 JSON = [(b"content-type", b"application/json")]
+SILENT_S = 3.0
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -41,6 +42,8 @@
     def __init__(self, world):
         self.world = world
         self.faults = {}
+        # Paths whose calls get no answer.
+        self.silent = set()
         self.calls = []
         self.forgets = False
         self.workers = jobworld.Workers(world)
@@ -57,6 +60,8 @@
         asked = {key: one[0] for key, one in urllib.parse.parse_qs(query, True).items()}
         data = json.loads(body) if body else {}
         self.calls.append((exchange.method, path))
+        if path in self.silent:
+            await asyncio.sleep(SILENT_S)
         status, answer = self.faults.get(path) or await self.answer(exchange, path, asked, data)
         await exchange.respond(status, JSON, json.dumps(answer).encode())
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,7 +6,7 @@
 import time
 
 import behave
-from nutmegshelf import exceptions, fleetview, jobs, orders, platform
+from nutmegshelf import exceptions, fleetview, jobs, orders, platform, timeouts
 from nutmegshelf_http import client
 from nutmegshelf_platform import fleet, ingress, minions, operators, store
 
@@ -90,6 +90,38 @@
     context.run(watch())
 
 
+@behave.given("a limit of calls between {least_s:g} s and {most_s:g} s")
+def make_limit(context, least_s, most_s):
+    context.times = timeouts.AnswerTimes(least_s, most_s)
+
+
+@behave.when('answers took "{took}" s')
+@behave.when('answers took "" s')
+def take_times(context, took=""):
+    for one in took.split():
+        if one == "lost":
+            context.times.expired()
+        else:
+            context.times.answered(float(one))
+
+
+@behave.then("the limit is {limit_s:g} s")
+def check_limit(context, limit_s):
+    assert abs(context.times.limit_s - limit_s) < 0.01, context.times.limit_s
+
+
+@behave.when("the store answers no more")
+def silence_store(context):
+    context.platform.silent.add("/v1/rows-tx")
+
+
+@behave.then("a commit ends with {error} within {seconds:g} s")
+def check_commit_soon(context, error, seconds):
+    began_s = time.monotonic()
+    check_commit(context, error)
+    assert time.monotonic() - began_s < seconds, time.monotonic() - began_s
+
+
 @behave.when("the store answers {status:d}")
 def set_status(context, status):
     context.platform.faults["/v1/rows-tx"] = (status, {})
