--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -6,7 +6,6 @@
 import dataclasses
 import time
 
-import msgspec
 from nutmegshelf import (
     calls,
     codecs,
@@ -21,7 +20,7 @@
     views,
 )
 
-from nutmegshelf_entry import logs, ports, writer
+from nutmegshelf_entry import inspection, loading, logs, ports, writer
 
 FLEET = ids.PoolName("*fleet")
 _WAVES = f"waves/{FLEET}/"
@@ -120,43 +119,11 @@
         return calls.Reply(verdict=calls.Verdict.DONE)
 
     def _inspect(self, call: calls.Inspect) -> calls.Reply:
-        found: list[object] = []
-        match call.view:
-            case calls.View.POOLS:
-                hosts = collections.Counter(view.pool for view in self._views.values())
-                found = [
-                    views.PoolView(
-                        pool=pool, hosts=count, hosts_wanted=self._planner.wanted.get(pool)
-                    )
-                    for pool, count in hosts.items()
-                ]
-            case calls.View.WAVES:
-                found = [
-                    views.WaveView(
-                        wave=number,
-                        hosts=len(plan.wave.hosts),
-                        done=len(plan.row.done),
-                        down=len(plan.down),
-                        at_once=plan.wave.at_once,
-                        is_finished=plan.row.is_finished,
-                    )
-                    for number, plan in sorted(self._plans.items())
-                ]
-            case calls.View.HOLDERS:
-                found = [
-                    views.HolderView(
-                        service=call.service,
-                        entry=self._entry,
-                        epoch=self.epoch,
-                        lease_age_s=round(self._loop.time() - self.writer.renewed_s, 3),
-                        is_settled=True,
-                        jobs_live=0,
-                        jobs_kept=0,
-                    )
-                ]
-            case _:
-                pass
-        return calls.Reply(verdict=calls.Verdict.DONE, shown=msgspec.json.encode(found))
+        age_s = self._loop.time() - self.writer.renewed_s
+        own = views.holder(call.service, self._entry, self.epoch, age_s, None)
+        return inspection.of_fleet(
+            call, self._views.values(), self._planner.wanted, self._plans, own
+        )
 
     async def run(self) -> None:
         """Serve until the lease is lost; raises LeaseLost."""
@@ -179,14 +146,8 @@
                 await asyncio.sleep(_PLAN_GAP_S)
 
     async def _load(self) -> None:
-        while True:
-            try:
-                rows = await self._rows.scan(_WAVES)
-                ordered = await self._rows.read(_ORDERED)
-                break
-            except exceptions.TableError as error:
-                _log.warning("The waves can't be read.", why=str(error))
-                await asyncio.sleep(_RETRY_S)
+        rows = await loading.until_read(FLEET, lambda: self._rows.scan(_WAVES))
+        ordered = await loading.until_read(FLEET, lambda: self._rows.read(_ORDERED))
         found = [codecs.unpack(row.value, upkeep.WaveRow) for row in rows]
         self._stored_waves = {row.number: row for row in found}
         if ordered.version:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -4,7 +4,6 @@
 import collections.abc
 import time
 
-import msgspec
 from nutmegshelf import (
     advising,
     calls,
@@ -16,12 +15,20 @@
     leases,
     orders,
     platform,
-    pooling,
     scheduler,
     views,
 )
 
-from nutmegshelf_entry import histograms, logs, notelog, ports, worker_link, writer
+from nutmegshelf_entry import (
+    histograms,
+    inspection,
+    loading,
+    logs,
+    notelog,
+    ports,
+    worker_link,
+    writer,
+)
 
 _PASS_GAP_S = 0.008
 _TICK_S = 0.1
@@ -30,10 +37,6 @@
 _ACCEPT_LIMIT_S = 0.7
 # How often the hosts are listed while the word of workers is missing after a takeover.
 _RULE_OUT_S = 0.4
-USED = "used"
-# Operators are shown no more jobs of a service than this.
-MOST_SHOWN = 200
-_Lives = list[tuple[fleetview.Life, ids.HostId]]
 
 _log = logs.part("holder")
 
@@ -75,7 +78,7 @@
         self.writer.on_accepted = self._accepted
         self._arrived_s: dict[ids.JobId, float] = {}
         self._links: dict[fleetview.Life, worker_link.Link] = {}
-        self._used: list[tuple[fleetview.Life, ids.HostId]] | None = None
+        self._used: loading.Lives | None = None
         self._notices: asyncio.Queue[jobs.Notice] = asyncio.Queue()
         self._woken = asyncio.Event()
         self._may_order = asyncio.Event()
@@ -186,38 +189,10 @@
         return calls.Reply(verdict=calls.Verdict.DONE, state=record.shown)
 
     def _inspect(self, call: calls.Inspect) -> calls.Reply:
-        now_s, records = self._loop.time(), self.scheduler.ledger.records
-        found: object
-        match call.view:
-            case calls.View.JOBS:
-                # Live jobs go first, as there may be more than are shown.
-                ordered = sorted(records.values(), key=lambda one: (not one.is_live, one.ended_s))
-                shown = ordered[:MOST_SHOWN]
-                found = [views.job(self.scheduler, record, now_s) for record in shown]
-            case calls.View.JOB if (record := records.get(call.job)) is not None:
-                found = views.detail(self.scheduler, record, self.notes.decisions, now_s)
-            case calls.View.JOB:
-                return calls.Reply(verdict=calls.Verdict.UNKNOWN_JOB)
-            case calls.View.QUEUES:
-                found = views.queues_of(self.scheduler)
-            case calls.View.POOLS:
-                found = [views.pool(self.scheduler, call.service, now_s)]
-            case calls.View.HOLDERS:
-                found = [self._view(call.service, now_s)]
-            case _:
-                found = []
-        return calls.Reply(verdict=calls.Verdict.DONE, shown=msgspec.json.encode(found))
-
-    def _view(self, service: ids.ServiceName, now_s: float) -> views.HolderView:
-        return views.HolderView(
-            service=service,
-            entry=self._entry,
-            epoch=self.epoch,
-            lease_age_s=round(now_s - self.writer.renewed_s, 3),
-            is_settled=self.scheduler.is_settled,
-            jobs_live=self.live_jobs(),
-            jobs_kept=len(self.scheduler.ledger.records),
-        )
+        now_s = self._loop.time()
+        age_s = now_s - self.writer.renewed_s
+        own = views.holder(call.service, self._entry, self.epoch, age_s, self.scheduler)
+        return inspection.of_service(call, self.scheduler, self.notes.decisions, own, now_s)
 
     def _count(self, queue: ids.QueueName) -> calls.Reply:
         pending = sum(
@@ -332,55 +307,25 @@
             self.writer.give_up()
 
     async def _load(self) -> None:
-        while True:
-            try:
-                stored_jobs = await self._rows.scan(f"{jobs.JOBS}/{self.pool}/")
-                progress = await self._rows.scan(f"{jobs.PROGRESS}/{self.pool}/")
-                notices = await self._rows.scan(f"{jobs.INBOX}/{self.pool}/")
-                used = await self._rows.scan(f"{USED}/{self.pool}/")
-                break
-            except exceptions.TableError as error:
-                _log.warning("The rows can't be read.", pool=self.pool, why=str(error))
-                await asyncio.sleep(_RETRY_S)
-        found = {one.job: one for one in map(writer.read_progress, progress)}
+        stored = await loading.until_read(self.pool, lambda: loading.service(self._rows, self.pool))
         now_ms, now_s = _now_ms(), self._loop.time()
-        for row in stored_jobs:
-            job = writer.read_job(row)
-            if job is not None:
-                age_s = max(0, now_ms - job.accepted_ms) / 1000
-                self._add(job, found.get(job.job), now_s - age_s, may_run=True)
-        lives = [one for row in used for one in codecs.unpack(row.value, _Lives)]
-        expected = await self._still_here(lives)
-        self.scheduler.list_workers(self._listed, now_s)
+        for job in stored.submitted:
+            age_s = max(0, now_ms - job.accepted_ms) / 1000
+            self._add(job, stored.progress.get(job.job), now_s - age_s, may_run=True)
+        expected: loading.Lives = []
+        if self.epoch > 1:
+            expected = await loading.still_here(self._hosts, self.pool, stored.lives)
         self.scheduler.expect_lives(expected)
-        self.scheduler.workers.clear()
         self.is_loaded = True
         _log.info(
             "A service is held.",
             pool=self.pool,
             epoch=self.epoch,
-            jobs=len(stored_jobs),
+            jobs=len(stored.submitted),
             live=self.live_jobs(),
         )
-        for row in notices:
-            self.notify(codecs.unpack(row.value, jobs.Notice))
-
-    async def _still_here(self, lives: _Lives) -> _Lives:
-        """Leave out lives whose host was moved, taken down or removed: they have ended."""
-        if self.epoch == 1:
-            return []
-        try:
-            views = await self._hosts.list_hosts()
-        except exceptions.HostsError as error:
-            _log.warning("The hosts can't be listed.", pool=self.pool, why=str(error))
-            return lives
-        ended = (pooling.HostState.MOVING, pooling.HostState.UPKEEP)
-        own = {
-            view.host
-            for view in views
-            if view.pool == ids.ServiceName(self.pool) and view.state not in ended
-        }
-        return [(life, host) for life, host in lives if host in own]
+        for notice in stored.notices:
+            self.notify(notice)
 
     async def _store_used(self) -> None:
         lives = self.scheduler.lives_in_use(self._loop.time())
@@ -388,7 +333,7 @@
         if lives == self._used or not self.scheduler.is_settled:
             return
         self._used = lives
-        key = f"{USED}/{self.pool}/lives"
+        key = f"{loading.USED}/{self.pool}/lives"
         await self.writer.write_through(platform.Write(key, codecs.pack(lives)))
 
     async def _keep_used(self) -> None:
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
@@ -0,0 +1,69 @@
+"""Read what is stored of a service when its lease was taken."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import typing
+
+from nutmegshelf import codecs, exceptions, fleetview, ids, jobs, pooling
+
+from nutmegshelf_entry import logs, ports, writer
+
+_RETRY_S = 0.2
+USED = "used"
+Lives = list[tuple[fleetview.Life, ids.HostId]]
+T = typing.TypeVar("T")
+
+_log = logs.part("loading")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """Hold the rows of a service: its jobs, how far they are, notices, and the lives in use."""
+
+    submitted: list[jobs.Job]
+    progress: dict[ids.JobId, jobs.Progress]
+    notices: list[jobs.Notice]
+    lives: Lives
+
+
+async def until_read(
+    pool: str, read: collections.abc.Callable[[], collections.abc.Awaitable[T]]
+) -> T:
+    """Read again and again until the table answers."""
+    while True:
+        try:
+            return await read()
+        except exceptions.TableError as error:
+            _log.warning("The rows can't be read.", pool=pool, why=str(error))
+            await asyncio.sleep(_RETRY_S)
+
+
+async def service(rows: ports.Rows, pool: ids.PoolName) -> Stored:
+    """Read the rows of a service; raises TableUnavailable."""
+    stored = await rows.scan(f"{jobs.JOBS}/{pool}/")
+    progress = await rows.scan(f"{jobs.PROGRESS}/{pool}/")
+    notices = await rows.scan(f"{jobs.INBOX}/{pool}/")
+    used = await rows.scan(f"{USED}/{pool}/")
+    return Stored(
+        submitted=[job for job in map(writer.read_job, stored) if job is not None],
+        progress={one.job: one for one in map(writer.read_progress, progress)},
+        notices=[codecs.unpack(row.value, jobs.Notice) for row in notices],
+        lives=[one for row in used for one in codecs.unpack(row.value, Lives)],
+    )
+
+
+async def still_here(hosts: ports.Hosts, pool: ids.PoolName, lives: Lives) -> Lives:
+    """Leave out lives whose host was moved, taken down or removed: they have ended."""
+    try:
+        views = await hosts.list_hosts()
+    except exceptions.HostsError as error:
+        _log.warning("The hosts can't be listed.", pool=pool, why=str(error))
+        return lives
+    ended = (pooling.HostState.MOVING, pooling.HostState.UPKEEP)
+    own = {
+        view.host
+        for view in views
+        if view.pool == ids.ServiceName(pool) and view.state not in ended
+    }
+    return [(life, host) for life, host in lives if host in own]
--- a/packages/nutmegshelf/src/nutmegshelf/views.py
+++ b/packages/nutmegshelf/src/nutmegshelf/views.py
@@ -151,6 +151,25 @@
     return "more urgent work" if record.job.queue.advised is None else "advice"
 
 
+def holder(
+    service: ids.ServiceName,
+    entry: ids.EntryId,
+    epoch: ids.Epoch,
+    lease_age_s: float,
+    held: scheduler.Scheduler | None,
+) -> HolderView:
+    """Show a holder; that of the fleet has no jobs."""
+    return HolderView(
+        service=service,
+        entry=entry,
+        epoch=epoch,
+        lease_age_s=round(lease_age_s, 3),
+        is_settled=held is None or held.is_settled,
+        jobs_live=len(held.ledger.live) if held is not None else 0,
+        jobs_kept=len(held.ledger.records) if held is not None else 0,
+    )
+
+
 def queues_of(held: scheduler.Scheduler) -> list[QueueView]:
     """Show the queues with live jobs."""
     found: dict[ids.QueueName, list[ledger.Record]] = {}
