--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -154,6 +154,21 @@
       | 1      | 3     |
       | 5      | 24    |
 
+  Scenario: A task whose start got no answer starts elsewhere as soon as it is barred
+    Given 2 entries and 3 workers of one service
+    And each worker carries the first 1 starts out late and unanswered
+    When a job of steps "3" is submitted at entry 0
+    Then within 1.7 s it is shown as succeeded at every entry
+    And no task ran twice at a time or after its end was taken note of
+
+  Scenario: A stop that gets no answer is sent again soon
+    Given 2 entries and 3 workers of one service
+    And each worker carries the first 1 starts out late and unanswered
+    And each worker leaves the first 1 stops unanswered
+    When a job of steps "3" is submitted at entry 0
+    Then within 1.9 s it is shown as succeeded at every entry
+    And no task ran twice at a time or after its end was taken note of
+
   Scenario: A fault in one holder ends only that holder
     Given 2 entries and 3 workers of one service
     When a link to a worker fails by a fault of its own
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -160,6 +160,7 @@
         self.is_dark = False
         self.is_gone = False
         self.loses_starts = 0
+        self.loses_stops = 0
         self.slowness = 1.0
         self.ended = asyncio.Event()
 
@@ -457,6 +458,10 @@
 
     async def stop(self, facts, order, *, fence):
         minion = await self._minion(facts)
+        if minion.loses_stops:
+            minion.loses_stops -= 1
+            await asyncio.sleep(0.8)
+            raise exceptions.OrderAnswerLost("lost")
         minion.check(fence)
         minion.barred[order.task] = max(minion.barred[order.task], order.run)
         run = minion.runs.get(order.task)
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -44,6 +44,8 @@
         self.faults = {}
         # Paths whose calls get no answer.
         self.silent = set()
+        # Paths whose calls are answered late, with the seconds.
+        self.late = {}
         self.calls = []
         self.forgets = False
         self.workers = jobworld.Workers(world)
@@ -60,6 +62,7 @@
         asked = {key: one[0] for key, one in urllib.parse.parse_qs(query, True).items()}
         data = json.loads(body) if body else {}
         self.calls.append((exchange.method, path))
+        await asyncio.sleep(self.late.get(path, 0.0))
         if path in self.silent:
             await asyncio.sleep(SILENT_S)
         status, answer = self.faults.get(path) or await self.answer(exchange, path, asked, data)
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -130,6 +130,12 @@
         minion.loses_starts = count
 
 
+@behave.given("each worker leaves the first {count:d} stops unanswered")
+def lose_stops(context, count):
+    for minion in context.world.minions.values():
+        minion.loses_stops = count
+
+
 @behave.when("a link to a worker fails by a fault of its own")
 @paused
 async def break_link(context):
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -115,6 +115,27 @@
     context.platform.silent.add("/v1/rows-tx")
 
 
+@behave.when(
+    "the store takes {seconds:g} s for its next {count:d} answers and refuses {refused:d} calls "
+    "in between"
+)
+def slow_store(context, seconds, count, refused):
+    context.platform.late["/v1/rows-tx"] = seconds
+    # The first slow answer comes after the limit, which then grows.
+    check_commit(context, "TableAnswerLost")
+    context.platform.late.clear()
+    for _ in range(refused):
+        set_status(context, 429)
+        check_commit(context, "TableUnavailable")
+    context.platform.faults.clear()
+    context.platform.late["/v1/rows-tx"] = seconds
+
+
+@behave.then("the second of them is waited for")
+def check_waited(context):
+    check_commit(context, "no error")
+
+
 @behave.then("a commit ends with {error} within {seconds:g} s")
 def check_commit_soon(context, error, seconds):
     began_s = time.monotonic()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -10,6 +10,8 @@
 _LOOK_GAP_S = 0.025
 _IDLE_WAIT_S = 2.0
 _BUSY_WAIT_S = 1.0
+# After a stop was taken, its effect is looked for this often.
+_PROOF_WAIT_S = 0.05
 # Where tasks share a worker with filling ones, their response times are watched closely.
 _SHARED_WAIT_S = 0.4
 _FIRST_BACKOFF_S = 0.05
@@ -185,5 +187,8 @@
 def _wait_s(worker: fleetview.Worker) -> float:
     if not worker.tasks:
         return _IDLE_WAIT_S
+    if any(task.stop_acked_s is not None for task in worker.tasks.values()):
+        # A run that never began has no end to wait for, and only an answer frees its task.
+        return _PROOF_WAIT_S
     shared = {task.step.fills for task in worker.tasks.values() if task.step.lasting}
     return _SHARED_WAIT_S if len(shared) > 1 else _BUSY_WAIT_S
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -69,6 +69,7 @@
     figure: float = 0.0
     pace_percent: int = 100
     stop_sent_s: float | None = None
+    stops_sent: int = 0
     stop_acked_s: float | None = None
     # Another run of the same task, where its step is speculative.
     twin: "Task | None" = None
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -23,7 +23,9 @@
     takeover,
 )
 
-# A stop that was not answered is sent again after this time.
+# A stop that was not answered is sent again after this time, later each time up to a bound.
+_STOP_STEP_S = 0.15
+_MOST_STOP_STEPS = 5
 STOP_AGAIN_S = 0.4
 # After a refusal for want of room a worker gets no starts until its next report.
 _ROOM_PAUSE_S = 0.3
@@ -270,8 +272,10 @@
                 reason = self._why_stop(task)
                 if reason is None or task.stop_acked_s is not None:
                     continue
-                if task.stop_sent_s is None or now_s - task.stop_sent_s >= STOP_AGAIN_S:
+                again_s = _STOP_STEP_S * task.stops_sent
+                if task.stop_sent_s is None or now_s - task.stop_sent_s >= again_s:
                     task.stop_sent_s = now_s
+                    task.stops_sent = min(task.stops_sent + 1, _MOST_STOP_STEPS)
                     chosen.append(orders.StopRun(life, task.key.name, task.run, reason))
         return chosen
 
