--- /dev/null
+++ b/features/jobsite.py
@@ -0,0 +1,124 @@
+"""Run entries of the job service over one fake world, and make what is declared there."""
+
+import asyncio
+
+from nutmegshelf import exceptions, jobs, queues, upkeep
+from nutmegshelf_entry import job_service
+
+from features import jobhosts, jobtable, jobworld
+
+
+class Net:
+    """Carry calls between entries without sockets."""
+
+    def __init__(self):
+        self.services = {}
+
+    async def ask(self, address, call, limit_s):
+        await asyncio.sleep(0.002)
+        service = self.services.get(address)
+        if service is None:
+            raise exceptions.PeerUnreachable(address)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await service.desk.answer(call)
+        except TimeoutError as error:
+            raise exceptions.PeerAnswerLost(address) from error
+
+
+class Site:
+    """Run entries over one world."""
+
+    def __init__(self, world):
+        self.world = world
+        self.net = Net()
+        self.entries = {}
+        self.views = {}
+        self.workers = {}
+        self.terms = {}
+
+    def settings(self, name, host=None, ports=(1, 2, 3)):
+        ends = [job_service.Endpoint(host=host or name, port=port) for port in ports]
+        return job_service.JobSettings(
+            entry=name, zone="z", callers=ends[0], ready=ends[1], peers=ends[2], **self.terms
+        )
+
+    def outside(self, own, codec=None):
+        name = own.entry
+        self.views[name] = jobtable.View(self.world.table)
+        self.workers[name] = jobworld.Workers(self.world)
+        return job_service.Outside(
+            rows=self.views[name],
+            workers=self.workers[name],
+            codec=codec,
+            hosts=jobhosts.Hosts(self.world, name),
+            advice=self.world.advice,
+            reload=lambda: own,
+            operations=self.world.operations,
+            fleets=self.world.fleets,
+        )
+
+    def start(self, name):
+        own = self.settings(name)
+        service = job_service.JobService(own, self.outside(own), self.net)
+        self.net.services[own.peers.address] = service
+        self.entries[name] = service, asyncio.ensure_future(service.run())
+        return service
+
+    async def kill(self, name):
+        """End an entry at once, as a power loss would: nothing of it is sent any more."""
+        service, task = self.entries.pop(name)
+        self.views[name].is_cut = True
+        self.net.services.pop(f"{name}:3", None)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return service
+
+    async def stop(self, name):
+        """Have an entry leave gracefully."""
+        service, _ = self.entries[name]
+        service.leaving = True
+        await service.shards.leave()
+        await asyncio.sleep(0.5)
+        await self.kill(name)
+
+    async def close(self):
+        for name in list(self.entries):
+            await self.kill(name)
+
+    def holder_of(self, pool):
+        return next(
+            (name for name, (one, _) in self.entries.items() if one.shards.holder(pool)), None
+        )
+
+
+def queue(name="q", service="a", **fields):
+    terms = {"timeout_ms": 3000, "target_latency_ms": 600, "max_attempts": 3, "stretch": 1.6}
+    return queues.Queue(
+        name=name,
+        path_prefix=f"/{name}/",
+        service=service,
+        **{"host": "x", **terms, **fields},
+    )
+
+
+def declare(*found, version=1, spare="spare"):
+    served = sorted({one.service for one in found})
+    return queues.QueueSet(
+        version=version,
+        queues=found,
+        services=(
+            *(queues.Service(name=name) for name in served),
+            queues.Service(name=spare, is_spare=True),
+        ),
+    )
+
+
+def job(number, steps, **fields):
+    return jobs.Job(
+        job=f"{number:016x}", queue=fields.pop("queue", queue()), spec="s", steps=steps, **fields
+    )
+
+
+def wave(number, hosts, duration_s, at_once):
+    return upkeep.Wave(number=number, hosts=tuple(hosts), duration_s=duration_s, at_once=at_once)
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -1,4 +1,4 @@
-"""Fake what the job service stands on: the table, the workers, the hosts, and its peers.
+"""Fake what the job service stands on: the workers, the hosts and the policy service.
 
 Everything runs on one event loop; its clock may be a paused one. The workers check by themselves
 that no task runs twice at a time and that none starts after an end that was taken note of.
@@ -9,121 +9,12 @@
 import dataclasses
 import itertools
 
-from nutmegshelf import exceptions, fleetview, ids, jobs, orders, platform, pooling, queues, upkeep
-from nutmegshelf_entry import job_service, ports
+from nutmegshelf import exceptions, fleetview, ids, jobs, orders, pooling
+
+from features import jobtable
 
-CALL_S = 0.004
-MOST_ENTRIES = 100
 MOVE_S = 1.5
 UPKEEP_S = 2.0
-NEVER = asyncio.Event
-
-
-class Table:
-    """Keep rows with versions, within the platform's limits for one transaction."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-        self.log = []
-        self.first_version = 0
-        self.changed = asyncio.Event()
-        self.transactions = 0
-
-    def apply(self, transaction):
-        entries = len(transaction.conditions) + len(transaction.writes)
-        assert entries <= MOST_ENTRIES, f"{entries} entries in one transaction"
-        keys = [one.key for one in (*transaction.conditions, *transaction.writes)]
-        assert len({tuple(key.split("/")[1:2]) for key in keys}) <= 1, f"partitions differ: {keys}"
-        self.transactions += 1
-        for condition in transaction.conditions:
-            if self.read(condition.key).version != condition.version:
-                found = tuple(self.read(one.key) for one in transaction.conditions)
-                return platform.Committed(ok=False, rows=found)
-        self.version += 1
-        written = []
-        for write in transaction.writes:
-            if write.value is None:
-                self.rows.pop(write.key, None)
-                self.log.append(platform.Row(write.key, 0))
-            else:
-                row = platform.Row(write.key, self.version, write.value)
-                self.rows[write.key] = row
-                self.log.append(row)
-                written.append(row)
-        self.log[-1:] and self.changed.set()
-        self.changed = asyncio.Event()
-        return platform.Committed(ok=True, rows=tuple(written))
-
-    def read(self, key):
-        return self.rows.get(key, platform.Row(key, 0))
-
-
-class View:
-    """Be one entry's way to the table, which can be cut or lose answers."""
-
-    def __init__(self, table):
-        self.table = table
-        self.is_cut = False
-        self.is_refusing = False
-        self.lost_answers = 0
-        self.late_s = None
-        self.answer_s = 0.0
-        self.scanned = None
-
-    @property
-    def is_answering(self):
-        return not self.is_cut and not self.is_refusing
-
-    def clock_ms(self):
-        return asyncio.get_running_loop().time() * 1000 + 7e6
-
-    async def _arrive(self, lost):
-        if self.is_cut:
-            await asyncio.sleep(1.0)
-            raise lost("no answer")
-        if self.is_refusing:
-            raise exceptions.TableUnavailable("503")
-        await asyncio.sleep(CALL_S)
-
-    async def read(self, key):
-        await self._arrive(exceptions.TableUnavailable)
-        return self.table.read(key)
-
-    async def scan(self, prefix):
-        await self._arrive(exceptions.TableUnavailable)
-        found = [row for key, row in sorted(self.table.rows.items()) if key.startswith(prefix)]
-        if self.scanned is not None:
-            await self.scanned(prefix)
-        return found
-
-    async def commit(self, transaction):
-        await self._arrive(exceptions.TableAnswerLost)
-        if self.lost_answers:
-            self.lost_answers -= 1
-            if self.late_s is None:
-                self.table.apply(transaction)
-            else:
-                asyncio.get_running_loop().call_later(self.late_s, self.table.apply, transaction)
-            await asyncio.sleep(1.0)
-            raise exceptions.TableAnswerLost("lost")
-        committed = self.table.apply(transaction)
-        await asyncio.sleep(self.answer_s)
-        return committed
-
-    async def changes(self, kind, after, wait_s):
-        await self._arrive(exceptions.TableUnavailable)
-        if after <= 0:
-            rows = tuple(row for key, row in self.table.rows.items() if key.startswith(f"{kind}/"))
-            return ports.Changes(rows, max(1, self.table.version), is_whole=True)
-        until_s = asyncio.get_running_loop().time() + wait_s
-        while True:
-            found = [row for row in self.table.log if row.key.startswith(f"{kind}/")]
-            newest = {row.key: row for row in found if row.version > after}
-            left_s = until_s - asyncio.get_running_loop().time()
-            if newest or left_s <= 0:
-                return ports.Changes(tuple(newest.values()), self.table.version)
-            await asyncio.sleep(min(left_s, 0.02))
 
 
 @dataclasses.dataclass
@@ -234,7 +125,7 @@
     """Own the fake workers and hosts, and judge what they saw."""
 
     def __init__(self, pools, spare="spare", spare_count=0, cpu_millis=16_000):
-        self.table = Table()
+        self.table = jobtable.Table()
         self.minions = {}
         self.hosts = {}
         self.jobs = {}
@@ -401,7 +292,7 @@
         self.is_cut = False
 
     async def _minion(self, facts):
-        await asyncio.sleep(CALL_S)
+        await asyncio.sleep(jobtable.CALL_S)
         minion = self.world.minions.get(facts.life)
         if minion is None:
             raise exceptions.OrderNotDone("refused")
@@ -473,189 +364,3 @@
 
     def forget(self, facts):
         pass
-
-
-class Hosts:
-    """Carry orders about hosts, and note who gave them."""
-
-    def __init__(self, world, entry):
-        self.world = world
-        self.entry = entry
-
-    async def list_hosts(self):
-        await asyncio.sleep(CALL_S)
-        workers = {one.facts.host: one.facts.life.worker for one in self.world.minions.values()}
-        return tuple(
-            pooling.HostView(
-                host,
-                one["pool"],
-                one["state"],
-                "z",
-                one["rack"],
-                self.world.cpu_millis,
-                workers.get(host),
-            )
-            for host, one in self.world.hosts.items()
-        )
-
-    def _refuse(self, host):
-        if self.world.hosts[host]["state"] is not pooling.HostState.UP:
-            return ports.Ordered.BUSY
-        lasting = [
-            run.task
-            for minion in self.world.minions.values()
-            if minion.facts.host == host
-            for run in minion.runs.values()
-        ]
-        if lasting:
-            self.world.broken.append(f"{host} is taken while {lasting} run there")
-        return None
-
-    def _note(self, host, what):
-        now_s = asyncio.get_running_loop().time()
-        for at_s, other, holder, _ in self.world.moves:
-            if other == host and holder != self.entry and now_s - at_s < 3.0:
-                self.world.broken.append(f"{host} gets orders of two holders within 3 s")
-        self.world.moves.append((now_s, host, self.entry, what))
-
-    async def move(self, move, fence):
-        await asyncio.sleep(CALL_S)
-        if (refused := self._refuse(move.host)) is not None:
-            return refused
-        self._note(move.host, move.target)
-        self.world.replace(move.host, MOVE_S, move.target)
-        return ports.Ordered.DONE
-
-    async def upkeep(self, host, wave, fence):
-        await asyncio.sleep(CALL_S)
-        if (refused := self._refuse(host)) is not None:
-            return refused
-        self._note(host, "upkeep")
-        self.world.upkeeps.append(host)
-        busy = [
-            one for one in self.world.hosts.values() if one["state"] is pooling.HostState.UPKEEP
-        ]
-        cap = next(one.at_once for one in self.world.waves if one.number == wave)
-        if len(busy) >= cap:
-            self.world.broken.append(f"over {cap} hosts are down for wave {wave}")
-        self.world.replace(host, UPKEEP_S, state=pooling.HostState.UPKEEP)
-        return ports.Ordered.DONE
-
-    async def report_wave(self, wave, *, is_finished):
-        self.world.waves_told.append((wave, is_finished))
-
-
-class Net:
-    """Carry calls between entries without sockets."""
-
-    def __init__(self):
-        self.services = {}
-
-    async def ask(self, address, call, limit_s):
-        await asyncio.sleep(0.002)
-        service = self.services.get(address)
-        if service is None:
-            raise exceptions.PeerUnreachable(address)
-        try:
-            async with asyncio.timeout(limit_s):
-                return await service.desk.answer(call)
-        except TimeoutError as error:
-            raise exceptions.PeerAnswerLost(address) from error
-
-
-class Site:
-    """Run entries over one world."""
-
-    def __init__(self, world):
-        self.world = world
-        self.net = Net()
-        self.entries = {}
-        self.views = {}
-        self.workers = {}
-        self.terms = {}
-
-    def settings(self, name, host=None, ports=(1, 2, 3)):
-        ends = [job_service.Endpoint(host=host or name, port=port) for port in ports]
-        return job_service.JobSettings(
-            entry=name, zone="z", callers=ends[0], ready=ends[1], peers=ends[2], **self.terms
-        )
-
-    def outside(self, own, codec=None):
-        name = own.entry
-        self.views[name] = View(self.world.table)
-        self.workers[name] = Workers(self.world)
-        return job_service.Outside(
-            rows=self.views[name],
-            workers=self.workers[name],
-            codec=codec,
-            hosts=Hosts(self.world, name),
-            advice=self.world.advice,
-            reload=lambda: own,
-            operations=self.world.operations,
-            fleets=self.world.fleets,
-        )
-
-    def start(self, name):
-        own = self.settings(name)
-        service = job_service.JobService(own, self.outside(own), self.net)
-        self.net.services[own.peers.address] = service
-        self.entries[name] = service, asyncio.ensure_future(service.run())
-        return service
-
-    async def kill(self, name):
-        """End an entry at once, as a power loss would: nothing of it is sent any more."""
-        service, task = self.entries.pop(name)
-        self.views[name].is_cut = True
-        self.net.services.pop(f"{name}:3", None)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        return service
-
-    async def stop(self, name):
-        """Have an entry leave gracefully."""
-        service, _ = self.entries[name]
-        service.leaving = True
-        await service.shards.leave()
-        await asyncio.sleep(0.5)
-        await self.kill(name)
-
-    async def close(self):
-        for name in list(self.entries):
-            await self.kill(name)
-
-    def holder_of(self, pool):
-        return next(
-            (name for name, (one, _) in self.entries.items() if one.shards.holder(pool)), None
-        )
-
-
-def queue(name="q", service="a", **fields):
-    terms = {"timeout_ms": 3000, "target_latency_ms": 600, "max_attempts": 3, "stretch": 1.6}
-    return queues.Queue(
-        name=name,
-        path_prefix=f"/{name}/",
-        service=service,
-        **{"host": "x", **terms, **fields},
-    )
-
-
-def declare(*found, version=1, spare="spare"):
-    served = sorted({one.service for one in found})
-    return queues.QueueSet(
-        version=version,
-        queues=found,
-        services=(
-            *(queues.Service(name=name) for name in served),
-            queues.Service(name=spare, is_spare=True),
-        ),
-    )
-
-
-def job(number, steps, **fields):
-    return jobs.Job(
-        job=f"{number:016x}", queue=fields.pop("queue", queue()), spec="s", steps=steps, **fields
-    )
-
-
-def wave(number, hosts, duration_s, at_once):
-    return upkeep.Wave(number=number, hosts=tuple(hosts), duration_s=duration_s, at_once=at_once)
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -16,7 +16,7 @@
 from nutmegshelf import exceptions, jobs, orders, platform, pooling
 from nutmegshelf_http import server
 
-from features import jobworld
+from features import jobhosts, jobworld
 
 JSON = [(b"content-type", b"application/json")]
 SILENT_S = 3.0
@@ -49,7 +49,7 @@
         self.calls = []
         self.forgets = False
         self.workers = jobworld.Workers(world)
-        self.hosts = jobworld.Hosts(world, "platform")
+        self.hosts = jobhosts.Hosts(world, "platform")
         self.server = server.Server(self.handle)
         self.port = 0
 
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -15,7 +15,7 @@
     upkeep,
 )
 
-from features import jobworld
+from features import jobsite
 from features.steps import jobs_steps
 
 LASTING = {"cpu_millis": 2000, "memory_mb": 100, "lasting": True, "max_per_worker": 2}
@@ -33,7 +33,7 @@
 @behave.when("a wave asks for upkeep of all hosts within {seconds:g} s, {at_once:d} at once")
 @jobs_steps.paused
 async def ask_wave(context, seconds, at_once):
-    context.world.ask_wave(jobworld.wave(1, context.world.hosts, seconds, at_once))
+    context.world.ask_wave(jobsite.wave(1, context.world.hosts, seconds, at_once))
 
 
 @behave.then("within {seconds:g} s the wave is said to be done")
@@ -61,7 +61,7 @@
 @behave.given("a step of {count:d} tasks that last over 2 workers, of which {most:d} may be away")
 def place_lasting(context, count, most):
     step = jobs.Step(count=count, may_miss=most, **LASTING)
-    made = jobworld.job(1, (step,))
+    made = jobsite.job(1, (step,))
     context.book = ledger.Ledger(1)
     record = context.book.add(made, None, 0.0, 0, may_run=False)
     context.workers = {}
@@ -146,7 +146,7 @@
 def plan_wave(context, count, most, down):
     hosts = [f"h{number}" for number in range(count)]
     row = upkeep.WaveRow(number=1, began_ms=0)
-    context.plan = upkeep.WavePlan(jobworld.wave(1, hosts, 20.0, most), row)
+    context.plan = upkeep.WavePlan(jobsite.wave(1, hosts, 20.0, most), row)
     context.away = set(hosts[:down])
     context.candidates = [
         upkeep.Candidate(host, is_off=False, idle_s=9.0, lasting=0, cpu_millis=0)
@@ -255,7 +255,7 @@
 )
 def take_over(context, count):
     context.scheduler = scheduler.Scheduler(2, lapse_s=6.0, now_s=0.0, recovers=True)
-    made = jobworld.job(1, (jobs.Step(count=2, cpu_millis=1000),))
+    made = jobsite.job(1, (jobs.Step(count=2, cpu_millis=1000),))
     context.scheduler.ledger.add(made, None, 0.0, 0, may_run=True)
     context.listed = [facts_of(number) for number in range(count)]
 
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -5,19 +5,14 @@
 
 import behave
 from nutmegshelf import (
-    codecs,
     exceptions,
     fleetview,
     jobs,
-    ledger,
-    platform,
     queues,
-    sharing,
-    urgency,
 )
 from nutmegshelf_standins import clock
 
-from features import jobworld
+from features import jobsite, jobworld
 
 START_S = 2.0
 
@@ -59,7 +54,7 @@
 
 
 async def submit(context, number, steps, entry, **fields):
-    made = jobworld.job(number, steps, **fields)
+    made = jobsite.job(number, steps, **fields)
     context.world.jobs[made.job] = made
     service, _ = context.site.entries[entry]
     await service.desk.submit(made)
@@ -107,8 +102,8 @@
 @paused
 async def make_site(context, entries, workers, spare=0):
     context.world = jobworld.World({"a": workers}, spare_count=spare)
-    context.site = jobworld.Site(context.world)
-    context.world.declare(jobworld.declare(jobworld.queue()))
+    context.site = jobsite.Site(context.world)
+    context.world.declare(jobsite.declare(jobsite.queue()))
     for number in range(entries):
         context.site.start(f"e{number}")
     await asyncio.sleep(START_S)
@@ -241,310 +236,11 @@
     assert sum(context.world.starts.values()) == started, context.world.starts
 
 
-async def hit(context, fault):
-    name = context.site.holder_of("a")
-    view = context.site.views[name]
-    match fault:
-        case "killed":
-            await context.site.kill(name)
-        case "killed and started again":
-            await context.site.kill(name)
-            await asyncio.sleep(0.5)
-            context.site.start(name)
-        case "stopped gracefully":
-            await context.site.stop(name)
-        case "cut from the table":
-            view.is_cut = True
-            await asyncio.sleep(6.0)
-            view.is_cut = False
-        case "losing answers":
-            view.lost_answers = 3
-        case "losing answers, done late":
-            view.lost_answers, view.late_s = 3, 0.7
-
-
-@behave.when(
-    "{count:d} jobs of two steps come over {seconds:g} s and the holder is {fault} after 2 s"
-)
-@paused
-async def submit_over(context, count, seconds, fault):
-    context.all = []
-
-    async def come(number):
-        await asyncio.sleep(number * seconds / count)
-        # Callers hand the same job in again at another entry while they have no answer.
-        for attempt in range(6):
-            name = list(context.site.entries)[attempt % len(context.site.entries)]
-            try:
-                context.all.append(await submit(context, number, parse_steps("2, 2 after 0"), name))
-                return
-            except exceptions.RequestError:
-                await asyncio.sleep(1.0)
-
-    async def strike():
-        await asyncio.sleep(2.0)
-        await hit(context, fault)
-
-    await asyncio.gather(strike(), *(come(number) for number in range(count)))
-    assert len(context.all) == count, f"{len(context.all)} of {count} jobs were accepted"
-
-
-@behave.when("all entries are killed at once and started after {seconds:g} s")
-@paused
-async def kill_all(context, seconds):
-    names = list(context.site.entries)
-    for name in names:
-        await context.site.kill(name)
-    await asyncio.sleep(seconds)
-    context.started_s = now_s()
-    for name in names:
-        context.site.start(name)
-    await asyncio.sleep(1.0)
-
-
-@behave.given("a job ran and a host was moved away since")
-@paused
-async def run_and_move(context):
-    made = await submit(context, 7, parse_steps("8"), "e0")
-    await until(4, is_everywhere(context, made, "succeeded"), "states")
-    await asyncio.sleep(6.0)
-    assert context.world.moves, "no host moved"
-
-
-@behave.given("the row of used lives still names the hosts that moved")
-def keep_old_lives(context):
-    lives = [(fleetview.Life(f"w{number}", number), f"h{number}") for number in range(1, 9)]
-    write = platform.Write("used/a/lives", codecs.pack(lives))
-    context.world.table.apply(platform.Transaction(writes=(write,)))
-
-
-@behave.when("the holder is killed")
-@paused
-async def kill_holder(context):
-    await context.site.kill(context.site.holder_of("a"))
-
-
-@behave.given("workers that ended stay listed for {seconds:g} s")
-def lag_list(context, seconds):
-    context.world.list_lag_s = seconds
-
-
-@behave.when("the holder is killed as hosts move away")
-@paused
-async def kill_while_moving(context):
-    async def check():
-        return len(context.world.moves) >= 2 or context.world.moves
-
-    await until(6, check, "moves")
-    assert any(context.world.running.values()), "the first task has ended"
-    await context.site.kill(context.site.holder_of("a"))
-
-
-@behave.given("answers of the table take {seconds:g} s")
-def slow_answers(context, seconds):
-    for view in context.site.views.values():
-        view.answer_s = seconds
-
-
-@behave.when('a job of steps "{steps}" is submitted and the holder is stopped at once')
-@paused
-async def submit_and_stop(context, steps):
-    name = context.site.holder_of("a")
-    context.made = await submit(context, 1, parse_steps(steps), name)
-    service, _ = context.site.entries[name]
-    service.leaving = True
-    # A transaction is sent, and its answer is not there yet.
-    service.shards.holder("a").writer.write(platform.Write("scratch/a/other", b""))
-    await asyncio.sleep(0.05)
-    context.stopped_s = now_s()
-    context.stop = asyncio.ensure_future(context.site.stop(name))
-    context.stopped = name
-
-
-@behave.then("another entry holds the service within {seconds:g} s")
-@paused
-async def check_taken(context, seconds):
-    async def check():
-        name = next(
-            (
-                name
-                for name, (one, _) in context.site.entries.items()
-                if name != context.stopped and one.shards.holder("a")
-            ),
-            None,
-        )
-        return name is not None or "no other holder"
-
-    await until(seconds, check, "holder")
-    if hasattr(context, "stop"):
-        await context.stop
-
-
-@behave.when("a job is submitted while its answer is lost and again while the table is away")
-@paused
-async def submit_unsettled(context):
-    view = context.site.views["e0"]
-    context.kinds = []
-    made = jobworld.job(9, parse_steps("1"))
-    context.world.jobs[made.job] = made
-    service, _ = context.site.entries["e0"]
-    view.lost_answers, view.late_s = 100, 9.0
-    for _ in range(2):
-        try:
-            await service.desk.submit(made)
-        except exceptions.RequestError as error:
-            context.kinds.append(error.kind.value)
-        view.is_refusing = True
-
-
-@behave.then("both times it is said that it may run")
-def check_unsettled(context):
-    assert context.kinds == ["job-unsettled", "job-unsettled"], context.kinds
-
-
-@behave.when("the holder is stopped gracefully")
-@paused
-async def stop_holder(context):
-    await context.site.stop(context.site.holder_of("a"))
-
-
-@behave.when('a job of steps "{steps}" is submitted after {seconds:g} s')
-@paused
-async def submit_after(context, steps, seconds):
-    await asyncio.sleep(seconds)
-    context.made = await submit(context, 2, parse_steps(steps), next(iter(context.site.entries)))
-
-
-@behave.when("the holder is killed and a job is stored by another entry while the next one loads")
-@paused
-async def store_while_loading(context):
-    await context.site.kill(context.site.holder_of("a"))
-    (name,) = context.site.entries
-    made = context.made = jobworld.job(3, parse_steps("1"))
-    context.world.jobs[made.job] = made
-
-    async def scanned(prefix):
-        # The job comes just after the inbox was read, and loading goes on for a while.
-        if prefix.startswith(f"{jobs.INBOX}/") and made.job not in str(context.world.table.rows):
-            context.world.table.apply(jobs.submitting(made))
-            await asyncio.sleep(0.5)
-
-    context.site.views[name].scanned = scanned
-    await asyncio.sleep(4.0)
-
-
-@behave.when("the holder is cut from the table")
-def cut_holder(context):
-    context.cut = context.stopped = context.site.holder_of("a")
-    context.site.views[context.cut].is_cut = True
-
-
-@behave.when('a job of steps "{steps}" is submitted at another entry after {seconds:g} s')
-@paused
-async def submit_elsewhere(context, steps, seconds):
-    await asyncio.sleep(seconds)
-    entry = next(name for name in context.site.entries if name != context.cut)
-    began_s = now_s()
-    context.made = await submit(context, 4, parse_steps(steps), entry)
-    context.took_s = now_s() - began_s
-
-
-@behave.then("it is accepted within {seconds:g} s")
-def check_accepted(context, seconds):
-    assert context.took_s <= seconds, context.took_s
-
-
-@behave.then("within {seconds:g} s it is shown as succeeded at the other entries")
-@paused
-async def check_others(context, seconds):
-    names = [name for name in context.site.entries if name != context.cut]
-    await until(seconds, is_everywhere(context, context.made, "succeeded", names), "states")
-
-
-@behave.when("the table refuses everybody for {seconds:g} s")
-@paused
-async def refuse_all(context, seconds):
-    context.held = context.site.holder_of("a")
-    views = context.site.views.values()
-    for view in views:
-        view.is_refusing = True
-
-    def again():
-        for view in views:
-            view.is_refusing = False
-
-    asyncio.get_running_loop().call_later(seconds, again)
-
-
-@behave.then("the same entry held the service all the time")
-def check_same_holder(context):
-    assert context.site.holder_of("a") == context.held
-    service, _ = context.site.entries[context.held]
-    assert service.shards.holder("a").epoch == 1
-
-
-@behave.when('a job of steps "{steps}" is submitted at entry {entry:d} after {seconds:g} s')
-@paused
-async def submit_refused(context, steps, entry, seconds):
-    await asyncio.sleep(seconds)
-    context.made = jobworld.job(5, parse_steps(steps))
-    context.world.jobs[context.made.job] = context.made
-    service, _ = context.site.entries[f"e{entry}"]
-    try:
-        await service.desk.submit(context.made)
-        context.refusal = None
-    except exceptions.RequestError as error:
-        context.refusal = error
-
-
-@behave.then("it is refused as not run")
-def check_refused(context):
-    assert context.refusal is not None, "the job was accepted"
-    assert context.refusal.outcome is exceptions.Outcome.NOT_RUN, context.refusal.kind
-
-
-@behave.then("{seconds:g} s later it is not known anywhere")
-@paused
-async def check_unknown(context, seconds):
-    await asyncio.sleep(seconds)
-    found = await states(context, context.made)
-    assert set(found.values()) == {"unknown-job"}, found
-
-
-@behave.when(
-    'a job of steps "{steps}" is submitted at the holder by a caller that gives up at once'
-)
-@paused
-async def submit_and_leave(context, steps):
-    made = context.made = jobworld.job(6, parse_steps(steps))
-    context.world.jobs[made.job] = made
-    service, _ = context.site.entries[context.site.holder_of("a")]
-    task = asyncio.ensure_future(service.desk.submit(made))
-    await asyncio.sleep(0.014)
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
-
-
-@behave.when("after {seconds:g} s one of its workers falls silent for good")
-@paused
-async def silence(context, seconds):
-    await asyncio.sleep(seconds)
-    next(one for one in context.world.minions.values() if one.runs).is_dark = True
-
-
-@behave.when("after {seconds:g} s all workers start anew")
-@paused
-async def start_anew(context, seconds):
-    await asyncio.sleep(seconds)
-    for minion in list(context.world.minions.values()):
-        context.world.start_again(minion)
-
-
 @behave.when("version {newer:d} is declared and then version {older:d}")
 @paused
 async def declare_versions(context, newer, older):
     for version in (newer, older):
-        context.world.declare(jobworld.declare(jobworld.queue(), version=version))
+        context.world.declare(jobsite.declare(jobsite.queue(), version=version))
         await asyncio.sleep(0.5)
 
 
@@ -559,55 +255,10 @@
 async def submit_advised(context, steps):
     terms = queues.Advised(decide_ms=20, per_worker_ms=5, valid_ms=2000)
     made = parse_steps(steps)
-    context.made = await submit(context, 8, made, "e0", queue=jobworld.queue(advised=terms))
+    context.made = await submit(context, 8, made, "e0", queue=jobsite.queue(advised=terms))
 
 
 @behave.then("only workers that the policy allows ran it")
 def check_policy(context):
     asked = context.world.advice.asked
     assert len(set(asked)) == 2, asked
-
-
-@behave.given("a worker with a serving task of target {target:d} ms and a filling task")
-def share_worker(context, target):
-    facts = fleetview.WorkerFacts(
-        fleetview.Life("w1", 1), "a", "h1", "", "z", "r", frozenset(), 16_000, 64_000, 0
-    )
-    context.worker = fleetview.Worker(facts)
-    serving = jobs.Step(count=1, cpu_millis=1000, lasting=True, target_ms=target)
-    filling = jobs.Step(count=1, cpu_millis=1000, lasting=True, fills=True)
-    book = ledger.Ledger(1)
-    record = book.add(jobworld.job(1, (serving, filling)), None, 0.0, 0, may_run=False)
-    context.serving, context.filling = record.tasks()
-    for task in (context.serving, context.filling):
-        book.adopt(record, task, context.worker, 1, 0.0)
-
-
-@behave.then("the filling task's pace goes as follows")
-def check_paces(context):
-    for number, row in enumerate(context.table):
-        context.serving.figure = float(row["tail ms"])
-        for task, percent in sharing.choose(context.worker, float(number + 1)).items():
-            task.pace_percent = percent
-        assert context.filling.pace_percent == int(row["percent"]), (number, context.filling)
-
-
-@behave.given("jobs that wait as follows")
-def list_jobs(context):
-    context.records = {}
-    book = ledger.Ledger(1)
-    for number, row in enumerate(context.table):
-        terms = {"target_latency_ms": int(float(row["objective s"]) * 1000), "stretch": 0.0}
-        made = jobworld.job(
-            number,
-            (jobs.Step(count=1, estimate_ms=500, lasting=row["lasts"] == "yes"),),
-            queue=jobworld.queue(priority=int(row["priority"]), **terms),
-        )
-        accepted_s = 100.0 - float(row["accepted s ago"])
-        context.records[row["job"]] = book.add(made, None, accepted_s, 0, may_run=False)
-
-
-@behave.then('their order is "{names}"')
-def check_order(context, names):
-    found = sorted(context.records, key=lambda name: urgency.of(context.records[name], 100.0))
-    assert ", ".join(found) == names, found
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -5,7 +5,7 @@
 import behave
 from nutmegshelf import fleetview, jobs
 
-from features import jobworld
+from features import jobsite
 from features.steps import jobs_steps
 
 
@@ -52,9 +52,9 @@
 @behave.given("a queue of priority 1 whose tasks fill all workers for {seconds:g} s and {how}")
 @jobs_steps.paused
 async def fill_workers(context, seconds, how):
-    low = jobworld.queue("low", priority=1)
-    urgent = jobworld.queue("urgent", priority=0)
-    context.world.declare(jobworld.declare(low, urgent, version=2))
+    low = jobsite.queue("low", priority=1)
+    urgent = jobsite.queue("urgent", priority=0)
+    context.world.declare(jobsite.declare(low, urgent, version=2))
     await asyncio.sleep(0.5)
     saves = how == "save their state"
     filling = step(4, checkpointing=saves, estimate_ms=int(seconds * 1000))
@@ -71,7 +71,7 @@
 @behave.when("a job of priority 0 for half a worker is submitted")
 @jobs_steps.paused
 async def submit_urgent(context):
-    urgent = jobworld.queue("urgent", priority=0)
+    urgent = jobsite.queue("urgent", priority=0)
     context.urgent = await jobs_steps.submit(context, 1, (step(2),), "e1", queue=urgent)
 
 
--- a/features/steps/own_interface_steps.py
+++ b/features/steps/own_interface_steps.py
@@ -13,7 +13,7 @@
 from nutmegshelf_standins import process
 from typer import testing
 
-from features import jobworld
+from features import jobsite, jobworld
 
 HOST = "127.0.0.1"
 DECLARED = """
@@ -55,7 +55,7 @@
 
     async def _start(self, names, workers):
         self.world = jobworld.World({"a": workers})
-        self.site = jobworld.Site(self.world)
+        self.site = jobsite.Site(self.world)
         declared = declarations.from_toml({"set.toml": DECLARED})
         self.world.declare(queues.of_declared(declared, 1))
         ports = process.free_ports(3 * len(names))
