Take the cost of moves from the declarations, with the users' stated prices as default

The planner's costs were constants in code. A pool's move_cost and idle_worker_hour_cost now decide how long its idle hosts are kept; where nothing is declared the default stands.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -81,6 +81,18 @@
       | 4       | 4       | 1       | 10    |
       | 4       | 4       | 0.15    | 7     |
 
+  Scenario Outline: An idle host stays for as long as its pool's declared move is worth
+    Given a planner for hosts of 16 cores
+    And a move out of pool "a" is declared to cost <cost> s of a host
+    When a host of pool "a" idles for <idle> s
+    Then the idle host is <what>
+
+    Examples:
+      | cost | idle | what     |
+      | 5    | 4.9  | kept     |
+      | 5    | 5.1  | put away |
+      | 0    | 0.1  | put away |
+
   Scenario: Turns are forecast only from turns that come regularly
     Given turns of pools "a, b, c, d" that begin every 8 s
     Then after the fourth turn the next is forecast for pool "a" within 1 s of its time
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -6,10 +6,12 @@
 from nutmegshelf import (
     calls,
     clearing,
+    declarations,
     fleetview,
     jobs,
     ledger,
     pooling,
+    queues,
     scheduler,
     turns,
     upkeep,
@@ -337,3 +339,45 @@
     moved = [at_s - context.started_s for at_s, *_ in context.world.moves]
     soon = [at_s for at_s in moved if 0 <= at_s <= seconds]
     assert len(soon) >= count, moved
+
+
+@behave.given('a move out of pool "{pool}" is declared to cost {cost:g} s of a host')
+def declare_cost(context, pool, cost):
+    text = f"""
+    [pools.{pool}]
+    wanted_workers = 2
+    worker_cores = 16
+    worker_memory_gb = 64
+    move_cost = {cost}
+    idle_worker_hour_cost = 3600.0
+    [services.{pool}]
+    pool = "{pool}"
+    wanted_minions = 2
+    """
+    declared = declarations.from_toml({"set.toml": text})
+    context.planner.costs = queues.of_declared(declared, 1).host_costs
+
+
+@behave.when('a host of pool "{pool}" idles for {idle_s:g} s')
+def idle_host(context, pool, idle_s):
+    hosts = {"h0": calls.HostLoad(cpu_millis=4000), "h1": calls.HostLoad(idle_s=idle_s)}
+    report = calls.DemandReport(
+        cpu_running=4000,
+        cpu_waiting=0,
+        cpu_lasting=0,
+        waiting_ms=0,
+        arrived_core_ms=0,
+        least_hosts=1,
+        host_cpu_millis=context.size,
+        hosts=hosts,
+    )
+    views = [
+        pooling.HostView(host, pool, pooling.HostState.UP, "z", "r", context.size) for host in hosts
+    ]
+    context.moves = context.planner.plan(views, {pool: report}, set(), "spare", 1.0)
+
+
+@behave.then("the idle host is {what}")
+def check_put_away(context, what):
+    targets = [(move.host, move.target) for move in context.moves]
+    assert targets == ([("h1", "spare")] if what == "put away" else []), targets
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -276,6 +276,8 @@
         }
         if not fresh or routes is None:
             return
+        if routes.declared.host_costs is not None:
+            self._planner.costs = routes.declared.host_costs
         self._note_plan(fresh, now_s)
         held = set(self._working) | {host for host in self._resting_s if self._rests(host)}
         self._kept_s = {host: at_s for host, at_s in self._kept_s.items() if now_s < at_s}
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -12,7 +12,7 @@
 import enum
 import math
 
-from nutmegshelf import calls, ids, turns
+from nutmegshelf import calls, costs, ids, turns
 
 
 class HostState(enum.Enum):
@@ -37,14 +37,6 @@
     worker: ids.WorkerId | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Costs:
-    """Declare what idle hosts and moves cost, in seconds of a paid host."""
-
-    move_host_s: float = 1.15
-    move_s: float = 1.5
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
     """Move a host to another pool."""
@@ -87,8 +79,8 @@
 class Planner:
     """Own the forecast and the choice of moves."""
 
-    def __init__(self, costs: Costs | None = None) -> None:
-        self._costs = costs or Costs()
+    def __init__(self, declared: costs.Costs | None = None) -> None:
+        self.costs = declared or costs.Costs()
         self._arrivals: dict[ids.ServiceName, _Arrivals] = {}
         self.turns = turns.Turns()
         self.wanted: dict[ids.ServiceName, int] = {}
@@ -141,7 +133,7 @@
             self.turns.observe(pool, asked, used, now_s)
             wanted[pool] = max(_LEAST_HOSTS, report.least_hosts, math.ceil(_HEADROOM * need))
         coming = self.turns.forecast(now_s)
-        lead_s = self._costs.move_s + _REACTION_S
+        lead_s = self.costs.move_s + _REACTION_S
         if coming is not None and coming.begins_s - lead_s <= now_s:
             hosts = _HEADROOM * self.turns.usual_peak_hosts / len(coming.pools)
             for pool in coming.pools:
@@ -169,13 +161,13 @@
         # A host that goes straight to the next pool moves once, by way of the spare pool twice, so
         # it idles for what one move costs. Where the next turn is known and another pool's, the
         # host is surely idle for longer.
-        until_s = self._costs.move_host_s
         moves: list[Move] = []
         for view in free:
             if view.pool == spare:
                 continue
             known = coming is not None and view.pool not in coming.pools
-            patience_s = _SETTLE_S if known and not self.turns.in_turn(view.pool) else until_s
+            is_over = known and not self.turns.in_turn(view.pool)
+            patience_s = _SETTLE_S if is_over else self.costs.of_move(view.pool)
             if demands[view.pool].idle_s[view.host] >= patience_s:
                 moves.append(Move(view.host, view.pool, spare, "it idles"))
         return moves
--- a/packages/nutmegshelf/src/nutmegshelf/queues.py
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from nutmegshelf import declarations, ids
+from nutmegshelf import costs, declarations, ids
+
+_SECONDS_AN_HOUR = 3_600
 
 
 class Advised(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,6 +58,8 @@
     queues: tuple[Queue, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = Limits()
+    # None where the costs of hosts are not declared.
+    host_costs: costs.Costs | None = None
 
 
 def of_declared(declared: declarations.DeclarationSet, version: ids.Version) -> QueueSet:
@@ -85,6 +89,13 @@
             )
             for name, service in declared.services.items()
         ),
+        host_costs=costs.Costs(
+            move_host_s_by_pool={
+                name: _SECONDS_AN_HOUR * pool.move_cost / pool.idle_worker_hour_cost
+                for name, service in declared.services.items()
+                if (pool := declared.pools[service.pool]).idle_worker_hour_cost
+            }
+        ),
     )
 
 
