Clear the next hosts of a tight wave while others are down

Hosts are now cleared ahead, take a place just before their order, and the list is read twice as often while hosts are down. Two checks of the choice alone now count the hosts that get a place, as more may be cleared ahead; the bound is the same. The scenario of a tight wave failed before.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -8,6 +8,13 @@
     And at most 1 of the tasks that last was ever away
     And no bound of the hosts was broken
 
+  Scenario: A wave that is short of time clears the next hosts while others are down
+    Given 2 entries and 8 workers of one service
+    And every host runs a task of 1.2 s all the time
+    When a wave asks for upkeep of all hosts within 10 s, 2 at once
+    Then within 10 s the wave is said to be done
+    And no bound of the hosts was broken
+
   Scenario: A task at a silent worker counts as away
     Given a step of 4 tasks that last over 2 workers, of which 1 may be away
     When one of the workers was not heard of for 2 s
@@ -63,11 +70,11 @@
 
   Scenario: Hosts that an earlier holder took down count for the bound of a wave
     Given a wave of 10 hosts with 3 at once, of which 2 are down by an earlier holder's order
-    Then only 1 host is chosen, though all others idle
+    Then only 1 host goes down, though all others idle
 
   Scenario: Hosts that move between pools do not hold a wave up
     Given a wave of 10 hosts with 3 at once, of which 2 move and 1 is in another wave's upkeep
-    Then only 2 hosts are chosen, though all others idle
+    Then only 2 hosts go down, though all others idle
 
   Scenario Outline: The need of a pool that runs <running> and has <waiting> waiting hosts' worth is <hosts>
     Given a planner for hosts of 16 cores
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -32,6 +32,21 @@
     context.most_away = 0
 
 
+@behave.given("every host runs a task of {seconds:g} s all the time")
+@jobs_steps.paused
+async def keep_busy(context, seconds):
+    context.world.default_work = (seconds, fleetview.How.DONE)
+    step = jobs.Step(count=8, cpu_millis=16_000, memory_mb=100, estimate_ms=int(seconds * 1000))
+
+    async def submit_all():
+        for number in range(100, 130):
+            await jobs_steps.submit(context, number, (step,), "e0")
+            await asyncio.sleep(seconds)
+
+    context.submitting = asyncio.ensure_future(submit_all())
+    await asyncio.sleep(1.0)
+
+
 @behave.when("a wave asks for upkeep of all hosts within {seconds:g} s, {at_once:d} at once")
 @jobs_steps.paused
 async def ask_wave(context, seconds, at_once):
@@ -43,7 +58,7 @@
 async def check_wave(context, seconds):
     async def check():
         names = [name for name, runs in context.world.running.items() if runs]
-        context.most_away = max(context.most_away, 4 - len(names))
+        context.most_away = max(getattr(context, "most_away", 0), 4 - len(names))
         return (1, True) in context.world.waves_told or context.world.upkeeps
 
     await jobs_steps.until(seconds, check, "upkeeps")
@@ -171,10 +186,12 @@
     context.away = upkeep.away(views, set())
 
 
-@behave.then("only {count:d} host is chosen, though all others idle")
-@behave.then("only {count:d} hosts are chosen, though all others idle")
+@behave.then("only {count:d} host goes down, though all others idle")
+@behave.then("only {count:d} hosts go down, though all others idle")
 def check_chosen(context, count):
-    found = context.plan.choose(context.candidates, context.away, 1_000, 2.0)
+    # More may be cleared ahead, but only these go down.
+    chosen = context.plan.choose(context.candidates, context.away, 1_000, 2.0)
+    found = [host for host in chosen if context.plan.begin(host, context.away, 1.0)]
     assert len(found) == count, found
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -31,6 +31,9 @@
 _START_S = 2.0
 _LIST_INTERVAL_S = 1.0
 _LIST_BUSY_INTERVAL_S = 0.4
+# Hosts that are down hold others of their wave up until they are seen to be back.
+_LIST_WAVE_INTERVAL_S = 0.2
+_PLACE_INTERVAL_S = 0.05
 _RETRY_S = 0.25
 _NOTE_INTERVAL_S = 0.5
 _ASK_LIMIT_S = 0.6
@@ -170,8 +173,10 @@
                 self._listed_s = self._loop.time()
             except exceptions.HostsError as error:
                 _log.warning("The hosts can't be listed.", why=str(error))
-            busy = self._working or any(plan.down for plan in self._plans.values())
-            await asyncio.sleep(_LIST_BUSY_INTERVAL_S if busy else _LIST_INTERVAL_S)
+            if any(plan.down for plan in self._plans.values()):
+                await asyncio.sleep(_LIST_WAVE_INTERVAL_S)
+            else:
+                await asyncio.sleep(_LIST_BUSY_INTERVAL_S if self._working else _LIST_INTERVAL_S)
 
     # --- waves
 
@@ -210,9 +215,7 @@
             if host not in self._working and self._views[host].state is pooling.HostState.UP
         ]
         candidates = [one for one in candidates if not self._rests(one.host)]
-        resting = {host for host in self._resting_s if self._rests(host)}
-        away = upkeep.away(self._views.values(), resting)
-        for host in plan.choose(candidates, away, now_ms, self._upkeep_s):
+        for host in plan.choose(candidates, self._away(), now_ms, self._upkeep_s):
             plan.asked_s[host] = now_s
             self._spawn(host, self._do_upkeep(plan, host))
 
@@ -229,25 +232,39 @@
 
     async def _do_upkeep(self, plan: upkeep.WavePlan, host: ids.HostId) -> None:
         try:
-            view = self._views[host]
-            if not await self._clear(view, "upkeep", _CLEARING_LIMIT_S, only_idle=False):
-                return
-            if not await self._announce(host):
+            if not await self._go_down(plan, self._views[host]):
                 return
-            ordered = await self._order(
-                host, self._hosts.upkeep(host, plan.wave.number, self.epoch)
-            )
-            self.totals[f"upkeep {_outcome(ordered)}"] += 1
-            _log.info("Upkeep.", host=host, wave=plan.wave.number, outcome=_outcome(ordered))
+            ordered = None
+            if await self._announce(host):
+                order = self._hosts.upkeep(host, plan.wave.number, self.epoch)
+                ordered = await self._order(host, order)
+                self.totals[f"upkeep {_outcome(ordered)}"] += 1
+                _log.info("Upkeep.", host=host, wave=plan.wave.number, outcome=_outcome(ordered))
+            else:
+                ordered = ports.Ordered.BUSY
             if ordered in (ports.Ordered.DONE, None):
                 # An order without an answer may have been carried out.
                 plan.down[host] = self._loop.time()
+            else:
+                plan.down.pop(host, None)
             if ordered in (ports.Ordered.DONE, ports.Ordered.NOT_DUE):
                 plan.row.done.add(host)
                 self._store(plan)
         finally:
             plan.asked_s.pop(host, None)
 
+    async def _go_down(self, plan: upkeep.WavePlan, view: pooling.HostView) -> bool:
+        """Clear a host, and keep it clear until one of the wave's places is free."""
+        while await self._clear(view, "upkeep", _CLEARING_LIMIT_S, only_idle=False):
+            if plan.begin(view.host, self._away(), self._loop.time()):
+                return True
+            await asyncio.sleep(_PLACE_INTERVAL_S)
+        return False
+
+    def _away(self) -> set[ids.HostId]:
+        resting = {host for host in self._resting_s if self._rests(host)}
+        return upkeep.away(self._views.values(), resting)
+
     def _store(self, plan: upkeep.WavePlan) -> None:
         key = f"{_WAVES}{plan.wave.number}"
         self.writer.write(platform.Write(key, codecs.pack(plan.row)))
--- a/packages/nutmegshelf/src/nutmegshelf/upkeep.py
+++ b/packages/nutmegshelf/src/nutmegshelf/upkeep.py
@@ -77,23 +77,33 @@
     ) -> list[ids.HostId]:
         """Give the hosts to clear now: those that cost little at once, others at an even pace.
 
-        Hosts that are away count, whoever took them down.
+        Hosts that are away count, whoever took them down. In a wave that is short of time the next
+        hosts are cleared while the ones before them are down.
         """
-        busy = (away & set(self.wave.hosts) | self.down.keys()) - self.asked_s.keys()
-        room = self.wave.at_once - len(busy) - len(self.asked_s)
+        pace = self._pace(len(candidates), now_ms, upkeep_s)
+        is_tight = pace >= self.wave.at_once
+        ahead = self.wave.at_once if is_tight else 0
+        room = self.wave.at_once + ahead - len(self.busy(away)) - len(self.asked_s)
         waiting = [one for one in candidates if one.host not in self.asked_s]
-        if room <= 0 or not waiting:
-            return []
         chosen: list[ids.HostId] = []
-        pace = self._pace(len(candidates), now_ms, upkeep_s)
-        for one in sorted(waiting, key=_cost):
+        for one in sorted(waiting, key=_cost)[: max(0, room)]:
             is_cheap = one.is_off or one.idle_s is not None
-            if len(chosen) == room:
-                break
-            if is_cheap or len(busy) + len(self.asked_s) + len(chosen) < pace:
+            under_way = len(self.busy(away)) + len(self.asked_s) + len(chosen)
+            if is_cheap or under_way < pace + ahead:
                 chosen.append(one.host)
         return chosen
 
+    def busy(self, away: set[ids.HostId]) -> set[ids.HostId]:
+        """Give the hosts of the wave that are down, or may be."""
+        return (away & set(self.wave.hosts)) | self.down.keys()
+
+    def begin(self, host: ids.HostId, away: set[ids.HostId], now_s: float) -> bool:
+        """Take one of the places for hosts that are down, or say that there is none."""
+        if len(self.busy(away)) >= self.wave.at_once:
+            return False
+        self.down[host] = now_s
+        return True
+
     def _pace(self, left: int, now_ms: int, upkeep_s: float) -> int:
         elapsed_s = (now_ms - self.row.began_ms) / 1000
         remaining_s = self.wave.duration_s * (1 - _RESERVE_FRACTION) - elapsed_s
