--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -55,6 +55,13 @@
     And all entries are killed at once and started after 1 s
     Then within 12 s it is shown as succeeded at every entry
 
+  Scenario: Entries that are all started again take up at once what they held
+    Given 3 entries and 4 workers of one service
+    When a job of steps "2, 2 after 0" is submitted at entry 0
+    And all entries are killed at once and started after 1 s
+    Then the service was taken up within 0.2 s of the start
+    And within 3 s it is shown as succeeded at every entry
+
   Scenario: New work starts soon after a graceful stop of the holder, also where hosts moved away
     Given 3 entries and 4 workers of one service
     And a job ran and a host was moved away since
--- a/features/steps/job_faults_steps.py
+++ b/features/steps/job_faults_steps.py
@@ -74,6 +74,13 @@
     await asyncio.sleep(1.0)
 
 
+@behave.then("the service was taken up within {seconds:g} s of the start")
+def check_taken_up(context, seconds):
+    service, _ = context.site.entries[context.site.holder_of("a")]
+    took_s = service.shards.holder("a")._taken_s - context.started_s
+    assert took_s <= seconds, took_s
+
+
 @behave.given("a job ran and a host was moved away since")
 @jobs_steps.paused
 async def run_and_move(context):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -18,6 +18,8 @@
 MEMBER_SILENCE_S = 5.0
 # A starting entry first learns who else is there, so that leases spread evenly.
 _SETTLE_S = 0.7
+# What it held before it started again is taken as soon as it is seen.
+_RESUME_TICK_S = 0.02
 _RELEASE_LIMIT_S = 1.0
 _RELEASE_TRIES = 3
 # A holder without the table gives its leases up after this time, if others reach the table.
@@ -143,7 +145,7 @@
             await asyncio.sleep(BEAT_INTERVAL_S if beat > 1 else _SETTLE_S)
 
     async def _hold(self, group: asyncio.TaskGroup) -> None:
-        await asyncio.sleep(_SETTLE_S)
+        await self._resume(group)
         while True:
             if self.is_watching and self._beat_done and not self._leaving:
                 now_s = self._loop.time()
@@ -159,6 +161,15 @@
                     await self._release(pool)
             await asyncio.sleep(_TICK_S)
 
+    async def _resume(self, group: asyncio.TaskGroup) -> None:
+        """Take what an earlier process of this entry held, until the other entries are known."""
+        until_s = self._loop.time() + _SETTLE_S
+        while self._loop.time() < until_s:
+            pool = self._book.to_resume(self.pools) if self.is_watching else None
+            if pool is not None:
+                await self._take(pool, group)
+            await asyncio.sleep(_RESUME_TICK_S)
+
     def _entries(self, now_s: float) -> list[ids.EntryId]:
         live = {row.entry for row in self._members.live(now_s) if not row.leaving}
         live -= self._book.lapsed_holders(now_s)
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -193,6 +193,14 @@
                 return pool
         return None
 
+    def to_resume(self, pools: list[ids.PoolName]) -> ids.PoolName | None:
+        """Choose one lease that an earlier process of this entry held, which has ended."""
+        for pool in sorted(pools):
+            lease = self._leases.get(pool)
+            if lease is not None and lease.holder == self.own and pool not in self.held:
+                return pool
+        return None
+
     def to_release(
         self, pools: list[ids.PoolName], entries: list[ids.EntryId], now_s: float
     ) -> list[ids.PoolName]:
