End what was started when a bench or the demo gets SIGTERM

The bench control left 13 processes behind. A group of processes now takes the signal and ends its own; the scenario found processes left before.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -17,3 +17,8 @@
     Then the entry "entry-0" exits with 0
     And its callers were told the truth about every request
     And no process of the deployment is left
+
+  Scenario: What starts processes ends them when it gets SIGTERM
+    Given the bench "control" has started processes
+    When it gets SIGTERM
+    Then within 15 s it has ended, and all that it started too
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -3,8 +3,13 @@
 import asyncio
 import contextlib
 import io
+import os
+import pathlib
 import random
 import signal
+import subprocess
+import sys
+import time
 
 import behave
 from nutmegshelf import codecs
@@ -115,3 +120,41 @@
 def check_left(context):
     context.run(context.running.group.aclose())
     assert not context.running.group.left_behind()
+
+
+def descendants(pid):
+    """Give the processes that a process started, and those that they started."""
+    found = []
+    for task in pathlib.Path(f"/proc/{pid}/task").glob("*/children"):
+        for child in map(int, task.read_text().split()):
+            found += [child, *descendants(child)]
+    return found
+
+
+@behave.given('the bench "{name}" has started processes')
+def start_bench(context, name):
+    context.bench = subprocess.Popen(
+        [sys.executable, "-m", "nutmegshelf_bench", name],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    context.add_cleanup(context.bench.kill)
+    until_s = time.monotonic() + 20
+    while len(descendants(context.bench.pid)) < 8:
+        assert time.monotonic() < until_s, descendants(context.bench.pid)
+        time.sleep(0.1)
+    context.started = descendants(context.bench.pid)
+
+
+@behave.when("it gets SIGTERM")
+def send_sigterm(context):
+    context.bench.terminate()
+
+
+@behave.then("within {seconds:g} s it has ended, and all that it started too")
+def check_ended(context, seconds):
+    context.bench.wait(seconds)
+    left = [pid for pid in context.started if process.is_running(pid)]
+    for pid in left:
+        os.kill(pid, signal.SIGKILL)
+    assert not left, left
--- a/standins/src/nutmegshelf_standins/process.py
+++ b/standins/src/nutmegshelf_standins/process.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import threading
 import typing
 
 from nutmegshelf_http import client
@@ -74,12 +75,22 @@
 
 
 class Group(contextlib.AsyncExitStack):
-    """End every process that was started within it."""
+    """End every process that was started within it, also when this process gets SIGTERM."""
 
     def __init__(self) -> None:
         super().__init__()
         self._processes: list[Process] = []
 
+    async def __aenter__(self) -> typing.Self:
+        """Have SIGTERM end the task that starts processes, which then ends them."""
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        # Only the main thread gets signals; elsewhere the starter has to see to it.
+        if task is not None and threading.current_thread() is threading.main_thread():
+            loop.add_signal_handler(signal.SIGTERM, task.cancel, "SIGTERM")
+            self.callback(loop.remove_signal_handler, signal.SIGTERM)
+        return await super().__aenter__()
+
     def left_behind(self) -> list[str]:
         """Name the processes that still run."""
         return [process.name for process in self._processes if is_running(process.pid)]
@@ -91,9 +102,10 @@
             stdout=asyncio.subprocess.PIPE,
         )
         assert started.stdout is not None
+        process = self._own(Process(name, started, 0))
         async with asyncio.timeout(_START_TIMEOUT_S):
-            port = int(await started.stdout.readline())
-        return self._own(Process(name, started, port))
+            process.port = int(await started.stdout.readline())
+        return process
 
     async def start_entry(self, name: str, settings_path: str, log: typing.IO[bytes]) -> Process:
         """Start an entry with its settings file."""
@@ -108,7 +120,7 @@
         started = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", module, *arguments), stdout=asyncio.subprocess.DEVNULL
         )
-        return await started.wait()
+        return await self._own(Process(module, started, 0)).wait()
 
     def _own(self, process: Process) -> Process:
         self._processes.append(process)
