--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -157,9 +157,9 @@
             now_s, clock_ms = self._loop.time(), self._rows.clock_ms()
             for host, at_ms in codecs.unpack(ordered.value, dict[ids.HostId, float]).items():
                 # Where the order's age is not known, it may have been sent just now.
-                known = clock_ms is not None and at_ms
-                age_s = max(0.0, (clock_ms - at_ms) / 1000) if clock_ms and known else 0.0
-                self._resting_s[host] = now_s + self._quiet_s + _ORDER_S - age_s
+                is_known = clock_ms is not None and at_ms > 0
+                age_s = (clock_ms - at_ms) / 1000 if clock_ms is not None and is_known else 0.0
+                self._resting_s[host] = now_s + self._quiet_s + _ORDER_S - max(0.0, age_s)
 
     def _may_order(self) -> bool:
         fresh = self._loop.time() - self.writer.renewed_s < self._hold_limit_s
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -25,6 +25,7 @@
 # A holder without the table gives its leases up after this time, if others reach the table.
 _GIVE_UP_AFTER_S = 0.3
 _MOST_ASKED = 3
+_ASK_AGAIN_S = 0.4
 _PROOF_LIMIT_S = 0.2
 _TELL_LIMIT_S = 0.3
 
@@ -258,6 +259,8 @@
             peers = self._members.staying(now_s)
             if await self._is_reached_by(peers):
                 await self._give_up(peers)
+            else:
+                await asyncio.sleep(_ASK_AGAIN_S)
 
     async def _is_reached_by(self, peers: list[members.EntryRow]) -> bool:
         pool = next(iter(self._holders))
--- a/packages/nutmegshelf/src/nutmegshelf/jobs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/jobs.py
@@ -119,8 +119,6 @@
         ]
         if any(not 0 <= before < index for before in step.after):
             found.append(f"step {index}: it comes after steps that are not before it")
-        if step.lasting and step.gang:
-            found.append(f"step {index}: tasks that last can't be a gang")
     if sum(max(0, step.count) for step in job.steps) > MOST_TASKS:
         found.append(f"there are more than {MOST_TASKS} tasks")
     return found
