--- a/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/channel.py
@@ -83,10 +83,15 @@
                 case _:
                     raise h11.RemoteProtocolError("the stream ended inside a body")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(
+        self,
+        limit_bytes: int,
+        on_part: collections.abc.Callable[[bytes], None] = lambda part: None,
+    ) -> bytes:
         """Read a whole body; raises ValueError beyond the limit."""
         data = bytearray()
         async for part in self.body():
+            on_part(part)
             data += part
             if len(data) > limit_bytes:
                 raise ValueError(f"the body is over {limit_bytes} bytes")
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -24,6 +24,27 @@
         return next((value for key, value in self.headers if key.lower() == name), None)
 
 
+@dataclasses.dataclass(slots=True)
+class Transfer:
+    """Follow the body of one answer while it comes; its size may not be announced."""
+
+    received_bytes: int = 0
+    announced_bytes: int | None = None
+
+    def __str__(self) -> str:
+        total = "unknown" if self.announced_bytes is None else str(self.announced_bytes)
+        return f"{self.received_bytes} of {total} bytes received"
+
+    def begin(self, head: h11.Response) -> None:
+        """Take the head of the answer."""
+        sizes = (value for name, value in head.headers if name == b"content-length")
+        self.announced_bytes = next(map(int, sizes), None)
+
+    def take(self, part: bytes) -> None:
+        """Count a part of the body."""
+        self.received_bytes += len(part)
+
+
 async def open_channel(host: str, port: int) -> channel.Channel:
     """Connect; raises OSError where the server can't be reached."""
     loop = asyncio.get_running_loop()
@@ -59,8 +80,10 @@
         target: str,
         body: bytes = b"",
         headers: collections.abc.Iterable[tuple[bytes, bytes]] = (),
+        transfer: Transfer | None = None,
     ) -> Response:
         """Send a request and read its whole answer; raises OSError or h11.ProtocolError."""
+        transfer = transfer if transfer is not None else Transfer()
         link = await self._checkout()
         try:
             head = h11.Request(
@@ -78,7 +101,8 @@
                 parts.append(h11.Data(data=body))
             await link.send(*parts, h11.EndOfMessage())
             answer = await receive_head(link)
-            data = await link.read_body(_MAX_ANSWER_BYTES)
+            transfer.begin(answer)
+            data = await link.read_body(_MAX_ANSWER_BYTES, transfer.take)
         except BaseException:
             link.abort()
             raise
