--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -3,7 +3,9 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import json
+import math
 import os
 import pathlib
 import signal
@@ -20,6 +22,7 @@
 
 JSON = [(b"content-type", b"application/json")]
 SILENT_S = 3.0
+PART_BYTES = 16 * 1024
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -36,6 +39,32 @@
     return key if one["key"] == "-" else f"{key}/{one['key']}"
 
 
+@dataclasses.dataclass(frozen=True)
+class Link:
+    """Carry bodies in parts, at a bounded rate, or stop in the middle of an answer."""
+
+    sends_bytes_s: float = math.inf
+    receives_bytes_s: float = math.inf
+    stops_after_bytes: float = math.inf
+
+    async def receive(self, exchange):
+        data = bytearray()
+        async for part in exchange.link.body():
+            data += part
+            await asyncio.sleep(len(part) / self.receives_bytes_s)
+        return bytes(data)
+
+    async def send(self, exchange, status, body):
+        await exchange.start(status, [*JSON, (b"content-length", str(len(body)).encode())])
+        for start in range(0, len(body), PART_BYTES):
+            if start >= self.stops_after_bytes:
+                await asyncio.sleep(SILENT_S)
+            part = body[start : start + PART_BYTES]
+            await asyncio.sleep(len(part) / self.sends_bytes_s)
+            await exchange.write(part)
+        await exchange.end()
+
+
 class Platform:
     """Serve the store, the minions, the machines and the policy on one port."""
 
@@ -48,6 +77,7 @@
         self.late = {}
         self.calls = []
         self.forgets = False
+        self.link = Link()
         self.workers = jobworld.Workers(world)
         self.hosts = jobhosts.Hosts(world, "platform")
         self.server = server.Server(self.handle)
@@ -58,7 +88,7 @@
 
     async def handle(self, exchange):
         path, _, query = exchange.target.partition("?")
-        body = await exchange.link.read_body(1 << 20)
+        body = await self.link.receive(exchange)
         asked = {key: one[0] for key, one in urllib.parse.parse_qs(query, True).items()}
         data = json.loads(body) if body else {}
         self.calls.append((exchange.method, path))
@@ -66,7 +96,7 @@
         if path in self.silent:
             await asyncio.sleep(SILENT_S)
         status, answer = self.faults.get(path) or await self.answer(exchange, path, asked, data)
-        await exchange.respond(status, JSON, json.dumps(answer).encode())
+        await self.link.send(exchange, status, json.dumps(answer).encode())
 
     async def answer(self, exchange, path, asked, data):
         if path.startswith("/v1/rows-"):
