Limit calls to the platform by their progress instead of by a fixed time

Cause: a call had a fixed limit for its whole answer (1.6 s for a watch, 0.3 to 1 s for a read, learned from small answers). On a link of 5 Mbit/s a configuration of 428 KB takes 0.72 s. Ruled out: silent connections (bytes had come at nearly every limit), busy processes (entries with faster links and the same logs had no delay), refusals of the store (none were logged).

--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -26,8 +26,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Transfer:
-    """Follow the body of one answer while it comes; its size may not be announced."""
+    """Follow one answer while it comes; its size may not be announced."""
 
+    on_progress: collections.abc.Callable[[], None] = lambda: None
+    head_s: float | None = None
     received_bytes: int = 0
     announced_bytes: int | None = None
 
@@ -39,10 +41,13 @@
         """Take the head of the answer."""
         sizes = (value for name, value in head.headers if name == b"content-length")
         self.announced_bytes = next(map(int, sizes), None)
+        self.head_s = asyncio.get_running_loop().time()
+        self.on_progress()
 
     def take(self, part: bytes) -> None:
         """Count a part of the body."""
         self.received_bytes += len(part)
+        self.on_progress()
 
 
 async def open_channel(host: str, port: int) -> channel.Channel:
