--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -24,11 +24,16 @@
         return next((value for key, value in self.headers if key.lower() == name), None)
 
 
+class AnswerTooLarge(Exception):
+    """Report that an answer is larger than its reader wanted; the rest of it is not read."""
+
+
 @dataclasses.dataclass(slots=True)
 class Transfer:
     """Follow one answer while it comes; its size may not be announced."""
 
     on_progress: collections.abc.Callable[[], None] = lambda: None
+    most_bytes: int = _MAX_ANSWER_BYTES
     head_s: float | None = None
     received_bytes: int = 0
     announced_bytes: int | None = None
@@ -42,13 +47,19 @@
         sizes = (value for name, value in head.headers if name == b"content-length")
         self.announced_bytes = next(map(int, sizes), None)
         self.head_s = asyncio.get_running_loop().time()
+        self._check_size(self.announced_bytes or 0)
         self.on_progress()
 
     def take(self, part: bytes) -> None:
         """Count a part of the body."""
         self.received_bytes += len(part)
+        self._check_size(self.received_bytes)
         self.on_progress()
 
+    def _check_size(self, size_bytes: int) -> None:
+        if size_bytes > self.most_bytes:
+            raise AnswerTooLarge(f"{size_bytes} bytes, {self.most_bytes} at most")
+
 
 async def open_channel(host: str, port: int) -> channel.Channel:
     """Connect; raises OSError where the server can't be reached."""
@@ -87,7 +98,10 @@
         headers: collections.abc.Iterable[tuple[bytes, bytes]] = (),
         transfer: Transfer | None = None,
     ) -> Response:
-        """Send a request and read its whole answer; raises OSError or h11.ProtocolError."""
+        """Send a request and read its whole answer.
+
+        Raises OSError, h11.ProtocolError, or AnswerTooLarge.
+        """
         transfer = transfer if transfer is not None else Transfer()
         link = await self._checkout()
         try:
