Break a worker's look off once, so that stops answered close together don't end the holder

Cause: after a stop of a run that may never have begun, the worker's look is broken off and made anew. A second stop that was answered while the first one's break was still under way rescheduled an expiring timeout: RuntimeError "Cannot change state of expiring Timeout", which ended the whole holder.

A look that is being broken off is forgotten at once, so it is broken off once.

Test that failed before: "Stops that are answered close together do not end their holder" (the holder was another one).

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -176,6 +176,14 @@
     Then within 1.9 s it is shown as succeeded at every entry
     And no task ran twice at a time or after its end was taken note of
 
+  Scenario: Stops that are answered close together do not end their holder
+    Given 1 entries and 1 workers of one service
+    And each worker carries the first 4 starts out late and unanswered
+    And a look that is broken off takes 0.01 s to end and stops are answered 0.002 s apart
+    When a job of steps "4" is submitted at entry 0
+    Then within 4 s it is shown as succeeded at every entry
+    And the holder did not change
+
   Scenario: A fault in one holder ends only that holder
     Given 2 entries and 3 workers of one service
     When a link to a worker fails by a fault of its own
--- a/features/steps/job_faults_steps.py
+++ b/features/steps/job_faults_steps.py
@@ -1,6 +1,7 @@
 """Strike holders, workers and the table while jobs run, and check what callers see."""
 
 import asyncio
+import itertools
 
 import behave
 from nutmegshelf import codecs, exceptions, fleetview, jobs, platform
@@ -214,6 +215,38 @@
     await asyncio.sleep(4.0)
 
 
+@behave.given(
+    "a look that is broken off takes {ending_s:g} s to end and stops are answered {apart_s:g} s "
+    "apart"
+)
+@jobs_steps.paused
+async def slow_ends(context, ending_s, apart_s):
+    (workers,) = context.site.workers.values()
+    look, stop = workers.look, workers.stop
+    answered = itertools.count()
+
+    async def look_slowly(*args, **kwargs):
+        try:
+            return await look(*args, **kwargs)
+        except asyncio.CancelledError:
+            await asyncio.sleep(ending_s)
+            raise
+
+    async def stop_staggered(*args, **kwargs):
+        await stop(*args, **kwargs)
+        await asyncio.sleep(apart_s * next(answered))
+
+    workers.look, workers.stop = look_slowly, stop_staggered
+    service, _ = context.site.entries["e0"]
+    context.held = service.shards.holder("a")
+
+
+@behave.then("the holder did not change")
+def check_same_holder(context):
+    service, _ = context.site.entries["e0"]
+    assert service.shards.holder("a") is context.held
+
+
 @behave.when("the holder is cut from the table")
 def cut_holder(context):
     context.cut = context.stopped = context.site.holder_of("a")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -174,8 +174,10 @@
                 self._look_now()
 
     def _look_now(self) -> None:
-        if self._waiting is not None:
-            self._waiting.reschedule(self._loop.time())
+        # A look that is being broken off can't be rescheduled again.
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.reschedule(self._loop.time())
 
     async def _pace(self, worker: fleetview.Worker, order: orders.SetPace) -> None:
         try:
