Renew a lease while its holder loads, and let others try where a holder can't load

Cause: a lease lasts 2.5 s and was first renewed after all rows were read. What takes longer to read than that was never held: it went from entry to entry, each from the beginning.

The lease is renewed while its holder loads, for services and for the fleet. As a holder that can't read would now keep it, a load is given up after five tries, and an entry whose holder failed leaves the lease to others for a second.

Test that failed before: "A holder that loads for longer than its lease lasts keeps its lease" (jobs stayed queued for 12 s). "A holder that can't load gives its service up" passed before and keeps the other side. The scenario of a notice that comes while a holder loads now runs after each kind of rows, not only after the inbox.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -99,11 +99,31 @@
     When a job is submitted while its answer is lost and again while the table is away
     Then both times it is said that it may run
 
-  Scenario: A notice that comes while a holder loads is taken in
+  Scenario Outline: A notice that comes while a holder loads, after the <kind>, is taken in
     Given 2 entries and 4 workers of one service
-    When the holder is killed and a job is stored by another entry while the next one loads
+    When the holder is killed and a job is stored by another entry after the <kind> were loaded
     Then within 10 s it is shown as succeeded at every entry
 
+    Examples:
+      | kind     |
+      | inbox    |
+      | jobs     |
+      | progress |
+
+  Scenario: A holder that loads for longer than its lease lasts keeps its lease
+    Given 3 entries and 4 workers of one service
+    And the table takes 1 s to send the rows of a kind
+    When the holder is killed
+    And a job of steps "1" is submitted after 1 s
+    Then within 12 s it is shown as succeeded at every entry
+    And the service changed hands once
+
+  Scenario: A holder that can't load gives its service up
+    Given 3 entries and 4 workers of one service
+    When the holder is killed and the next one can't read rows
+    And a job of steps "1" is submitted after 1 s
+    Then within 12 s it is shown as succeeded at every entry
+
   Scenario: A holder that lost the table does not keep callers waiting
     Given 3 entries and 4 workers of one service
     And no work comes for 6 s
--- a/features/jobtable.py
+++ b/features/jobtable.py
@@ -60,6 +60,9 @@
         self.late_s = None
         self.answer_s = 0.0
         self.scanned = None
+        self.read_s = 0.0
+        self.scan_s = 0.0
+        self.fails_scans = False
 
     @property
     def is_answering(self):
@@ -78,10 +81,14 @@
 
     async def read(self, key):
         await self._arrive(exceptions.TableUnavailable)
+        await asyncio.sleep(self.read_s)
         return self.table.read(key)
 
     async def scan(self, prefix):
         await self._arrive(exceptions.TableUnavailable)
+        if self.fails_scans:
+            raise exceptions.TableUnavailable("no progress")
+        await asyncio.sleep(self.scan_s)
         found = [row for key, row in sorted(self.table.rows.items()) if key.startswith(prefix)]
         if self.scanned is not None:
             await self.scanned(prefix)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -130,10 +130,11 @@
 
     async def run(self) -> None:
         """Serve until the lease is lost; raises LeaseLost."""
-        await self._load()
         async with asyncio.TaskGroup() as group:
             self._group = group
+            # Loading may take longer than the lease lasts, so it is renewed meanwhile.
             group.create_task(self.writer.run(ledger.Ledger(0)))
+            await self._load()
             group.create_task(self._list())
             await asyncio.sleep(self._start_s)
             while True:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -290,11 +290,12 @@
 
     async def run(self) -> None:
         """Load what is stored, then serve until the lease is lost; raises LeaseLost."""
-        await self._load()
         try:
             async with asyncio.TaskGroup() as group:
                 self._group = group
+                # Loading may take longer than the lease lasts, so it is renewed meanwhile.
                 group.create_task(self.writer.run(self.scheduler.ledger))
+                await self._load()
                 self.list_workers(self._listed)
                 group.create_task(self._passes())
                 group.create_task(self._follow_notices())
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
@@ -10,6 +10,8 @@
 from nutmegshelf_entry import logs, ports, writer
 
 _RETRY_S = 0.2
+# A holder that can't load after so many tries gives its lease up; others may reach the table.
+_TRIES = 5
 USED = "used"
 Lives = list[tuple[fleetview.Life, ids.HostId]]
 T = typing.TypeVar("T")
@@ -30,13 +32,14 @@
 async def until_read(
     pool: str, read: collections.abc.Callable[[], collections.abc.Awaitable[T]]
 ) -> T:
-    """Read again and again until the table answers."""
-    while True:
+    """Read, and again while the table does not answer; raises TableError after some tries."""
+    for _ in range(_TRIES - 1):
         try:
             return await read()
         except exceptions.TableError as error:
             _log.warning("The rows can't be read.", pool=pool, why=str(error))
             await asyncio.sleep(_RETRY_S)
+    return await read()
 
 
 async def service(rows: ports.Rows, pool: ids.PoolName) -> Stored:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -20,6 +20,8 @@
 _SETTLE_S = 0.7
 # What it held before it started again is taken as soon as it is seen.
 _RESUME_TICK_S = 0.02
+# After a holder failed here, other entries may take its lease for this long.
+_RETAKE_AFTER_S = 1.0
 _RELEASE_LIMIT_S = 1.0
 _RELEASE_TRIES = 3
 # A holder without the table gives its leases up after this time, if others reach the table.
@@ -71,6 +73,7 @@
         self._lease_rows: dict[str, platform.Row] = {}
         self._leaving = False
         self._broken: set[ids.PoolName] = set()
+        self._retaken_from_s: dict[ids.PoolName, float] = {}
         self._beat_done = False
         self.pools: list[ids.PoolName] = []
         self.is_watching = False
@@ -153,7 +156,8 @@
                 for broken in list(self._broken):
                     self._broken.discard(broken)
                     await self._release_lease(broken)
-                pool = self._book.to_take_next(self.pools, now_s)
+                    self._retaken_from_s[broken] = self._loop.time() + _RETAKE_AFTER_S
+                pool = self._book.to_take_next(self._takeable(now_s), now_s)
                 if pool is not None:
                     await self._take(pool, group)
                 # One lease above the own share is kept, as every change of hands costs a pause.
@@ -162,6 +166,9 @@
                     await self._release(pool)
             await asyncio.sleep(_TICK_S)
 
+    def _takeable(self, now_s: float) -> list[ids.PoolName]:
+        return [pool for pool in self.pools if self._retaken_from_s.get(pool, now_s) <= now_s]
+
     async def _resume(self, group: asyncio.TaskGroup) -> None:
         """Take what an earlier process of this entry held, until the other entries are known."""
         until_s = self._loop.time() + _SETTLE_S
