Settle what was stored for a service's holder before its first order

Cause: while a service has no holder, jobs and cancellings are stored as notices. The next holder read jobs first and notices last, then took the notices one after the other beside its first orders; a notice of a job that came between the two reads waits for a row to be read, and a cancelling behind it waits too.

Notices are read first, so that every job that they name is among the jobs, and settled while loading; one that comes later for a known job is settled at once and not in line behind rows that have to be read.

Test that failed before: "A job that was cancelled while no holder was there starts nothing" (shown as succeeded).

Open: orders that find no answer in time on a slow link, and runs made twice after them.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -124,6 +124,13 @@
     And a job of steps "1" is submitted after 1 s
     Then within 12 s it is shown as succeeded at every entry
 
+  Scenario: A job that was cancelled while no holder was there starts nothing
+    Given 2 entries and 4 workers of one service
+    When the holder is killed, and a job is stored and cancelled before the next one loads
+    And 5 jobs are stored while it loads and a row takes 0.3 s to read
+    Then within 6 s the cancelled job is shown as cancelled
+    And no task of the cancelled job started
+
   Scenario: A holder that lost the table does not keep callers waiting
     Given 3 entries and 4 workers of one service
     And no work comes for 6 s
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -227,7 +227,11 @@
 
     def notify(self, notice: jobs.Notice) -> None:
         """Take note of a job that another entry stored or cancelled, also while loading."""
-        self._notices.put_nowait(notice)
+        if self.is_loaded and notice.job in self.scheduler.ledger.records:
+            self._settle_notice(notice)
+            self.wake()
+        else:
+            self._notices.put_nowait(notice)
 
     async def _follow_notices(self) -> None:
         while True:
@@ -246,13 +250,16 @@
             job = writer.read_job(row) if row.version else None
             if job is not None:
                 self._add(job, None, self._loop.time(), may_run=False)
+        self._settle_notice(notice)
+        self.wake()
+
+    def _settle_notice(self, notice: jobs.Notice) -> None:
         record = self.scheduler.ledger.records.get(notice.job)
         if notice.cancels and record is not None and record.is_live:
             self.scheduler.ledger.end(
                 record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time()
             )
         self.writer.write(platform.Write(jobs.notice_key(notice), None))
-        self.wake()
 
     def list_workers(self, listed: collections.abc.Iterable[fleetview.WorkerFacts]) -> None:
         """Take the fleet's list of this service."""
@@ -312,6 +319,9 @@
         for job in stored.submitted:
             age_s = max(0, now_ms - job.accepted_ms) / 1000
             self._add(job, stored.progress.get(job.job), now_s - age_s, may_run=True)
+        # What is cancelled must not start, so notices are settled before the first order.
+        for notice in stored.notices:
+            self._settle_notice(notice)
         expected: loading.Lives = []
         if self.epoch > 1:
             expected = await loading.still_here(self._hosts, self.pool, stored.lives)
@@ -324,8 +334,8 @@
             jobs=len(stored.submitted),
             live=self.live_jobs(),
         )
-        for notice in stored.notices:
-            self.notify(notice)
+        for _ in range(self._notices.qsize()):
+            self.notify(self._notices.get_nowait())
 
     async def _store_used(self) -> None:
         lives = self.scheduler.lives_in_use(self._loop.time())
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
@@ -44,9 +44,10 @@
 
 async def service(rows: ports.Rows, pool: ids.PoolName) -> Stored:
     """Read the rows of a service; raises TableUnavailable."""
+    # Notices are read first: a job that one of them names is then among the jobs.
+    notices = await rows.scan(f"{jobs.INBOX}/{pool}/")
     stored = await rows.scan(f"{jobs.JOBS}/{pool}/")
     progress = await rows.scan(f"{jobs.PROGRESS}/{pool}/")
-    notices = await rows.scan(f"{jobs.INBOX}/{pool}/")
     used = await rows.scan(f"{USED}/{pool}/")
     return Stored(
         submitted=[job for job in map(writer.read_job, stored) if job is not None],
