Leave leases to entries with ample links, also those that a holder gives up

Cause: 36 of 44 entries have half a core and a link of 5 Mbit/s, and any of them could come to hold a busy service. Its holder starts up to 600 tasks a second with up to 4 KB each and is answered by a hundred workers; over 5 Mbit/s orders wait behind one another and behind configurations beyond their limits of 0.15 to 0.4 s, are given up, barred and made anew, which adds to the load. Ruled out: the workers (others' calls to them were answered), takeovers (one, 1.5 s).

An entry with less than 20 Mbit/s leaves a free lease to others for 0.5 s. The time counts from when the lease became free or its holder said that it gave it up: counted from the lease's last change, as before, it had passed already. Where only slow links are left, they hold services as before.

Tests that failed before: "Services are held by entries with ample links while there are any", "A lease that a holder gives up goes to an entry with an ample link".

Open: what a holder on a slow link does where no other is left, and TWICE after its orders found no answer.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -118,6 +118,20 @@
     Then within 12 s it is shown as succeeded at every entry
     And the service changed hands once
 
+  Scenario: Services are held by entries with ample links while there are any
+    Given 4 workers of one service and entries with links of 100, 5, 5 and 5 Mbit/s
+    Then entry 0 holds the service
+    When the holder is killed
+    And a job of steps "1" is submitted after 1 s
+    Then within 12 s it is shown as succeeded at every entry
+
+  Scenario: A lease that a holder gives up goes to an entry with an ample link
+    Given 4 workers of one service and entries with links of 100, 5, 5, 5, 5, 100 and 5 Mbit/s
+    And no work comes for 6 s
+    When the holder is cut from the table
+    Then another entry holds the service within 1.2 s
+    And its link is ample
+
   Scenario: A holder that can't load gives its service up
     Given 3 entries and 4 workers of one service
     When the holder is killed and the next one can't read rows
--- a/features/jobsite.py
+++ b/features/jobsite.py
@@ -36,11 +36,18 @@
         self.views = {}
         self.workers = {}
         self.terms = {}
+        self.links_mbps = {}
 
     def settings(self, name, host=None, ports=(1, 2, 3)):
         ends = [job_service.Endpoint(host=host or name, port=port) for port in ports]
         return job_service.JobSettings(
-            entry=name, zone="z", callers=ends[0], ready=ends[1], peers=ends[2], **self.terms
+            entry=name,
+            zone="z",
+            callers=ends[0],
+            ready=ends[1],
+            peers=ends[2],
+            link_mbps=self.links_mbps.get(name),
+            **self.terms,
         )
 
     def outside(self, own, codec=None):
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import re
 
 import behave
 from nutmegshelf import (
@@ -100,15 +101,38 @@
     "{entries:d} entries and {workers:d} workers of one service and {spare:d} spare hosts"
 )
 @paused
-async def make_site(context, entries, workers, spare=0):
+async def make_site(context, entries, workers, spare=0, links_mbps=None):
     context.world = jobworld.World({"a": workers}, spare_count=spare)
     context.site = jobsite.Site(context.world)
+    context.site.links_mbps = links_mbps or {}
     context.world.declare(jobsite.declare(jobsite.queue()))
     for number in range(entries):
         context.site.start(f"e{number}")
     await asyncio.sleep(START_S)
 
 
+@behave.given("{workers:d} workers of one service and entries with links of {rates} Mbit/s")
+def make_site_with_links(context, workers, rates):
+    found = [float(rate) for rate in re.findall(r"\d+", rates)]
+    links_mbps = {f"e{number}": rate for number, rate in enumerate(found)}
+    make_site(context, len(found), workers, links_mbps=links_mbps)
+
+
+@behave.then("entry {number:d} holds the service")
+def check_holder(context, number):
+    assert context.site.holder_of("a") == f"e{number}", context.site.holder_of("a")
+
+
+@behave.then("its link is ample")
+def check_link(context):
+    held = [
+        name
+        for name, (one, _) in context.site.entries.items()
+        if one.shards.holder("a") and name != context.stopped
+    ]
+    assert [context.site.links_mbps[name] for name in held] == [100], held
+
+
 @behave.given("its tasks fail")
 def let_fail(context):
     context.world.default_work = (0.2, fleetview.How.FAILED)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -42,6 +42,11 @@
 # Callers may ask for a job's state for this long after its end; a job that is handed in again
 # later than this would run again.
 ENDED_KEPT_S = 600.0
+# A busy holder starts some 600 tasks a second, each with up to 4 KB of specification.
+_AMPLE_LINK_MBPS = 20.0
+# An entry with a slower link leaves leases to others for this long; longer than an entry with an
+# ample link waits that holds two already.
+_SLOW_LINK_DELAY_S = 0.5
 _INBOX_WAIT_S = 2.0
 _RETRY_S = 0.25
 _SETTINGS_INTERVAL_S = 10.0
@@ -77,6 +82,8 @@
     quiet_s: float = 3.0
     task_lease_s: float = TASK_LEASE_S
     ended_kept_s: float = ENDED_KEPT_S
+    # None where it is not known.
+    link_mbps: float | None = None
     log_level: str = "info"
 
 
@@ -111,7 +118,14 @@
         self._outside = outside
         self._waves: dict[int, upkeep.Wave] = {}
         self._fleet: tuple[fleetview.WorkerFacts, ...] = ()
-        self._book = leases.Leases(own.entry, self.incarnation, LEASE_S, own.peers.address)
+        has_slow_link = own.link_mbps is not None and own.link_mbps < _AMPLE_LINK_MBPS
+        self._book = leases.Leases(
+            own.entry,
+            self.incarnation,
+            LEASE_S,
+            own.peers.address,
+            delay_s=_SLOW_LINK_DELAY_S if has_slow_link else 0.0,
+        )
         self.shards = shards.Shards(
             outside.rows,
             self._book,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/shards.py
@@ -310,7 +310,7 @@
     def note_given_up(self, pool: str, epoch: ids.Epoch) -> None:
         """Note that a lease may be taken at once."""
         _log.info("A lease was given up.", pool=pool, epoch=epoch)
-        self._book.note_given_up(ids.PoolName(pool), epoch)
+        self._book.note_given_up(ids.PoolName(pool), epoch, self._loop.time())
 
     async def leave(self) -> None:
         """Give all leases back and say that the entry leaves."""
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -42,6 +42,12 @@
     since_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _GivenUp:
+    epoch: ids.Epoch
+    since_s: float
+
+
 def key(pool: ids.PoolName) -> str:
     """Name the row of a pool's lease."""
     return PREFIX + pool
@@ -73,13 +79,23 @@
 
 
 class Leases:
-    """Watch the lease rows on the own clock alone and choose which to take."""
+    """Watch the lease rows on the own clock alone and choose which to take.
+
+    With a delay, other entries may take a free lease first.
+    """
 
     def __init__(
-        self, own: ids.EntryId, incarnation: str, duration_s: float, address: str = ""
+        self,
+        own: ids.EntryId,
+        incarnation: str,
+        duration_s: float,
+        address: str = "",
+        *,
+        delay_s: float = 0.0,
     ) -> None:
         self.own = own
         self._address = address
+        self._delay_s = delay_s
         self.incarnation = incarnation
         self.duration_s = duration_s
         self.held: dict[ids.PoolName, Held] = {}
@@ -87,8 +103,8 @@
         self._leases: dict[ids.PoolName, LeaseRow] = {}
         self._sights: dict[ids.PoolName, _Sight] = {}
         self._since_s: dict[ids.PoolName, float] = {}
-        # Leases whose holders said that they gave them up, by the epoch.
-        self._given_up: dict[ids.PoolName, ids.Epoch] = {}
+        # Leases whose holders said that they gave them up.
+        self._given_up: dict[ids.PoolName, _GivenUp] = {}
 
     def observe(self, rows: list[platform.Row], now_s: float) -> list[ids.PoolName]:
         """Take the lease rows as read; gives the pools whose lease was lost."""
@@ -137,9 +153,9 @@
         self.held.pop(pool, None)
         self._since_s.pop(pool, None)
 
-    def note_given_up(self, pool: ids.PoolName, epoch: ids.Epoch) -> None:
+    def note_given_up(self, pool: ids.PoolName, epoch: ids.Epoch, now_s: float) -> None:
         """Note that the holder of a lease's epoch gives no orders any more."""
-        self._given_up[pool] = epoch
+        self._given_up[pool] = _GivenUp(epoch, now_s)
 
     def lapsed_holders(self, now_s: float) -> set[ids.EntryId]:
         """Give the entries that let a lease lapse."""
@@ -178,21 +194,24 @@
 
         No lease waits for an entry with a free share, as work stands still until it is held.
         """
-        delay_s = _STEP_DELAY_S * len(self.held)
+        delay_s = self._delay_s + _STEP_DELAY_S * len(self.held)
         for pool in sorted(pools, key=lambda pool: -_weight(pool, self.own)):
             if pool in self.held:
                 continue
             self._sights.setdefault(pool, _Sight(0, now_s))
-            lease = self._leases.get(pool)
-            is_free = lease is None or lease.holder is None or lease.holder == self.own
-            if is_free or (lease is not None and self._given_up.get(pool) == lease.epoch):
-                wait_s = delay_s
-            else:
-                wait_s = self.duration_s + delay_s
-            if self._unchanged_s(pool, now_s) >= wait_s:
+            if now_s >= self._free_from_s(pool) + delay_s:
                 return pool
         return None
 
+    def _free_from_s(self, pool: ids.PoolName) -> float:
+        lease, since_s = self._leases.get(pool), self._sights[pool].since_s
+        if lease is None or lease.holder is None or lease.holder == self.own:
+            return since_s
+        given_up = self._given_up.get(pool)
+        if given_up is not None and given_up.epoch == lease.epoch:
+            return given_up.since_s
+        return since_s + self.duration_s
+
     def to_resume(self, pools: list[ids.PoolName]) -> ids.PoolName | None:
         """Choose one lease that an earlier process of this entry held, which has ended."""
         for pool in sorted(pools):
