Call a path unknown only where the configuration is known to be the newest

Cause: an entry answered from the version it had, however long ago it had last heard that no newer one was accepted. A holder could also run a job of an added queue for another entry and then answer 404 for that queue's path itself. Ruled out: versions going back within a process, which InForce.take forbids, by a test that stood before.

An entry keeps until when its configuration is known to be the newest (from when an answer began, not when it was whole). Past the time within which changes must be in force, or once another entry's call or reply has shown a newer version, an unknown path gets 503 configuration-stale with Retry-After 1, "not run", instead of 404. Calls between entries carry the version of their sender; a holder with a newer one that no longer routes the queue to the service turns the call away, which callers see as 503 too. What is known and routed is served as before, also while the table is away. A gauge shows how long ago the configuration was confirmed.

--- a/features/jobsite.py
+++ b/features/jobsite.py
@@ -37,6 +37,8 @@
         self.workers = {}
         self.terms = {}
         self.links_mbps = {}
+        # Entries that hear nothing of the operators from now on.
+        self.deaf = set()
 
     def settings(self, name, host=None, ports=(1, 2, 3)):
         ends = [job_service.Endpoint(host=host or name, port=port) for port in ports]
@@ -61,10 +63,15 @@
             hosts=jobhosts.Hosts(self.world, name),
             advice=self.world.advice,
             reload=lambda: own,
-            operations=self.world.operations,
+            operations=lambda: self.operations(name),
             fleets=self.world.fleets,
         )
 
+    async def operations(self, name):
+        async for one in self.world.operations():
+            if name not in self.deaf:
+                yield one
+
     def start(self, name):
         own = self.settings(name)
         service = job_service.JobService(own, self.outside(own), self.net)
--- a/features/jobtable.py
+++ b/features/jobtable.py
@@ -112,12 +112,14 @@
         await self._arrive(exceptions.TableUnavailable)
         if after <= 0:
             rows = tuple(row for key, row in self.table.rows.items() if key.startswith(f"{kind}/"))
-            return ports.Changes(rows, max(1, self.table.version), is_whole=True)
+            now_s = asyncio.get_running_loop().time()
+            return ports.Changes(rows, max(1, self.table.version), now_s, is_whole=True)
         until_s = asyncio.get_running_loop().time() + wait_s
         while True:
             found = [row for row in self.table.log if row.key.startswith(f"{kind}/")]
             newest = {row.key: row for row in found if row.version > after}
             left_s = until_s - asyncio.get_running_loop().time()
             if newest or left_s <= 0:
-                return ports.Changes(tuple(newest.values()), self.table.version)
+                now_s = asyncio.get_running_loop().time()
+                return ports.Changes(tuple(newest.values()), self.table.version, now_s)
             await asyncio.sleep(min(left_s, 0.02))
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -6,15 +6,17 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import itertools
 
-from nutmegshelf import exceptions, fleetview, ids, jobs, orders, pooling
+from nutmegshelf import exceptions, fleetview, ids, jobs, orders, pooling, queues
 
 from features import jobtable
 
 MOVE_S = 1.5
 UPKEEP_S = 2.0
+CONFIRM_S = 1.0
 
 
 @dataclasses.dataclass
@@ -254,7 +256,11 @@
                 yield self.declared
             for wave in self.waves:
                 yield wave
-            await changed.wait()
+            while not changed.is_set():
+                yield queues.Confirmed(asyncio.get_running_loop().time())
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(CONFIRM_S):
+                        await changed.wait()
 
     async def fleets(self):
         while True:
--- /dev/null
+++ b/features/steps/behind_steps.py
@@ -0,0 +1,126 @@
+"""Ask entries that have not heard of the newest configuration."""
+
+import asyncio
+
+import behave
+from nutmegshelf import exceptions
+from nutmegshelf_entry import front, histograms, job_metrics
+
+from features import jobsite
+from features.steps import jobs_steps
+
+UNKNOWN_PATH = "/not-known/"
+
+
+class Exchange:
+    """Be a request without a body, and keep its answer."""
+
+    method = "GET"
+
+    def __init__(self, target):
+        self.target = target
+
+    def header(self, name):
+        return b"x" if name == b"host" else None
+
+    async def respond(self, status, headers, body):
+        self.answer = status, dict(headers).get(b"nutmegshelf-error", b"").decode()
+
+
+class Codec:
+    def patience_s(self, exchange):
+        return None
+
+
+async def ask(context, name, target):
+    service, _ = context.site.entries[name]
+    metrics = job_metrics.JobMetrics(histograms.Histograms())
+    exchange = Exchange(target)
+    await front.Front(service.in_force, Codec(), service.desk, metrics).handle(exchange)
+    return exchange.answer
+
+
+@behave.when("entry {number:d} hears nothing of the operators for {seconds:g} s")
+@jobs_steps.paused
+async def deafen(context, number, seconds):
+    context.site.deaf.add(f"e{number}")
+    await asyncio.sleep(seconds)
+
+
+@behave.when("entry {number:d} hears of the operators again")
+@jobs_steps.paused
+async def hear(context, number):
+    context.site.deaf.discard(f"e{number}")
+    await asyncio.sleep(1.5)
+
+
+@behave.then('a request for an unknown path is answered {status:d} "{kind}" at entry {number:d}')
+@jobs_steps.paused
+async def check_unknown(context, status, kind, number):
+    found = await ask(context, f"e{number}", UNKNOWN_PATH)
+    assert found == (status, kind), found
+
+
+@behave.then('a request for an unknown path is answered {status:d} "{kind}" at the holder')
+@jobs_steps.paused
+async def check_unknown_at_holder(context, status, kind):
+    found = await ask(context, context.site.holder_of("a"), UNKNOWN_PATH)
+    assert found == (status, kind), found
+
+
+@behave.when('the holder hears nothing of the operators and queue "{name}" is added')
+@jobs_steps.paused
+async def add_unheard(context, name):
+    context.site.deaf.add(context.site.holder_of("a"))
+    found = jobsite.queue(), jobsite.queue(name)
+    context.world.declare(jobsite.declare(*found, version=2))
+    await asyncio.sleep(0.1)
+
+
+@behave.when('a job of queue "{name}" is submitted at an entry that is not the holder')
+@jobs_steps.paused
+async def submit_new(context, name):
+    holder = context.site.holder_of("a")
+    entry = next(one for one in context.site.entries if one != holder)
+    steps = jobs_steps.parse_steps("1")
+    await jobs_steps.submit(context, 1, steps, entry, queue=jobsite.queue(name))
+
+
+@behave.when(
+    'an entry that is not the holder hears nothing of the operators and queue "{name}" is dropped'
+)
+@jobs_steps.paused
+async def drop_unheard(context, name):
+    holder = context.site.holder_of("a")
+    context.behind = next(one for one in context.site.entries if one != holder)
+    context.made = await jobs_steps.submit(context, 1, jobs_steps.parse_steps("1"), holder)
+    context.site.deaf.add(context.behind)
+    context.world.declare(jobsite.declare(jobsite.queue("other"), version=2))
+    await asyncio.sleep(0.1)
+
+
+@behave.when('a job is {call} in queue "q" at that entry')
+@jobs_steps.paused
+async def call_behind(context, call):
+    service, _ = context.site.entries[context.behind]
+    made, queue = context.made, jobsite.queue()
+    context.error = None
+    try:
+        match call:
+            case "submitted":
+                await service.desk.submit(jobsite.job(2, jobs_steps.parse_steps("1")))
+            case "shown":
+                await service.desk.show(queue, made.job)
+            case "cancelled":
+                await service.desk.cancel(queue, made.job)
+            case "counted":
+                await service.desk.count(queue)
+    except exceptions.RequestError as error:
+        context.error = error
+
+
+@behave.then('it is answered {status:d} "{kind}"')
+def check_refused(context, status, kind):
+    assert context.error is not None, "answered with success"
+    found = context.error.answer.status, context.error.kind.value
+    assert found == (status, kind), found
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+import msgspec
 from nutmegshelf import calls, exceptions, ids, jobs, queues
 
 from nutmegshelf_entry import logs, ports, shards, writer
@@ -28,7 +29,14 @@
 class Desk:
     """Own the choice of the way for each caller's request."""
 
-    def __init__(self, rows: ports.Rows, held: shards.Shards, peers: ports.Peers) -> None:
+    def __init__(
+        self,
+        rows: ports.Rows,
+        held: shards.Shards,
+        peers: ports.Peers,
+        in_force: queues.InForce,
+    ) -> None:
+        self._in_force = in_force
         self._rows = rows
         self._shards = held
         self._mesh = peers
@@ -37,6 +45,13 @@
 
     async def answer(self, call: calls.AnyCall) -> calls.Reply:
         """Answer another entry's call, which is mostly for a service that is held here."""
+        self._in_force.note_version(call.version)
+        reply = await self._answer(call)
+        return msgspec.structs.replace(reply, version=self._in_force.version)
+
+    async def _answer(self, call: calls.AnyCall) -> calls.Reply:
+        if isinstance(call, calls.QueueCall) and not self._is_routed(call):
+            return calls.Reply(verdict=calls.Verdict.NOT_ROUTED)
         match call:
             case calls.Reach():
                 is_reached = await self._shards.is_reached(call.service)
@@ -50,6 +65,13 @@
             return calls.Reply(verdict=calls.Verdict.NOT_HOLDER)
         return await held.call(call)
 
+    def _is_routed(self, call: calls.QueueCall) -> bool:
+        routes = self._in_force.routes
+        if routes is None or routes.declared.version <= call.version:
+            return True
+        queue = routes.by_name.get(call.queue)
+        return queue is not None and queue.service == call.service
+
     async def ask(self, call: calls.AnyCall, limit_s: float) -> calls.Reply | None:
         """Call the holder of a service; gives none where there is no answer."""
         return (await self._ask(call, limit_s)).reply
@@ -61,7 +83,9 @@
                 async with asyncio.timeout(limit_s):
                     reply = await held.call(call)
             elif (address := self._shards.address(call.service)) is not None:
-                reply = await self._mesh.ask(address, call, limit_s)
+                stamped = msgspec.structs.replace(call, version=self._in_force.version)
+                reply = await self._mesh.ask(address, stamped, limit_s)
+                self._in_force.note_version(reply.version)
             else:
                 return Standing(None, may_be_done=False)
         except exceptions.PeerUnreachable as error:
@@ -70,13 +94,17 @@
         except (exceptions.PeerAnswerLost, TimeoutError) as error:
             _log.info("The holder gave no answer.", service=call.service, why=repr(error))
             return Standing(None, may_be_done=True)
+        if reply.verdict is calls.Verdict.NOT_ROUTED:
+            kind = exceptions.ErrorKind.CONFIGURATION_STALE
+            raise exceptions.RequestError(kind, f"version {reply.version} is in force elsewhere")
         if reply.verdict is calls.Verdict.NOT_HOLDER:
             return Standing(None, may_be_done=False)
         return Standing(reply, may_be_done=reply.verdict is calls.Verdict.UNSETTLED)
 
     async def submit(self, job: jobs.Job) -> None:
         """Have a job stored and run; raises RequestError."""
-        found = await self._ask(calls.Submit(service=job.service, job=job), _STORING_LIMIT_S)
+        call = calls.Submit(service=job.service, queue=job.queue.name, job=job)
+        found = await self._ask(call, _STORING_LIMIT_S)
         if found.reply is not None and found.reply.verdict is calls.Verdict.DONE:
             return
         may_be_done = found.may_be_done or job.job in self._unsettled
@@ -103,7 +131,8 @@
 
     async def show(self, queue: queues.Queue, job: ids.JobId) -> jobs.JobState:
         """Give a job's state; raises RequestError."""
-        found = await self._ask(calls.Show(service=queue.service, job=job), _HOLDER_LIMIT_S)
+        call = calls.Show(service=queue.service, queue=queue.name, job=job)
+        found = await self._ask(call, _HOLDER_LIMIT_S)
         if found.reply is not None and found.reply.verdict is calls.Verdict.DONE:
             return found.reply.state
         try:
@@ -118,7 +147,8 @@
 
     async def cancel(self, queue: queues.Queue, job: ids.JobId) -> None:
         """Have a job cancelled; raises RequestError."""
-        found = await self._ask(calls.Cancel(service=queue.service, job=job), _STORING_LIMIT_S)
+        call = calls.Cancel(service=queue.service, queue=queue.name, job=job)
+        found = await self._ask(call, _STORING_LIMIT_S)
         if found.reply is not None and found.reply.verdict is calls.Verdict.DONE:
             return
         try:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/front.py
@@ -14,6 +14,8 @@
 # Kept back from the caller's patience, so that the final answer still arrives in time.
 _ANSWER_RESERVE_S = 0.1
 _LEAST_LIMIT_S = 0.05
+# An entry that is behind mostly has the newest configuration after this time.
+_BEHIND_RETRY_AFTER_S = 1.0
 
 _log = logs.part("front")
 
@@ -104,7 +106,7 @@
         host = (exchange.header(b"host") or b"").decode("latin-1")
         target = routes.find(host, exchange.target.partition("?")[0])
         if target is None:
-            raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_QUEUE)
+            raise self._unknown_path()
         if exchange.method != "POST" and target.job and not jobs.is_id(target.job):
             raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
         match exchange.method, bool(target.job):
@@ -120,6 +122,14 @@
             case _:
                 raise exceptions.RequestError(exceptions.ErrorKind.METHOD_NOT_SERVED)
 
+    def _unknown_path(self) -> exceptions.RequestError:
+        # A queue may have been added that this entry has not heard of.
+        if self._in_force.is_behind(asyncio.get_running_loop().time()):
+            return exceptions.RequestError(
+                exceptions.ErrorKind.CONFIGURATION_STALE, retry_after_s=_BEHIND_RETRY_AFTER_S
+            )
+        return exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_QUEUE)
+
     async def _submit(
         self, exchange: server.Exchange, target: queues.Target, limits: queues.Limits
     ) -> bytes:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -82,6 +82,8 @@
     quiet_s: float = 3.0
     task_lease_s: float = TASK_LEASE_S
     ended_kept_s: float = ENDED_KEPT_S
+    # A configuration that was accepted has to be in force within this time.
+    apply_s: float = 2.0
     # None where it is not known.
     link_mbps: float | None = None
     log_level: str = "info"
@@ -98,7 +100,7 @@
     advice: ports.Advice | None
     reload: collections.abc.Callable[[], JobSettings]
     operations: collections.abc.Callable[
-        [], collections.abc.AsyncIterator[queues.QueueSet | upkeep.Wave]
+        [], collections.abc.AsyncIterator[queues.QueueSet | upkeep.Wave | queues.Confirmed]
     ]
     fleets: collections.abc.Callable[
         [], collections.abc.AsyncIterator[tuple[fleetview.WorkerFacts, ...]]
@@ -109,7 +111,7 @@
     """Own what an entry knows and holds, and the tasks that keep it up."""
 
     def __init__(self, own: JobSettings, outside: Outside, peers: ports.Peers) -> None:
-        self.in_force = queues.InForce()
+        self.in_force = queues.InForce(own.apply_s)
         self.on_limits: collections.abc.Callable[[queues.Limits], None] = lambda limits: None
         self.leaving = False
         self.timings = histograms.Histograms()
@@ -134,7 +136,7 @@
             make=self._make_holder,
             peers=peers,
         )
-        self.desk = desk.Desk(outside.rows, self.shards, peers)
+        self.desk = desk.Desk(outside.rows, self.shards, peers, self.in_force)
         self._advisor = advisor.Advisor(outside.advice, self._own_holders)
         self._random = random.Random(self.incarnation)
 
@@ -155,9 +157,11 @@
         routes = self.in_force.routes
         now_s = asyncio.get_running_loop().time()
         age_s = now_s - self.in_force.changed_s
+        unconfirmed_s = now_s - self.in_force.confirmed_s
         return {
             "configuration_version": {"entry": float(routes.declared.version) if routes else 0.0},
             "configuration_age_seconds": {"entry": age_s if routes else 0.0},
+            "configuration_unconfirmed_seconds": {"entry": unconfirmed_s if routes else 0.0},
             "workers_listed": {"entry": float(len(self._fleet))},
             "lease_age_seconds": {one.pool: one.writer.lease_age_s for one in held},
             "jobs_live": {one.pool: float(one.live_jobs()) for one in held},
@@ -201,13 +205,13 @@
         return [one for one in held if isinstance(one, holder.Holder)]
 
     def _row(self, beat: int) -> members.EntryRow:
-        own, routes = self._own, self.in_force.routes
+        own = self._own
         return members.EntryRow(
             entry=own.entry,
             zone=own.zone,
             peer_address=own.peers.address,
             operator_address="",
-            version=routes.declared.version if routes else ids.NO_VERSION,
+            version=self.in_force.version,
             leaving=self.leaving,
             beat=beat,
         )
@@ -250,6 +254,8 @@
                     self._waves[one.number] = one
                 case queues.QueueSet():
                     self._take_configuration(one)
+                case queues.Confirmed():
+                    self.in_force.confirm(one)
 
     def _take_configuration(self, declared: queues.QueueSet) -> None:
         if not self.in_force.take(declared, asyncio.get_running_loop().time()):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -8,10 +8,14 @@
 
 
 class Changes(typing.NamedTuple):
-    """Hold rows of one kind that changed; deleted ones have no value."""
+    """Hold rows of one kind that changed; deleted ones have no value.
+
+    They are all that changed until a time of the loop's clock.
+    """
 
     rows: tuple[platform.Row, ...]
     version: int
+    as_of_s: float
     is_whole: bool = False
 
 
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -13,11 +13,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """Hold a whole answer."""
+    """Hold a whole answer, and when it began by the loop's clock."""
 
     status: int
     headers: channel.Headers
     body: bytes
+    began_s: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
         """Give a header's value by its lower-case name."""
@@ -34,7 +35,7 @@
 
     on_progress: collections.abc.Callable[[], None] = lambda: None
     most_bytes: int = _MAX_ANSWER_BYTES
-    head_s: float | None = None
+    began_s: float | None = None
     received_bytes: int = 0
     announced_bytes: int | None = None
 
@@ -46,7 +47,7 @@
         """Take the head of the answer."""
         sizes = (value for name, value in head.headers if name == b"content-length")
         self.announced_bytes = next(map(int, sizes), None)
-        self.head_s = asyncio.get_running_loop().time()
+        self.began_s = asyncio.get_running_loop().time()
         self._check_size(self.announced_bytes or 0)
         self.on_progress()
 
@@ -130,7 +131,7 @@
             self._idle.append(link)
         else:
             link.close()
-        return Response(answer.status_code, list(answer.headers), data)
+        return Response(answer.status_code, list(answer.headers), data, transfer.began_s or 0.0)
 
     async def _checkout(self) -> channel.Channel:
         while self._idle:
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -8,34 +8,42 @@
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Be the base of every call to the holder of a service."""
+    """Be the base of every call to the holder of a service.
+
+    The version is that of the configuration in force at the sender.
+    """
 
     service: ids.ServiceName
+    version: ids.Version = ids.NO_VERSION
+
+
+class QueueCall(Call, frozen=True, kw_only=True):
+    """Be the base of what a caller asks of a queue."""
+
+    queue: ids.QueueName
 
 
-class Submit(Call, frozen=True, kw_only=True):
+class Submit(QueueCall, frozen=True, kw_only=True):
     """Ask to store and run a job."""
 
     job: jobs.Job
 
 
-class Show(Call, frozen=True, kw_only=True):
+class Show(QueueCall, frozen=True, kw_only=True):
     """Ask for a job's state."""
 
     job: ids.JobId
 
 
-class Cancel(Call, frozen=True, kw_only=True):
+class Cancel(QueueCall, frozen=True, kw_only=True):
     """Ask to cancel a job."""
 
     job: ids.JobId
 
 
-class CountPending(Call, frozen=True, kw_only=True):
+class CountPending(QueueCall, frozen=True, kw_only=True):
     """Ask how many jobs of a queue have not begun."""
 
-    queue: ids.QueueName
-
 
 class Give(Call, frozen=True, kw_only=True):
     """Ask the holder of a service to clear one of its hosts; a repeat asks how far it is.
@@ -124,14 +132,17 @@
     DONE = "done"
     UNKNOWN_JOB = "unknown-job"
     NOT_HOLDER = "not-holder"
+    # The sender's configuration is older, and the present one sends the queue elsewhere or nowhere.
+    NOT_ROUTED = "not-routed"
     UNSETTLED = "unsettled"
     WAITS = "waits"
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Answer a call."""
+    """Answer a call; the version is that of the configuration in force at the answerer."""
 
     verdict: Verdict
+    version: ids.Version = ids.NO_VERSION
     state: jobs.JobState = jobs.JobState.QUEUED
     count: int = 0
     shown: bytes = b""
--- a/packages/nutmegshelf/src/nutmegshelf/queues.py
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -1,6 +1,7 @@
 """Declare the queues that callers submit jobs to, and find the queue of a request."""
 
 import dataclasses
+import math
 
 import msgspec
 
@@ -131,12 +132,30 @@
         return next(found, None)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmed:
+    """Say that all versions accepted until a time of the own clock were given before this."""
+
+    as_of_s: float
+
+
 class InForce:
-    """Hold the newest version seen; an older one never replaces it."""
+    """Hold the newest version seen; an older one never replaces it.
+
+    Changes are in force everywhere within the time that they may take.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, apply_s: float) -> None:
         self.routes: Routes | None = None
         self.changed_s = 0.0
+        self.confirmed_s = -math.inf
+        self._apply_s = apply_s
+        self._newest = ids.NO_VERSION
+
+    @property
+    def version(self) -> ids.Version:
+        """Give the version in force, or NO_VERSION."""
+        return self.routes.declared.version if self.routes is not None else ids.NO_VERSION
 
     def take(self, declared: QueueSet, now_s: float) -> bool:
         """Put a version in force unless it is older than the present one."""
@@ -145,3 +164,15 @@
         self.routes = Routes(declared)
         self.changed_s = now_s
         return True
+
+    def confirm(self, confirmed: Confirmed) -> None:
+        """Note until when no other version was accepted."""
+        self.confirmed_s = max(self.confirmed_s, confirmed.as_of_s)
+
+    def note_version(self, version: ids.Version) -> None:
+        """Note a version that another entry has in force."""
+        self._newest = max(self._newest, version)
+
+    def is_behind(self, now_s: float) -> bool:
+        """Say whether a newer version is in force elsewhere, or may have to be."""
+        return self._newest > self.version or now_s - self.confirmed_s > self._apply_s
