Check a configuration as a whole before it comes into force

Cause: the adapter read a configuration without routes or services as one with none, so that every path would have become unknown, and nothing compared queues with services or with one another.

A set with an undeclared service, two queues of one name or path, a service declared twice, a path without its slash, or a queue that allows no time or attempt is logged with its faults and left; what is in force stays, and the next good version is taken.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -243,6 +243,22 @@
     When version 5 is declared and then version 4
     Then version 5 stays in force at every entry
 
+  Scenario Outline: A configuration with <fault> does not come into force
+    Given 2 entries and 2 workers of one service
+    When version 5 is declared with <fault>
+    Then version 1 stays in force at every entry
+    When version 6 is declared
+    Then version 6 stays in force at every entry
+
+    Examples:
+      | fault                     |
+      | an unknown service        |
+      | a queue that stands twice |
+      | two queues for one path   |
+      | a service declared twice  |
+      | a path without its slash  |
+      | no attempts               |
+
   Scenario: Steps of an advised queue run only where the policy allows
     Given 2 entries and 6 workers of one service
     When an advised job of steps "3, 3 after 0" is submitted
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -79,6 +79,18 @@
     When a job with every field is read
     Then each field stands where it belongs
 
+  Scenario Outline: A configuration that is <fault> is not read
+    When a configuration is <fault>
+    Then no configuration is read
+
+    Examples:
+      | fault             |
+      | cut off           |
+      | without routes    |
+      | without services  |
+      | without a version |
+      | of another type   |
+
   Scenario Outline: A job that is <fault> is refused as unreadable
     When a job body is <fault>
     Then it is refused with 400
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -5,6 +5,7 @@
 import re
 
 import behave
+import msgspec
 from nutmegshelf import (
     exceptions,
     fleetview,
@@ -268,6 +269,36 @@
         await asyncio.sleep(0.5)
 
 
+@behave.when("version {version:d} is declared")
+@paused
+async def declare_version(context, version):
+    context.world.declare(jobsite.declare(jobsite.queue(), version=version))
+    await asyncio.sleep(0.5)
+
+
+@behave.when("version {version:d} is declared with {fault}")
+@paused
+async def declare_badly(context, version, fault):
+    good = jobsite.declare(jobsite.queue(), version=version)
+    match fault:
+        case "an unknown service":
+            bad = msgspec.structs.replace(good, services=good.services[1:])
+        case "a queue that stands twice":
+            bad = jobsite.declare(jobsite.queue(), jobsite.queue(host="y"), version=version)
+        case "two queues for one path":
+            other = msgspec.structs.replace(jobsite.queue(), name="other")
+            bad = jobsite.declare(jobsite.queue(), other, version=version)
+        case "a service declared twice":
+            bad = msgspec.structs.replace(good, services=(*good.services, good.services[0]))
+        case "a path without its slash":
+            bad_queue = msgspec.structs.replace(jobsite.queue(), path_prefix="q/")
+            bad = jobsite.declare(bad_queue, version=version)
+        case "no attempts":
+            bad = jobsite.declare(jobsite.queue(max_attempts=0), version=version)
+    context.world.declare(bad)
+    await asyncio.sleep(0.5)
+
+
 @behave.then("version {version:d} stays in force at every entry")
 def check_version(context, version):
     found = [one.in_force.routes.declared.version for one, _ in context.site.entries.values()]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,6 +4,7 @@
 import time
 
 import behave
+import msgspec
 from nutmegshelf import exceptions, fleetview, jobs, orders, platform, timeouts
 from nutmegshelf_platform import fleet, ingress, minions, operators, store
 
@@ -214,6 +215,29 @@
     return config.queues[0]
 
 
+@behave.when("a configuration is {fault}")
+def spoil_configuration(context, fault):
+    config = platformsite.CONFIG
+    assert operators.read_configuration(json.dumps(config).encode()).version == 3
+    match fault:
+        case "cut off":
+            data = json.dumps(config).encode()[:-9]
+        case "of another type":
+            data = json.dumps({**config, "version": "3"}).encode()
+        case _:
+            name = {"routes": "routes", "services": "services"}.get(fault.split()[1], "version")
+            data = json.dumps({key: one for key, one in config.items() if key != name}).encode()
+    try:
+        context.configuration = operators.read_configuration(data)
+    except msgspec.DecodeError:
+        context.configuration = None
+
+
+@behave.then("no configuration is read")
+def check_no_configuration(context):
+    assert context.configuration is None, context.configuration
+
+
 @behave.when("a job with every field is read")
 def read_job(context):
     body = {"spec": "s", "steps": [{"count": 1}, STEP], "times": 3, "startAtMs": 9, "intervalMs": 2}
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -47,6 +47,7 @@
 # An entry with a slower link leaves leases to others for this long; longer than an entry with an
 # ample link waits that holds two already.
 _SLOW_LINK_DELAY_S = 0.5
+_MOST_SHOWN_FAULTS = 5
 _INBOX_WAIT_S = 2.0
 _RETRY_S = 0.25
 _SETTINGS_INTERVAL_S = 10.0
@@ -258,6 +259,14 @@
                     self.in_force.confirm(one)
 
     def _take_configuration(self, declared: queues.QueueSet) -> None:
+        if found := queues.faults(declared):
+            _log.error(
+                "A configuration can't be used.",
+                version=declared.version,
+                count=len(found),
+                faults=found[:_MOST_SHOWN_FAULTS],
+            )
+            return
         if not self.in_force.take(declared, asyncio.get_running_loop().time()):
             return
         _log.info(
--- a/packages/nutmegshelf/src/nutmegshelf/queues.py
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -1,5 +1,6 @@
 """Declare the queues that callers submit jobs to, and find the queue of a request."""
 
+import collections
 import dataclasses
 import math
 
@@ -62,6 +63,25 @@
     host_costs: costs.Costs | None = None
 
 
+def faults(declared: QueueSet) -> list[str]:
+    """Give what is wrong with a set, a line each; one with faults must not come into force."""
+    found: list[str] = []
+    services = collections.Counter(service.name for service in declared.services)
+    names = collections.Counter(queue.name for queue in declared.queues)
+    paths = collections.Counter((queue.host, queue.path_prefix) for queue in declared.queues)
+    found += [f"service {name} is declared twice" for name, count in services.items() if count > 1]
+    found += [f"queue {name} is declared twice" for name, count in names.items() if count > 1]
+    found += [f"{host}{path} has two queues" for (host, path), count in paths.items() if count > 1]
+    for queue in declared.queues:
+        if queue.service not in services:
+            found.append(f"queue {queue.name}: service {queue.service} is not declared")
+        if not queue.path_prefix.startswith("/"):
+            found.append(f"queue {queue.name}: its path does not begin with /")
+        if queue.timeout_ms <= 0 or queue.max_attempts < 1:
+            found.append(f"queue {queue.name}: it allows no time or no attempt")
+    return found
+
+
 def of_declared(declared: declarations.DeclarationSet, version: ids.Version) -> QueueSet:
     """Make the set of queues that a version of the declarations holds."""
     return QueueSet(
