Keep saying that a job may run where its queue was dropped since

Found when reading the change: an entry whose first attempt at a job may have been stored answered the next attempt 503 configuration-stale, "not run", where the holder's newer configuration no longer routes the queue.

The desk now gives what it gives for every other refusal of such a job: 504, it may run.

Test that failed before: "A job that may be stored is not called not run where its queue was dropped since" (503).

--- a/features/behind.feature
+++ b/features/behind.feature
@@ -26,3 +26,8 @@
       | shown     |
       | cancelled |
       | counted   |
+
+  Scenario: A job that may be stored is not called not run where its queue was dropped since
+    When a job's answer is lost at an entry that is not the holder, whose queue is then dropped
+    And the same job is submitted at that entry
+    Then it is answered 504 "job-unsettled"
--- a/features/steps/behind_steps.py
+++ b/features/steps/behind_steps.py
@@ -124,3 +124,37 @@
     assert context.error is not None, "answered with success"
     found = context.error.answer.status, context.error.kind.value
     assert found == (status, kind), found
+
+
+@behave.when(
+    "a job's answer is lost at an entry that is not the holder, whose queue is then dropped"
+)
+@jobs_steps.paused
+async def lose_answer(context):
+    holder = context.site.holder_of("a")
+    context.behind = next(one for one in context.site.entries if one != holder)
+    view = context.site.views[context.behind]
+    # The holder can't be asked, and the table's answer is lost.
+    net, context.site.net.services = context.site.net.services, {}
+    view.lost_answers = 1
+    kind = None
+    try:
+        await jobs_steps.submit(context, 2, jobs_steps.parse_steps("1"), context.behind)
+    except exceptions.RequestError as error:
+        kind = error.kind
+    assert kind is exceptions.ErrorKind.JOB_UNSETTLED, kind
+    context.site.net.services = net
+    context.site.deaf.add(context.behind)
+    context.world.declare(jobsite.declare(jobsite.queue("other"), version=2))
+    await asyncio.sleep(0.1)
+
+
+@behave.when("the same job is submitted at that entry")
+@jobs_steps.paused
+async def submit_again(context):
+    service, _ = context.site.entries[context.behind]
+    context.error = None
+    try:
+        await service.desk.submit(jobsite.job(2, jobs_steps.parse_steps("1")))
+    except exceptions.RequestError as error:
+        context.error = error
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/desk.py
@@ -104,7 +104,12 @@
     async def submit(self, job: jobs.Job) -> None:
         """Have a job stored and run; raises RequestError."""
         call = calls.Submit(service=job.service, queue=job.queue.name, job=job)
-        found = await self._ask(call, _STORING_LIMIT_S)
+        try:
+            found = await self._ask(call, _STORING_LIMIT_S)
+        except exceptions.RequestError as error:
+            if job.job in self._unsettled:
+                raise self._refusal(job, True, error.detail) from error
+            raise
         if found.reply is not None and found.reply.verdict is calls.Verdict.DONE:
             return
         may_be_done = found.may_be_done or job.job in self._unsettled
