--- a/features/slow_links.feature
+++ b/features/slow_links.feature
@@ -43,3 +43,7 @@
     Given 4 stored jobs of 200 KB each
     And a link of 500 KB a second
     Then the service is loaded within 4 s
+
+  Scenario: An object of the own table that takes longer than the time limit to arrive is read
+    Given the own table behind a link of 500 KB a second
+    Then an object of 400 KB is read with a time limit of 0.4 s
--- a/features/steps/slow_links_steps.py
+++ b/features/steps/slow_links_steps.py
@@ -7,7 +7,8 @@
 import behave
 import msgspec
 from nutmegshelf import codecs, exceptions, jobs, platform, queues
-from nutmegshelf_entry import loading
+from nutmegshelf_entry import loading, table
+from nutmegshelf_http import server
 from nutmegshelf_platform import operators
 
 from features import jobsite, platformsite
@@ -173,3 +174,32 @@
     found = context.run(load())
     stored = {job.job for job in context.stored}
     assert stored <= {job.job for job in found.submitted}, found
+
+
+@behave.given("the own table behind a link of {rate:d} KB a second")
+def start_own_table(context, rate):
+    link = platformsite.Link(sends_bytes_s=rate * KB)
+
+    async def handle(exchange):
+        await link.send(exchange, 200, bytes(context.object_bytes))
+
+    async def start():
+        listener = server.Server(handle)
+        context.cleanup.append(listener.close)
+        context.own_port = await listener.start("127.0.0.1", 0)
+
+    context.run(start())
+
+
+@behave.then("an object of {size:d} KB is read with a time limit of {limit_s:g} s")
+def read_object(context, size, limit_s):
+    context.object_bytes = size * KB
+
+    async def read():
+        own = table.Table("127.0.0.1", context.own_port, limit_s)
+        try:
+            return await own.get_object("sets/large")
+        finally:
+            own.close()
+
+    assert len(context.run(read())) == size * KB
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/mesh.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/mesh.py
@@ -1,6 +1,5 @@
 """Carry calls between entries: one request, one answer, each within its time limit."""
 
-import asyncio
 import collections.abc
 
 import h11
@@ -42,8 +41,7 @@
         if link is None:
             link = self._clients[address] = client.Client(host, int(port))
         try:
-            async with asyncio.timeout(limit_s):
-                answer = await link.request("POST", _PATH, codecs.pack(call), _HEADERS)
+            answer = await link.request("POST", _PATH, codecs.pack(call), _HEADERS, limit_s=limit_s)
         except ConnectionRefusedError as error:
             raise exceptions.PeerUnreachable(f"{address}: {error}") from error
         except (OSError, h11.ProtocolError, TimeoutError) as error:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/table.py
@@ -1,6 +1,5 @@
 """Speak with the platform's table, object store and fleet list."""
 
-import asyncio
 import typing
 
 import h11
@@ -75,8 +74,9 @@
     ) -> client.Response:
         lost = exceptions.TableAnswerLost if changes else exceptions.TableUnavailable
         try:
-            async with asyncio.timeout(self._timeout_s):
-                answer = await self._client.request(method, target, body, _HEADERS)
+            answer = await self._client.request(
+                method, target, body, _HEADERS, limit_s=self._timeout_s
+            )
         except ConnectionRefusedError as error:
             raise exceptions.TableUnavailable(str(error)) from error
         except (OSError, h11.ProtocolError, TimeoutError) as error:
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -9,6 +9,11 @@
 from nutmegshelf_http import channel, stream
 
 _MAX_ANSWER_BYTES = 256 * 1024 * 1024
+# Once an answer has begun, each further part of it may take this long; a link whose packets wait
+# longer is taken as broken.
+_PART_LIMIT_S = 0.6
+# What a slow link, shared with other calls, carries at least: a request may take that much longer.
+_LEAST_SENT_BYTES_S = 250_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,13 +102,32 @@
         target: str,
         body: bytes = b"",
         headers: collections.abc.Iterable[tuple[bytes, bytes]] = (),
+        *,
+        limit_s: float | None = None,
         transfer: Transfer | None = None,
     ) -> Response:
         """Send a request and read its whole answer.
 
-        Raises OSError, h11.ProtocolError, or AnswerTooLarge.
+        Raises OSError, h11.ProtocolError, or AnswerTooLarge. The limit is for the answer to begin;
+        past it, TimeoutError is raised when no more of it comes. How long the rest takes depends on
+        its size, and asking again from the start would not make it shorter.
         """
         transfer = transfer if transfer is not None else Transfer()
+        if limit_s is None:
+            return await self._request(method, target, body, headers, transfer)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(limit_s + len(body) / _LEAST_SENT_BYTES_S) as limited:
+            transfer.on_progress = lambda: limited.reschedule(loop.time() + _PART_LIMIT_S)
+            return await self._request(method, target, body, headers, transfer)
+
+    async def _request(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: collections.abc.Iterable[tuple[bytes, bytes]],
+        transfer: Transfer,
+    ) -> Response:
         link = await self._checkout()
         try:
             head = h11.Request(
