--- a/packages/nutmegshelf/src/nutmegshelf/queues.py
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -162,7 +162,7 @@
 class InForce:
     """Hold the newest version seen; an older one never replaces it.
 
-    Changes are in force everywhere within the time that they may take.
+    An accepted version has to be in force everywhere within `apply_s`.
     """
 
     def __init__(self, apply_s: float) -> None:
