Note the tasks that have not moved on, with what keeps each worker from them

No decision changes. For a step whose tasks wait, start, are unsure or stop for over 2 s one line tells the phase, the event that ends it, and for each worker why it takes no such task: closed, by whom, or short of processor, memory, label or spread.

--- /dev/null
+++ b/features/steps/room_steps.py
@@ -0,0 +1,94 @@
+"""Check what a service asks of hosts, and what it notes of tasks that find no room."""
+
+import behave
+from nutmegshelf import fleetview, jobs, scheduler
+
+from features import jobsite
+
+GB = 1024
+
+
+@behave.given("a service of hosts with {cores:d} cores and {memory:d} GB")
+def make_service(context, cores, memory):
+    context.now_s = 10.0
+    context.host = {"cpu_millis": cores * 1000, "memory_mb": memory * GB}
+    context.scheduler = scheduler.Scheduler(1, lapse_s=5.0, now_s=0.0, recovers=False)
+    context.listed = []
+    context.jobs = 0
+
+
+def list_hosts(context, count):
+    """Have so many more hosts listed, each with a worker that answered."""
+    found = len(context.listed)
+    context.listed += [
+        jobsite.worker_facts(number, **context.host) for number in range(found, found + count)
+    ]
+    for worker in context.scheduler.list_workers(context.listed, context.now_s):
+        worker.is_asked = True
+
+
+def add_job(context, step):
+    context.jobs += 1
+    book = context.scheduler.ledger
+    made = jobsite.job(context.jobs, (step,))
+    return book.add(made, None, context.now_s, 0, may_run=False)
+
+
+def lasting(count, cores, memory, **fields):
+    return jobs.Step(
+        count=count, cpu_millis=int(cores * 1000), memory_mb=memory * GB, lasting=True, **fields
+    )
+
+
+def run_all(context, record):
+    """Have the tasks of a record run at the hosts by turns."""
+    workers = list(context.scheduler.workers.values())
+    for index, task in enumerate(list(record.tasks())):
+        worker = workers[index % len(workers)]
+        context.scheduler.ledger.adopt(record, task, worker, 1, context.now_s)
+        record.ready.pop(task.key, None)
+        task.percent = 100
+        worker.heard_s = context.now_s
+
+
+@behave.given(
+    "{hosts:d} of its hosts are full of tasks with {cores:g} cores and {memory:d} GB that last"
+)
+def fill_hosts(context, hosts, cores, memory):
+    list_hosts(context, hosts)
+    each = context.host["memory_mb"] // (memory * GB)
+    context.shape = cores, memory
+    run_all(context, add_job(context, lasting(hosts * each, cores, memory)))
+
+
+@behave.when("{count:d} more such task waits for {seconds:g} s and one of its hosts is asked for")
+def wait_beside_cleared(context, count, seconds):
+    context.record = add_job(context, lasting(count, *context.shape))
+    context.now_s += seconds
+    context.scheduler.clearing.close(context.listed[0].host, context.now_s)
+    context.scheduler.tick(context.now_s, 0)
+
+
+def stalls(context):
+    taken = context.scheduler.notes.take()
+    return [one.fields for one in taken if one.event == "task has not moved on"]
+
+
+@behave.then('it is noted that the task waits for "{what}"')
+def check_stall(context, what):
+    (context.stall,) = stalls(context)
+    assert context.stall["awaits"] == what and context.stall["lasts"], context.stall
+    assert context.stall["phase"] == fleetview.Phase.WAITING.value, context.stall
+
+
+@behave.then('that {lacking:d} workers lack "{what}" and {closed:d} is passed over as "{why}"')
+def check_obstacles(context, lacking, what, closed, why):
+    assert context.stall["workers"] == {what: lacking, why: closed}, context.stall
+
+
+@behave.then("nothing more is noted of it for {seconds:g} s")
+def check_paced(context, seconds):
+    for _ in range(int(seconds / 0.1)):
+        context.now_s += 0.1
+        context.scheduler.tick(context.now_s, 0)
+    assert not stalls(context)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
@@ -10,6 +10,8 @@
 
 # Lines a second and event; more of one kind are only counted.
 _MOST_LINES = 20
+# Few tasks last, and each is to be followed through a burst of others.
+_LASTING = "{} (lasts)"
 # Jobs whose decisions are kept in memory; the log has those of all.
 _MOST_JOBS = 200
 # Decisions that end a stage, with the field that holds how long it took.
@@ -38,12 +40,13 @@
             self._second = second
         for note in taken.take():
             self.totals[note.event] += 1
-            self._lines[note.event] += 1
+            kind = _LASTING.format(note.event) if note.fields.get("lasts") else note.event
+            self._lines[kind] += 1
             self._keep(note)
             if note.event in _STAGES:
                 stage, field = _STAGES[note.event]
                 self._stages.observe(stage, note.fields[field])
-            if self._lines[note.event] <= _MOST_LINES:
+            if self._lines[kind] <= _MOST_LINES:
                 self._log.info(note.event, pool=self._pool, **note.fields)
         if taken.left_out:
             self._lines["notes of the kernel"] += taken.left_out + _MOST_LINES
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -2,11 +2,22 @@
 
 import collections
 import collections.abc
+import enum
 import math
 
 from nutmegshelf import fleetview, jobs
 
 
+class Obstacle(enum.Enum):
+    """Say why a worker can't take a task."""
+
+    CPU = "cpu"
+    MEMORY = "memory"
+    ACCELERATORS = "accelerators"
+    LABEL = "label"
+    SPREAD = "spread"
+
+
 class Blocked:
     """Remember within one pass which shapes fit nowhere, so that their like are passed over."""
 
@@ -30,6 +41,21 @@
     return (0 if step.fills else step.cpu_millis, step.memory_mb, step.accelerators)
 
 
+def obstacle(step: jobs.Step, worker: fleetview.Worker, count: int) -> Obstacle | None:
+    """Say what keeps a task of a step off a worker that runs some of its tasks, or give none."""
+    free = worker.free
+    if not step.fills and step.cpu_millis > free.cpu_millis:
+        return Obstacle.CPU
+    if step.memory_mb > free.memory_mb:
+        return Obstacle.MEMORY
+    if step.accelerators > free.accelerators:
+        return Obstacle.ACCELERATORS
+    if step.label and step.label not in worker.facts.labels:
+        return Obstacle.LABEL
+    most = most_per_worker(step) if step.lasting else step.max_per_worker
+    return Obstacle.SPREAD if most and count >= most else None
+
+
 def best(
     step: jobs.Step,
     open_workers: collections.abc.Iterable[fleetview.Worker],
@@ -50,13 +76,7 @@
         for worker in found:
             racks[worker.facts.rack] += here[worker.facts.life]
     for worker in found:
-        if not worker.fits(step):
-            continue
-        if step.label and step.label not in worker.facts.labels:
-            continue
-        count = here[worker.facts.life]
-        most = most_per_worker(step) if step.lasting else step.max_per_worker
-        if most and count >= most:
+        if obstacle(step, worker, here[worker.facts.life]) is not None:
             continue
         far = bool(step.data_rack) and worker.facts.rack != step.data_rack
         rank: tuple[object, ...]
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -49,6 +49,17 @@
     DONE = "done"
 
 
+class Closure(enum.Enum):
+    """Say why a worker gets no new tasks."""
+
+    NOT_ASKED = "not asked yet"
+    LEAVING = "drains or is not listed"
+    CLEARED = "its host is asked for"
+    SILENT = "does not answer"
+    SHUNNED = "failed what it started"
+    FULL = "refused a start for want of room"
+
+
 PLACED = frozenset({Phase.STARTING, Phase.RUNNING, Phase.UNSURE, Phase.STOPPING})
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -356,6 +356,16 @@
         return max(task.run, task.top_run, self._first_run) + 1
 
 
+def counts(part: Part) -> collections.Counter[fleetview.Life]:
+    """Count the runs of a step by worker, second runs too."""
+    found: collections.Counter[fleetview.Life] = collections.Counter()
+    for task in part.tasks:
+        for one in (task, task.twin):
+            if one is not None and one.life is not None:
+                found[one.life] += 1
+    return found
+
+
 def chain_s(job: jobs.Job) -> float:
     """Give the longest chain of a job's steps by their estimates."""
     ends_s: list[float] = []
--- a/packages/nutmegshelf/src/nutmegshelf/listening.py
+++ b/packages/nutmegshelf/src/nutmegshelf/listening.py
@@ -101,7 +101,7 @@
         self._ledger.save(record, task, end.saved)
         if is_own:
             if end.how is not fleetview.How.DONE:
-                self._notes.note("run ended", task=end.task, run=end.run, how=end.how.value)
+                self._notes.note_task("run ended", task, how=end.how.value)
             self._ledger.free(record, task, worker, now_s)
 
     def _blame(self, worker: fleetview.Worker, record: ledger.Record, now_s: float) -> None:
--- a/packages/nutmegshelf/src/nutmegshelf/notes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/notes.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+from nutmegshelf import fleetview
+
 _MOST_NOTES = 2_000
 
 
@@ -28,6 +30,10 @@
             return
         self._notes.append(Note(event, fields))
 
+    def note_task(self, event: str, task: fleetview.Task, **fields: typing.Any) -> None:
+        """Add a decision on one run of a task."""
+        self.note(event, task=task.key.name, run=task.run, lasts=task.step.lasting, **fields)
+
     def take(self) -> list[Note]:
         """Give all decisions since the last call."""
         taken, self._notes = self._notes, []
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -19,6 +19,7 @@
     pooling,
     preemption,
     sharing,
+    stalls,
     starting,
     stopping,
     takeover,
@@ -54,6 +55,7 @@
         self._arrived_core_ms = 0.0
         self._takeover = takeover.Takeover(began_s=now_s, lapse_s=lapse_s, is_needed=recovers)
         self._listener = listening.Listener(self.ledger, self.estimates, self.notes)
+        self._stalls = stalls.Stalls(self.ledger, self.notes)
 
     def arrived(self, job: jobs.Job) -> None:
         """Count the work of a new job."""
@@ -132,7 +134,7 @@
 
     def _lost(self, worker: fleetview.Worker, now_s: float, reason: str) -> None:
         for task in list(worker.tasks.values()):
-            self.notes.note("task lost", task=task.key.name, run=task.run, reason=reason)
+            self.notes.note_task("task lost", task, reason=reason)
             self.ledger.free(self.ledger.records[task.key.job], task, worker, now_s)
         worker.is_asked = False
         self.workers.pop(worker.facts.life, None)
@@ -148,7 +150,7 @@
         for worker in list(self.workers.values()):
             if worker.leased_until_s and now_s > worker.leased_until_s:
                 for task in list(worker.tasks.values()):
-                    self.notes.note("lease lapsed", task=task.key.name, run=task.run)
+                    self.notes.note_task("lease lapsed", task)
                     self.ledger.free(self.ledger.records[task.key.job], task, worker, now_s)
                 worker.is_asked = False
                 worker.strays.clear()
@@ -158,6 +160,7 @@
             if record.job.occurrences:
                 self.ledger.open_due(record, now_ms)
         self._settle(now_s)
+        self._stalls.note(self.workers.values(), now_s, self._closure)
 
     def _is_empty(self, worker: fleetview.Worker, now_s: float) -> bool:
         # All that was started there is known, unless an earlier holder's word is still missing.
@@ -212,7 +215,7 @@
         self.clearing.close(host, now_s)
         for worker in workers:
             for task in self.clearing.to_leave(worker, self.workers, self.ledger, now_s):
-                self.notes.note("task leaves", task=task.key.name, run=task.run, host=host)
+                self.notes.note_task("task leaves", task, host=host)
                 self.leave(task)
         return not any(worker.tasks or worker.strays for worker in workers)
 
@@ -245,7 +248,7 @@
             worker.room_refused_s = now_s
         if reason == "ticket":
             self.advice.refused(advising.step_name(order.key), order.life)
-        self.notes.note("start refused", task=order.key.name, run=order.run, reason=reason)
+        self.notes.note_task("start refused", task, reason=reason)
         self.ledger.free(self.ledger.records[order.key.job], task, worker, now_s)
 
     def unanswered(
@@ -257,10 +260,9 @@
         if task is not None and is_unsure:
             task.phase, task.since_s = fleetview.Phase.UNSURE, now_s
             task.may_start_until_s = may_start_until_s
-            self.notes.note(
+            self.notes.note_task(
                 "start unanswered",
-                task=order.key.name,
-                run=order.run,
+                task,
                 since_ordered_s=round(now_s - task.sent_s, 3),
                 size_bytes=orders.size_bytes(order),
                 why=why,
@@ -317,16 +319,21 @@
 
     def open_workers(self, now_s: float) -> list[fleetview.Worker]:
         """Give the workers that may get new tasks."""
-        return [
-            worker
-            for worker in self.workers.values()
-            if worker.is_asked
-            and not worker.is_closed
-            and not self.clearing.is_closed(worker.facts.host, now_s)
-            and worker.unheard_since_s is None
-            and now_s >= worker.shunned_until_s
-            and now_s >= worker.room_refused_s + _ROOM_PAUSE_S
-        ]
+        return [one for one in self.workers.values() if self._closure(one, now_s) is None]
+
+    def _closure(self, worker: fleetview.Worker, now_s: float) -> fleetview.Closure | None:
+        """Say why a worker gets no new tasks, or give none."""
+        if not worker.is_asked:
+            return fleetview.Closure.NOT_ASKED
+        if worker.is_closed:
+            return fleetview.Closure.LEAVING
+        if self.clearing.is_closed(worker.facts.host, now_s):
+            return fleetview.Closure.CLEARED
+        if worker.unheard_since_s is not None:
+            return fleetview.Closure.SILENT
+        if now_s < worker.shunned_until_s:
+            return fleetview.Closure.SHUNNED
+        return fleetview.Closure.FULL if now_s < worker.room_refused_s + _ROOM_PAUSE_S else None
 
     def starts(self, now_s: float) -> list[orders.StartRun]:
         """Choose what starts now, the most urgent first."""
@@ -346,7 +353,7 @@
     def _preempt(self, found: list[fleetview.Worker], now_s: float) -> None:
         choice = preemption.Preemption(found, self.ledger, self.estimates, now_s)
         for task in choice.choose(self._starter.homeless):
-            self.notes.note("run preempted", task=task.key.name, run=task.run)
+            self.notes.note_task("run preempted", task)
             self.leave(task)
 
     def evacuate(self, now_s: float) -> None:
@@ -361,10 +368,9 @@
                 worker, self.workers, self.ledger, self.estimates, now_s
             ):
                 if any(one.fits(task.step) and one.could_fit(task.step) for one in found):
-                    self.notes.note(
+                    self.notes.note_task(
                         "task leaves",
-                        task=task.key.name,
-                        run=task.run,
+                        task,
                         host=worker.facts.host,
                         left_ms=worker.facts.left_ms,
                     )
--- a/packages/nutmegshelf/src/nutmegshelf/starting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -4,8 +4,6 @@
 nowhere is not tried again in the same pass.
 """
 
-import collections
-
 from nutmegshelf import (
     advising,
     fitting,
@@ -106,7 +104,7 @@
             if blocked.covers(part.step):
                 self.homeless.append(record)
                 continue
-            here = _counts(part)
+            here = ledger.counts(part)
             is_shared = part.step.fills or bool(part.step.target_ms)
             for task in tasks:
                 worker = fitting.best(part.step, allowed, here, is_shared)
@@ -135,13 +133,13 @@
         part = record.occurrences[task.key.occurrence][task.key.step]
         others = [one for one in found if one.facts.life != task.life]
         allowed = self._advised(record, task.key, part, others, now_s)
-        here = _counts(part)
+        here = ledger.counts(part)
         worker = fitting.best(part.step, allowed, here, is_shared=False)
         route = self._outflow.route(record.job, task.saved, worker, now_s) if worker else None
         if worker is None or route is None:
             return None
         made = self._ledger.copy(task)
-        self._notes.note("second run", task=task.key.name, run=task.run, percent=task.percent)
+        self._notes.note_task("second run", task, percent=task.percent)
         return self._start(
             record, made, worker, run=self._ledger.next_run(task), route=route, now_s=now_s
         )
@@ -185,10 +183,8 @@
         life = worker.facts.life
         self._outflow.take(record.job.job, route, now_s)
         waited_s = round(now_s - max(task.since_s, record.accepted_s), 3)
-        self._notes.note(
-            "run starts", task=task.key.name, run=run, worker=life.worker, waited_s=waited_s
-        )
         self._ledger.place(record, task, worker, run, now_s)
+        self._notes.note_task("run starts", task, worker=life.worker, waited_s=waited_s)
         ticket = None
         if record.job.queue.advised is not None:
             ticket = self._advice.ticket(advising.step_name(task.key), life, now_s)
@@ -202,13 +198,3 @@
             task.step.lasting,
             route,
         )
-
-
-def _counts(part: ledger.Part) -> collections.Counter[fleetview.Life]:
-    """Count the runs of a step by worker, second runs too."""
-    found: collections.Counter[fleetview.Life] = collections.Counter()
-    for task in part.tasks:
-        for one in (task, task.twin):
-            if one is not None and one.life is not None:
-                found[one.life] += 1
-    return found
--- a/packages/nutmegshelf/src/nutmegshelf/stopping.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stopping.py
@@ -87,10 +87,9 @@
         worker.stops_under_way.add((task.key.name, task.run))
         if task.step.lasting:
             part = self._live_part(task)
-            self._notes.note(
+            self._notes.note_task(
                 "lasting run stopped",
-                task=task.key.name,
-                run=task.run,
+                task,
                 reason=reason,
                 times=task.stops_sent,
                 percent=task.percent,
