--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -160,7 +160,9 @@
             if record.job.occurrences:
                 self.ledger.open_due(record, now_ms)
         self._settle(now_s)
-        self._stalls.note(self.workers.values(), now_s, self._closure)
+        if self._stalls.is_due(now_s):
+            found = self.workers.values()
+            self._stalls.note([(one, self._closure(one, now_s)) for one in found], now_s)
 
     def _is_empty(self, worker: fleetview.Worker, now_s: float) -> bool:
         # All that was started there is known, unless an earlier holder's word is still missing.
