--- /dev/null
+++ b/features/poolplay.py
@@ -0,0 +1,156 @@
+"""Play one service's scheduler and the planner of the pools over fake hosts, in steps of time.
+
+Every order is carried out and answered at once, so that only the decisions are on trial.
+"""
+
+import dataclasses
+import itertools
+
+from nutmegshelf import fleetview, orders, pooling, scheduler
+
+from features import jobsite
+
+STEP_S = 0.1
+MOVE_S = 1.5
+UPKEEP_S = 2.0
+# An idle host is put away after some seconds, so that some hosts are left to come back.
+POOL, SPARE = "a", "spare"
+
+
+@dataclasses.dataclass
+class Host:
+    """Hold one host; a worker that has ended is none."""
+
+    name: str
+    pool: str
+    rack: str
+    back_s: float = 0.0
+    state: pooling.HostState = pooling.HostState.UP
+    life: fleetview.Life | None = None
+    runs: dict = dataclasses.field(default_factory=dict)
+    ends: list = dataclasses.field(default_factory=list)
+
+
+class Play:
+    """Own the hosts, and what the wave has left to do."""
+
+    def __init__(self, cpu_millis, memory_mb, hosts, spare):
+        self.now_s = 10.0
+        self.room = {"cpu_millis": cpu_millis, "memory_mb": memory_mb}
+        self.numbers = itertools.count(1)
+        self.hosts = [Host(f"h{one}", POOL, f"r{one % 3}") for one in range(hosts)]
+        self.hosts += [Host(f"s{one}", SPARE, f"r{one % 3}") for one in range(spare)]
+        self.scheduler = scheduler.Scheduler(1, lapse_s=5.0, now_s=0.0, recovers=False)
+        self.planner = pooling.Planner()
+        self.wave = []
+        self.upkept = []
+        # How long each task that lasts has not run, and the most that were away at once.
+        self.away_s = {}
+        self.longest_away_s = 0.0
+        self.most_away = 0
+        for host in self.hosts[:hosts]:
+            self._begin_life(host)
+        self.step()
+
+    def _begin_life(self, host):
+        number = next(self.numbers)
+        host.life, host.runs, host.ends = fleetview.Life(f"w{number}", number), {}, []
+        host.state = pooling.HostState.UP
+
+    def _facts(self, host):
+        named = jobsite.worker_facts(0, **self.room)
+        return dataclasses.replace(named, life=host.life, host=host.name, rack=host.rack)
+
+    def add(self, number, step):
+        made = jobsite.job(number, (step,))
+        book = self.scheduler.ledger
+        return book.add(made, None, self.now_s, int(self.now_s * 1000), may_run=False)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.step()
+
+    def step(self):
+        """Let some time pass: workers report, orders are carried out, hosts come and go."""
+        self.now_s += STEP_S
+        for host in self.hosts:
+            if host.state is not pooling.HostState.UP and self.now_s >= host.back_s:
+                host.state = pooling.HostState.UP
+                if host.pool == POOL:
+                    self._begin_life(host)
+        listed = [self._facts(one) for one in self.hosts if one.life is not None]
+        self.scheduler.list_workers(listed, self.now_s)
+        for host in self.hosts:
+            if host.life is not None:
+                self._report(host)
+        self.scheduler.tick(self.now_s, int(self.now_s * 1000))
+        self._ask_for_hosts()
+        for order in [*self.scheduler.stops(self.now_s), *self.scheduler.starts(self.now_s)]:
+            self._carry_out(order)
+        self._plan()
+        self._judge()
+
+    def _report(self, host):
+        running = tuple(
+            fleetview.Listed(name, run, "", 100, 0.0) for name, run in host.runs.items()
+        )
+        report = fleetview.Report(
+            host.life, 0, self.now_s - 0.01, self.now_s, running, tuple(host.ends)
+        )
+        self.scheduler.reported(report)
+
+    def _carry_out(self, order):
+        host = next(one for one in self.hosts if one.life == order.life)
+        match order:
+            case orders.StartRun():
+                host.runs[order.key.name] = order.run
+                self.scheduler.started(order, self.now_s)
+            case orders.StopRun():
+                run = host.runs.pop(order.task, None)
+                self.scheduler.stopped(order, self.now_s)
+                if run is not None:
+                    how = fleetview.How.STOPPED
+                    host.ends.append(fleetview.End(len(host.ends) + 1, order.task, run, how, ""))
+
+    def _ask_for_hosts(self):
+        """Ask for the next host of the wave, and take it down once it is clear."""
+        host = next((one for one in self.hosts if one.name in self.wave[:1]), None)
+        if host is None or host.state is not pooling.HostState.UP:
+            return
+        if host.pool == SPARE or self.scheduler.give(host.name, self.now_s):
+            self.wave.remove(host.name)
+            self.upkept.append(host.name)
+            self._take_down(host, pooling.HostState.UPKEEP, UPKEEP_S)
+
+    def _take_down(self, host, state, seconds):
+        host.state, host.back_s, host.life = state, self.now_s + seconds, None
+
+    def _plan(self):
+        views = [
+            pooling.HostView(
+                host.name, host.pool, host.state, "z", host.rack, self.room["cpu_millis"]
+            )
+            for host in self.hosts
+        ]
+        demands = {POOL: self.scheduler.demand(self.now_s)}
+        held = set(self.wave[:1])
+        for move in self.planner.plan(views, demands, held, SPARE, self.now_s):
+            host = next(one for one in self.hosts if one.name == move.host)
+            if host.pool == POOL and not self.scheduler.give(host.name, self.now_s, only_idle=True):
+                continue
+            host.pool = move.target
+            self._take_down(host, pooling.HostState.MOVING, MOVE_S)
+
+    def _judge(self):
+        running = {name for host in self.hosts for name in host.runs if host.life is not None}
+        away = 0
+        for record in self.scheduler.ledger.live.values():
+            for task in record.tasks():
+                name = task.key.name
+                if not task.step.lasting:
+                    continue
+                is_away = name not in running
+                away += is_away
+                self.away_s[name] = self.away_s.get(name, 0.0) + STEP_S if is_away else 0.0
+                self.longest_away_s = max(self.longest_away_s, self.away_s[name])
+        self.most_away = max(self.most_away, away)
--- a/features/room.feature
+++ b/features/room.feature
@@ -7,3 +7,40 @@
     Then it is noted that the task waits for "a worker with room"
     And that 2 workers lack "memory" and 1 is passed over as "its host is asked for"
     And nothing more is noted of it for 1.5 s
+
+  Scenario Outline: A task that lasts and finds no room at any open host gets another host
+    Given a service of hosts with 32 cores and 128 GB
+    And <hosts> of its hosts are full of tasks with <cores> cores and <memory> GB that last
+    When <count> more such tasks wait, and <closed> of its hosts are asked for
+    Then <asked> more hosts are asked for
+
+    Examples: what every host lacks
+      | hosts | cores | memory | count | closed | asked |
+      | 3     | 3.6   | 24     | 3     | 0      | 1     |
+      | 3     | 10    | 8      | 3     | 0      | 1     |
+      | 3     | 3.6   | 24     | 7     | 0      | 2     |
+      | 1     | 3.6   | 24     | 11    | 0      | 3     |
+
+    Examples: hosts that take no start are no room
+      | hosts | cores | memory | count | closed | asked |
+      | 4     | 3.6   | 24     | 2     | 1      | 1     |
+
+  Scenario: Work that fits at no host beside the tasks that last gets another host
+    Given a service of hosts with 32 cores and 128 GB
+    And 3 of its hosts are full of tasks with 3.6 cores and 24 GB that last
+    When a job of 4 tasks with 2 cores and 60 GB that end soon waits
+    Then 2 more hosts are asked for
+
+  Scenario Outline: A wave over hosts that are full leaves no task that lasts without a host
+    Given a pool of 4 hosts with 32 cores and 128 GB, and <spare> spare hosts
+    And a job of 18 tasks with 3.6 cores and 23 GB that last, of which <most> may be away
+    When a wave asks for the upkeep of each host of the pool in turn
+    Then for 60 s no task is away for over 6 s, and at most <most> at once
+    And <upkept> of the hosts had their upkeep
+
+    Examples: with hosts to spare or without
+      | spare | most | upkept     |
+      | 2     | 2    | all        |
+      | 1     | 1    | all        |
+      | 0     | 5    | all        |
+      | 0     | 2    | any number |
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -1,9 +1,9 @@
 """Check what a service asks of hosts, and what it notes of tasks that find no room."""
 
 import behave
-from nutmegshelf import fleetview, jobs, scheduler
+from nutmegshelf import fleetview, jobs, pooling, scheduler
 
-from features import jobsite
+from features import jobsite, poolplay
 
 GB = 1024
 
@@ -56,7 +56,9 @@
 )
 def fill_hosts(context, hosts, cores, memory):
     list_hosts(context, hosts)
-    each = context.host["memory_mb"] // (memory * GB)
+    each = min(
+        context.host["memory_mb"] // (memory * GB), int(context.host["cpu_millis"] / 1000 / cores)
+    )
     context.shape = cores, memory
     run_all(context, add_job(context, lasting(hosts * each, cores, memory)))
 
@@ -92,3 +94,73 @@
         context.now_s += 0.1
         context.scheduler.tick(context.now_s, 0)
     assert not stalls(context)
+
+
+@behave.when("{count:d} more such tasks wait, and {closed:d} of its hosts are asked for")
+def wait_beside_closed(context, count, closed):
+    context.record = add_job(context, lasting(count, *context.shape, max_per_worker=count))
+    context.now_s += 1.0
+    for facts in context.listed[:closed]:
+        context.scheduler.clearing.close(facts.host, context.now_s)
+
+
+@behave.when("a job of {count:d} tasks with {cores:d} cores and {memory:d} GB that end soon waits")
+def wait_shortly(context, count, cores, memory):
+    step = jobs.Step(count=count, cpu_millis=cores * 1000, memory_mb=memory * GB, estimate_ms=500)
+    context.record = add_job(context, step)
+    context.now_s += 1.0
+
+
+@behave.then("{count:d} more hosts are asked for")
+def check_asked(context, count):
+    assert not context.scheduler.starts(context.now_s)
+    size = context.host["cpu_millis"]
+    views = [
+        pooling.HostView(facts.host, "a", pooling.HostState.UP, "z", "r", size)
+        for facts in context.listed
+    ]
+    views += [
+        pooling.HostView(f"s{number}", "spare", pooling.HostState.UP, "z", "r", size)
+        for number in range(count + 3)
+    ]
+    demands = {"a": context.scheduler.demand(context.now_s)}
+    moves = pooling.Planner().plan(views, demands, set(), "spare", context.now_s)
+    assert [move.target for move in moves] == ["a"] * count, moves
+
+
+@behave.given(
+    "a pool of {hosts:d} hosts with {cores:d} cores and {memory:d} GB, and {spare:d} spare hosts"
+)
+def make_play(context, hosts, cores, memory, spare):
+    context.play = poolplay.Play(cores * 1000, memory * GB, hosts, spare)
+
+
+@behave.given(
+    "a job of {count:d} tasks with {cores:g} cores and {memory:d} GB that last,"
+    " of which {most:d} may be away"
+)
+def run_play(context, count, cores, memory, most):
+    context.play.add(1, lasting(count, cores, memory, may_miss=most))
+    context.play.run(5.0)
+    context.play.longest_away_s, context.play.most_away = 0.0, 0
+
+
+@behave.when("a wave asks for the upkeep of each host of the pool in turn")
+def ask_play(context):
+    context.asked = [one.name for one in context.play.hosts if one.pool == poolplay.POOL]
+    context.play.wave = list(context.asked)
+
+
+@behave.then(
+    "for {seconds:g} s no task is away for over {longest:g} s, and at most {most:d} at once"
+)
+def check_play(context, seconds, longest, most):
+    context.play.run(seconds)
+    play = context.play
+    assert play.longest_away_s <= longest, (play.longest_away_s, play.away_s)
+    assert play.most_away <= most, play.most_away
+
+
+@behave.then("{which} of the hosts had their upkeep")
+def check_upkept(context, which):
+    assert which == "any number" or context.play.upkept == context.asked, context.play.upkept
