Ask for hosts by the places that tasks lack, not by a sum of cores

What finds no place is packed on empty hosts, and the pool wants so many more than its open ones. The same goes for short tasks that fit nowhere even beside the lasting ones alone. Room is counted by the resource that a task takes most of. Hosts that are asked for, drain or do not answer are no room. The constant for jobs with a task without a home goes.

Of the expected counts four were wrong, as no worker runs more than half of a step and a host that is asked for gives up its own tasks too: they are now the exact ones.

--- a/features/room.feature
+++ b/features/room.feature
@@ -16,14 +16,15 @@
 
     Examples: what every host lacks
       | hosts | cores | memory | count | closed | asked |
-      | 3     | 3.6   | 24     | 3     | 0      | 1     |
-      | 3     | 10    | 8      | 3     | 0      | 1     |
+      | 3     | 3.6   | 24     | 4     | 0      | 2     |
+      | 3     | 3.6   | 24     | 1     | 0      | 1     |
+      | 3     | 10    | 8      | 1     | 0      | 1     |
       | 3     | 3.6   | 24     | 7     | 0      | 2     |
       | 1     | 3.6   | 24     | 11    | 0      | 3     |
 
     Examples: hosts that take no start are no room
       | hosts | cores | memory | count | closed | asked |
-      | 4     | 3.6   | 24     | 2     | 1      | 1     |
+      | 4     | 3.6   | 24     | 1     | 1      | 2     |
 
   Scenario: Work that fits at no host beside the tasks that last gets another host
     Given a service of hosts with 32 cores and 128 GB
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -76,8 +76,9 @@
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True):
     """Say what work waits and runs at one service, and what its hosts do.
 
-    The work that arrived is counted since the service's holder began; what waits is expected to
-    run for some time on average.
+    Room is counted as cores: a task takes the largest of its shares of a host's resources. The work
+    that arrived is counted since the service's holder began; what waits is expected to run for
+    some time on average. Tasks that find no place at the present hosts need more of them.
     """
 
     cpu_running: int
@@ -86,9 +87,15 @@
     waiting_ms: int
     arrived_core_ms: int
     least_hosts: int
+    more_hosts: int = 0
     host_cpu_millis: int
     hosts: dict[ids.HostId, HostLoad]
 
+    @property
+    def open_hosts(self) -> int:
+        """Count the hosts that take tasks."""
+        return sum(not load.is_useless for load in self.hosts.values())
+
     @property
     def idle_s(self) -> dict[ids.HostId, float]:
         """Give the idle hosts, and for how long they idle."""
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -41,16 +41,17 @@
     return (0 if step.fills else step.cpu_millis, step.memory_mb, step.accelerators)
 
 
-def obstacle(step: jobs.Step, worker: fleetview.Worker, count: int) -> Obstacle | None:
+def obstacle(
+    step: jobs.Step, free: fleetview.Room, labels: frozenset[str], count: int
+) -> Obstacle | None:
     """Say what keeps a task of a step off a worker that runs some of its tasks, or give none."""
-    free = worker.free
     if not step.fills and step.cpu_millis > free.cpu_millis:
         return Obstacle.CPU
     if step.memory_mb > free.memory_mb:
         return Obstacle.MEMORY
     if step.accelerators > free.accelerators:
         return Obstacle.ACCELERATORS
-    if step.label and step.label not in worker.facts.labels:
+    if step.label and step.label not in labels:
         return Obstacle.LABEL
     most = most_per_worker(step) if step.lasting else step.max_per_worker
     return Obstacle.SPREAD if most and count >= most else None
@@ -76,7 +77,7 @@
         for worker in found:
             racks[worker.facts.rack] += here[worker.facts.life]
     for worker in found:
-        if obstacle(step, worker, here[worker.facts.life]) is not None:
+        if obstacle(step, worker.free, worker.facts.labels, here[worker.facts.life]) is not None:
             continue
         far = bool(step.data_rack) and worker.facts.rack != step.data_rack
         rank: tuple[object, ...]
@@ -104,6 +105,13 @@
     return chosen
 
 
+def share(step: jobs.Step, facts: fleetview.WorkerFacts) -> float:
+    """Give the part of a worker that a task takes, in the resource that it takes most of."""
+    taken = fleetview.Room(0, 0, 0)
+    taken.count(step, 1)
+    return fleetview.largest_share(taken, facts)
+
+
 def most_per_worker(step: jobs.Step) -> int:
     """Give how many tasks of a step that lasts one worker may run, so that a loss leaves some."""
     half = max(1, math.ceil(step.count / 2))
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -159,6 +159,16 @@
         )
 
 
+def largest_share(taken: Room, facts: WorkerFacts) -> float:
+    """Give the part of a worker that is taken, in the resource that is taken most."""
+    pairs = (
+        (taken.cpu_millis, facts.cpu_millis),
+        (taken.memory_mb, facts.memory_mb),
+        (taken.accelerators, facts.accelerators),
+    )
+    return max((used / size for used, size in pairs if size > 0), default=0.0)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
     """Hold what is believed of one life of a worker."""
@@ -211,6 +221,14 @@
         """Count the tasks here that last."""
         return sum(task.step.lasting for task in self.tasks.values())
 
+    def room_beside_lasting(self) -> Room:
+        """Give what is free once the tasks that end by themselves are gone."""
+        room = Room(self.facts.cpu_millis, self.facts.memory_mb, self.facts.accelerators)
+        for task in self.tasks.values():
+            if task.step.lasting:
+                room.count(task.step, -1)
+        return room
+
     def fits(self, step: jobs.Step) -> bool:
         """Say whether a task of a step fits beside what runs here."""
         return self.free.fits(step)
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -45,6 +45,13 @@
             return None
         return parts[key.step].tasks[key.position]
 
+    def ready_parts(self) -> list[tuple[Part, list[fleetview.Task]]]:
+        """Give the tasks that wait for a worker, by step."""
+        found: dict[tuple[int, int], list[fleetview.Task]] = {}
+        for task in self.ready.values():
+            found.setdefault((task.key.occurrence, task.key.step), []).append(task)
+        return [(self.occurrences[one][step], tasks) for (one, step), tasks in found.items()]
+
     def tasks(self) -> collections.abc.Iterator[fleetview.Task]:
         """Give all tasks of the occurrences that have begun."""
         for parts in self.occurrences.values():
@@ -204,6 +211,10 @@
 
     # --- tasks
 
+    def part_of(self, task: fleetview.Task) -> Part:
+        """Give the step of a task with its tasks."""
+        return self.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
+
     def place(
         self, record: Record, task: fleetview.Task, worker: fleetview.Worker, run: int, now_s: float
     ) -> None:
--- a/packages/nutmegshelf/src/nutmegshelf/needs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/needs.py
@@ -1,16 +1,37 @@
 """Say what one service needs of hosts, for the planner of the pools."""
 
 import collections.abc
+import dataclasses
 import math
 
-from nutmegshelf import calls, estimates, fitting, fleetview, ids, jobs, ledger
+from nutmegshelf import calls, estimates, fitting, fleetview, ids, jobs, ledger, places
+
+# Workers that are closed for these reasons take no tasks for long, and are no room.
+_NO_ROOM = frozenset(
+    {
+        fleetview.Closure.LEAVING,
+        fleetview.Closure.CLEARED,
+        fleetview.Closure.SILENT,
+        fleetview.Closure.SHUNNED,
+    }
+)
+
+Workers = collections.abc.Collection[tuple[fleetview.Worker, fleetview.Closure | None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Learned:
+    """Hold what a service knows of the work that comes: its times, and how much came so far."""
+
+    estimates: estimates.Estimates
+    arrived_core_ms: float
 
 
 def report(
-    workers: collections.abc.Collection[fleetview.Worker],
-    records: collections.abc.Iterable[ledger.Record],
-    learned: estimates.Estimates,
-    arrived_core_ms: float,
+    workers: Workers,
+    records: collections.abc.Collection[ledger.Record],
+    learned: Learned,
+    found: places.Places,
     now_s: float,
     *,
     is_held_up: bool = False,
@@ -22,51 +43,62 @@
     """
     hosts: dict[ids.HostId, calls.HostLoad] = {}
     running, lasting = 0, 0
-    for worker in workers:
+    for worker, closure in workers:
         if not worker.is_listed:
             continue
-        lasting += sum(
-            task.step.cpu_millis
-            for task in worker.tasks.values()
-            if task.step.lasting and not task.step.fills
-        )
-        used = worker.facts.cpu_millis - worker.free.cpu_millis
+        facts = worker.facts
+        used = _taken_millis(facts, worker.free)
         running += used
+        lasting += _taken_millis(facts, worker.room_beside_lasting())
         is_idle = not worker.tasks and not worker.strays and worker.is_asked
-        hosts[worker.facts.host] = calls.HostLoad(
+        hosts[facts.host] = calls.HostLoad(
             cpu_millis=used,
-            lasting=sum(task.step.lasting for task in worker.tasks.values()),
+            lasting=worker.lasting,
             idle_s=max(0.0, now_s - worker.idle_since_s) if is_idle else None,
-            is_useless=worker.is_closed
-            or worker.unheard_since_s is not None
-            or now_s < worker.shunned_until_s,
+            is_useless=closure in _NO_ROOM,
         )
-    waiting, least, weighted_ms = 0, 0, 0.0
+    largest = max((one.facts for one, _ in workers), key=lambda one: one.cpu_millis, default=None)
+    waiting, least, weighted_ms = 0.0, 0, 0.0
     for record in records:
-        ratio = learned.ratio(record.job.queue.name)
-        for task in record.ready.values():
-            if not task.step.fills:
-                waiting += task.step.cpu_millis
-                weighted_ms += task.step.cpu_millis * task.step.estimate_ms * ratio
+        ratio = learned.estimates.ratio(record.job.queue.name)
+        for part, tasks in record.ready_parts():
+            if not part.step.fills:
+                millis = len(tasks) * _needed_millis(part.step, largest)
+                waiting += millis
+                weighted_ms += millis * part.step.estimate_ms * ratio
         if record.job.lasts:
-            homeless = bool(record.ready)
-            least = max(least, *(_least_hosts(step) + homeless for step in record.job.steps))
+            least = max(least, *(_least_hosts(step) for step in record.job.steps))
     waiting_ms = weighted_ms / waiting if waiting else 0.0
     if is_held_up and any(host.idle_s is not None for host in hosts.values()):
-        waiting = 0
-    sizes = [worker.facts.cpu_millis for worker in workers]
+        waiting = 0.0
     return calls.DemandReport(
         cpu_running=running,
-        cpu_waiting=waiting,
+        cpu_waiting=int(waiting),
         cpu_lasting=lasting,
         waiting_ms=int(waiting_ms),
-        arrived_core_ms=int(arrived_core_ms),
+        arrived_core_ms=int(learned.arrived_core_ms),
         least_hosts=least,
-        host_cpu_millis=max(sizes, default=0),
+        more_hosts=found.more_hosts(largest) if largest is not None else 0,
+        host_cpu_millis=largest.cpu_millis if largest is not None else 0,
         hosts=hosts,
     )
 
 
+def _taken_millis(facts: fleetview.WorkerFacts, free: fleetview.Room) -> int:
+    """Give the room that is taken of a worker, as cores."""
+    taken = fleetview.Room(
+        facts.cpu_millis - free.cpu_millis,
+        facts.memory_mb - free.memory_mb,
+        facts.accelerators - free.accelerators,
+    )
+    return int(facts.cpu_millis * fleetview.largest_share(taken, facts))
+
+
+def _needed_millis(step: jobs.Step, facts: fleetview.WorkerFacts | None) -> float:
+    """Give the room that a task takes of a worker, as cores."""
+    return facts.cpu_millis * fitting.share(step, facts) if facts is not None else step.cpu_millis
+
+
 def _least_hosts(step: jobs.Step) -> int:
     """Give over how many hosts a step that lasts has to be spread."""
     if not step.lasting:
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -130,7 +130,11 @@
             used = (report.cpu_running - report.cpu_lasting) / max(1, size)
             asked = used + report.cpu_waiting / max(1, size)
             self.turns.observe(pool, asked, used, now_s)
-            wanted[pool] = max(_LEAST_HOSTS, report.least_hosts, math.ceil(_HEADROOM * need))
+            # Tasks that last stay where they are, so only the others need room beside what is used.
+            lasting = report.cpu_lasting / size if size else 0.0
+            hosts = math.ceil(lasting + _HEADROOM * max(0.0, need - lasting))
+            placed = report.open_hosts + report.more_hosts if report.more_hosts else 0
+            wanted[pool] = max(_LEAST_HOSTS, report.least_hosts, hosts, placed)
         return wanted
 
     def _foreseen(
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -16,6 +16,7 @@
     needs,
     notes,
     orders,
+    places,
     pooling,
     preemption,
     sharing,
@@ -223,16 +224,27 @@
 
     def demand(self, now_s: float) -> calls.DemandReport:
         """Say what the service needs of hosts now."""
-        live = self.ledger.live.values()
+        found = self._places(now_s)
+        for worker in self.workers.values():
+            if self.clearing.is_closed(worker.facts.host, now_s) or worker.drain_told_s is not None:
+                found.settle_staying(worker, self.ledger)
+        found.note_hopeless(self.ledger.live.values())
         return needs.report(
-            self.workers.values(),
-            live,
-            self.estimates,
-            self._arrived_core_ms,
+            [(one, self._closure(one, now_s)) for one in self.workers.values()],
+            self.ledger.live.values(),
+            needs.Learned(self.estimates, self._arrived_core_ms),
+            found,
             now_s,
             is_held_up=self._starter.is_held_up,
         )
 
+    def _places(self, now_s: float) -> places.Places:
+        """Give the places of the open workers that no waiting task will take."""
+        found = places.Places(self.open_workers(now_s), self.advice)
+        found.settle_waiting(self.ledger.live.values())
+        found.settle_leaving(self.workers.values(), self.ledger)
+        return found
+
     # --- answers to orders
 
     def started(self, order: orders.StartRun, now_s: float) -> None:
--- a/packages/nutmegshelf/src/nutmegshelf/stalls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stalls.py
@@ -79,11 +79,18 @@
     return max(task.since_s, record.accepted_s)
 
 
+def _obstacle(
+    part: ledger.Part, worker: fleetview.Worker, here: collections.Counter[fleetview.Life]
+) -> fitting.Obstacle | None:
+    facts = worker.facts
+    return fitting.obstacle(part.step, worker.free, facts.labels, here[facts.life])
+
+
 def _hindrances(part: ledger.Part, workers: Workers) -> dict[str, int]:
     """Count the workers by what keeps a task of a step from them."""
     here = ledger.counts(part)
     found: collections.Counter[str] = collections.Counter()
     for worker, closure in workers:
-        why = closure or fitting.obstacle(part.step, worker, here[worker.facts.life])
+        why = closure or _obstacle(part, worker, here)
         found[why.value if why is not None else "none"] += 1
     return dict(found)
