Hold no step up for the spread of another, and start beyond the preferred spread where no worker comes

What callers would see is a task that could run and does not (LOST), with a worker that has room for it. Two causes, found on the kernel alone: a step of which each worker runs half already was noted as a shape that fits nowhere, and every other step at least as large was passed over in each pass for as long as it waited; and the half itself, which is our preference and not the caller's, held a task for ever where no other host was to be had.

A shape is noted only where no open worker has room for it. After 4 s, in which a host could have come, a task starts at any worker that its caller's own bound allows.

--- a/features/poolplay.py
+++ b/features/poolplay.py
@@ -6,7 +6,7 @@
 import dataclasses
 import itertools
 
-from nutmegshelf import fleetview, orders, pooling, scheduler
+from nutmegshelf import fleetview, jobs, orders, pooling, scheduler
 
 from features import jobsite
 
@@ -29,6 +29,7 @@
     # Set while its worker says that it leaves.
     left_ms: int | None = None
     runs: dict = dataclasses.field(default_factory=dict)
+    began_s: dict = dataclasses.field(default_factory=dict)
     ends: list = dataclasses.field(default_factory=list)
 
 
@@ -43,6 +44,9 @@
         self.hosts += [Host(f"s{one}", SPARE, f"r{one % 3}") for one in range(spare)]
         self.scheduler = scheduler.Scheduler(1, lapse_s=5.0, now_s=0.0, recovers=False)
         self.planner = pooling.Planner()
+        # What short tasks come all the time, and how long each of them runs.
+        self.short = None
+        self.took_s = 0.0
         self.wave = []
         self.upkept = []
         # How long each task that lasts has not run, and the most that were away at once.
@@ -74,6 +78,30 @@
         book = self.scheduler.ledger
         return book.add(made, None, self.now_s, int(self.now_s * 1000), may_run=False)
 
+    def flood(self, step, took_s):
+        """Have short tasks wait all the time from now on, each of which runs for some time."""
+        self.short, self.took_s = step, took_s
+
+    def _add_short(self):
+        live = self.scheduler.ledger.live.values()
+        if self.short is not None and sum(len(one.ready) for one in live) < 4 * self.short.count:
+            self.add(100 + next(self.numbers), self.short)
+
+    def _end_short(self, host):
+        for name, run in list(host.runs.items()):
+            # Some take longer than others, so that room comes free bit by bit.
+            took_s = self.took_s * (1 + run % 5 * 0.2 + int(name[-1], 16) % 7 * 0.1)
+            if not self._is_lasting(name) and self.now_s >= host.began_s[name] + took_s:
+                self._end(host, name, run, fleetview.How.DONE)
+
+    def _is_lasting(self, name):
+        key = jobs.parse_task(name)
+        return self.scheduler.ledger.records[key.job].job.lasts
+
+    def _end(self, host, name, run, how):
+        del host.runs[name]
+        host.ends.append(fleetview.End(len(host.ends) + 1, name, run, how, ""))
+
     def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
             self.step()
@@ -90,7 +118,9 @@
         self.scheduler.list_workers(listed, self.now_s)
         for host in self.hosts:
             if host.life is not None:
+                self._end_short(host)
                 self._report(host)
+        self._add_short()
         self.scheduler.tick(self.now_s, int(self.now_s * 1000))
         self._ask_for_hosts()
         for order in [*self.scheduler.stops(self.now_s), *self.scheduler.starts(self.now_s)]:
@@ -112,13 +142,12 @@
         match order:
             case orders.StartRun():
                 host.runs[order.key.name] = order.run
+                host.began_s[order.key.name] = self.now_s
                 self.scheduler.started(order, self.now_s)
             case orders.StopRun():
-                run = host.runs.pop(order.task, None)
                 self.scheduler.stopped(order, self.now_s)
-                if run is not None:
-                    how = fleetview.How.STOPPED
-                    host.ends.append(fleetview.End(len(host.ends) + 1, order.task, run, how, ""))
+                if order.task in host.runs:
+                    self._end(host, order.task, order.run, fleetview.How.STOPPED)
 
     def _ask_for_hosts(self):
         """Ask for the next host of the wave, and take it down once it is clear."""
--- a/features/room.feature
+++ b/features/room.feature
@@ -57,3 +57,15 @@
     And a job of 6 tasks with 2 cores and 2 GB that last, of which 6 may be away
     When one of the workers is said to drain
     Then for 3 s no task leaves it, as the other one runs half of the step
+
+  Scenario: A step that is spread as far as it goes does not hold up others of its shape
+    Given a pool of 1 hosts with 32 cores and 128 GB, and 0 spare hosts
+    When a job of 4 tasks with 2 cores and 2 GB that last comes
+    And a job of 1 tasks with 3 cores and 3 GB that last comes
+    Then after 0.3 s each of them runs
+
+  Scenario: A step that only one host can take runs there, beyond the spread that is preferred
+    Given a pool of 1 hosts with 32 cores and 128 GB, and 0 spare hosts
+    When a job of 4 tasks with 2 cores and 2 GB that last comes
+    Then after 1 s 2 of them run
+    And after 5 s each of them runs
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -201,3 +201,29 @@
         context.play.step()
         context.play.scheduler.evacuate(context.play.now_s)
         assert context.host.runs == context.runs, context.host
+
+
+@behave.given("short tasks with {cores:d} cores and {memory:d} GB come all the time, more than fit")
+def flood(context, cores, memory):
+    step = jobs.Step(count=16, cpu_millis=cores * 1000, memory_mb=memory * GB, estimate_ms=1000)
+    context.play.flood(step, 1.0)
+    context.play.run(5.0)
+
+
+@behave.when("a job of {count:d} tasks with {cores:d} cores and {memory:d} GB that last comes")
+def add_lasting(context, count, cores, memory):
+    context.jobs = getattr(context, "jobs", 10) + 1
+    context.record = context.play.add(context.jobs, lasting(count, cores, memory))
+
+
+@behave.then("after {seconds:g} s each of them runs")
+def check_all_run(context, seconds):
+    check_some_run(context, seconds, context.record.job.steps[0].count)
+
+
+@behave.then("after {seconds:g} s {count:d} of them run")
+def check_some_run(context, seconds, count):
+    context.play.run(seconds)
+    running = {name for host in context.play.hosts for name in host.runs}
+    found = [one.key.name for one in context.record.tasks() if one.key.name in running]
+    assert len(found) == count, found
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -7,6 +7,9 @@
 
 from nutmegshelf import fleetview, jobs
 
+# A task that found no worker for this long no longer waits for one that keeps its step apart.
+_SPREAD_PATIENCE_S = 4.0
+
 
 class Obstacle(enum.Enum):
     """Say why a worker can't take a task."""
@@ -42,9 +45,12 @@
 
 
 def obstacle(
-    step: jobs.Step, free: fleetview.Room, labels: frozenset[str], count: int
+    step: jobs.Step, free: fleetview.Room, labels: frozenset[str], count: int, most: int
 ) -> Obstacle | None:
-    """Say what keeps a task of a step off a worker that runs some of its tasks, or give none."""
+    """Say what keeps a task off a worker that runs some of its step, or give none.
+
+    At most so many of a step run on one worker, where that is not 0.
+    """
     if not step.fills and step.cpu_millis > free.cpu_millis:
         return Obstacle.CPU
     if step.memory_mb > free.memory_mb:
@@ -53,7 +59,6 @@
         return Obstacle.ACCELERATORS
     if step.label and step.label not in labels:
         return Obstacle.LABEL
-    most = most_per_worker(step) if step.lasting else step.max_per_worker
     return Obstacle.SPREAD if most and count >= most else None
 
 
@@ -61,13 +66,14 @@
     step: jobs.Step,
     open_workers: collections.abc.Iterable[fleetview.Worker],
     here: collections.Counter[fleetview.Life],
+    *,
+    most: int,
     is_shared: bool,
 ) -> fleetview.Worker | None:
-    """Give the worker for one task of a step, or none.
+    """Give the worker for one task of a step, at most so many of which run there, or none.
 
-    Data nearby goes first. Tasks that last share few workers, but no worker gets more than half
-    of a step; others fill the fullest worker that has room. Both leave whole workers free for
-    large tasks and for other pools.
+    Data nearby goes first. Tasks that last share few workers; others fill the fullest worker that
+    has room. Both leave whole workers free for large tasks and for other pools.
     """
     chosen: fleetview.Worker | None = None
     chosen_rank: tuple[object, ...] = ()
@@ -77,7 +83,8 @@
         for worker in found:
             racks[worker.facts.rack] += here[worker.facts.life]
     for worker in found:
-        if obstacle(step, worker.free, worker.facts.labels, here[worker.facts.life]) is not None:
+        facts = worker.facts
+        if obstacle(step, worker.free, facts.labels, here[facts.life], most) is not None:
             continue
         far = bool(step.data_rack) and worker.facts.rack != step.data_rack
         rank: tuple[object, ...]
@@ -105,6 +112,11 @@
     return chosen
 
 
+def has_room(step: jobs.Step, workers: collections.abc.Iterable[fleetview.Worker]) -> bool:
+    """Say whether some worker has room for a task, though it may run too many of its step."""
+    return any(obstacle(step, one.free, one.facts.labels, 0, 0) is None for one in workers)
+
+
 def share(step: jobs.Step, facts: fleetview.WorkerFacts) -> float:
     """Give the part of a worker that a task takes, in the resource that it takes most of."""
     taken = fleetview.Room(0, 0, 0)
@@ -112,8 +124,13 @@
     return fleetview.largest_share(taken, facts)
 
 
-def most_per_worker(step: jobs.Step) -> int:
-    """Give how many tasks of a step that lasts one worker may run, so that a loss leaves some."""
+def most_per_worker(step: jobs.Step, waited_s: float = 0.0) -> int:
+    """Give how many tasks of a step one worker may run, or 0 where that is not bounded.
+
+    Half of a step that lasts, so that a loss leaves some, as long as other workers may come.
+    """
+    if not step.lasting or waited_s > _SPREAD_PATIENCE_S:
+        return step.max_per_worker
     half = max(1, math.ceil(step.count / 2))
     return min(half, step.max_per_worker or half)
 
--- a/packages/nutmegshelf/src/nutmegshelf/places.py
+++ b/packages/nutmegshelf/src/nutmegshelf/places.py
@@ -100,7 +100,7 @@
         room = fleetview.Room(facts.cpu_millis, facts.memory_mb, facts.accelerators)
         fresh: list[_Place] = []
         for part in sorted(self.homeless, key=lambda part: -fitting.share(part.step, facts)):
-            if fitting.obstacle(part.step, room, facts.labels, 0) is not None:
+            if fitting.obstacle(part.step, room, facts.labels, 0, 0) is not None:
                 continue
             place = next((one for one in fresh if _fits(one, part, one.given[part])), None)
             if place is None:
@@ -120,7 +120,8 @@
         return min(able, key=lambda one: one.shortage(part.step), default=None)
 
     def _has_room(self, part: ledger.Part, key: jobs.TaskKey) -> bool:
-        return any(_fits(one, part, 0) for one in self._allowed(key))
+        step, able = part.step, self._allowed(key)
+        return any(fitting.obstacle(step, one.room, one.facts.labels, 0, 0) is None for one in able)
 
     def _allowed(self, key: jobs.TaskKey) -> collections.abc.Iterator[_Place]:
         refused = self._advice.refused_lives(advising.step_name(key))
@@ -128,4 +129,5 @@
 
 
 def _fits(place: _Place, part: ledger.Part, count: int) -> bool:
-    return fitting.obstacle(part.step, place.room, place.facts.labels, count) is None
+    most = fitting.most_per_worker(part.step)
+    return fitting.obstacle(part.step, place.room, place.facts.labels, count, most) is None
--- a/packages/nutmegshelf/src/nutmegshelf/stalls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stalls.py
@@ -83,7 +83,8 @@
     part: ledger.Part, worker: fleetview.Worker, here: collections.Counter[fleetview.Life]
 ) -> fitting.Obstacle | None:
     facts = worker.facts
-    return fitting.obstacle(part.step, worker.free, facts.labels, here[facts.life])
+    most = fitting.most_per_worker(part.step)
+    return fitting.obstacle(part.step, worker.free, facts.labels, here[facts.life], most)
 
 
 def _hindrances(part: ledger.Part, workers: Workers) -> dict[str, int]:
--- a/packages/nutmegshelf/src/nutmegshelf/starting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -92,11 +92,7 @@
         now_s: float,
     ) -> list[orders.StartRun]:
         chosen: list[orders.StartRun] = []
-        by_part: dict[tuple[int, int], list[fleetview.Task]] = {}
-        for task in record.ready.values():
-            by_part.setdefault((task.key.occurrence, task.key.step), []).append(task)
-        for (number, index), tasks in by_part.items():
-            part = record.occurrences[number][index]
+        for part, tasks in record.ready_parts():
             allowed = self._advised(record, tasks[0].key, part, found, now_s)
             if part.step.gang:
                 chosen += self._start_gang(record, part, allowed, now_s)
@@ -107,9 +103,11 @@
             here = ledger.counts(part)
             is_shared = part.step.fills or bool(part.step.target_ms)
             for task in tasks:
-                worker = fitting.best(part.step, allowed, here, is_shared)
+                waited_s = now_s - max(task.since_s, record.accepted_s)
+                most = fitting.most_per_worker(part.step, waited_s)
+                worker = fitting.best(part.step, allowed, here, most=most, is_shared=is_shared)
                 if worker is None:
-                    if not part.step.max_per_worker and allowed is found:
+                    if allowed is found and not fitting.has_room(part.step, found):
                         blocked.note(part.step)
                     self.homeless.append(record)
                     break
@@ -134,7 +132,8 @@
         others = [one for one in found if one.facts.life != task.life]
         allowed = self._advised(record, task.key, part, others, now_s)
         here = ledger.counts(part)
-        worker = fitting.best(part.step, allowed, here, is_shared=False)
+        most = fitting.most_per_worker(part.step)
+        worker = fitting.best(part.step, allowed, here, most=most, is_shared=False)
         route = self._outflow.route(record.job, task.saved, worker, now_s) if worker else None
         if worker is None or route is None:
             return None
