Keep a worker free of short tasks for a task that lasts and waits

Callers would see a task that lasts wait while short tasks take each core and each GB as it comes free: it goes first in the order, but nothing was kept for it. A worker at which it has a place beside the tasks that last, where it fits soonest, now gets no short tasks until it started. Failed before: features/room.feature, the example that is short of cores, with none of four tasks started after 4 s; with memory short they started also before.

--- a/features/room.feature
+++ b/features/room.feature
@@ -58,6 +58,17 @@
     When one of the workers is said to drain
     Then for 3 s no task leaves it, as the other one runs half of the step
 
+  Scenario Outline: A task that lasts starts though short tasks ask for all that comes free
+    Given a pool of 2 hosts with 32 cores and 128 GB, and 0 spare hosts
+    And short tasks with <cores> cores and <memory> GB come all the time, more than fit
+    When a job of 4 tasks with 8 cores and 24 GB that last comes
+    Then after 4 s each of them runs
+
+    Examples: what is short
+      | cores | memory |
+      | 2     | 1      |
+      | 1     | 10     |
+
   Scenario: A step that is spread as far as it goes does not hold up others of its shape
     Given a pool of 1 hosts with 32 cores and 128 GB, and 0 spare hosts
     When a job of 4 tasks with 2 cores and 2 GB that last comes
--- a/packages/nutmegshelf/src/nutmegshelf/places.py
+++ b/packages/nutmegshelf/src/nutmegshelf/places.py
@@ -40,6 +40,27 @@
         self.given[part] += 1
 
 
+class Keeper:
+    """Own which open workers get no short tasks, so that their room comes free for one that lasts.
+
+    The places are looked for only once a task that lasts found no worker.
+    """
+
+    def __init__(self, workers: list[fleetview.Worker], advice: advising.Advice) -> None:
+        self.unkept = workers
+        self._workers = workers
+        self._advice = advice
+        self._places: Places | None = None
+
+    def keep(self, part: ledger.Part, tasks: list[fleetview.Task]) -> None:
+        """Keep the workers at which tasks that last fit soonest."""
+        if self._places is None:
+            self._places = Places(self._workers, self._advice)
+        found = [self._places.settle(task, part) for task in tasks]
+        kept = {one.facts.life for one in found if one is not None}
+        self.unkept = [one for one in self.unkept if one.facts.life not in kept]
+
+
 class Places:
     """Own a trial of where tasks would go; nothing is started by it."""
 
--- a/packages/nutmegshelf/src/nutmegshelf/starting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -12,6 +12,7 @@
     ledger,
     notes,
     orders,
+    places,
     urgency,
     window,
 )
@@ -47,8 +48,10 @@
             return []
         chosen: list[orders.StartRun] = []
         blocked = fitting.Blocked()
+        self._keeper = places.Keeper(found, self._advice)
         for record in sorted(ready, key=lambda record: urgency.of(record, now_s)):
-            chosen += self._start_job(record, found, blocked, now_s)
+            able = found if record.job.lasts else self._keeper.unkept
+            chosen += self._start_job(record, able, blocked, now_s)
             if self.is_held_up:
                 break
         self._ask_ahead(found, now_s)
@@ -110,6 +113,8 @@
                     if allowed is found and not fitting.has_room(part.step, found):
                         blocked.note(part.step)
                     self.homeless.append(record)
+                    if part.step.lasting:
+                        self._keeper.keep(part, [one for one in tasks if one.life is None])
                     break
                 route = self._outflow.route(record.job, task.saved, worker, now_s)
                 if route is None:
