Tell the outcome of every order, and find out about the starts and stops whose outcome is lost

Callers would see a task that lasts wait for ever (LOST) after an order that was dropped without a word: a start or stop for a worker whose link was gone. Its task stayed STARTING or STOPPING, as only the outcome ended that. A worker that was not listed for a moment could lose its new link when the old one ended.

Orders that do not leave are told as not sent, and a link removes only itself. Whatever led there, a start without an outcome for 5 s is looked for like one without an answer, a start that is no longer wanted is not sent, a stop without an outcome for 5 s is sent again, and a run that is being stopped and no longer listed is gone, as any other run. Lines on tasks that have not moved on count from when the task came into its phase: of a run that is being stopped they told the time since its start.

--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -66,9 +66,11 @@
 @behave.when("{count:d} more such task waits for {seconds:g} s and one of its hosts is asked for")
 def wait_beside_cleared(context, count, seconds):
     context.record = add_job(context, lasting(count, *context.shape))
-    context.now_s += seconds
-    context.scheduler.clearing.close(context.listed[0].host, context.now_s)
     context.scheduler.tick(context.now_s, 0)
+    for _ in range(int(seconds / 0.1)):
+        context.now_s += 0.1
+        context.scheduler.clearing.close(context.listed[0].host, context.now_s)
+        context.scheduler.tick(context.now_s, 0)
 
 
 def stalls(context):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -313,11 +313,13 @@
         self._links[life] = link
         task = self._group.create_task(link.run())
         facts = worker.facts
-        task.add_done_callback(lambda _: self._unlink(facts))
+        task.add_done_callback(lambda _: self._unlink(facts, link))
 
-    def _unlink(self, facts: fleetview.WorkerFacts) -> None:
-        self._links.pop(facts.life, None)
-        self._workers.forget(facts)
+    def _unlink(self, facts: fleetview.WorkerFacts, link: worker_link.Link) -> None:
+        # A worker that was not listed for a moment may have another link already.
+        if self._links.get(facts.life) is link:
+            del self._links[facts.life]
+            self._workers.forget(facts)
 
     # --- the daemon's side
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/sending.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/sending.py
@@ -85,7 +85,9 @@
 
     async def _send(self, order: orders.Order) -> None:
         link = self._links.get(order.life)
-        if link is not None:
+        if link is None:
+            self._scheduler.not_sent(order, "its worker has no link", self._loop.time())
+        else:
             await link.send(order)
 
     def _route(self, order: orders.Order) -> orders.Route:
@@ -99,8 +101,9 @@
         prepared: list[Prepared] = []
         for order in starts:
             link = self._links.get(order.life)
-            terms = link.prepare(order) if link is not None else None
-            if link is not None and terms is not None:
+            if link is None:
+                self._scheduler.not_sent(order, "its worker has no link", self._loop.time())
+            elif (terms := link.prepare(order)) is not None:
                 prepared.append(Prepared(order, link, terms))
         if prepared:
             await self._ask(entry, prepared)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -20,10 +20,6 @@
 _FIRST_BACKOFF_S = 0.05
 _MOST_BACKOFF_S = 0.5
 _ORDERS_AT_ONCE = 6
-# A start that comes later than this is refused by the worker.
-START_VALID_S = 2.5
-# The same for tasks that last, which are not stopped when their start gets no answer.
-LASTING_START_VALID_S = 1.5
 
 _log = logs.part("worker")
 
@@ -144,6 +140,7 @@
         """Carry one order and report its outcome to the scheduler."""
         worker = self._scheduler.workers.get(self._life)
         if worker is None:
+            self._scheduler.not_sent(order, "its worker is gone", self._loop.time())
             return
         self._under_way.waiting += 1
         try:
@@ -167,7 +164,9 @@
     def prepare(self, order: orders.StartRun) -> Terms | None:
         """Note the lease that a start asks for, or refuse the start where it may not go out."""
         worker = self._scheduler.workers.get(self._life)
-        valid_s = LASTING_START_VALID_S if order.lasts else START_VALID_S
+        if not self._scheduler.is_wanted(order):
+            return None
+        valid_s = orders.LASTING_START_VALID_S if order.lasts else orders.START_VALID_S
         until_ms = self._until_ms(worker, valid_s) if worker is not None else None
         if worker is None or until_ms is None or not self._may_order.is_set():
             self._scheduler.refused(order, "not ordered", self._loop.time())
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -187,8 +187,8 @@
         default_factory=collections.deque
     )
     strays: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
-    # Runs whose stop was sent and neither answered nor given up.
-    stops_under_way: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    # Runs whose stop was sent and neither answered nor given up, with the time of its choice.
+    stops_under_way: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
     failures_in_row: int = 0
     failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
     shunned_until_s: float = 0.0
--- a/packages/nutmegshelf/src/nutmegshelf/listening.py
+++ b/packages/nutmegshelf/src/nutmegshelf/listening.py
@@ -1,9 +1,11 @@
 """Take workers' word on what runs with them and what ended."""
 
-from nutmegshelf import estimates, fleetview, jobs, ledger, notes
+from nutmegshelf import estimates, fleetview, jobs, ledger, notes, orders
 
 # A run that nobody wants is stopped as soon as it is listed.
 _AT_ONCE_S = -1.0
+# The outcome of a start that was not told by then was lost; calls are given up long before.
+_OUTCOME_LIMIT_S = 5.0
 # A worker that fails this many runs in a row, of two jobs or more, gets no work for a while.
 _SHUN_FAILURES = 4
 _SHUN_S = 4.0
@@ -117,12 +119,19 @@
     ) -> None:
         # Only a look that began after the last word on a run can say that it is gone.
         match task.phase:
-            case fleetview.Phase.RUNNING | fleetview.Phase.DONE:
+            case fleetview.Phase.STARTING:
+                is_gone = False
+                if report.sent_s >= task.sent_s + _OUTCOME_LIMIT_S:
+                    task.phase, task.since_s = fleetview.Phase.UNSURE, report.received_s
+                    task.may_start_until_s = report.received_s + orders.START_VALID_S
+                    self._notes.note_task("start without an outcome", task)
+            case fleetview.Phase.RUNNING | fleetview.Phase.DONE | fleetview.Phase.STOPPING:
+                # A run that is being stopped was listed before, so it is gone like any other.
                 is_gone = report.sent_s >= task.since_s
-            case fleetview.Phase.UNSURE | fleetview.Phase.STOPPING:
+            case fleetview.Phase.UNSURE:
                 is_gone = task.stop_acked_s is not None and report.sent_s >= task.stop_acked_s
-                is_late = task.phase is fleetview.Phase.UNSURE and task.step.lasting
-                is_gone = is_gone or (is_late and report.sent_s >= task.may_start_until_s)
+                is_late = task.step.lasting and report.sent_s >= task.may_start_until_s
+                is_gone = is_gone or is_late
                 task.is_missing = task.is_missing or report.sent_s >= task.since_s
             case _:
                 is_gone = False
--- a/packages/nutmegshelf/src/nutmegshelf/orders.py
+++ b/packages/nutmegshelf/src/nutmegshelf/orders.py
@@ -6,6 +6,11 @@
 
 from nutmegshelf import fleetview, ids, jobs
 
+# A start that comes later than this is refused by the worker.
+START_VALID_S = 2.5
+# The same for tasks that last, which are not stopped when their start gets no answer.
+LASTING_START_VALID_S = 1.5
+
 
 class Refusal(enum.Enum):
     """Say why a worker turned a start away."""
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -289,7 +289,7 @@
         """Note that a worker took a stop; says whether a look would free its task now."""
         worker, key = self.workers.get(order.life), jobs.parse_task(order.task)
         if worker is not None:
-            worker.stops_under_way.discard((order.task, order.run))
+            worker.stops_under_way.pop((order.task, order.run), None)
         task = worker.tasks.get(key) if worker and key else None
         if task is not None and task.run == order.run:
             task.stop_acked_s = now_s
@@ -302,7 +302,22 @@
         """Note that a stop got no answer, so that it may be sent again."""
         worker = self.workers.get(order.life)
         if worker is not None:
-            worker.stops_under_way.discard((order.task, order.run))
+            worker.stops_under_way.pop((order.task, order.run), None)
+
+    def not_sent(self, order: orders.Order, why: str, now_s: float) -> None:
+        """Note that an order did not leave, and will not."""
+        match order:
+            case orders.StartRun():
+                self.refused(order, why, now_s)
+            case orders.StopRun():
+                self.stop_unanswered(order)
+            case orders.SetPace():
+                self.notes.note("pace not sent", task=order.task, run=order.run, reason=why)
+
+    def is_wanted(self, order: orders.StartRun) -> bool:
+        """Say whether a start that waited for its way is still to be sent."""
+        task = self._task_of(order)
+        return task is not None and task.phase is fleetview.Phase.STARTING
 
     def _task_of(self, order: orders.StartRun) -> fleetview.Task | None:
         worker = self.workers.get(order.life)
--- a/packages/nutmegshelf/src/nutmegshelf/stalls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stalls.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import typing
 
 from nutmegshelf import fitting, fleetview, ledger, notes
 
@@ -22,13 +23,14 @@
 
 
 class Stalls:
-    """Own when the tasks of one service were last gone through."""
+    """Own since when each task is in its phase, and when that was noted."""
 
     def __init__(self, book: ledger.Ledger, written: notes.Notes) -> None:
         self._ledger = book
         self._notes = written
         self._looked_s = 0.0
-        self._noted_s: dict[fleetview.Task, float] = {}
+        self._since_s: dict[_Wait, float] = {}
+        self._noted_s: dict[_Wait, float] = {}
 
     def is_due(self, now_s: float) -> bool:
         """Say whether the tasks are to be gone through again."""
@@ -37,46 +39,58 @@
     def note(self, workers: Workers, now_s: float) -> None:
         """Note one task for each step and phase in which tasks have not moved on."""
         self._looked_s = now_s
+        since_s, self._since_s = self._since_s, {}
         noted_s, self._noted_s = self._noted_s, {}
         for record in self._ledger.live.values():
             for part in (part for parts in record.occurrences.values() for part in parts):
-                for for_s, tasks in _stalled(part, record, now_s):
-                    first = tasks[0]
-                    self._noted_s[first] = noted_s.get(first, now_s - _NOTED_AFTER_S)
+                for waits in _waits(part):
+                    for wait in waits:
+                        self._since_s[wait] = since_s.get(wait, now_s)
+                    late = [one for one in waits if self._for_s(one, now_s) >= _NOTED_AFTER_S]
+                    if not late:
+                        continue
+                    first = min(late, key=lambda wait: self._since_s[wait])
+                    self._noted_s[first] = noted_s.get(first, self._since_s[first])
                     if now_s - self._noted_s[first] >= _NOTED_AFTER_S:
                         self._noted_s[first] = now_s
-                        self._notes.note_task(
-                            "task has not moved on",
-                            first,
-                            phase=first.phase.value,
-                            for_s=round(for_s, 3),
-                            alike=len(tasks),
-                            awaits=_AWAITED[first.phase],
-                            worker=first.life.worker if first.life is not None else None,
-                            stops_sent=first.stops_sent,
-                            cpu_millis=part.step.cpu_millis,
-                            memory_mb=part.step.memory_mb,
-                            workers=_hindrances(part, workers),
-                        )
-
-
-def _stalled(
-    part: ledger.Part, record: ledger.Record, now_s: float
-) -> collections.abc.Iterator[tuple[float, list[fleetview.Task]]]:
-    """Give the tasks of a step that have not moved on, by phase, and for how long the oldest."""
-    if not part.is_open:
-        return
-    by_phase: dict[fleetview.Phase, list[fleetview.Task]] = {}
-    for task in part.tasks:
-        if task.phase in _AWAITED and now_s - _since_s(task, record) >= _NOTED_AFTER_S:
-            by_phase.setdefault(task.phase, []).append(task)
-    for tasks in by_phase.values():
-        tasks.sort(key=lambda task: task.since_s)
-        yield now_s - _since_s(tasks[0], record), tasks
-
-
-def _since_s(task: fleetview.Task, record: ledger.Record) -> float:
-    return max(task.since_s, record.accepted_s)
+                        self._write(first, part, len(late), workers, self._for_s(first, now_s))
+
+    def _for_s(self, wait: "_Wait", now_s: float) -> float:
+        return now_s - self._since_s[wait]
+
+    def _write(
+        self, wait: "_Wait", part: ledger.Part, alike: int, workers: Workers, for_s: float
+    ) -> None:
+        self._notes.note_task(
+            "task has not moved on",
+            wait.task,
+            phase=wait.phase.value,
+            for_s=round(for_s, 3),
+            alike=alike,
+            awaits=_AWAITED[wait.phase],
+            worker=wait.task.life.worker if wait.task.life is not None else None,
+            stops_sent=wait.task.stops_sent,
+            cpu_millis=part.step.cpu_millis,
+            memory_mb=part.step.memory_mb,
+            workers=_hindrances(part, workers),
+        )
+
+
+class _Wait(typing.NamedTuple):
+    """Name one stay of a task in one phase."""
+
+    task: fleetview.Task
+    run: int
+    phase: fleetview.Phase
+
+
+def _waits(part: ledger.Part) -> collections.abc.Iterable[list[_Wait]]:
+    """Give the tasks of a step that do not run and are to, by phase."""
+    by_phase: dict[fleetview.Phase, list[_Wait]] = {}
+    for task in part.tasks if part.is_open else ():
+        if task.phase in _AWAITED:
+            by_phase.setdefault(task.phase, []).append(_Wait(task, task.run, task.phase))
+    return by_phase.values()
 
 
 def _obstacle(
--- a/packages/nutmegshelf/src/nutmegshelf/stopping.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stopping.py
@@ -12,6 +12,8 @@
 _STOP_STEP_S = 0.15
 _MOST_STOP_STEPS = 5
 _STRAY_AGAIN_S = 0.4
+# The outcome of a stop that was not told by then was lost; calls are given up long before.
+_OUTCOME_LIMIT_S = 5.0
 
 Workers = dict[fleetview.Life, fleetview.Worker]
 
@@ -51,7 +53,7 @@
     def _is_due(
         self, worker: fleetview.Worker, task: fleetview.Task, workers: Workers, now_s: float
     ) -> bool:
-        is_sent = (task.key.name, task.run) in worker.stops_under_way
+        is_sent = _is_under_way(worker, (task.key.name, task.run), now_s)
         if is_sent or task.stop_acked_s is not None:
             return False
         if task.phase is fleetview.Phase.STOPPING and not self._may_leave(task, workers, now_s):
@@ -84,7 +86,7 @@
     ) -> orders.StopRun:
         task.stop_sent_s = now_s
         task.stops_sent = min(task.stops_sent + 1, _MOST_STOP_STEPS)
-        worker.stops_under_way.add((task.key.name, task.run))
+        worker.stops_under_way[task.key.name, task.run] = now_s
         if task.step.lasting:
             part = self._live_part(task)
             self._notes.note_task(
@@ -99,12 +101,18 @@
         return orders.StopRun(worker.facts.life, task.key.name, task.run, reason)
 
 
+def _is_under_way(worker: fleetview.Worker, run: tuple[str, int], now_s: float) -> bool:
+    chosen_s = worker.stops_under_way.get(run)
+    return chosen_s is not None and now_s - chosen_s < _OUTCOME_LIMIT_S
+
+
 def _stray_stops(
     worker: fleetview.Worker, now_s: float
 ) -> collections.abc.Iterator[orders.StopRun]:
     """Stop the runs that a worker lists and nobody wants."""
     for (name, run), sent_s in worker.strays.items():
-        if (name, run) not in worker.stops_under_way and now_s - sent_s >= _STRAY_AGAIN_S:
+        is_due = now_s - sent_s >= _STRAY_AGAIN_S
+        if is_due and not _is_under_way(worker, (name, run), now_s):
             worker.strays[name, run] = now_s
-            worker.stops_under_way.add((name, run))
+            worker.stops_under_way[name, run] = now_s
             yield orders.StopRun(worker.facts.life, name, run, "not wanted here")
