--- /dev/null
+++ b/features/steps/standstill_steps.py
@@ -0,0 +1,278 @@
+"""Check that a task that is to last runs as soon as some worker has room for it."""
+
+import asyncio
+import dataclasses
+
+import behave
+from nutmegshelf import fleetview, jobs, orders, window
+from nutmegshelf_entry import sending
+
+from features import jobsite, standstill
+from features.steps import jobs_steps
+
+
+@behave.given("a pool of {hosts:d} hosts with {cores:d} cores and {memory:d} GB")
+@behave.given(
+    "a pool of {hosts:d} hosts with {cores:d} cores and {memory:d} GB and {spare:d} spare ones"
+)
+def make_pool(context, hosts, cores, memory, spare=0):
+    context.pool = standstill.Pool(hosts, cores, memory, spare)
+    context.pool.play(1)
+
+
+def lasting(count, cores, memory, most):
+    return jobs.Step(
+        count=count,
+        cpu_millis=int(cores * 1000),
+        memory_mb=memory * standstill.GB,
+        lasting=True,
+        may_miss=most,
+    )
+
+
+@behave.given(
+    "a job of {count:d} tasks with {cores:g} cores and {memory:d} GB that last runs there,"
+    " of which {most:d} may be away"
+)
+def run_lasting(context, count, cores, memory, most):
+    submit_lasting(context, count, cores, memory, most)
+    context.pool.play(3)
+    assert not context.pool.idle(), context.pool.idle()
+
+
+@behave.when(
+    "a job of {count:d} tasks with {cores:g} cores and {memory:d} GB that last is taken in,"
+    " of which {most:d} may be away"
+)
+def submit_lasting(context, count, cores, memory, most):
+    context.record = context.pool.submit(lasting(count, cores, memory, most))
+
+
+@behave.when("host {host} is asked for {seconds:g} s")
+def ask_for(context, host, seconds):
+    context.pool.asked[host] = context.pool.now_s + seconds
+    context.asked_s = seconds
+
+
+@behave.when("host {host} drains for {seconds:g} s")
+def drain(context, host, seconds):
+    worker = context.pool.workers[host]
+    left_ms = int(seconds * 1000)
+    worker.facts = dataclasses.replace(worker.facts, is_draining=True, left_ms=left_ms)
+    context.asked_s = seconds
+
+
+@behave.then("no task that lasts waits for over {most:g} s beside room for it")
+def check_waits(context, most):
+    context.pool.play(context.asked_s)
+    waited_s, task = context.pool.longest
+    assert waited_s <= most, f"{waited_s:.1f} s: {context.pool.explain(task)}"
+
+
+@behave.when("a wave of upkeep takes host {host}, and the planner moves hosts, for {seconds:g} s")
+def play_wave(context, host, seconds):
+    context.pool.plan_hosts(jobsite.wave(1, [host], 20.0, 1))
+    context.pool.play(seconds)
+
+
+@behave.when("the planner moves hosts for {seconds:g} s")
+def play_planner(context, seconds):
+    context.pool.plan_hosts()
+    context.pool.play(seconds)
+
+
+@behave.when("{seconds:g} s pass")
+def play(context, seconds):
+    context.pool.play(seconds)
+
+
+@behave.then("at the end every task that lasts runs")
+def check_all_run(context):
+    for task in context.pool.idle():
+        raise AssertionError(context.pool.explain(task))
+
+
+@behave.when("the task of job 2 fails after {seconds:g} s")
+def fail_task(context, seconds):
+    context.pool.play(seconds)
+    (task,) = context.record.tasks()
+    (host,) = context.pool.running(task)
+    context.pool.workers[host].end(task.key.name, fleetview.How.FAILED)
+
+
+@behave.then("{seconds:g} s later job 2 runs")
+@behave.then("within {seconds:g} s it runs")
+def check_runs(context, seconds):
+    until_s = context.pool.now_s + seconds
+    (task,) = context.record.tasks()
+    context.pool.play(0.5)
+    while not context.pool.running(task):
+        assert context.pool.now_s < until_s, context.pool.explain(task)
+        step_on(context)
+
+
+@behave.when(
+    "a job of 1 tasks with {cores:g} cores and {memory:d} GB that take {took:g} s"
+    " comes after {seconds:g} s"
+)
+def submit_short(context, cores, memory, took, seconds):
+    context.pool.play(seconds)
+    step = jobs.Step(
+        count=1,
+        cpu_millis=int(cores * 1000),
+        memory_mb=memory * standstill.GB,
+        estimate_ms=int(took * 1000),
+    )
+    context.record = context.pool.submit(step)
+
+
+@behave.then("{seconds:g} s later job 2 has ended")
+def check_ended(context, seconds):
+    tasks = list(context.record.tasks())
+    context.pool.play(seconds)
+    assert not context.record.is_live, context.pool.explain(tasks[0])
+
+
+@behave.when("host {host} is asked for, cleared and back as a later life after {seconds:g} s")
+def take_down(context, host, seconds):
+    pool = context.pool
+    context.host = host
+    assert pool.scheduler.give(host, pool.now_s)
+    del pool.workers[host]
+    pool.play(seconds)
+    pool.begin_life(host)
+    pool.play(1)
+
+
+@behave.then("the scheduler gives it tasks once it answered")
+def check_open(context):
+    found = context.pool.scheduler.open_workers(context.pool.now_s)
+    assert context.host in {worker.facts.host for worker in found}, found
+
+
+@behave.given("the next {kind} is dropped without a word")
+def drop_next(context, kind):
+    types = {"start": orders.StartRun, "stop": orders.StopRun}
+    context.pool.fates[types[kind]].append(standstill.DROPPED)
+
+
+@behave.then("nothing runs at host {host}")
+def check_cleared(context, host):
+    context.pool.play(context.asked_s)
+    runs = context.pool.workers[host].runs
+    assert not runs, (list(runs), context.pool.log)
+
+
+@behave.given("its cores are full of small tasks that keep coming")
+def fill_with_small(context):
+    for _ in range(64):
+        submit_small(context)
+    context.keeps_coming = True
+    for _ in range(100):
+        step_on(context)
+
+
+def submit_small(context):
+    took_ms = context.rng.randint(3000, 7000)
+    context.pool.submit(jobs.Step(count=1, cpu_millis=1000, memory_mb=100, estimate_ms=took_ms))
+
+
+def step_on(context):
+    if getattr(context, "keeps_coming", False):
+        for _ in range(context.rng.choice([1, 2])):
+            submit_small(context)
+    context.pool.play(standstill.STEP_S)
+
+
+# --- runs that are taken over
+
+
+@behave.given("host h0 runs a task that is starting at host h1")
+def run_at_both(context):
+    pool = context.pool
+    context.record = pool.submit(lasting(1, 7.7, 13, 1))
+    (context.task,) = context.record.tasks()
+    first, second = (pool.scheduler.workers[pool.workers[one].facts.life] for one in ("h0", "h1"))
+    book = pool.scheduler.ledger
+    played = pool.workers["h0"]
+    played.until_s = pool.now_s + standstill.LEASE_S
+    name = context.task.key.name
+    played.runs[name] = standstill.Run(context.task.key, 1, pool.now_s, 1e9)
+    book.place(context.record, context.task, second, book.next_run(context.task), pool.now_s)
+    context.order = orders.StartRun(second.facts.life, context.task.key, context.task.run, "", "")
+    hear(context, first)
+
+
+def hear(context, worker):
+    """Have a worker list the run."""
+    life, now_s = worker.facts.life, context.pool.now_s
+    running = (fleetview.Listed(context.task.key.name, 1, "", 100, 0.0),)
+    context.pool.scheduler.reported(fleetview.Report(life, 0, now_s, now_s, running, ()))
+
+
+@behave.when("the start at host h1 is refused and host h0 lists the run again")
+def refuse(context):
+    pool = context.pool
+    pool.scheduler.refused(context.order, "room", pool.now_s)
+    hear(context, pool.scheduler.workers[pool.workers["h0"].facts.life])
+    assert context.task.phase is fleetview.Phase.RUNNING
+
+
+@behave.then("for {seconds:g} s the run at host h0 is not stopped")
+def check_not_stopped(context, seconds):
+    context.pool.play(seconds)
+    stops = [line for line in context.pool.log if " stop " in line]
+    assert not stops, stops
+
+
+# --- orders without a link
+
+
+@behave.given("a holder's sending that has no link to a worker")
+def make_sending(context):
+    make_pool(context, 1, 32, 128)
+    context.record = context.pool.submit(lasting(1, 7.7, 13, 1))
+    (context.task,) = context.record.tasks()
+
+
+async def send(context, order):
+    woken = asyncio.Event()
+    ways = sending.Ways(window.Outflow(), jobsite.Net(), list)
+    made = sending.Sending(context.pool.scheduler, {}, ways, pool="a", wake=woken.set)
+    async with asyncio.TaskGroup() as group:
+        made.send([order], group)
+    assert woken.is_set()
+
+
+@behave.when("it sends a start to this worker")
+@jobs_steps.paused
+async def send_start(context):
+    (order,) = context.pool.scheduler.starts(context.pool.now_s)
+    await send(context, order)
+
+
+@behave.then("the scheduler is told that the start was not carried out")
+def check_told(context):
+    assert context.task.phase is fleetview.Phase.WAITING, context.task.phase
+
+
+@behave.when("it sends a stop to this worker")
+@jobs_steps.paused
+async def send_stop(context):
+    pool = context.pool
+    pool.play(1)
+    context.pool.scheduler.leave(context.task)
+    (order,) = pool.scheduler.stops(pool.now_s)
+    await send(context, order)
+
+
+@behave.then("the scheduler may send the stop again")
+def check_again(context):
+    pool = context.pool
+    found = [order for _ in range(20) for order in later_stops(pool)]
+    assert found, [worker.stops_under_way for worker in pool.scheduler.workers.values()]
+
+
+def later_stops(pool):
+    pool.now_s += standstill.STEP_S
+    return pool.scheduler.stops(pool.now_s)
