Don't stop a run that is taken over as one that nobody wants

The mark goes with the takeover. Failed before: features/standstill.feature, two stops within 0.5 s.

--- a/packages/nutmegshelf/src/nutmegshelf/listening.py
+++ b/packages/nutmegshelf/src/nutmegshelf/listening.py
@@ -60,6 +60,7 @@
         if not is_own:
             if task.phase in (fleetview.Phase.ADRIFT, fleetview.Phase.WAITING):
                 self._ledger.adopt(record, task, worker, listed.run, now_s)
+                worker.strays.pop((listed.task, listed.run), None)
             else:
                 worker.strays.setdefault((listed.task, listed.run), _AT_ONCE_S)
                 return
