Leave a host of a wave that was not cleared alone for a while

Its pool takes it for tasks again for 6 s now, and the other hosts of the wave go first. Failed before: features/fleet_jobs.feature, asks without a break for 40 s.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -68,6 +68,12 @@
     When work for 2 hosts of another service waits for 1.4 s
     Then the 2 hosts that were spare moved to the other service
 
+  Scenario: A host of a wave that its pool does not give takes tasks again for a while
+    Given 2 entries and 3 workers of one service
+    And none of its hosts is given away
+    When a wave asks for upkeep of all hosts within 60 s, 1 at once
+    Then in 40 s a host that is asked for in vain for 12 s is left alone for 5 s
+
   Scenario: Hosts that an earlier holder took down count for the bound of a wave
     Given a wave of 10 hosts with 3 at once, of which 2 are down by an earlier holder's order
     Then only 1 host goes down, though all others idle
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -1,6 +1,8 @@
 """Check moves and upkeep over fakes, and the decisions behind them alone."""
 
 import asyncio
+import collections
+import itertools
 
 import behave
 from nutmegshelf import (
@@ -327,6 +329,36 @@
             held.scheduler.give = lambda *args, **kwargs: False
 
 
+@behave.given("none of its hosts is given away")
+@jobs_steps.paused
+async def give_none(context):
+    await asyncio.sleep(1.0)
+    context.asks = collections.defaultdict(list)
+
+    def refuse(host, now_s, *, only_idle=False):
+        if not only_idle:
+            context.asks[host].append(now_s)
+        return False
+
+    for service, _ in context.site.entries.values():
+        if (held := service.shards.holder("a")) is not None:
+            held.scheduler.give = refuse
+
+
+@behave.then(
+    "in {seconds:g} s a host that is asked for in vain for {limit:g} s is left alone for {rest:g} s"
+)
+@jobs_steps.paused
+async def check_rests(context, seconds, limit, rest):
+    await asyncio.sleep(seconds)
+    assert context.asks
+    for asks in context.asks.values():
+        begun_s = asks[0]
+        for before, after in itertools.pairwise(asks):
+            begun_s = after if after - before >= rest else begun_s
+            assert after - begun_s <= limit + 0.5, (begun_s, after)
+
+
 @behave.when("work for {hosts:d} hosts of another service waits for {seconds:g} s")
 @jobs_steps.paused
 async def want_hosts(context, hosts, seconds):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -48,6 +48,8 @@
 _MOVE_CLEARING_LIMIT_S = 0.3
 # A host that was not cleared in time is not asked for again for a while.
 _KEPT_S = 1.0
+# The same for upkeep: its pool takes the host for tasks again meanwhile.
+_UPKEEP_KEPT_S = 6.0
 
 _log = logs.part("fleet")
 
@@ -215,7 +217,11 @@
             for host in left
             if host not in self._working and self._views[host].state is pooling.HostState.UP
         ]
-        candidates = [one for one in candidates if not self._rests(one.host)]
+        candidates = [
+            one
+            for one in candidates
+            if not self._rests(one.host) and now_s >= self._kept_s.get(one.host, 0.0)
+        ]
         for host in plan.choose(candidates, self._away(), now_ms, self._upkeep_s):
             plan.asked_s[host] = now_s
             self._spawn(host, self._do_upkeep(plan, host))
@@ -234,6 +240,7 @@
     async def _do_upkeep(self, plan: upkeep.WavePlan, host: ids.HostId) -> None:
         try:
             if not await self._go_down(plan, self._views[host]):
+                self._kept_s[host] = self._loop.time() + _UPKEEP_KEPT_S
                 return
             if not await self._announce(host):
                 plan.down.pop(host, None)
