Show two faults of workers that are not listed for a moment

A worker that leaves the list and comes back before its link's look ends gets a second link for the same life, and both look from then on. Where it comes back in the very turn of the loop in which the link ends, the new link is forgotten, and starts stay STARTING for good. The played pool now knows takeovers and fences.

--- a/features/standstill.feature
+++ b/features/standstill.feature
@@ -88,3 +88,14 @@
     And its cores are full of small tasks that keep coming
     When a job of 1 tasks with 7.7 cores and 13 GB that last is taken in, of which 0 may be away
     Then within 10 s it runs
+
+  Scenario: A worker that is back in the list just as its link ends is left without a link
+    Given an entry with one worker that is not listed for a while
+    When it is listed again in the very moment in which its link ends
+    And a task that lasts is submitted
+    Then within 10 s the task runs there
+
+  Scenario: A worker that is not listed for a moment is looked at by two links from then on
+    Given an entry with one worker that is not listed for a while
+    When it is listed again before its link's look ends
+    Then for 5 s at most one look at it is under way at a time
--- a/features/standstill.py
+++ b/features/standstill.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import itertools
 
 from nutmegshelf import (
@@ -65,6 +66,7 @@
     unlisted_until_s: float = 0.0
     until_s: float = 0.0
     looked_s: float = -1.0
+    fence: int = 0
     numbers: itertools.count = dataclasses.field(default_factory=lambda: itertools.count(1))
 
     def end(self, name, how):
@@ -79,6 +81,7 @@
 
     def __init__(self, hosts, cores=32, memory_gb=128, spare=0, epoch=1):
         self.now_s = 10.0
+        self.epoch = epoch
         self.shape = {"cpu_millis": int(cores * 1000), "memory_mb": memory_gb * GB}
         self.scheduler = scheduler.Scheduler(epoch, lapse_s=5.0, now_s=10.0, recovers=epoch > 1)
         self.births = itertools.count(1)
@@ -242,6 +245,7 @@
         if not waits and self.now_s - played.looked_s < LOOK_S:
             return
         played.looked_s = self.now_s
+        played.fence = max(played.fence, self.scheduler.ledger.epoch)
         if played.is_dark:
             if known.unheard_since_s is None:
                 known.unheard_since_s = self.now_s
@@ -278,7 +282,7 @@
         played = next((w for w in self.workers.values() if w.facts.life == order.life), None)
         if played is None or played.is_dark:
             fate = LOST
-        carry = self._start if is_start else self._stop
+        carry = functools.partial(self._start if is_start else self._stop, self.epoch)
         if fate in (LOST, DROPPED):
             outcome = None
         elif fate == LATE:
@@ -291,26 +295,44 @@
         if is_start:
             known = self.scheduler.workers.get(order.life)
             until_s = known.note_lease(self.now_s, 1.5) if known is not None else 0.0
-            self.later(CALL_S, lambda: self._tell_start(order, fate, outcome, until_s))
+            tell = functools.partial(self._tell_start, self.scheduler)
+            self.later(CALL_S, lambda: tell(order, fate, outcome, until_s))
         else:
-            self.later(CALL_S, lambda: self._tell_stop(order, fate))
+            tell = functools.partial(self._tell_stop, self.scheduler)
+            self.later(CALL_S, lambda: tell(order, fate))
 
-    def _tell_start(self, order, fate, outcome, until_s):
+    def _tell_start(self, holder, order, fate, outcome, until_s):
         if fate != TOLD:
-            self.scheduler.unanswered(order, self.now_s, may_start_until_s=until_s, why=fate)
+            holder.unanswered(order, self.now_s, may_start_until_s=until_s, why=fate)
         elif outcome is None:
-            self.scheduler.started(order, self.now_s)
+            holder.started(order, self.now_s)
         else:
-            self.scheduler.refused(order, outcome.value, self.now_s)
+            holder.refused(order, outcome.value, self.now_s)
 
-    def _tell_stop(self, order, fate):
+    def _tell_stop(self, holder, order, fate):
         if fate == TOLD:
-            self.scheduler.stopped(order, self.now_s)
+            holder.stopped(order, self.now_s)
         else:
-            self.scheduler.stop_unanswered(order)
+            holder.stop_unanswered(order)
+
+    def take_over(self):
+        """Have a later holder load the jobs and take over what runs."""
+        before = self.scheduler
+        self.epoch += 1
+        self.scheduler = scheduler.Scheduler(
+            self.epoch, lapse_s=LEASE_S + 1, now_s=self.now_s, recovers=True
+        )
+        for record in before.ledger.records.values():
+            self.scheduler.ledger.add(
+                record.job, record.progress, record.accepted_s, 0, may_run=True, now_s=self.now_s
+            )
+        self.scheduler.expect_lives(before.lives_in_use(self.now_s))
+        self.waits = {}
+        self.note(f"epoch {self.epoch} takes over")
 
-    def _start(self, played, order):
-        if self.workers.get(played.facts.host) is not played:
+    def _start(self, epoch, played, order):
+        gone = self.workers.get(played.facts.host) is not played
+        if gone or played.is_dark or epoch < played.fence:
             return orders.Refusal.LATE
         name = order.key.name
         known = played.runs.get(name)
@@ -326,7 +348,9 @@
         played.runs[name] = Run(order.key, order.run, self.now_s, ends_s)
         return None
 
-    def _stop(self, played, order):
+    def _stop(self, epoch, played, order):
+        if epoch < played.fence:
+            return
         played.barred[order.task] = max(played.barred.get(order.task, 0), order.run)
         run = played.runs.get(order.task)
         if run is not None and run.number <= order.run:
--- a/features/steps/standstill_steps.py
+++ b/features/steps/standstill_steps.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import dataclasses
+import functools
 
 import behave
 from nutmegshelf import fleetview, jobs, orders, window
 from nutmegshelf_entry import sending
 
-from features import jobsite, standstill
+from features import jobsite, jobworld, standstill
 from features.steps import jobs_steps
 
 
@@ -276,3 +277,111 @@
 def later_stops(pool):
     pool.now_s += standstill.STEP_S
     return pool.scheduler.stops(pool.now_s)
+
+
+# --- workers that are not listed for a while
+
+
+@behave.given("an entry with one worker that is not listed for a while")
+@jobs_steps.paused
+async def make_site(context):
+    context.world = jobworld.World({"a": 1})
+    context.site = jobsite.Site(context.world)
+    context.hidden = set()
+    context.world.fleets = functools.partial(fleets, context)
+    # The idle worker stays.
+    context.world.declare(jobsite.declare(jobsite.queue(), spare="none"))
+    service = context.site.start("e0")
+    await asyncio.sleep(jobs_steps.START_S)
+    context.holder = service.shards.holder("a")
+    (context.life,) = context.world.minions
+    assert context.life in context.holder.scheduler.workers
+    context.looks, context.most_looks = 0, 0
+    look = context.site.workers["e0"].look
+    context.site.workers["e0"].look = functools.partial(count_look, context, look)
+    await asyncio.sleep(2.5)
+    context.hidden.add(context.life)
+
+
+def listed(context):
+    found = context.world.minions.values()
+    return tuple(one.facts for one in found if one.facts.life not in context.hidden)
+
+
+async def fleets(context):
+    while True:
+        yield listed(context)
+        await asyncio.sleep(0.15)
+
+
+async def count_look(context, look, facts, **fields):
+    context.looks += 1
+    context.most_looks = max(context.most_looks, context.looks)
+    try:
+        return await look(facts, **fields)
+    finally:
+        context.looks -= 1
+
+
+def is_known(context):
+    return context.life in context.holder.scheduler.workers
+
+
+@behave.when("it is listed again in the very moment in which its link ends")
+@jobs_steps.paused
+async def list_at_end(context):
+    # A link's end is noted one turn of the loop after it ended, and a list may come before that.
+    links = context.holder._links
+    link = links[context.life]
+    ended = asyncio.Event()
+    while is_known(context):
+        await asyncio.sleep(0.01)
+    take = context.holder._unlink
+
+    def unlink(facts):
+        if links.get(facts.life) is link and not ended.is_set():
+            ended.set()
+            context.hidden.clear()
+            context.holder.list_workers(listed(context))
+        take(facts)
+
+    context.holder._unlink = unlink
+    await ended.wait()
+
+
+@behave.when("a task that lasts is submitted")
+@jobs_steps.paused
+async def submit_one(context):
+    step = jobs.Step(count=1, cpu_millis=2000, memory_mb=100, lasting=True)
+    context.made = await jobs_steps.submit(context, 1, (step,), "e0")
+
+
+@behave.then("within {seconds:g} s the task runs there")
+@jobs_steps.paused
+async def check_runs_there(context, seconds):
+    name = f"{context.made.job}.0.0.0"
+    record = context.holder.scheduler.ledger.records[context.made.job]
+
+    async def check():
+        phases = [task.phase.value for task in record.tasks()]
+        return bool(context.world.running[name]) or phases
+
+    await jobs_steps.until(seconds, check, "not running")
+
+
+@behave.when("it is listed again before its link's look ends")
+@jobs_steps.paused
+async def list_before_end(context):
+    while is_known(context):
+        await asyncio.sleep(0.01)
+    assert context.looks, "its look has ended already"
+    context.hidden.clear()
+
+
+@behave.then("for {seconds:g} s at most one look at it is under way at a time")
+@jobs_steps.paused
+async def check_one_look(context, seconds):
+    await asyncio.sleep(0.5)
+    assert is_known(context)
+    await asyncio.sleep(seconds)
+    assert context.most_looks == 1, context.most_looks
