--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -299,6 +299,9 @@
     def _link(self, worker: fleetview.Worker) -> None:
         assert self._group is not None
         life = worker.facts.life
+        if life in self._links:
+            # It was not listed for a moment, and its link goes on.
+            return
         link = worker_link.Link(
             self.scheduler,
             life,
@@ -313,12 +316,15 @@
         self._links[life] = link
         task = self._group.create_task(link.run())
         facts = worker.facts
-        task.add_done_callback(lambda _: self._unlink(facts, link))
+        task.add_done_callback(lambda _: self._unlink(facts))
 
-    def _unlink(self, facts: fleetview.WorkerFacts, link: worker_link.Link) -> None:
-        # A worker that was not listed for a moment may have another link already.
-        if self._links.get(facts.life) is link:
-            del self._links[facts.life]
+    def _unlink(self, facts: fleetview.WorkerFacts) -> None:
+        del self._links[facts.life]
+        worker = self.scheduler.workers.get(facts.life)
+        if worker is not None and self.is_loaded:
+            # It is listed again since its link saw that it was gone.
+            self._link(worker)
+        else:
             self._workers.forget(facts)
 
     # --- the daemon's side
