Play random histories around the scheduler until a task that lasts waits

Three machines of hypothesis on the played pool. With outcomes that are never told, and with waves and other jobs that last, tasks wait; these two scenarios are red.

--- a/features/standstill.feature
+++ b/features/standstill.feature
@@ -99,3 +99,16 @@
     Given an entry with one worker that is not listed for a while
     When it is listed again before its link's look ends
     Then for 5 s at most one look at it is under way at a time
+
+  Scenario: Disturbed workers and late answers leave no task waiting
+    Then after 60 random histories of kind "told" every task that lasts runs
+
+  Scenario: Orders whose outcome is never told leave tasks waiting
+    Then after 60 random histories of kind "untold" every task that lasts runs
+
+  Scenario: Waves and other jobs that last leave tasks waiting
+    Then after 30 random histories of kind "waves" every task that lasts runs
+
+  @soak
+  Scenario: Many histories of disturbed workers leave no task waiting
+    Then after 1000 random histories of kind "told", made short, every task that lasts runs
--- a/features/standstill.py
+++ b/features/standstill.py
@@ -103,6 +103,8 @@
         self.wave = None
         self.moves = []
         self.upkeeps = []
+        # Lives that a later holder has to ask, as the last settled one stored them.
+        self.used = []
         # Since when each task to last waits beside room for it, and the longest such wait.
         self.waits = {}
         self.longest = 0.0, None
@@ -113,6 +115,11 @@
 
     # --- the world
 
+    def begin_life_again(self, host):
+        """Have a host run a new life of its worker, unless it has left the pool or runs one."""
+        if host in self.hosts:
+            self.begin_life(host)
+
     def begin_life(self, host):
         """Have a host run a new life of its worker."""
         facts = jobsite.worker_facts(host[1:], **self.shape)
@@ -326,7 +333,9 @@
             self.scheduler.ledger.add(
                 record.job, record.progress, record.accepted_s, 0, may_run=True, now_s=self.now_s
             )
-        self.scheduler.expect_lives(before.lives_in_use(self.now_s))
+        if before.is_settled:
+            self.used = before.lives_in_use(self.now_s)
+        self.scheduler.expect_lives(self.used)
         self.waits = {}
         self.note(f"epoch {self.epoch} takes over")
 
@@ -399,7 +408,7 @@
 
     def _take_away(self, host):
         self.hosts.remove(host)
-        del self.workers[host]
+        self.workers.pop(host, None)
 
     def _arrive(self, host, pool):
         del self.coming[host]
--- a/features/steps/standstill_steps.py
+++ b/features/steps/standstill_steps.py
@@ -8,7 +8,7 @@
 from nutmegshelf import fleetview, jobs, orders, window
 from nutmegshelf_entry import sending
 
-from features import jobsite, jobworld, standstill
+from features import jobsite, jobworld, standstill, standstill_histories
 from features.steps import jobs_steps
 
 
@@ -385,3 +385,18 @@
     assert is_known(context)
     await asyncio.sleep(seconds)
     assert context.most_looks == 1, context.most_looks
+
+
+# --- random histories
+
+
+@behave.then('after {examples:d} random histories of kind "{kind}" every task that lasts runs')
+def check_histories(context, examples, kind):
+    standstill_histories.check(kind, context.seed, examples)
+
+
+@behave.then(
+    'after {examples:d} random histories of kind "{kind}", made short, every task that lasts runs'
+)
+def check_histories_short(context, examples, kind):
+    standstill_histories.check(kind, context.seed, examples, shrinks=True)
