--- a/features/review.feature
+++ b/features/review.feature
@@ -121,3 +121,7 @@
     And a task of 24 cores that lasts waits for room
     When an urgent task of 8 cores comes
     Then it starts, or a less urgent run makes room for it
+
+  Scenario: Hosts that can't be cleared don't hold up the others of their wave
+    Given a wave over 3 hosts, one at a time, of which the 2 with the fewest tasks can't be cleared
+    Then within 6 rounds of clearing the third is asked for
--- a/features/steps/review_steps.py
+++ b/features/steps/review_steps.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 import behave
-from nutmegshelf import calls, fleetview, jobs, orders, pooling, queues
+from nutmegshelf import calls, fleetview, jobs, orders, pooling, queues, upkeep
 
 from features import jobsite, poolplay
 from features.steps import room_steps
@@ -383,3 +383,27 @@
     found = [one.key.job for one in context.scheduler.starts(context.now_s)]
     stopping = [one.key.name for one in context.runs if one.phase is fleetview.Phase.STOPPING]
     assert found or stopping, (found, [one.phase for one in context.runs])
+
+
+@behave.given(
+    "a wave over 3 hosts, one at a time, of which the 2 with the fewest tasks can't be cleared"
+)
+def blocked_wave(context):
+    wave = upkeep.Wave(number=1, hosts=("h0", "h1", "h2"), duration_s=90.0, at_once=1)
+    context.plan = upkeep.WavePlan(wave, upkeep.WaveRow(number=1, began_ms=0))
+    context.candidates = [
+        upkeep.Candidate(host=f"h{one}", is_off=False, idle_s=None, lasting=one, cpu_millis=9)
+        for one in range(3)
+    ]
+
+
+@behave.then("within {rounds:d} rounds of clearing the third is asked for")
+def check_third(context, rounds):
+    asked = []
+    for one in range(rounds):
+        chosen = context.plan.choose(context.candidates, set(), one * 12_000, 2.0)
+        asked.append(chosen)
+        if "h2" in chosen:
+            return
+        # Each is asked for until its limit and then given up.
+    raise AssertionError(asked)
