Keep one link for each worker that is known

A worker that was not listed for a moment got a second link for the same life, so that two looks ran from then on, or was left without one, when its new link was removed by the end of the old one: its starts were dropped, and their tasks waited. The links are compared with the known workers in each pass and at each list. Failed before: the two scenarios of features/standstill.feature about workers that are not listed for a moment, with 2 looks at a time and a task that is STARTING after 10 s.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -291,17 +291,19 @@
         self._listed = list(listed)
         if not self.is_loaded or self._group is None:
             return
-        added = self.scheduler.list_workers(self._listed, self._loop.time())
-        for worker in added:
-            self._link(worker)
+        self.scheduler.list_workers(self._listed, self._loop.time())
+        self._keep_links()
         self.wake()
 
+    def _keep_links(self) -> None:
+        """Have one link for each worker that is known, also where it was unlisted for a moment."""
+        for life, worker in self.scheduler.workers.items():
+            if life not in self._links:
+                self._link(worker)
+
     def _link(self, worker: fleetview.Worker) -> None:
         assert self._group is not None
         life = worker.facts.life
-        if life in self._links:
-            # It was not listed for a moment, and its link goes on.
-            return
         link = worker_link.Link(
             self.scheduler,
             life,
@@ -320,12 +322,7 @@
 
     def _unlink(self, facts: fleetview.WorkerFacts) -> None:
         del self._links[facts.life]
-        worker = self.scheduler.workers.get(facts.life)
-        if worker is not None and self.is_loaded:
-            # It is listed again since its link saw that it was gone.
-            self._link(worker)
-        else:
-            self._workers.forget(facts)
+        self._workers.forget(facts)
 
     # --- the daemon's side
 
@@ -421,6 +418,7 @@
                 pass  # Time alone may have made something due.
             self._woken.clear()
             began_s = self._loop.time()
+            self._keep_links()
             self._pass()
             await asyncio.sleep(pass_gap_s(self._loop.time() - began_s))
 
