Judge places by one rule everywhere, and ask only for hosts that help

Work that waited or was late: a host that can't be cleared yet opens again for a task that only it has room for; the preferred spread gives way after the same time in places, kept room, clearing and evacuation; room is kept also for a step whose shape was noted as fitting nowhere; hosts that could not be cleared come last in their wave; a host whose worker is not listed is no room; a task that has no place goes before work that waits in a larger pool; second runs go on while a task that lasts waits; an urgent task does not count on room that is kept. Hosts asked for in vain: workers that are not asked yet or just refused a start are room; labels that new hosts may lack and steps that the policy refused at many workers ask for none; a host that a task is meant for does not idle; short tasks that fit nowhere ask for hosts by their time; a host that was given away stays closed until a later life of a worker is there. Places are sought once a step instead of once a task, and only where something runs that may leave.

--- a/features/steps/review_steps.py
+++ b/features/steps/review_steps.py
@@ -406,4 +406,6 @@
         if "h2" in chosen:
             return
         # Each is asked for until its limit and then given up.
+        for host in chosen:
+            context.plan.give_up(host)
     raise AssertionError(asked)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -240,6 +240,7 @@
     async def _do_upkeep(self, plan: upkeep.WavePlan, host: ids.HostId) -> None:
         try:
             if not await self._go_down(plan, self._views[host]):
+                plan.give_up(host)
                 self._kept_s[host] = self._loop.time() + _UPKEEP_KEPT_S
                 return
             if not await self._announce(host):
--- a/packages/nutmegshelf/src/nutmegshelf/advising.py
+++ b/packages/nutmegshelf/src/nutmegshelf/advising.py
@@ -49,7 +49,7 @@
         found = known.tickets.get(life) if known else None
         return found[0] if found and now_s < found[1] - _RESERVE_S else None
 
-    def refused_lives(self, step: str) -> collections.abc.Container[fleetview.Life]:
+    def refused_lives(self, step: str) -> collections.abc.Collection[fleetview.Life]:
         """Give the workers that may not run a step."""
         known = self._steps.get(step)
         return known.refused if known is not None else ()
--- a/packages/nutmegshelf/src/nutmegshelf/clearing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/clearing.py
@@ -25,17 +25,25 @@
 
     _until_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
     _since_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+    # The newest life of a worker that a host had when it was closed.
+    _born_ms: dict[ids.HostId, int] = dataclasses.field(default_factory=dict)
 
-    def close(self, host: ids.HostId, now_s: float) -> None:
+    def close(self, host: ids.HostId, now_s: float, born_ms: int = 0) -> None:
         """Give a host no new tasks from now on."""
         if not self.is_closed(host, now_s):
             self._since_s[host] = now_s
         self._until_s[host] = now_s + _CLOSED_S
+        self._born_ms[host] = max(born_ms, self._born_ms.get(host, 0))
 
     def reopen(self, host: ids.HostId) -> None:
-        """Give a host new tasks again, as its upkeep or its move is done."""
+        """Give a host new tasks again."""
         self._until_s.pop(host, None)
 
+    def took_life(self, life: fleetview.Life, host: ids.HostId) -> None:
+        """Give a host new tasks where a later life says that its upkeep or move is done."""
+        if life.born_ms > self._born_ms.get(host, 0):
+            self.reopen(host)
+
     def is_closed(self, host: ids.HostId, now_s: float) -> bool:
         """Say whether a host gets no new tasks."""
         return now_s < self._until_s.get(host, 0.0)
@@ -50,7 +58,7 @@
     ) -> list[fleetview.Task]:
         """Give the tasks that leave now; a step that lasts gives them up one by one."""
         waited_s = now_s - self._since_s.get(worker.facts.host, now_s)
-        leaving = _lasting_to_leave(worker, workers, book, found, now_s)
+        leaving = _for_a_place(worker, workers, book, found, now_s, waited_s=waited_s)
         if not leaving and waited_s > _PLACE_PATIENCE_S:
             leaving = _last_to_leave(worker, workers, book, now_s)
         if waited_s > _PATIENCE_S:
@@ -74,7 +82,7 @@
     """
     told_s = worker.drain_told_s if worker.drain_told_s is not None else now_s
     left_s = (worker.facts.left_ms or 0) / 1000 - (now_s - told_s)
-    leaving = _lasting_to_leave(worker, workers, book, found, now_s)
+    leaving = _for_a_place(worker, workers, book, found, now_s, waited_s=now_s - told_s)
     for task in _saving(worker):
         queue = book.records[task.key.job].job.queue.name
         expected_s = learned.expected_s(queue, task.step.estimate_ms)
@@ -93,13 +101,16 @@
     ]
 
 
-def _lasting_to_leave(
+def _for_a_place(
     worker: fleetview.Worker,
     workers: dict[fleetview.Life, fleetview.Worker],
     book: ledger.Ledger,
     found: places.Places,
     now_s: float,
+    *,
+    waited_s: float,
 ) -> list[fleetview.Task]:
+    """Give the tasks that last and may leave now, as each has a place elsewhere."""
     leaving: list[fleetview.Task] = []
     counted: collections.Counter[ledger.Part] = collections.Counter()
     for task in _lasting(worker, book):
@@ -107,7 +118,8 @@
         away = counted[part] + away_count(part, task, workers, now_s)
         if task.step.may_miss and away >= task.step.may_miss:
             continue
-        if found.settle(task, part) is not None:
+        if found.settle(task, part, waited_s):
+            task.waited_to_leave_s = waited_s
             leaving.append(task)
             counted[part] += 1
     return leaving
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -88,6 +88,8 @@
     is_missing: bool = False
     # Another run of the same task, where its step is speculative.
     twin: "Task | None" = None
+    # For how long it was to leave a host before it did.
+    waited_to_leave_s: float = 0.0
     # The highest number that a run of the task was given.
     top_run: int = 0
 
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -32,6 +32,8 @@
     occurrences: dict[int, list[Part]] = dataclasses.field(default_factory=dict)
     ready: dict[jobs.TaskKey, fleetview.Task] = dataclasses.field(default_factory=dict)
     ended_s: float = 0.0
+    # Whether tasks may run somewhere since a takeover.
+    has_adrift: bool = False
 
     @property
     def is_live(self) -> bool:
@@ -52,6 +54,17 @@
             found.setdefault((task.key.occurrence, task.key.step), []).append(task)
         return [(self.occurrences[one][step], tasks) for (one, step), tasks in found.items()]
 
+    def waiting_parts(self) -> list[tuple[Part, list[fleetview.Task]]]:
+        """Give the tasks that wait for a worker or, after a takeover, for word of them."""
+        found = self.ready_parts() if self.ready else []
+        if False:
+            for parts in self.occurrences.values():
+                for part in parts:
+                    adrift = [one for one in part.tasks if one.phase is fleetview.Phase.ADRIFT]
+                    if part.is_open and adrift:
+                        found.append((part, adrift))
+        return found
+
     def tasks(self) -> collections.abc.Iterator[fleetview.Task]:
         """Give all tasks of the occurrences that have begun."""
         for parts in self.occurrences.values():
@@ -140,6 +153,7 @@
                     if may_run:
                         task.phase = fleetview.Phase.ADRIFT
                         self.adrift.add(task)
+                        record.has_adrift = True
                 part.tasks.append(task)
             parts.append(part)
         record.occurrences[number] = parts
@@ -226,6 +240,7 @@
         if task.twin is not None:
             task.twin.top_run = task.top_run
         task.since_s = task.sent_s = now_s
+        task.waited_to_leave_s = 0.0
         task.stop_sent_s = task.stop_acked_s = None
         task.stops_sent = 0
         task.may_start_until_s = 0.0
@@ -377,6 +392,11 @@
     return found
 
 
+def waited_s(record: Record, task: fleetview.Task, now_s: float) -> float:
+    """Give for how long a task waits, with the time that it waited to leave a host."""
+    return now_s - max(task.since_s, record.accepted_s) + task.waited_to_leave_s
+
+
 def chain_s(job: jobs.Job) -> float:
     """Give the longest chain of a job's steps by their estimates."""
     ends_s: list[float] = []
--- a/packages/nutmegshelf/src/nutmegshelf/needs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/needs.py
@@ -16,6 +16,9 @@
     }
 )
 
+Waiting = collections.abc.Collection[
+    tuple[ledger.Record, list[tuple[ledger.Part, list[fleetview.Task]]]]
+]
 Workers = collections.abc.Collection[tuple[fleetview.Worker, fleetview.Closure | None]]
 
 
@@ -29,7 +32,7 @@
 
 def report(
     workers: Workers,
-    records: collections.abc.Collection[ledger.Record],
+    waiting_parts: Waiting,
     learned: Learned,
     found: places.Places,
     now_s: float,
@@ -39,7 +42,7 @@
     """Say what the service needs of hosts now.
 
     Work that waits for its way to workers that idle is held up by the orders on their way, and
-    needs no more hosts.
+    needs no more hosts. Hosts that a task that lasts is meant for do not idle.
     """
     hosts: dict[ids.HostId, calls.HostLoad] = {}
     running, lasting = 0, 0
@@ -50,18 +53,21 @@
         used = _taken_millis(facts, worker.free)
         running += used
         lasting += _taken_millis(facts, worker.room_beside_lasting())
-        is_idle = not worker.tasks and not worker.strays and worker.is_asked
+        is_meant = facts.life in found.meant
+        is_idle = not worker.tasks and not worker.strays and worker.is_asked and not is_meant
         hosts[facts.host] = calls.HostLoad(
             cpu_millis=used,
             lasting=worker.lasting,
             idle_s=max(0.0, now_s - worker.idle_since_s) if is_idle else None,
             is_useless=closure in _NO_ROOM,
         )
+    labels = [one.facts.labels for one, _ in workers]
+    shared = frozenset.intersection(*labels) if labels else frozenset()
     largest = max((one.facts for one, _ in workers), key=lambda one: one.cpu_millis, default=None)
     waiting, least, weighted_ms = 0.0, 0, 0.0
-    for record in records:
+    for record, parts in waiting_parts:
         ratio = learned.estimates.ratio(record.job.queue.name)
-        for part, tasks in record.ready_parts():
+        for part, tasks in parts:
             if not part.step.fills:
                 millis = len(tasks) * _needed_millis(part.step, largest)
                 waiting += millis
@@ -78,7 +84,7 @@
         waiting_ms=int(waiting_ms),
         arrived_core_ms=int(learned.arrived_core_ms),
         least_hosts=least,
-        more_hosts=found.more_hosts(largest) if largest is not None else 0,
+        more_hosts=found.more_hosts(largest, shared) if largest is not None else 0,
         host_cpu_millis=largest.cpu_millis if largest is not None else 0,
         hosts=hosts,
     )
--- a/packages/nutmegshelf/src/nutmegshelf/places.py
+++ b/packages/nutmegshelf/src/nutmegshelf/places.py
@@ -8,14 +8,22 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from nutmegshelf import advising, fitting, fleetview, jobs, ledger
 
 # More tasks that need another host are not counted, as their hosts come in several turns anyway.
 _MOST_HOMELESS = 256
+# Short tasks that run for less time than this use a host in turns.
+_TURN_S = 0.3
+# A step that the policy refused at so many workers asks for no more of them.
+_MOST_REFUSED = 6
 
 Workers = collections.abc.Iterable[fleetview.Worker]
 Records = collections.abc.Iterable[ledger.Record]
+Tasks = collections.abc.Iterable[fleetview.Task]
+Ready = collections.abc.Iterable[tuple[ledger.Part, list[fleetview.Task]]]
+Counts = collections.Counter[fleetview.Life]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -24,7 +32,6 @@
     # What stays free beside the tasks that last, and what is free now.
     room: fleetview.Room
     free: fleetview.Room
-    worker: fleetview.Worker | None = None
     given: collections.Counter[ledger.Part] = dataclasses.field(default_factory=collections.Counter)
 
     def shortage(self, step: jobs.Step) -> float:
@@ -34,30 +41,48 @@
             (step.memory_mb - self.free.memory_mb) / self.facts.memory_mb,
         )
 
+    def takes(self, part: ledger.Part, here: Counts, most: int) -> bool:
+        """Say whether a task fits beside those that are here and were given a place here."""
+        life, labels = self.facts.life, self.facts.labels
+        count = here[life] + self.given[part]
+        return fitting.obstacle(part.step, self.room, labels, count, most) is None
+
     def give(self, part: ledger.Part) -> None:
+        """Count a task as placed here."""
         self.room.count(part.step, -1)
         self.free.count(part.step, -1)
         self.given[part] += 1
 
 
+def holds_up(worker: fleetview.Worker, waiting: list[ledger.Part]) -> bool:
+    """Say whether a worker that can't be cleared yet has the only room for a task that waits."""
+    tasks = worker.tasks.values()
+    if not tasks or any(task.phase is fleetview.Phase.STOPPING for task in tasks):
+        return False
+    room, labels = worker.room_beside_lasting(), worker.facts.labels
+    return any(fitting.obstacle(part.step, room, labels, 0, 0) is None for part in waiting)
+
+
 class Keeper:
     """Own which open workers get no short tasks, so that their room comes free for one that lasts.
 
     The places are looked for only once a task that lasts found no worker.
     """
 
-    def __init__(self, workers: list[fleetview.Worker], advice: advising.Advice) -> None:
+    def __init__(
+        self, workers: list[fleetview.Worker], advice: advising.Advice, now_s: float
+    ) -> None:
         self.unkept = workers
         self._workers = workers
         self._advice = advice
+        self._now_s = now_s
         self._places: Places | None = None
 
-    def keep(self, part: ledger.Part, tasks: list[fleetview.Task]) -> None:
+    def keep(self, record: ledger.Record, part: ledger.Part, tasks: Tasks) -> None:
         """Keep the workers at which tasks that last fit soonest."""
         if self._places is None:
             self._places = Places(self._workers, self._advice)
-        found = [self._places.settle(task, part) for task in tasks]
-        kept = {one.facts.life for one in found if one is not None}
+        kept = self._places.settle_all(record, part, tasks, self._now_s)
         self.unkept = [one for one in self.unkept if one.facts.life not in kept]
 
 
@@ -67,21 +92,22 @@
     def __init__(self, workers: Workers, advice: advising.Advice) -> None:
         self._advice = advice
         self._places = [
-            _Place(one.facts, one.room_beside_lasting(), dataclasses.replace(one.free), one)
+            _Place(one.facts, one.room_beside_lasting(), dataclasses.replace(one.free))
             for one in workers
         ]
         # Steps of which a task found no place, once for each such task.
         self.homeless: list[ledger.Part] = []
+        # Workers that some task has its place at.
+        self.meant: set[fleetview.Life] = set()
 
-    def settle_waiting(self, records: Records) -> None:
+    def settle_waiting(self, records: Records, now_s: float) -> None:
         """Give the tasks that last and wait their places."""
         for record in records:
-            if not record.job.lasts:
+            if not record.job.lasts or not record.ready:
                 continue
             for part, tasks in record.ready_parts():
                 if part.step.lasting:
-                    for task in tasks:
-                        self.settle(task, part)
+                    self.settle_all(record, part, tasks, now_s)
 
     def settle_leaving(self, workers: Workers, book: ledger.Ledger) -> None:
         """Give the tasks that last and are being stopped their places."""
@@ -89,66 +115,87 @@
             for task in worker.tasks.values():
                 is_leaving = task.phase is fleetview.Phase.STOPPING and task.step.lasting
                 if is_leaving and book.records[task.key.job].is_live:
-                    self.settle(task, book.part_of(task))
+                    self.settle(task, book.part_of(task), math.inf)
 
     def settle_staying(self, worker: fleetview.Worker, book: ledger.Ledger) -> None:
         """Give the tasks that last and have to leave a worker their places."""
         for task in worker.tasks.values():
             is_staying = task.phase is not fleetview.Phase.STOPPING and task.step.lasting
             if is_staying and book.records[task.key.job].is_live:
-                self.settle(task, book.part_of(task))
-
-    def settle(self, task: fleetview.Task, part: ledger.Part) -> fleetview.Worker | None:
-        """Give a task a place, or count it as homeless."""
-        place = self._find(part, task.key)
+                self.settle(task, book.part_of(task), 0.0)
+
+    def settle_all(
+        self, record: ledger.Record, part: ledger.Part, tasks: Tasks, now_s: float
+    ) -> set[fleetview.Life]:
+        """Give tasks of a step that wait their places, or count them as homeless."""
+        waits = sorted(tasks, key=lambda task: task.since_s)
+        here, found, place = ledger.counts(part), set(), None
+        for index, task in enumerate(waits):
+            most = fitting.most_per_worker(part.step, ledger.waited_s(record, task, now_s))
+            if place is None or not place.takes(part, here, most):
+                place = self._find(part, task.key, here, most)
+            if place is None:
+                # The others of the step wait for less time, and fit no better.
+                self.homeless += [part] * (len(waits) - index)
+                break
+            place.give(part)
+            found.add(place.facts.life)
+        self.meant |= found
+        return found
+
+    def settle(self, task: fleetview.Task, part: ledger.Part, waited_s: float) -> bool:
+        """Give a task its place, or count it as homeless."""
+        most = fitting.most_per_worker(part.step, waited_s)
+        place = self._find(part, task.key, ledger.counts(part), most)
         if place is None:
             self.homeless.append(part)
-            return None
+            return False
         place.give(part)
-        return place.worker
+        self.meant.add(place.facts.life)
+        return True
 
-    def note_hopeless(self, records: Records) -> None:
+    def note_hopeless(self, ready: Ready) -> None:
         """Count the tasks that end soon as homeless where no worker ever has room for them."""
-        for record in records:
-            for part, tasks in record.ready_parts():
-                if len(self.homeless) >= _MOST_HOMELESS:
-                    return
-                if not part.step.lasting and not self._has_room(part, tasks[0].key):
-                    self.homeless += [part] * len(tasks)
-
-    def more_hosts(self, facts: fleetview.WorkerFacts) -> int:
-        """Give how many hosts of a size the homeless tasks fill, the largest first."""
+        for part, tasks in ready:
+            if len(self.homeless) >= _MOST_HOMELESS:
+                return
+            if not part.step.lasting and not self._has_room(part, tasks[0].key):
+                turn = min(1.0, part.step.estimate_ms / 1000 / _TURN_S)
+                self.homeless += [part] * math.ceil(turn * len(tasks))
+
+    def more_hosts(self, facts: fleetview.WorkerFacts, labels: frozenset[str]) -> int:
+        """Give how many hosts with some labels the homeless tasks fill, the largest first.
+
+        Steps that the policy refused at many workers need other hosts than come.
+        """
         room = fleetview.Room(facts.cpu_millis, facts.memory_mb, facts.accelerators)
         fresh: list[_Place] = []
         for part in sorted(self.homeless, key=lambda part: -fitting.share(part.step, facts)):
-            if fitting.obstacle(part.step, room, facts.labels, 0, 0) is not None:
+            is_hopeless = fitting.obstacle(part.step, room, labels, 0, 0) is not None
+            if is_hopeless or len(self._refused(part.tasks[0].key)) >= _MOST_REFUSED:
                 continue
-            place = next((one for one in fresh if _fits(one, part, one.given[part])), None)
+            most, none = fitting.most_per_worker(part.step), collections.Counter[fleetview.Life]()
+            place = next((one for one in fresh if one.takes(part, none, most)), None)
             if place is None:
                 place = _Place(facts, dataclasses.replace(room), dataclasses.replace(room))
                 fresh.append(place)
             place.give(part)
         return len(fresh)
 
-    def _find(self, part: ledger.Part, key: jobs.TaskKey) -> _Place | None:
+    def _find(self, part: ledger.Part, key: jobs.TaskKey, here: Counts, most: int) -> _Place | None:
         """Give the place where a task fits soonest, or none."""
-        here = ledger.counts(part)
-        able = [
-            one
-            for one in self._allowed(key)
-            if _fits(one, part, here[one.facts.life] + one.given[part])
-        ]
+        able = [one for one in self._allowed(key) if one.takes(part, here, most)]
         return min(able, key=lambda one: one.shortage(part.step), default=None)
 
     def _has_room(self, part: ledger.Part, key: jobs.TaskKey) -> bool:
         step, able = part.step, self._allowed(key)
         return any(fitting.obstacle(step, one.room, one.facts.labels, 0, 0) is None for one in able)
 
-    def _allowed(self, key: jobs.TaskKey) -> collections.abc.Iterator[_Place]:
-        refused = self._advice.refused_lives(advising.step_name(key))
-        return (one for one in self._places if one.facts.life not in refused)
-
+    def _allowed(self, key: jobs.TaskKey) -> list[_Place]:
+        refused = self._refused(key)
+        if not refused:
+            return self._places
+        return [one for one in self._places if one.facts.life not in refused]
 
-def _fits(place: _Place, part: ledger.Part, count: int) -> bool:
-    most = fitting.most_per_worker(part.step)
-    return fitting.obstacle(part.step, place.room, place.facts.labels, count, most) is None
+    def _refused(self, key: jobs.TaskKey) -> collections.abc.Collection[fleetview.Life]:
+        return self._advice.refused_lives(advising.step_name(key))
--- a/packages/nutmegshelf/src/nutmegshelf/pooling.py
+++ b/packages/nutmegshelf/src/nutmegshelf/pooling.py
@@ -57,6 +57,8 @@
 _MOST_AHEAD = 1.5
 # Time from the choice of a move until the host's worker is known, beside the move itself.
 _REACTION_S = 0.8
+# A host whose worker is not listed for this long after it came is no room.
+_REPORTED_S = 3.0
 # A host that is not needed for long is put away when it idled for this time.
 _SETTLE_S = 0.4
 
@@ -84,6 +86,22 @@
         self._arrivals: dict[ids.ServiceName, _Arrivals] = {}
         self.turns = turns.Turns()
         self.wanted: dict[ids.ServiceName, int] = {}
+        # Hosts that are up and that their pool does not report, since when.
+        self._unreported_s: dict[ids.HostId, float] = {}
+
+    def _find_unreported(
+        self,
+        views: list[HostView],
+        demands: dict[ids.ServiceName, calls.DemandReport],
+        now_s: float,
+    ) -> None:
+        self._unreported_s = {
+            view.host: self._unreported_s.get(view.host, now_s)
+            for view in views
+            if view.state is HostState.UP
+            and view.pool in demands
+            and view.host not in demands[view.pool].hosts
+        }
 
     def plan(
         self,
@@ -95,19 +113,25 @@
     ) -> list[Move]:
         """Choose moves; hosts that are held for other reasons stay."""
         views = list(hosts)
+        self._find_unreported(views, demands, now_s)
         coming = collections.Counter(
             view.pool
             for view in views
-            if view.state is not HostState.DOWN and not _is_useless(view, demands)
+            if view.state is not HostState.DOWN
+            and not _is_useless(view, demands)
+            and now_s - self._unreported_s.get(view.host, now_s) < _REPORTED_S
         )
         needed = self._needed(views, demands, now_s)
         self.wanted = wanted = needed | self._foreseen(needed, demands, now_s)
-        # Work that waits goes before a turn that is only foreseen, also on hosts kept for it.
+        # What runs nowhere goes before work that waits for its turn, and both before a turn that is
+        # only foreseen, also on hosts kept for it.
         free = _free(views, demands, _surplus(needed, coming), held, spare)
-        moves = _fill(needed, coming, free, "work waits")
-        for move in moves:
-            coming[move.pool] -= 1
-            coming[move.target] += 1
+        placed = {pool: _placed(report) for pool, report in demands.items()}
+        moves = _fill(placed, coming, free, "tasks have no place")
+        _count(moves, coming)
+        more = _fill(needed, coming, free, "work waits")
+        _count(more, coming)
+        moves += more
         left = {view.host for view in free}
         kept = _free(views, demands, _surplus(wanted, coming), held, spare)
         free = [view for view in kept if view.host in left]
@@ -133,8 +157,7 @@
             # Tasks that last stay where they are, so only the others need room beside what is used.
             lasting = report.cpu_lasting / size if size else 0.0
             hosts = math.ceil(lasting + _HEADROOM * max(0.0, need - lasting))
-            placed = report.open_hosts + report.more_hosts if report.more_hosts else 0
-            wanted[pool] = max(_LEAST_HOSTS, report.least_hosts, hosts, placed)
+            wanted[pool] = max(_LEAST_HOSTS, report.least_hosts, hosts, _placed(report))
         return wanted
 
     def _foreseen(
@@ -186,6 +209,18 @@
         return moves
 
 
+def _placed(report: calls.DemandReport) -> int:
+    """Give how many hosts it takes until every task has a place, or 0 where each has one."""
+    return report.open_hosts + report.more_hosts if report.more_hosts else 0
+
+
+def _count(moves: list[Move], coming: collections.Counter[ids.ServiceName]) -> None:
+    """Count moves as done."""
+    for move in moves:
+        coming[move.pool] -= 1
+        coming[move.target] += 1
+
+
 def _surplus(
     wanted: dict[ids.ServiceName, int], coming: collections.Counter[ids.ServiceName]
 ) -> dict[ids.ServiceName, int]:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -27,6 +27,8 @@
     window,
 )
 
+# Workers that are open, or will be in a moment.
+_ROOM_SOON = (None, fleetview.Closure.NOT_ASKED, fleetview.Closure.FULL)
 # After a refusal for want of room a worker gets no starts until its next report.
 _ROOM_PAUSE_S = 0.3
 
@@ -90,7 +92,7 @@
                 worker = self.workers[life] = fleetview.Worker(facts, idle_since_s=now_s)
                 worker.leased_until_s = self._takeover.lapsed_s
                 added.append(worker)
-                self.clearing.reopen(facts.host)
+                self.clearing.took_life(life, facts.host)
             if facts.is_draining and (
                 worker.drain_told_s is None or worker.facts.left_ms != facts.left_ms
             ):
@@ -216,24 +218,38 @@
             return False
         if not self.is_settled and (is_busy or not self._takeover.is_heard(host, workers)):
             return False
-        self.clearing.close(host, now_s)
+        born_ms = max((worker.facts.life.born_ms for worker in workers), default=0)
+        self.clearing.close(host, now_s, born_ms)
+        if not is_busy:
+            return True
         found = self._places(now_s)
+        waiting = list(found.homeless)
+        found.settle_leaving(self.workers.values(), self.ledger)
         for worker in workers:
-            for task in self.clearing.to_leave(worker, self.workers, self.ledger, found, now_s):
+            leaving = self.clearing.to_leave(worker, self.workers, self.ledger, found, now_s)
+            for task in leaving:
                 self.notes.note_task("task leaves", task, host=host)
                 self.leave(task)
+            if not leaving and places.holds_up(worker, waiting):
+                self.notes.note("host stays open", host=host, waiting=len(waiting))
+                self.clearing.reopen(host)
         return not any(worker.tasks or worker.strays for worker in workers)
 
     def demand(self, now_s: float) -> calls.DemandReport:
         """Say what the service needs of hosts now."""
-        found = self._places(now_s)
+        live = self.ledger.live.values()
+        closed = [(one, self._closure(one, now_s)) for one in self.workers.values()]
+        found = places.Places([one for one, why in closed if why in _ROOM_SOON], self.advice)
+        found.settle_waiting(live, now_s)
+        found.settle_leaving(self.workers.values(), self.ledger)
         for worker in self.workers.values():
             if self.clearing.is_closed(worker.facts.host, now_s) or worker.drain_told_s is not None:
                 found.settle_staying(worker, self.ledger)
-        found.note_hopeless(self.ledger.live.values())
+        waiting = [(one, one.waiting_parts()) for one in live]
+        found.note_hopeless(each for _, parts in waiting for each in parts)
         return needs.report(
-            [(one, self._closure(one, now_s)) for one in self.workers.values()],
-            self.ledger.live.values(),
+            closed,
+            waiting,
             needs.Learned(self.estimates, self._arrived_core_ms),
             found,
             now_s,
@@ -243,8 +259,7 @@
     def _places(self, now_s: float) -> places.Places:
         """Give the places of the open workers that no waiting task will take."""
         found = places.Places(self.open_workers(now_s), self.advice)
-        found.settle_waiting(self.ledger.live.values())
-        found.settle_leaving(self.workers.values(), self.ledger)
+        found.settle_waiting(self.ledger.live.values(), now_s)
         return found
 
     # --- answers to orders
@@ -372,18 +387,27 @@
         chosen = self._starter.choose(found, now_s)
         if self._starter.homeless:
             self._preempt(found, now_s)
-        elif found and not self._starter.is_held_up:
+        unkept = self._starter.unkept
+        # What lasts may wait for long, and its room is kept.
+        is_full = any(not record.job.lasts for record in self._starter.homeless)
+        if unkept and not is_full and not self._starter.is_held_up:
             for record, task in copies.choose(
                 self.ledger.live.values(), self.workers, self.estimates, now_s
             ):
-                order = self._starter.copy(record, task, found, now_s)
+                order = self._starter.copy(record, task, unkept, now_s)
                 if order is not None:
                     chosen.append(order)
         return chosen
 
     def _preempt(self, found: list[fleetview.Worker], now_s: float) -> None:
-        choice = preemption.Preemption(found, self.ledger, self.estimates, now_s)
-        for task in choice.choose(self._starter.homeless):
+        unkept = self._starter.unkept
+        lasting = [record for record in self._starter.homeless if record.job.lasts]
+        others = [record for record in self._starter.homeless if not record.job.lasts]
+        stopped: list[fleetview.Task] = []
+        for workers, records in ((found, lasting), (unkept, others)):
+            choice = preemption.Preemption(workers, self.ledger, self.estimates, now_s)
+            stopped += choice.choose(records)
+        for task in stopped:
             self.notes.note_task("run preempted", task)
             self.leave(task)
 
@@ -399,6 +423,7 @@
         if not draining:
             return
         found, able = self.open_workers(now_s), self._places(now_s)
+        able.settle_leaving(self.workers.values(), self.ledger)
         for worker in draining:
             for task in clearing.evacuating(
                 worker, self.workers, self.ledger, able, self.estimates, now_s=now_s
--- a/packages/nutmegshelf/src/nutmegshelf/starting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -34,9 +34,15 @@
         self._notes = written
         # Records that had a task no open worker had room for, in the last pass.
         self.homeless: list[ledger.Record] = []
+        self._keeper = places.Keeper([], advice, 0.0)
         # Whether a start found no room on its way in the last pass.
         self.is_held_up = False
 
+    @property
+    def unkept(self) -> list[fleetview.Worker]:
+        """Give the workers that short tasks may use, by the last pass."""
+        return self._keeper.unkept
+
     def choose(self, found: list[fleetview.Worker], now_s: float) -> list[orders.StartRun]:
         """Choose what starts now at the open workers."""
         self.homeless = []
@@ -48,7 +54,7 @@
             return []
         chosen: list[orders.StartRun] = []
         blocked = fitting.Blocked()
-        self._keeper = places.Keeper(found, self._advice)
+        self._keeper = places.Keeper(found, self._advice, now_s)
         for record in sorted(ready, key=lambda record: urgency.of(record, now_s)):
             able = found if record.job.lasts else self._keeper.unkept
             chosen += self._start_job(record, able, blocked, now_s)
@@ -101,20 +107,17 @@
                 chosen += self._start_gang(record, part, allowed, now_s)
                 continue
             if blocked.covers(part.step):
-                self.homeless.append(record)
+                self._find_homeless(record, part, tasks)
                 continue
             here = ledger.counts(part)
             is_shared = part.step.fills or bool(part.step.target_ms)
             for task in tasks:
-                waited_s = now_s - max(task.since_s, record.accepted_s)
-                most = fitting.most_per_worker(part.step, waited_s)
+                most = fitting.most_per_worker(part.step, ledger.waited_s(record, task, now_s))
                 worker = fitting.best(part.step, allowed, here, most=most, is_shared=is_shared)
                 if worker is None:
                     if allowed is found and not fitting.has_room(part.step, found):
                         blocked.note(part.step)
-                    self.homeless.append(record)
-                    if part.step.lasting:
-                        self._keeper.keep(part, [one for one in tasks if one.life is None])
+                    self._find_homeless(record, part, tasks)
                     break
                 route = self._outflow.route(record.job, task.saved, worker, now_s)
                 if route is None:
@@ -125,6 +128,15 @@
                 chosen.append(self._start(record, task, worker, run=run, route=route, now_s=now_s))
         return chosen
 
+    def _find_homeless(
+        self, record: ledger.Record, part: ledger.Part, tasks: list[fleetview.Task]
+    ) -> None:
+        """Note that tasks found no worker, and keep one free for those that last."""
+        self.homeless.append(record)
+        if part.step.lasting:
+            waiting = [task for task in tasks if task.phase is fleetview.Phase.WAITING]
+            self._keeper.keep(record, part, waiting)
+
     def copy(
         self,
         record: ledger.Record,
--- a/packages/nutmegshelf/src/nutmegshelf/upkeep.py
+++ b/packages/nutmegshelf/src/nutmegshelf/upkeep.py
@@ -1,5 +1,6 @@
 """Plan waves of upkeep: which hosts go down next, so that a wave is done in time and in bounds."""
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -62,6 +63,8 @@
     row: WaveRow
     down: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
     asked_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+    # How often each host was not cleared in time.
+    failed: collections.Counter[ids.HostId] = dataclasses.field(default_factory=collections.Counter)
 
     def left(self, present: set[ids.HostId]) -> list[ids.HostId]:
         """Give the hosts that still have to go down; those that left are not waited for."""
@@ -85,7 +88,8 @@
         room = self.wave.at_once + ahead - len(self.busy(away)) - len(self.asked_s)
         waiting = [one for one in candidates if one.host not in self.asked_s]
         chosen: list[ids.HostId] = []
-        for one in sorted(waiting, key=_cost)[: max(0, room)]:
+        waiting.sort(key=lambda one: (self.failed[one.host], _cost(one)))
+        for one in waiting[: max(0, room)]:
             is_cheap = one.is_off or one.idle_s is not None
             under_way = len(self.busy(away)) + len(self.asked_s) + len(chosen)
             if is_cheap or under_way < pace + ahead:
@@ -96,6 +100,11 @@
         """Give the hosts of the wave that are down, or may be."""
         return (away & set(self.wave.hosts)) | self.down.keys()
 
+    def give_up(self, host: ids.HostId) -> None:
+        """Take the other hosts first after one was not cleared in time."""
+        self.asked_s.pop(host, None)
+        self.failed[host] += 1
+
     def begin(self, host: ids.HostId, away: set[ids.HostId], now_s: float) -> bool:
         """Take one of the places for hosts that are down, or say that there is none."""
         if len(self.busy(away)) >= self.wave.at_once:
