Use hosts at once that join a service long after it was taken over

A new worker got the time at which the earlier holder's leases lapse as the end of its own lease; that time was past, so each pass took its first answer back, until the second look, which waits up to 2 s on an idle worker, was answered. The same came to each worker that was silent until its lease lapsed. A lease that lapsed is dealt with once, and a worker that is listed after the earlier leases lapsed has none.

--- a/features/room.feature
+++ b/features/room.feature
@@ -80,3 +80,14 @@
     When a job of 4 tasks with 2 cores and 2 GB that last comes
     Then after 1 s 2 of them run
     And after 5 s each of them runs
+
+  Scenario: A host that joins long after a takeover takes tasks once it answered
+    Given a service that was taken over 20 s ago
+    When a host joins it and its worker answers a first look
+    Then the host takes tasks from then on
+
+  Scenario: A worker that was silent until its lease lapsed takes tasks once it answers again
+    Given a service of hosts with 32 cores and 128 GB
+    And one host whose worker was silent until its lease lapsed
+    When its worker answers again
+    Then the host takes tasks from then on
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -229,3 +229,67 @@
     running = {name for host in context.play.hosts for name in host.runs}
     found = [one.key.name for one in context.record.tasks() if one.key.name in running]
     assert len(found) == count, found
+
+
+@behave.given("a service that was taken over {seconds:g} s ago")
+def take_over_before(context, seconds):
+    make_service(context, 32, 128)
+    context.scheduler = scheduler.Scheduler(
+        2, lapse_s=5.0, now_s=context.now_s - seconds, recovers=True
+    )
+    context.scheduler.tick(context.now_s, 0)
+    assert context.scheduler.is_settled
+
+
+@behave.when("a host joins it and its worker answers a first look")
+def join(context):
+    context.listed = [jobsite.worker_facts(0, **context.host)]
+    context.scheduler.list_workers(context.listed, context.now_s)
+    answer(context)
+
+
+@behave.when("its worker answers again")
+def answer(context):
+    context.now_s += 0.05
+    life = context.listed[0].life
+    context.scheduler.reported(
+        fleetview.Report(life, 0, context.now_s - 0.01, context.now_s, (), ())
+    )
+
+
+@behave.given("one host whose worker was silent until its lease lapsed")
+def lapse(context):
+    list_hosts(context, 1)
+    (worker,) = context.scheduler.workers.values()
+    worker.note_lease(context.now_s, 2.5)
+    context.now_s += 5.0
+    context.scheduler.tick(context.now_s, 0)
+    assert not context.scheduler.open_workers(context.now_s)
+
+
+@behave.then("the host takes tasks from then on")
+def check_open(context):
+    for _ in range(20):
+        context.now_s += 0.1
+        context.scheduler.tick(context.now_s, 0)
+        assert len(context.scheduler.open_workers(context.now_s)) == 1, context.now_s
+
+
+@behave.given(
+    "a service that was just taken over with {count:d} tasks of {cores:d} cores and {memory:d} GB"
+    " that may run somewhere"
+)
+def take_over_work(context, count, cores, memory):
+    make_service(context, 32, 128)
+    context.scheduler = scheduler.Scheduler(2, lapse_s=5.0, now_s=context.now_s, recovers=True)
+    list_hosts(context, 1)
+    step = jobs.Step(count=count, cpu_millis=cores * 1000, memory_mb=memory * GB, estimate_ms=500)
+    made = jobsite.job(1, (step,))
+    context.scheduler.ledger.add(made, None, context.now_s, 0, may_run=True)
+
+
+@behave.then("it asks for room for {count:d} tasks of {cores:d} cores")
+def check_need(context, count, cores):
+    report = context.scheduler.demand(context.now_s)
+    assert report.cpu_waiting == count * cores * 1000, report
+    assert report.waiting_ms == 500, report
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -90,7 +90,9 @@
             worker = self.workers.get(life)
             if worker is None:
                 worker = self.workers[life] = fleetview.Worker(facts, idle_since_s=now_s)
-                worker.leased_until_s = self._takeover.lapsed_s
+                # What an earlier holder leased there has lapsed by then.
+                if now_s < self._takeover.lapsed_s:
+                    worker.leased_until_s = self._takeover.lapsed_s
                 added.append(worker)
                 self.clearing.took_life(life, facts.host)
             if facts.is_draining and (
@@ -156,7 +158,7 @@
                 for task in list(worker.tasks.values()):
                     self.notes.note_task("lease lapsed", task)
                     self.ledger.free(self.ledger.records[task.key.job], task, worker, now_s)
-                worker.is_asked = False
+                worker.is_asked, worker.leased_until_s = False, 0.0
                 worker.strays.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
                 del self.workers[worker.facts.life]
