--- a/features/room.feature
+++ b/features/room.feature
@@ -91,3 +91,7 @@
     And one host whose worker was silent until its lease lapsed
     When its worker answers again
     Then the host takes tasks from then on
+
+  Scenario: Work that an earlier holder may have started counts as need
+    Given a service that was just taken over with 40 tasks of 8 cores and 8 GB that may run somewhere
+    Then it asks for room for 40 tasks of 8 cores
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -57,7 +57,7 @@
     def waiting_parts(self) -> list[tuple[Part, list[fleetview.Task]]]:
         """Give the tasks that wait for a worker or, after a takeover, for word of them."""
         found = self.ready_parts() if self.ready else []
-        if False:
+        if self.has_adrift:
             for parts in self.occurrences.values():
                 for part in parts:
                     adrift = [one for one in part.tasks if one.phase is fleetview.Phase.ADRIFT]
