--- a/packages/nutmegshelf/src/nutmegshelf/places.py
+++ b/packages/nutmegshelf/src/nutmegshelf/places.py
@@ -36,10 +36,10 @@
 
     def shortage(self, step: jobs.Step) -> float:
         """Give how much of the host's room has to come free before a task fits."""
-        return max(
-            0.0 if step.fills else (step.cpu_millis - self.free.cpu_millis) / self.facts.cpu_millis,
-            (step.memory_mb - self.free.memory_mb) / self.facts.memory_mb,
-        )
+        lacking = fleetview.Room(0, step.memory_mb - self.free.memory_mb, 0)
+        if not step.fills:
+            lacking.cpu_millis = step.cpu_millis - self.free.cpu_millis
+        return fleetview.largest_share(lacking, self.facts)
 
     def takes(self, part: ledger.Part, here: Counts, most: int) -> bool:
         """Say whether a task fits beside those that are here and were given a place here."""
