--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -1,15 +1,19 @@
 """Check moves and upkeep over fakes, and the decisions behind them alone."""
 
 import asyncio
+import collections
+import itertools
 
 import behave
 from nutmegshelf import (
+    advising,
     calls,
     clearing,
     declarations,
     fleetview,
     jobs,
     ledger,
+    places,
     pooling,
     queues,
     scheduler,
@@ -101,7 +105,8 @@
 @behave.then("no task of the other worker may leave")
 def check_stay(context):
     other = list(context.workers.values())[1]
-    found = clearing.Clearing().to_leave(other, context.workers, context.book, 10.0)
+    able = places.Places(context.workers.values(), advising.Advice())
+    found = clearing.Clearing().to_leave(other, context.workers, context.book, able, 10.0)
     assert not found, found
 
 
@@ -324,6 +329,36 @@
             held.scheduler.give = lambda *args, **kwargs: False
 
 
+@behave.given("none of its hosts is given away")
+@jobs_steps.paused
+async def give_none(context):
+    await asyncio.sleep(1.0)
+    context.asks = collections.defaultdict(list)
+
+    def refuse(host, now_s, *, only_idle=False):
+        if not only_idle:
+            context.asks[host].append(now_s)
+        return False
+
+    for service, _ in context.site.entries.values():
+        if (held := service.shards.holder("a")) is not None:
+            held.scheduler.give = refuse
+
+
+@behave.then(
+    "in {seconds:g} s a host that is asked for in vain for {limit:g} s is left alone for {rest:g} s"
+)
+@jobs_steps.paused
+async def check_rests(context, seconds, limit, rest):
+    await asyncio.sleep(seconds)
+    assert context.asks
+    for asks in context.asks.values():
+        begun_s = asks[0]
+        for before, after in itertools.pairwise(asks):
+            begun_s = after if after - before >= rest else begun_s
+            assert after - begun_s <= limit + 0.5, (begun_s, after)
+
+
 @behave.when("work for {hosts:d} hosts of another service waits for {seconds:g} s")
 @jobs_steps.paused
 async def want_hosts(context, hosts, seconds):
@@ -377,6 +412,15 @@
 
 @behave.when('a host of pool "{pool}" idles for {idle_s:g} s')
 def idle_host(context, pool, idle_s):
+    plan_idle(context, pool, idle_s)
+
+
+@behave.when('a host of pool "{pool}" idles for {idle_s:g} s, and pool "{other}" {tells} its need')
+def idle_host_beside(context, pool, idle_s, other, tells):
+    plan_idle(context, pool, idle_s, is_complete=tells == "tells")
+
+
+def plan_idle(context, pool, idle_s, **fields):
     hosts = {"h0": calls.HostLoad(cpu_millis=4000), "h1": calls.HostLoad(idle_s=idle_s)}
     report = calls.DemandReport(
         cpu_running=4000,
@@ -391,7 +435,7 @@
     views = [
         pooling.HostView(host, pool, pooling.HostState.UP, "z", "r", context.size) for host in hosts
     ]
-    context.moves = context.planner.plan(views, {pool: report}, set(), "spare", 1.0)
+    context.moves = context.planner.plan(views, {pool: report}, set(), "spare", 1.0, **fields)
 
 
 @behave.then("the idle host is {what}")
--- a/packages/nutmegshelf/src/nutmegshelf/clearing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/clearing.py
@@ -1,14 +1,20 @@
-"""Decide which tasks leave a host that is asked for, within the budgets of their steps."""
+"""Decide which tasks leave a host that is asked for, within the budgets of their steps.
+
+A task that lasts leaves only for a place elsewhere. One that left without would count as away, hold
+the other tasks of its step at the host, and wait for the very host that is closed.
+"""
 
 import collections
 import dataclasses
 
-from nutmegshelf import copies, estimates, fleetview, ids, ledger
+from nutmegshelf import copies, estimates, fleetview, ids, ledger, places
 
 # A host that nobody asks for again stays closed this long.
 _CLOSED_S = 4.0
 # Tasks that end by themselves are waited for this long; then those that save their state leave.
 _PATIENCE_S = 2.5
+# A host comes back from its upkeep, so after this time its last tasks leave without another place.
+_PLACE_PATIENCE_S = 4.0
 # Only so recent news counts as proof that a task is at work; a look waits up to a second.
 _NEWS_AGE_S = 1.3
 
@@ -19,12 +25,24 @@
 
     _until_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
     _since_s: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+    # The newest life of a worker that a host had when it was closed.
+    _born_ms: dict[ids.HostId, int] = dataclasses.field(default_factory=dict)
 
-    def close(self, host: ids.HostId, now_s: float) -> None:
+    def close(self, host: ids.HostId, now_s: float, born_ms: int = 0) -> None:
         """Give a host no new tasks from now on."""
         if not self.is_closed(host, now_s):
             self._since_s[host] = now_s
         self._until_s[host] = now_s + _CLOSED_S
+        self._born_ms[host] = max(born_ms, self._born_ms.get(host, 0))
+
+    def reopen(self, host: ids.HostId) -> None:
+        """Give a host new tasks again."""
+        self._until_s.pop(host, None)
+
+    def took_life(self, life: fleetview.Life, host: ids.HostId) -> None:
+        """Give a host new tasks where a later life says that its upkeep or move is done."""
+        if life.born_ms > self._born_ms.get(host, 0):
+            self.reopen(host)
 
     def is_closed(self, host: ids.HostId, now_s: float) -> bool:
         """Say whether a host gets no new tasks."""
@@ -35,11 +53,14 @@
         worker: fleetview.Worker,
         workers: dict[fleetview.Life, fleetview.Worker],
         book: ledger.Ledger,
+        found: places.Places,
         now_s: float,
     ) -> list[fleetview.Task]:
         """Give the tasks that leave now; a step that lasts gives them up one by one."""
         waited_s = now_s - self._since_s.get(worker.facts.host, now_s)
-        leaving = _lasting_to_leave(worker, workers, book, now_s)
+        leaving = _for_a_place(worker, workers, book, found, now_s, waited_s=waited_s)
+        if not leaving and waited_s > _PLACE_PATIENCE_S:
+            leaving = _last_to_leave(worker, workers, book, now_s)
         if waited_s > _PATIENCE_S:
             leaving += _saving(worker)
         return leaving
@@ -49,7 +70,9 @@
     worker: fleetview.Worker,
     workers: dict[fleetview.Life, fleetview.Worker],
     book: ledger.Ledger,
+    found: places.Places,
     learned: estimates.Estimates,
+    *,
     now_s: float,
 ) -> list[fleetview.Task]:
     """Give the tasks that leave a worker that drains now.
@@ -59,7 +82,7 @@
     """
     told_s = worker.drain_told_s if worker.drain_told_s is not None else now_s
     left_s = (worker.facts.left_ms or 0) / 1000 - (now_s - told_s)
-    leaving = _lasting_to_leave(worker, workers, book, now_s)
+    leaving = _for_a_place(worker, workers, book, found, now_s, waited_s=now_s - told_s)
     for task in _saving(worker):
         queue = book.records[task.key.job].job.queue.name
         expected_s = learned.expected_s(queue, task.step.estimate_ms)
@@ -78,25 +101,58 @@
     ]
 
 
-def _lasting_to_leave(
+def _for_a_place(
     worker: fleetview.Worker,
     workers: dict[fleetview.Life, fleetview.Worker],
     book: ledger.Ledger,
+    found: places.Places,
     now_s: float,
+    *,
+    waited_s: float,
 ) -> list[fleetview.Task]:
+    """Give the tasks that last and may leave now, as each has a place elsewhere."""
     leaving: list[fleetview.Task] = []
     counted: collections.Counter[ledger.Part] = collections.Counter()
-    for task in worker.tasks.values():
-        if task.phase is not fleetview.Phase.RUNNING or not task.step.lasting:
-            continue
-        part = book.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
+    for task in _lasting(worker, book):
+        part = book.part_of(task)
         away = counted[part] + away_count(part, task, workers, now_s)
-        if not task.step.may_miss or away < task.step.may_miss:
+        if task.step.may_miss and away >= task.step.may_miss:
+            continue
+        if found.settle(task, part, waited_s):
+            task.waited_to_leave_s = waited_s
             leaving.append(task)
             counted[part] += 1
     return leaving
 
 
+def _last_to_leave(
+    worker: fleetview.Worker,
+    workers: dict[fleetview.Life, fleetview.Worker],
+    book: ledger.Ledger,
+    now_s: float,
+) -> list[fleetview.Task]:
+    """Give all tasks that last, or none where one of them would have to stay."""
+    leaving = _lasting(worker, book)
+    by_part: dict[ledger.Part, list[fleetview.Task]] = {}
+    for task in leaving:
+        by_part.setdefault(book.part_of(task), []).append(task)
+    for part, tasks in by_part.items():
+        away = away_count(part, tasks[0], workers, now_s)
+        if part.step.may_miss and away + len(tasks) > part.step.may_miss:
+            return []
+    return leaving
+
+
+def _lasting(worker: fleetview.Worker, book: ledger.Ledger) -> list[fleetview.Task]:
+    return [
+        task
+        for task in worker.tasks.values()
+        if task.phase is fleetview.Phase.RUNNING
+        and task.step.lasting
+        and book.records[task.key.job].is_live
+    ]
+
+
 def away_count(
     part: ledger.Part,
     but: fleetview.Task,
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -2,10 +2,24 @@
 
 import collections
 import collections.abc
+import enum
 import math
 
 from nutmegshelf import fleetview, jobs
 
+# A task that found no worker for this long no longer waits for one that keeps its step apart.
+_SPREAD_PATIENCE_S = 4.0
+
+
+class Obstacle(enum.Enum):
+    """Say why a worker can't take a task."""
+
+    CPU = "cpu"
+    MEMORY = "memory"
+    ACCELERATORS = "accelerators"
+    LABEL = "label"
+    SPREAD = "spread"
+
 
 class Blocked:
     """Remember within one pass which shapes fit nowhere, so that their like are passed over."""
@@ -30,17 +44,36 @@
     return (0 if step.fills else step.cpu_millis, step.memory_mb, step.accelerators)
 
 
+def obstacle(
+    step: jobs.Step, free: fleetview.Room, labels: frozenset[str], count: int, most: int
+) -> Obstacle | None:
+    """Say what keeps a task off a worker that runs some of its step, or give none.
+
+    At most so many of a step run on one worker, where that is not 0.
+    """
+    if not step.fills and step.cpu_millis > free.cpu_millis:
+        return Obstacle.CPU
+    if step.memory_mb > free.memory_mb:
+        return Obstacle.MEMORY
+    if step.accelerators > free.accelerators:
+        return Obstacle.ACCELERATORS
+    if step.label and step.label not in labels:
+        return Obstacle.LABEL
+    return Obstacle.SPREAD if most and count >= most else None
+
+
 def best(
     step: jobs.Step,
     open_workers: collections.abc.Iterable[fleetview.Worker],
     here: collections.Counter[fleetview.Life],
+    *,
+    most: int,
     is_shared: bool,
 ) -> fleetview.Worker | None:
-    """Give the worker for one task of a step, or none.
+    """Give the worker for one task of a step, at most so many of which run there, or none.
 
-    Data nearby goes first. Tasks that last share few workers, but no worker gets more than half
-    of a step; others fill the fullest worker that has room. Both leave whole workers free for
-    large tasks and for other pools.
+    Data nearby goes first. Tasks that last share few workers; others fill the fullest worker that
+    has room. Both leave whole workers free for large tasks and for other pools.
     """
     chosen: fleetview.Worker | None = None
     chosen_rank: tuple[object, ...] = ()
@@ -50,13 +83,8 @@
         for worker in found:
             racks[worker.facts.rack] += here[worker.facts.life]
     for worker in found:
-        if not worker.fits(step):
-            continue
-        if step.label and step.label not in worker.facts.labels:
-            continue
-        count = here[worker.facts.life]
-        most = most_per_worker(step) if step.lasting else step.max_per_worker
-        if most and count >= most:
+        facts = worker.facts
+        if obstacle(step, worker.free, facts.labels, here[facts.life], most) is not None:
             continue
         far = bool(step.data_rack) and worker.facts.rack != step.data_rack
         rank: tuple[object, ...]
@@ -84,8 +112,25 @@
     return chosen
 
 
-def most_per_worker(step: jobs.Step) -> int:
-    """Give how many tasks of a step that lasts one worker may run, so that a loss leaves some."""
+def has_room(step: jobs.Step, workers: collections.abc.Iterable[fleetview.Worker]) -> bool:
+    """Say whether some worker has room for a task, though it may run too many of its step."""
+    return any(obstacle(step, one.free, one.facts.labels, 0, 0) is None for one in workers)
+
+
+def share(step: jobs.Step, facts: fleetview.WorkerFacts) -> float:
+    """Give the part of a worker that a task takes, in the resource that it takes most of."""
+    taken = fleetview.Room(0, 0, 0)
+    taken.count(step, 1)
+    return fleetview.largest_share(taken, facts)
+
+
+def most_per_worker(step: jobs.Step, waited_s: float = 0.0) -> int:
+    """Give how many tasks of a step one worker may run, or 0 where that is not bounded.
+
+    Half of a step that lasts, so that a loss leaves some, as long as other workers may come.
+    """
+    if not step.lasting or waited_s > _SPREAD_PATIENCE_S:
+        return step.max_per_worker
     half = max(1, math.ceil(step.count / 2))
     return min(half, step.max_per_worker or half)
 
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -49,6 +49,17 @@
     DONE = "done"
 
 
+class Closure(enum.Enum):
+    """Say why a worker gets no new tasks."""
+
+    NOT_ASKED = "not asked yet"
+    LEAVING = "drains or is not listed"
+    CLEARED = "its host is asked for"
+    SILENT = "does not answer"
+    SHUNNED = "failed what it started"
+    FULL = "refused a start for want of room"
+
+
 PLACED = frozenset({Phase.STARTING, Phase.RUNNING, Phase.UNSURE, Phase.STOPPING})
 
 
@@ -77,6 +88,8 @@
     is_missing: bool = False
     # Another run of the same task, where its step is speculative.
     twin: "Task | None" = None
+    # For how long it was to leave a host before it did.
+    waited_to_leave_s: float = 0.0
     # The highest number that a run of the task was given.
     top_run: int = 0
 
@@ -148,6 +161,16 @@
         )
 
 
+def largest_share(taken: Room, facts: WorkerFacts) -> float:
+    """Give the part of a worker that is taken, in the resource that is taken most."""
+    pairs = (
+        (taken.cpu_millis, facts.cpu_millis),
+        (taken.memory_mb, facts.memory_mb),
+        (taken.accelerators, facts.accelerators),
+    )
+    return max((used / size for used, size in pairs if size > 0), default=0.0)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
     """Hold what is believed of one life of a worker."""
@@ -166,8 +189,8 @@
         default_factory=collections.deque
     )
     strays: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
-    # Runs whose stop was sent and neither answered nor given up.
-    stops_under_way: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    # Runs whose stop was sent and neither answered nor given up, with the time of its choice.
+    stops_under_way: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
     failures_in_row: int = 0
     failed_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
     shunned_until_s: float = 0.0
@@ -200,6 +223,14 @@
         """Count the tasks here that last."""
         return sum(task.step.lasting for task in self.tasks.values())
 
+    def room_beside_lasting(self) -> Room:
+        """Give what is free once the tasks that end by themselves are gone."""
+        room = Room(self.facts.cpu_millis, self.facts.memory_mb, self.facts.accelerators)
+        for task in self.tasks.values():
+            if task.step.lasting:
+                room.count(task.step, -1)
+        return room
+
     def fits(self, step: jobs.Step) -> bool:
         """Say whether a task of a step fits beside what runs here."""
         return self.free.fits(step)
--- a/packages/nutmegshelf/src/nutmegshelf/ledger.py
+++ b/packages/nutmegshelf/src/nutmegshelf/ledger.py
@@ -32,6 +32,8 @@
     occurrences: dict[int, list[Part]] = dataclasses.field(default_factory=dict)
     ready: dict[jobs.TaskKey, fleetview.Task] = dataclasses.field(default_factory=dict)
     ended_s: float = 0.0
+    # Whether tasks may run somewhere since a takeover.
+    has_adrift: bool = False
 
     @property
     def is_live(self) -> bool:
@@ -45,6 +47,24 @@
             return None
         return parts[key.step].tasks[key.position]
 
+    def ready_parts(self) -> list[tuple[Part, list[fleetview.Task]]]:
+        """Give the tasks that wait for a worker, by step."""
+        found: dict[tuple[int, int], list[fleetview.Task]] = {}
+        for task in self.ready.values():
+            found.setdefault((task.key.occurrence, task.key.step), []).append(task)
+        return [(self.occurrences[one][step], tasks) for (one, step), tasks in found.items()]
+
+    def waiting_parts(self) -> list[tuple[Part, list[fleetview.Task]]]:
+        """Give the tasks that wait for a worker or, after a takeover, for word of them."""
+        found = self.ready_parts() if self.ready else []
+        if self.has_adrift:
+            for parts in self.occurrences.values():
+                for part in parts:
+                    adrift = [one for one in part.tasks if one.phase is fleetview.Phase.ADRIFT]
+                    if part.is_open and adrift:
+                        found.append((part, adrift))
+        return found
+
     def tasks(self) -> collections.abc.Iterator[fleetview.Task]:
         """Give all tasks of the occurrences that have begun."""
         for parts in self.occurrences.values():
@@ -133,6 +153,7 @@
                     if may_run:
                         task.phase = fleetview.Phase.ADRIFT
                         self.adrift.add(task)
+                        record.has_adrift = True
                 part.tasks.append(task)
             parts.append(part)
         record.occurrences[number] = parts
@@ -204,6 +225,10 @@
 
     # --- tasks
 
+    def part_of(self, task: fleetview.Task) -> Part:
+        """Give the step of a task with its tasks."""
+        return self.records[task.key.job].occurrences[task.key.occurrence][task.key.step]
+
     def place(
         self, record: Record, task: fleetview.Task, worker: fleetview.Worker, run: int, now_s: float
     ) -> None:
@@ -215,6 +240,7 @@
         if task.twin is not None:
             task.twin.top_run = task.top_run
         task.since_s = task.sent_s = now_s
+        task.waited_to_leave_s = 0.0
         task.stop_sent_s = task.stop_acked_s = None
         task.stops_sent = 0
         task.may_start_until_s = 0.0
@@ -356,6 +382,21 @@
         return max(task.run, task.top_run, self._first_run) + 1
 
 
+def counts(part: Part) -> collections.Counter[fleetview.Life]:
+    """Count the runs of a step by worker, second runs too."""
+    found: collections.Counter[fleetview.Life] = collections.Counter()
+    for task in part.tasks:
+        for one in (task, task.twin):
+            if one is not None and one.life is not None:
+                found[one.life] += 1
+    return found
+
+
+def waited_s(record: Record, task: fleetview.Task, now_s: float) -> float:
+    """Give for how long a task waits, with the time that it waited to leave a host."""
+    return now_s - max(task.since_s, record.accepted_s) + task.waited_to_leave_s
+
+
 def chain_s(job: jobs.Job) -> float:
     """Give the longest chain of a job's steps by their estimates."""
     ends_s: list[float] = []
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -16,15 +16,19 @@
     needs,
     notes,
     orders,
+    places,
     pooling,
     preemption,
     sharing,
+    stalls,
     starting,
     stopping,
     takeover,
     window,
 )
 
+# Workers that are open, or will be in a moment.
+_ROOM_SOON = (None, fleetview.Closure.NOT_ASKED, fleetview.Closure.FULL)
 # After a refusal for want of room a worker gets no starts until its next report.
 _ROOM_PAUSE_S = 0.3
 
@@ -54,6 +58,7 @@
         self._arrived_core_ms = 0.0
         self._takeover = takeover.Takeover(began_s=now_s, lapse_s=lapse_s, is_needed=recovers)
         self._listener = listening.Listener(self.ledger, self.estimates, self.notes)
+        self._stalls = stalls.Stalls(self.ledger, self.notes)
 
     def arrived(self, job: jobs.Job) -> None:
         """Count the work of a new job."""
@@ -85,8 +90,11 @@
             worker = self.workers.get(life)
             if worker is None:
                 worker = self.workers[life] = fleetview.Worker(facts, idle_since_s=now_s)
-                worker.leased_until_s = self._takeover.lapsed_s
+                # What an earlier holder leased there has lapsed by then.
+                if now_s < self._takeover.lapsed_s:
+                    worker.leased_until_s = self._takeover.lapsed_s
                 added.append(worker)
+                self.clearing.took_life(life, facts.host)
             if facts.is_draining and (
                 worker.drain_told_s is None or worker.facts.left_ms != facts.left_ms
             ):
@@ -132,7 +140,7 @@
 
     def _lost(self, worker: fleetview.Worker, now_s: float, reason: str) -> None:
         for task in list(worker.tasks.values()):
-            self.notes.note("task lost", task=task.key.name, run=task.run, reason=reason)
+            self.notes.note_task("task lost", task, reason=reason)
             self.ledger.free(self.ledger.records[task.key.job], task, worker, now_s)
         worker.is_asked = False
         self.workers.pop(worker.facts.life, None)
@@ -148,9 +156,9 @@
         for worker in list(self.workers.values()):
             if worker.leased_until_s and now_s > worker.leased_until_s:
                 for task in list(worker.tasks.values()):
-                    self.notes.note("lease lapsed", task=task.key.name, run=task.run)
+                    self.notes.note_task("lease lapsed", task)
                     self.ledger.free(self.ledger.records[task.key.job], task, worker, now_s)
-                worker.is_asked = False
+                worker.is_asked, worker.leased_until_s = False, 0.0
                 worker.strays.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
                 del self.workers[worker.facts.life]
@@ -158,6 +166,9 @@
             if record.job.occurrences:
                 self.ledger.open_due(record, now_ms)
         self._settle(now_s)
+        if self._stalls.is_due(now_s):
+            found = self.workers.values()
+            self._stalls.note([(one, self._closure(one, now_s)) for one in found], now_s)
 
     def _is_empty(self, worker: fleetview.Worker, now_s: float) -> bool:
         # All that was started there is known, unless an earlier holder's word is still missing.
@@ -209,25 +220,50 @@
             return False
         if not self.is_settled and (is_busy or not self._takeover.is_heard(host, workers)):
             return False
-        self.clearing.close(host, now_s)
+        born_ms = max((worker.facts.life.born_ms for worker in workers), default=0)
+        self.clearing.close(host, now_s, born_ms)
+        if not is_busy:
+            return True
+        found = self._places(now_s)
+        waiting = list(found.homeless)
+        found.settle_leaving(self.workers.values(), self.ledger)
         for worker in workers:
-            for task in self.clearing.to_leave(worker, self.workers, self.ledger, now_s):
-                self.notes.note("task leaves", task=task.key.name, run=task.run, host=host)
+            leaving = self.clearing.to_leave(worker, self.workers, self.ledger, found, now_s)
+            for task in leaving:
+                self.notes.note_task("task leaves", task, host=host)
                 self.leave(task)
+            if not leaving and places.holds_up(worker, waiting):
+                self.notes.note("host stays open", host=host, waiting=len(waiting))
+                self.clearing.reopen(host)
         return not any(worker.tasks or worker.strays for worker in workers)
 
     def demand(self, now_s: float) -> calls.DemandReport:
         """Say what the service needs of hosts now."""
         live = self.ledger.live.values()
+        closed = [(one, self._closure(one, now_s)) for one in self.workers.values()]
+        found = places.Places([one for one, why in closed if why in _ROOM_SOON], self.advice)
+        found.settle_waiting(live, now_s)
+        found.settle_leaving(self.workers.values(), self.ledger)
+        for worker in self.workers.values():
+            if self.clearing.is_closed(worker.facts.host, now_s) or worker.drain_told_s is not None:
+                found.settle_staying(worker, self.ledger)
+        waiting = [(one, one.waiting_parts()) for one in live]
+        found.note_hopeless(each for _, parts in waiting for each in parts)
         return needs.report(
-            self.workers.values(),
-            live,
-            self.estimates,
-            self._arrived_core_ms,
+            closed,
+            waiting,
+            needs.Learned(self.estimates, self._arrived_core_ms),
+            found,
             now_s,
             is_held_up=self._starter.is_held_up,
         )
 
+    def _places(self, now_s: float) -> places.Places:
+        """Give the places of the open workers that no waiting task will take."""
+        found = places.Places(self.open_workers(now_s), self.advice)
+        found.settle_waiting(self.ledger.live.values(), now_s)
+        return found
+
     # --- answers to orders
 
     def started(self, order: orders.StartRun, now_s: float) -> None:
@@ -245,7 +281,7 @@
             worker.room_refused_s = now_s
         if reason == "ticket":
             self.advice.refused(advising.step_name(order.key), order.life)
-        self.notes.note("start refused", task=order.key.name, run=order.run, reason=reason)
+        self.notes.note_task("start refused", task, reason=reason)
         self.ledger.free(self.ledger.records[order.key.job], task, worker, now_s)
 
     def unanswered(
@@ -257,10 +293,9 @@
         if task is not None and is_unsure:
             task.phase, task.since_s = fleetview.Phase.UNSURE, now_s
             task.may_start_until_s = may_start_until_s
-            self.notes.note(
+            self.notes.note_task(
                 "start unanswered",
-                task=order.key.name,
-                run=order.run,
+                task,
                 since_ordered_s=round(now_s - task.sent_s, 3),
                 size_bytes=orders.size_bytes(order),
                 why=why,
@@ -271,7 +306,7 @@
         """Note that a worker took a stop; says whether a look would free its task now."""
         worker, key = self.workers.get(order.life), jobs.parse_task(order.task)
         if worker is not None:
-            worker.stops_under_way.discard((order.task, order.run))
+            worker.stops_under_way.pop((order.task, order.run), None)
         task = worker.tasks.get(key) if worker and key else None
         if task is not None and task.run == order.run:
             task.stop_acked_s = now_s
@@ -284,7 +319,22 @@
         """Note that a stop got no answer, so that it may be sent again."""
         worker = self.workers.get(order.life)
         if worker is not None:
-            worker.stops_under_way.discard((order.task, order.run))
+            worker.stops_under_way.pop((order.task, order.run), None)
+
+    def not_sent(self, order: orders.Order, why: str, now_s: float) -> None:
+        """Note that an order did not leave, and will not."""
+        match order:
+            case orders.StartRun():
+                self.refused(order, why, now_s)
+            case orders.StopRun():
+                self.stop_unanswered(order)
+            case orders.SetPace():
+                self.notes.note("pace not sent", task=order.task, run=order.run, reason=why)
+
+    def is_wanted(self, order: orders.StartRun) -> bool:
+        """Say whether a start that waited for its way is still to be sent."""
+        task = self._task_of(order)
+        return task is not None and task.phase is fleetview.Phase.STARTING
 
     def _task_of(self, order: orders.StartRun) -> fleetview.Task | None:
         worker = self.workers.get(order.life)
@@ -317,16 +367,21 @@
 
     def open_workers(self, now_s: float) -> list[fleetview.Worker]:
         """Give the workers that may get new tasks."""
-        return [
-            worker
-            for worker in self.workers.values()
-            if worker.is_asked
-            and not worker.is_closed
-            and not self.clearing.is_closed(worker.facts.host, now_s)
-            and worker.unheard_since_s is None
-            and now_s >= worker.shunned_until_s
-            and now_s >= worker.room_refused_s + _ROOM_PAUSE_S
-        ]
+        return [one for one in self.workers.values() if self._closure(one, now_s) is None]
+
+    def _closure(self, worker: fleetview.Worker, now_s: float) -> fleetview.Closure | None:
+        """Say why a worker gets no new tasks, or give none."""
+        if not worker.is_asked:
+            return fleetview.Closure.NOT_ASKED
+        if worker.is_closed:
+            return fleetview.Closure.LEAVING
+        if self.clearing.is_closed(worker.facts.host, now_s):
+            return fleetview.Closure.CLEARED
+        if worker.unheard_since_s is not None:
+            return fleetview.Closure.SILENT
+        if now_s < worker.shunned_until_s:
+            return fleetview.Closure.SHUNNED
+        return fleetview.Closure.FULL if now_s < worker.room_refused_s + _ROOM_PAUSE_S else None
 
     def starts(self, now_s: float) -> list[orders.StartRun]:
         """Choose what starts now, the most urgent first."""
@@ -334,37 +389,51 @@
         chosen = self._starter.choose(found, now_s)
         if self._starter.homeless:
             self._preempt(found, now_s)
-        elif found and not self._starter.is_held_up:
+        unkept = self._starter.unkept
+        # What lasts may wait for long, and its room is kept.
+        is_full = any(not record.job.lasts for record in self._starter.homeless)
+        if unkept and not is_full and not self._starter.is_held_up:
             for record, task in copies.choose(
                 self.ledger.live.values(), self.workers, self.estimates, now_s
             ):
-                order = self._starter.copy(record, task, found, now_s)
+                order = self._starter.copy(record, task, unkept, now_s)
                 if order is not None:
                     chosen.append(order)
         return chosen
 
     def _preempt(self, found: list[fleetview.Worker], now_s: float) -> None:
-        choice = preemption.Preemption(found, self.ledger, self.estimates, now_s)
-        for task in choice.choose(self._starter.homeless):
-            self.notes.note("run preempted", task=task.key.name, run=task.run)
+        unkept = self._starter.unkept
+        lasting = [record for record in self._starter.homeless if record.job.lasts]
+        others = [record for record in self._starter.homeless if not record.job.lasts]
+        stopped: list[fleetview.Task] = []
+        for workers, records in ((found, lasting), (unkept, others)):
+            choice = preemption.Preemption(workers, self.ledger, self.estimates, now_s)
+            stopped += choice.choose(records)
+        for task in stopped:
+            self.notes.note_task("run preempted", task)
             self.leave(task)
 
     def evacuate(self, now_s: float) -> None:
         """Have tasks leave workers that drain, where another worker has room for them."""
         if not self.is_settled:
             return
-        found = self.open_workers(now_s)
-        for worker in self.workers.values():
-            if worker.drain_told_s is None or not worker.tasks:
-                continue
+        draining = [
+            worker
+            for worker in self.workers.values()
+            if worker.drain_told_s is not None and worker.tasks
+        ]
+        if not draining:
+            return
+        found, able = self.open_workers(now_s), self._places(now_s)
+        able.settle_leaving(self.workers.values(), self.ledger)
+        for worker in draining:
             for task in clearing.evacuating(
-                worker, self.workers, self.ledger, self.estimates, now_s
+                worker, self.workers, self.ledger, able, self.estimates, now_s=now_s
             ):
                 if any(one.fits(task.step) and one.could_fit(task.step) for one in found):
-                    self.notes.note(
+                    self.notes.note_task(
                         "task leaves",
-                        task=task.key.name,
-                        run=task.run,
+                        task,
                         host=worker.facts.host,
                         left_ms=worker.facts.left_ms,
                     )
--- a/packages/nutmegshelf/src/nutmegshelf/starting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -4,8 +4,6 @@
 nowhere is not tried again in the same pass.
 """
 
-import collections
-
 from nutmegshelf import (
     advising,
     fitting,
@@ -14,6 +12,7 @@
     ledger,
     notes,
     orders,
+    places,
     urgency,
     window,
 )
@@ -35,9 +34,15 @@
         self._notes = written
         # Records that had a task no open worker had room for, in the last pass.
         self.homeless: list[ledger.Record] = []
+        self._keeper = places.Keeper([], advice, 0.0)
         # Whether a start found no room on its way in the last pass.
         self.is_held_up = False
 
+    @property
+    def unkept(self) -> list[fleetview.Worker]:
+        """Give the workers that short tasks may use, by the last pass."""
+        return self._keeper.unkept
+
     def choose(self, found: list[fleetview.Worker], now_s: float) -> list[orders.StartRun]:
         """Choose what starts now at the open workers."""
         self.homeless = []
@@ -49,8 +54,10 @@
             return []
         chosen: list[orders.StartRun] = []
         blocked = fitting.Blocked()
+        self._keeper = places.Keeper(found, self._advice, now_s)
         for record in sorted(ready, key=lambda record: urgency.of(record, now_s)):
-            chosen += self._start_job(record, found, blocked, now_s)
+            able = found if record.job.lasts else self._keeper.unkept
+            chosen += self._start_job(record, able, blocked, now_s)
             if self.is_held_up:
                 break
         self._ask_ahead(found, now_s)
@@ -94,26 +101,23 @@
         now_s: float,
     ) -> list[orders.StartRun]:
         chosen: list[orders.StartRun] = []
-        by_part: dict[tuple[int, int], list[fleetview.Task]] = {}
-        for task in record.ready.values():
-            by_part.setdefault((task.key.occurrence, task.key.step), []).append(task)
-        for (number, index), tasks in by_part.items():
-            part = record.occurrences[number][index]
+        for part, tasks in record.ready_parts():
             allowed = self._advised(record, tasks[0].key, part, found, now_s)
             if part.step.gang:
                 chosen += self._start_gang(record, part, allowed, now_s)
                 continue
             if blocked.covers(part.step):
-                self.homeless.append(record)
+                self._find_homeless(record, part, tasks)
                 continue
-            here = _counts(part)
+            here = ledger.counts(part)
             is_shared = part.step.fills or bool(part.step.target_ms)
             for task in tasks:
-                worker = fitting.best(part.step, allowed, here, is_shared)
+                most = fitting.most_per_worker(part.step, ledger.waited_s(record, task, now_s))
+                worker = fitting.best(part.step, allowed, here, most=most, is_shared=is_shared)
                 if worker is None:
-                    if not part.step.max_per_worker and allowed is found:
+                    if allowed is found and not fitting.has_room(part.step, found):
                         blocked.note(part.step)
-                    self.homeless.append(record)
+                    self._find_homeless(record, part, tasks)
                     break
                 route = self._outflow.route(record.job, task.saved, worker, now_s)
                 if route is None:
@@ -124,6 +128,15 @@
                 chosen.append(self._start(record, task, worker, run=run, route=route, now_s=now_s))
         return chosen
 
+    def _find_homeless(
+        self, record: ledger.Record, part: ledger.Part, tasks: list[fleetview.Task]
+    ) -> None:
+        """Note that tasks found no worker, and keep one free for those that last."""
+        self.homeless.append(record)
+        if part.step.lasting:
+            waiting = [task for task in tasks if task.phase is fleetview.Phase.WAITING]
+            self._keeper.keep(record, part, waiting)
+
     def copy(
         self,
         record: ledger.Record,
@@ -135,13 +148,14 @@
         part = record.occurrences[task.key.occurrence][task.key.step]
         others = [one for one in found if one.facts.life != task.life]
         allowed = self._advised(record, task.key, part, others, now_s)
-        here = _counts(part)
-        worker = fitting.best(part.step, allowed, here, is_shared=False)
+        here = ledger.counts(part)
+        most = fitting.most_per_worker(part.step)
+        worker = fitting.best(part.step, allowed, here, most=most, is_shared=False)
         route = self._outflow.route(record.job, task.saved, worker, now_s) if worker else None
         if worker is None or route is None:
             return None
         made = self._ledger.copy(task)
-        self._notes.note("second run", task=task.key.name, run=task.run, percent=task.percent)
+        self._notes.note_task("second run", task, percent=task.percent)
         return self._start(
             record, made, worker, run=self._ledger.next_run(task), route=route, now_s=now_s
         )
@@ -185,10 +199,8 @@
         life = worker.facts.life
         self._outflow.take(record.job.job, route, now_s)
         waited_s = round(now_s - max(task.since_s, record.accepted_s), 3)
-        self._notes.note(
-            "run starts", task=task.key.name, run=run, worker=life.worker, waited_s=waited_s
-        )
         self._ledger.place(record, task, worker, run, now_s)
+        self._notes.note_task("run starts", task, worker=life.worker, waited_s=waited_s)
         ticket = None
         if record.job.queue.advised is not None:
             ticket = self._advice.ticket(advising.step_name(task.key), life, now_s)
@@ -202,13 +214,3 @@
             task.step.lasting,
             route,
         )
-
-
-def _counts(part: ledger.Part) -> collections.Counter[fleetview.Life]:
-    """Count the runs of a step by worker, second runs too."""
-    found: collections.Counter[fleetview.Life] = collections.Counter()
-    for task in part.tasks:
-        for one in (task, task.twin):
-            if one is not None and one.life is not None:
-                found[one.life] += 1
-    return found
