--- a/features/review.feature
+++ b/features/places.feature
@@ -1,4 +1,4 @@
-Feature: What the review of LOST found
+Feature: Places are judged by one rule, and only hosts that help are asked for
 
   Scenario: A host that can't be cleared doesn't keep a task that lasts waiting
     Given a pool of 4 hosts with 32 cores and 128 GB, and 0 spare hosts
--- a/features/steps/review_steps.py
+++ b/features/steps/places_steps.py
@@ -1,4 +1,4 @@
-"""Check findings of the review of LOST: waits that no part ends, and hosts that nobody needs."""
+"""Check waits that no part ends, and hosts that are asked for in vain."""
 
 import dataclasses
 
