Start second runs only at workers that are open in the same pass

The workers that short tasks may use were renewed only in passes in which something waited, and second runs, which start when nothing does, took them from an earlier pass: one could start at a worker that drains, or whose host is asked for. They are renewed at the start of each pass. Failed before: features/places.feature, a second run at a host that is asked for.

--- a/features/places.feature
+++ b/features/places.feature
@@ -125,3 +125,9 @@
   Scenario: Hosts that can't be cleared don't hold up the others of their wave
     Given a wave over 3 hosts, one at a time, of which the 2 with the fewest tasks can't be cleared
     Then within 6 rounds of clearing the third is asked for
+
+  Scenario: A second run does not start at a worker that closed since work last waited
+    Given a service of hosts with 32 cores and 128 GB
+    And 2 idle workers that are listed and refused a start just now
+    When a task that stands still is the only work, and the other worker's host is asked for
+    Then it gets no second run
--- a/features/steps/places_steps.py
+++ b/features/steps/places_steps.py
@@ -409,3 +409,23 @@
         for host in chosen:
             context.plan.give_up(host)
     raise AssertionError(asked)
+
+
+@behave.when("a task that stands still is the only work, and the other worker's host is asked for")
+def stand_still(context):
+    step = jobs.Step(count=1, cpu_millis=1000, memory_mb=1, estimate_ms=500, speculative=True)
+    room_steps.add_job(context, step)
+    for worker in context.scheduler.workers.values():
+        worker.is_asked, worker.room_refused_s = True, -1.0
+    (order,) = context.scheduler.starts(context.now_s)
+    context.scheduler.started(order, context.now_s)
+    context.now_s += 5.0
+    for worker in context.scheduler.workers.values():
+        if worker.facts.life != order.life:
+            context.scheduler.clearing.close(worker.facts.host, context.now_s)
+
+
+@behave.then("it gets no second run")
+def check_no_copy(context):
+    found = context.scheduler.starts(context.now_s)
+    assert not found, found
--- a/packages/nutmegshelf/src/nutmegshelf/starting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starting.py
@@ -46,6 +46,7 @@
     def choose(self, found: list[fleetview.Worker], now_s: float) -> list[orders.StartRun]:
         """Choose what starts now at the open workers."""
         self.homeless = []
+        self._keeper = places.Keeper(found, self._advice, now_s)
         self.is_held_up = not self._outflow.own.has_link(now_s)
         if self.is_held_up:
             return []
@@ -54,7 +55,6 @@
             return []
         chosen: list[orders.StartRun] = []
         blocked = fitting.Blocked()
-        self._keeper = places.Keeper(found, self._advice, now_s)
         for record in sorted(ready, key=lambda record: urgency.of(record, now_s)):
             able = found if record.job.lasts else self._keeper.unkept
             chosen += self._start_job(record, able, blocked, now_s)
