--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -407,8 +407,9 @@
         others = [record for record in self._starter.homeless if not record.job.lasts]
         stopped: list[fleetview.Task] = []
         for workers, records in ((found, lasting), (unkept, others)):
-            choice = preemption.Preemption(workers, self.ledger, self.estimates, now_s)
-            stopped += choice.choose(records)
+            if records:
+                choice = preemption.Preemption(workers, self.ledger, self.estimates, now_s)
+                stopped += choice.choose(records)
         for task in stopped:
             self.notes.note_task("run preempted", task)
             self.leave(task)
