Check the lease as each order is sent, not only as it is chosen

Cause: a pass checks the age of the lease, but its orders are sent by tasks that begin later. A process that was paused in between resumed with the event 'orders allowed' still set, as the task that clears it runs every 0.1 s, and sent starts and stops 2.7 s and 4.3 s after its last renewal, when another entry may hold the service. Polls, which extend the leases of runs, went out as well. Now each order, each forwarded start and each poll asks for the age of the lease at the moment it goes. features/expired_permissions.feature: 4 of 4 failed before (starts at 2.739 s and 4.339 s, stops at 2.676 s and 4.276 s; the limit is 2.2 s), 4 pass.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -165,6 +165,9 @@
     def _is_lease_fresh(self) -> bool:
         return self.writer.lease_age_s < self._max_lease_age_s
 
+    def _may_send_orders(self) -> bool:
+        return self._is_lease_fresh() and self._orders_allowed.is_set()
+
     def get_demand(self) -> calls.DemandReport | None:
         """Return the service's demand for hosts, or None while loading or with a stale lease."""
         if not self.is_loaded or not self._is_lease_fresh():
@@ -320,6 +323,7 @@
             lease_s=self._lease_s,
             wake=self.wake,
             orders_allowed=self._orders_allowed,
+            may_send=self._may_send_orders,
             stages=self.stages,
             send_window=self._transport.router.window,
         )
@@ -446,7 +450,7 @@
         if self.scheduler.is_reconciled and not self._was_reconciled:
             self._was_reconciled = True
             self.stages.observe("takeover", now_s - self._acquired_s)
-        if self._is_lease_fresh() and self._orders_allowed.is_set():
+        if self._may_send_orders():
             self._transport.router.update_entries(self._transport.list_entries())
             if self._group is not None:
                 self._sender.send(self._choose_orders(now_s), self._group)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -1,6 +1,7 @@
 """Poll one worker, and send orders to it."""
 
 import asyncio
+import collections.abc
 import typing
 
 from nutmegshelf import exceptions, fleetview, orders, scheduler, window
@@ -46,6 +47,7 @@
         lease_s: float,
         wake: ports.Wake,
         orders_allowed: asyncio.Event,
+        may_send: collections.abc.Callable[[], bool],
         stages: histograms.StageDurations,
         send_window: window.Window,
     ) -> None:
@@ -56,6 +58,8 @@
         self._lease_s = lease_s
         self._wake = wake
         self._orders_allowed = orders_allowed
+        # The event may be outdated: a paused process resumes before it is cleared.
+        self._may_send = may_send
         self._stages = stages
         self._window = send_window
         self._acknowledged = 0
@@ -68,6 +72,9 @@
         backoff_s = _MIN_BACKOFF_S
         while (worker := self._scheduler.workers.get(self._incarnation)) is not None:
             await self._orders_allowed.wait()
+            if not self._may_send():
+                await asyncio.sleep(_MIN_BACKOFF_S)
+                continue
             try:
                 await self._poll_interruptibly(worker)
                 backoff_s = _MIN_BACKOFF_S
@@ -156,6 +163,9 @@
             self._slots.release()
 
     async def _dispatch(self, worker: fleetview.Worker, order: orders.Order) -> None:
+        if not self._may_send():
+            self._scheduler.record_not_sent(order, "the lease is not fresh", self._loop.time())
+            return
         match order:
             case orders.StartRun():
                 await self._start(worker, order)
@@ -173,7 +183,7 @@
             orders.LONG_RUNNING_START_VALID_S if order.is_long_running else orders.START_VALID_S
         )
         until_ms = self._to_worker_clock_ms(worker, valid_s) if worker is not None else None
-        if worker is None or until_ms is None or not self._orders_allowed.is_set():
+        if worker is None or until_ms is None or not self._may_send():
             self._scheduler.record_refused(order, "not ordered", self._loop.time())
             return None
         sent_s = self._loop.time()
