Contain malformed rows and unexpected errors of single services

Cause: one row that can't be decoded ended more than its own work. A malformed row of the inbox or of a lease ended the process, at every entry and at each restart; one of a job's progress, of a notice or of the workers in use failed each holder of the service; one of an entry kept all entries from seeing one another. An unexpected error in one of an entry's services ended the process as well. Rows are decoded one by one now (rowcodec), and services are restarted (supervision).

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -20,7 +20,7 @@
     views,
 )
 
-from nutmegshelf_entry import inspection, loading, logs, ports, writer
+from nutmegshelf_entry import inspection, loading, logs, ports, rowcodec, writer
 
 FLEET = ids.PoolName("*fleet")
 _WAVES_PREFIX = f"waves/{FLEET}/"
@@ -158,11 +158,17 @@
     async def _load(self) -> None:
         wave_rows = await loading.read_with_retries(FLEET, lambda: self._rows.scan(_WAVES_PREFIX))
         orders_row = await loading.read_with_retries(FLEET, lambda: self._rows.read(_ORDERS_KEY))
-        decoded = [codecs.unpack(row.value, upkeep.WaveRow) for row in wave_rows]
-        self._wave_rows = {row.number: row for row in decoded}
+        # A wave whose row is malformed begins anew; the platform accepts upkeep that is done again.
+        decoded = [rowcodec.decode(row, upkeep.WaveRow) for row in wave_rows]
+        self._wave_rows = {row.number: row for row in decoded if row is not None}
         if orders_row.version:
             now_s, clock_ms = self._loop.time(), self._rows.get_clock_ms()
-            for host, due_ms in codecs.unpack(orders_row.value, dict[ids.HostId, float]).items():
+            recent_orders = rowcodec.decode(orders_row, dict[ids.HostId, float])
+            if recent_orders is None:
+                # Any host may just have got an order.
+                self._initial_delay_s += self._quiet_period_s + _ORDER_DURATION_S
+                recent_orders = {}
+            for host, due_ms in recent_orders.items():
                 age_s = 0.0
                 # An order of unknown age may have been sent just now.
                 if clock_ms is not None and due_ms > 0:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -27,6 +27,7 @@
     logs,
     notelog,
     ports,
+    rowcodec,
     sender,
     worker_link,
     writer,
@@ -90,6 +91,8 @@
         self.writer.on_stored = self.wake
         self.writer.on_accepted = self._handle_accepted
         self._arrived_s: dict[ids.JobId, float] = {}
+        # Stored jobs that don't run, as it can't be read which of their tasks have ended.
+        self._unreadable: set[ids.JobId] = set()
         self._links: dict[fleetview.Incarnation, worker_link.WorkerLink] = {}
         self._sender = sender.OrderSender(
             self.scheduler, self._links, transport, pool=pool, wake=self.wake
@@ -176,7 +179,7 @@
 
     async def _submit(self, job: jobs.Job) -> calls.Reply:
         job_registry = self.scheduler.registry
-        if job.job in job_registry.records:
+        if job.job in job_registry.records or job.job in self._unreadable:
             return calls.Reply(status=calls.Status.DONE)
         self._arrived_s.setdefault(job.job, self._loop.time())
         try:
@@ -239,6 +242,8 @@
         *,
         may_run: bool,
     ) -> None:
+        if job.job in self._unreadable:
+            return
         is_known = job.job in self.scheduler.registry.records
         record = self.scheduler.registry.add(
             job, progress, arrived_s, _now_ms(), may_run=may_run, now_s=self._loop.time()
@@ -281,7 +286,7 @@
                 for notice in notices:
                     self._inbox.put(notice)
                 return
-            job = writer.decode_job(row) if row.version else None
+            job = rowcodec.decode(row, jobs.Job) if row.version else None
             if job is not None:
                 self._add(job, None, self._loop.time(), may_run=False)
         # More notices may have arrived during the read, and a cancelled job must not start.
@@ -361,16 +366,19 @@
             self.pool, lambda: loading.load_service(self._rows, self.pool)
         )
         now_ms, now_s = _now_ms(), self._loop.time()
+        self._unreadable = stored.unreadable
         for job in stored.submitted:
             age_s = max(0, now_ms - job.accepted_ms) / 1000
             self._add(job, stored.progress.get(job.job), now_s - age_s, may_run=True)
         # A cancelled job must not start, so notices are applied before the first order.
         for notice in stored.notices:
             self._apply_notice(notice)
-        expected: loading.IncarnationHosts = []
-        if self.epoch > 1:
-            expected = await loading.filter_live(self._hosts, self.pool, stored.incarnations)
-        self.scheduler.expect_incarnations(expected)
+        if stored.incarnations is None:
+            self.scheduler.expect_unknown_incarnations()
+        elif self.epoch > 1:
+            self.scheduler.expect_incarnations(
+                await loading.filter_live(self._hosts, self.pool, stored.incarnations)
+            )
         self.is_loaded = True
         _log.info(
             "A service is held.",
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -6,7 +6,7 @@
 import msgspec
 from nutmegshelf import calls, exceptions, ids, jobs, queues
 
-from nutmegshelf_entry import forwarder, lease_manager, logs, ports, writer
+from nutmegshelf_entry import forwarder, lease_manager, logs, ports, rowcodec
 
 # After this time without an answer of the holder, the table is read instead.
 _READ_TIMEOUT_S = 0.8
@@ -157,11 +157,12 @@
         except exceptions.TableError as error:
             kind = exceptions.ErrorKind.JOB_UNREADABLE
             raise exceptions.RequestError(kind, str(error)) from error
-        return (
-            writer.decode_progress(progress_row).state
-            if progress_row.version
-            else jobs.JobState.QUEUED
-        )
+        if not progress_row.version:
+            return jobs.JobState.QUEUED
+        progress = rowcodec.decode(progress_row, jobs.Progress)
+        if progress is None:
+            raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNREADABLE, progress_row.key)
+        return progress.state
 
     async def cancel(self, queue: queues.Queue, job: ids.JobId) -> None:
         """Cancel a job, or store the request for its next holder; raises RequestError."""
@@ -171,7 +172,7 @@
             return
         try:
             row = await self._rows.read(jobs.job_key(queue.service, job))
-            stored_job = writer.decode_job(row) if row.version else None
+            stored_job = rowcodec.decode(row, jobs.Job) if row.version else None
             if stored_job is None:
                 raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
             await self._rows.commit(jobs.build_cancellation(stored_job, row.version))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -9,7 +9,6 @@
 import msgspec
 from nutmegshelf import (
     calls,
-    codecs,
     exceptions,
     fleetview,
     ids,
@@ -33,7 +32,9 @@
     lease_manager,
     logs,
     ports,
+    rowcodec,
     sender,
+    supervision,
 )
 
 # Other entries may acquire a lease that was not renewed for this long.
@@ -169,15 +170,19 @@
 
     async def run(self) -> None:
         """Follow the operators, the fleet and the inbox, and hold leases until cancelled."""
+        services = {
+            "operations": self._watch_operations,
+            "fleet": self._watch_fleet,
+            "inbox": self._watch_inbox,
+            "demand": self._report_demand,
+            "advice": self._advisor.run,
+            "settings": self._watch_settings,
+            "leases": self.lease_manager.run,
+            "load": self._watch_load,
+        }
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch_operations())
-            group.create_task(self._watch_fleet())
-            group.create_task(self._watch_inbox())
-            group.create_task(self._report_demand())
-            group.create_task(self._advisor.run())
-            group.create_task(self._watch_settings())
-            group.create_task(self.lease_manager.run())
-            group.create_task(self._watch_load())
+            for name, run in services.items():
+                group.create_task(supervision.keep_running(name, run))
 
     def get_gauges(self) -> dict[str, dict[str, float]]:
         """Return the current values of the gauges by name and label, for the metrics."""
@@ -387,7 +392,9 @@
     def _deliver_notice(self, row: platform.Row) -> None:
         if not row.version or not row.value:
             return
-        notice = codecs.unpack(row.value, jobs.Notice)
+        notice = rowcodec.decode(row, jobs.Notice)
+        if notice is None:
+            return
         running_holder = self.lease_manager.get_holder(notice.service)
         if isinstance(running_holder, holder.Holder):
             running_holder.notify(notice)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -7,7 +7,7 @@
 import msgspec
 from nutmegshelf import calls, codecs, exceptions, ids, leases, members, platform
 
-from nutmegshelf_entry import logs, ports, writer
+from nutmegshelf_entry import logs, ports, rowcodec, supervision, writer
 
 _TICK_S = 0.1
 # Pause between two watch calls, so that one call returns the changes of several leases.
@@ -96,10 +96,13 @@
     async def run(self) -> None:
         """Acquire, renew and release leases until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch_leases())
-            group.create_task(self._send_heartbeats())
-            group.create_task(self._allocate(group))
-            group.create_task(self._watch_table())
+            for name, run in {
+                "watch of leases": self._watch_leases,
+                "heartbeats": self._send_heartbeats,
+                "allocation": lambda: self._allocate(group),
+                "watch of the table": self._watch_table,
+            }.items():
+                group.create_task(supervision.keep_running(name, run))
 
     async def _watch_leases(self) -> None:
         after = 0
@@ -116,10 +119,15 @@
             for row in changes.rows:
                 latest = self._lease_rows.get(row.key)
                 if latest is None or row.version >= latest.version:
-                    self._lease_rows[row.key] = row
+                    self._store_lease_row(row)
             self._apply_lease_rows()
             await asyncio.sleep(_WATCH_INTERVAL_S)
 
+    def _store_lease_row(self, row: platform.Row) -> None:
+        # A deleted row has no value.
+        if not row.version or rowcodec.decode(row, leases.LeaseRow) is not None:
+            self._lease_rows[row.key] = row
+
     def _apply_lease_rows(self) -> None:
         latest_rows: list[platform.Row] = []
         for row in self._lease_rows.values():
@@ -141,11 +149,13 @@
                 await self._rows.commit(platform.Transaction(writes=(write,)))
                 stored = await self._rows.scan("entries//")
                 entries = [
-                    codecs.unpack(stored_row.value, members.EntryRow) for stored_row in stored
+                    entry
+                    for stored_row in stored
+                    if (entry := rowcodec.decode(stored_row, members.EntryRow)) is not None
                 ]
                 self._members.apply_rows(entries, self._loop.time())
                 self._has_sent_heartbeat = True
-            except (exceptions.TableError, msgspec.DecodeError) as error:
+            except exceptions.TableError as error:
                 _log.warning("Failed to renew the row of this entry.", why=str(error))
                 await asyncio.sleep(_RETRY_DELAY_S)
                 continue
@@ -198,7 +208,7 @@
             await asyncio.sleep(_RETRY_DELAY_S)
             return
         for row in committed.rows:
-            self._lease_rows[row.key] = row
+            self._store_lease_row(row)
         if not committed.ok:
             self._apply_lease_rows()
             return
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
@@ -5,9 +5,9 @@
 import dataclasses
 import typing
 
-from nutmegshelf import codecs, exceptions, fleetview, ids, jobs, rebalancing
+from nutmegshelf import exceptions, fleetview, ids, jobs, platform, rebalancing
 
-from nutmegshelf_entry import logs, ports, writer
+from nutmegshelf_entry import logs, ports, rowcodec
 
 _RETRY_DELAY_S = 0.2
 # A holder whose reads fail this many times gives its lease up, as other entries may reach the
@@ -23,12 +23,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredService:
-    """The stored rows of one service, and the worker incarnations that its last holder used."""
+    """The stored rows of one service, and the worker incarnations that its last holder used.
+
+    The incarnations are None if their row is malformed.
+    """
 
     submitted: list[jobs.Job]
     progress: dict[ids.JobId, jobs.Progress]
+    # Jobs with a malformed progress row; started anew they would run twice.
+    unreadable: set[ids.JobId]
     notices: list[jobs.Notice]
-    incarnations: IncarnationHosts
+    incarnations: IncarnationHosts | None
 
 
 async def read_with_retries(
@@ -51,18 +56,41 @@
     job_rows = await rows.scan(f"{jobs.JOBS}/{pool}/")
     progress_rows = await rows.scan(f"{jobs.PROGRESS}/{pool}/")
     incarnation_rows = await rows.scan(f"{INCARNATIONS}/{pool}/")
+    progress: dict[ids.JobId, jobs.Progress] = {}
+    unreadable: set[ids.JobId] = set()
+    for row in progress_rows:
+        decoded = rowcodec.decode(row, jobs.Progress)
+        if decoded is None:
+            unreadable.add(ids.JobId(row.key.rpartition("/")[2]))
+        else:
+            progress[decoded.job] = decoded
     return StoredService(
-        submitted=[job for job in map(writer.decode_job, job_rows) if job is not None],
-        progress={
-            progress.job: progress for progress in map(writer.decode_progress, progress_rows)
-        },
-        notices=[codecs.unpack(row.value, jobs.Notice) for row in notice_rows],
-        incarnations=[
-            pair for row in incarnation_rows for pair in codecs.unpack(row.value, IncarnationHosts)
+        submitted=[
+            job
+            for row in job_rows
+            if (job := rowcodec.decode(row, jobs.Job)) is not None and job.job not in unreadable
+        ],
+        progress=progress,
+        unreadable=unreadable,
+        notices=[
+            notice
+            for row in notice_rows
+            if (notice := rowcodec.decode(row, jobs.Notice)) is not None
         ],
+        incarnations=_decode_incarnations(incarnation_rows),
     )
 
 
+def _decode_incarnations(rows: list[platform.Row]) -> IncarnationHosts | None:
+    incarnations: IncarnationHosts = []
+    for row in rows:
+        decoded = rowcodec.decode(row, IncarnationHosts)
+        if decoded is None:
+            return None
+        incarnations += decoded
+    return incarnations
+
+
 async def filter_live(
     hosts: ports.HostClient, pool: ids.PoolName, incarnations: IncarnationHosts
 ) -> IncarnationHosts:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 
-import msgspec
 from nutmegshelf import codecs, exceptions, ids, jobs, leases, platform, registry
 
 from nutmegshelf_entry import histograms, logs, ports
@@ -274,17 +273,3 @@
                 # Mark the exception as retrieved, as no call may be waiting any more.
                 future.exception()
         self._pending.clear()
-
-
-def decode_progress(row: platform.Row) -> jobs.Progress:
-    """Decode the row of a job's progress."""
-    return codecs.unpack(row.value, jobs.Progress)
-
-
-def decode_job(row: platform.Row) -> jobs.Job | None:
-    """Decode the row of a job, or log an error and return None if the row is malformed."""
-    try:
-        return codecs.unpack(row.value, jobs.Job)
-    except msgspec.DecodeError as error:
-        _log.error("A job's row can't be read.", key=row.key, why=str(error))
-        return None
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -123,6 +123,10 @@
         """Set the incarnations of workers that an earlier holder used."""
         self._takeover.expect(incarnations)
 
+    def expect_unknown_incarnations(self) -> None:
+        """Wait for the leases of an earlier holder, as it is unknown which workers it used."""
+        self._takeover.expect_unknown()
+
     def get_unreported_incarnations(self) -> takeover.Incarnations:
         """Return the incarnations that have not reported since a takeover."""
         return self._takeover.get_unreported(self.workers)
--- a/packages/nutmegshelf/src/nutmegshelf/takeover.py
+++ b/packages/nutmegshelf/src/nutmegshelf/takeover.py
@@ -20,6 +20,8 @@
         # Runs under leases of an earlier holder may go on until then.
         self.leases_expire_s = began_s + lease_expiry_s if is_needed else 0.0
         self._expected: Incarnations = {}
+        # Whether incarnations beyond the expected ones may run tasks.
+        self._is_incomplete = False
         # Incarnations that ended, though the fleet's list may still contain them.
         self._ended: set[fleetview.Incarnation] = set()
 
@@ -29,6 +31,10 @@
         """Set the incarnations an earlier holder used; unlisted ones may still run tasks."""
         self._expected = dict(incarnations)
 
+    def expect_unknown(self) -> None:
+        """Set that any incarnation may run tasks of an earlier holder until its leases expire."""
+        self._is_incomplete = True
+
     def has_ended(self, incarnation: fleetview.Incarnation) -> bool:
         """Return whether an incarnation is proven to have ended."""
         return incarnation in self._ended
@@ -78,7 +84,8 @@
         } - present
         newest = max((incarnation.born_ms for incarnation in present), default=-1)
         return (
-            bool(at_host)
+            not self._is_incomplete
+            and bool(at_host)
             and all(worker.is_polled for worker in at_host)
             and all(incarnation.born_ms < newest for incarnation in missing)
         )
@@ -91,6 +98,8 @@
         return self.is_reconciled
 
     def _have_all_reported(self, workers: Workers) -> bool:
+        if self._is_incomplete:
+            return False
         newest_born_ms = {
             worker.facts.host: incarnation.born_ms for incarnation, worker in workers.items()
         }
