Start jobs that can still end in time before those that can't

Cause: jobs were ordered by due time as long as it had not passed. The objective is the stretch times the real length of the chain and the target, so a job that has not begun may wait for the target and the rest of the stretch, not for the whole objective. Under overload the jobs past that went first, took the workers, were late, and made the next ones late as well. Now a job counts as on time while its remaining chain fits before its objective even at the low end of the usual ratios of real to estimated run time, at risk while it fits at their high end, and late after that; within each the earliest due goes first.

--- a/features/steps/job_choice_steps.py
+++ b/features/steps/job_choice_steps.py
@@ -1,7 +1,7 @@
 """Check the pace of tasks and the order of jobs without any entry."""
 
 import behave
-from nutmegshelf import fleetview, jobs, pacing, registry, urgency
+from nutmegshelf import estimates, fleetview, jobs, pacing, registry, urgency
 
 from features import jobsite
 
@@ -48,6 +48,7 @@
 @behave.then('their order is "{names}"')
 def check_order(context, names):
     names_in_order = sorted(
-        context.records, key=lambda name: urgency.compute(context.records[name], 100.0)
+        context.records,
+        key=lambda name: urgency.compute(context.records[name], estimates.Estimates(), 100.0),
     )
     assert ", ".join(names_in_order) == names, names_in_order
--- a/packages/nutmegshelf/src/nutmegshelf/preemption.py
+++ b/packages/nutmegshelf/src/nutmegshelf/preemption.py
@@ -53,7 +53,8 @@
         if not self._preemptible:
             return []
         for record in unplaced:
-            if urgency.compute(record, self._now_s).timeliness is not urgency.Timeliness.ON_TIME:
+            timeliness = urgency.classify(record, self._estimates, self._now_s)
+            if timeliness is not urgency.Timeliness.ON_TIME:
                 continue
             for task in record.ready.values():
                 if len(self._victims) >= _MAX_VICTIMS:
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -74,6 +74,24 @@
                         groups.append((task_set, recovering))
         return groups
 
+    def get_remaining_path_s(self) -> float:
+        """Return the estimated length of the critical path from the tasks that wait onwards."""
+        waiting = {(key.occurrence, key.step) for key in self.ready}
+        longest_s = 0.0
+        for number, task_sets in self.occurrences.items():
+            ends_s: list[float] = []
+            for index, task_set in enumerate(task_sets):
+                # The rest of a step of which all tasks run is unknown, and may be short.
+                is_ahead = (number, index) in waiting or (
+                    bool(task_set.remaining) and not task_set.is_open
+                )
+                begins_s = max(
+                    (ends_s[step] for step in task_set.step.after if step < index), default=0.0
+                )
+                ends_s.append(begins_s + is_ahead * task_set.step.estimate_ms / 1000)
+            longest_s = max(longest_s, *ends_s)
+        return longest_s
+
     def iterate_tasks(self) -> collections.abc.Iterator[fleetview.Task]:
         """Yield all tasks of the open occurrences."""
         for task_sets in self.occurrences.values():
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -53,7 +53,11 @@
         self.estimates = estimates.Estimates()
         self.advice = policy.Advice()
         self._starter = starts.Starter(
-            self.registry, self.advice, self.notes, router or window.StartRouter()
+            self.registry,
+            self.advice,
+            self.notes,
+            router or window.StartRouter(),
+            self.estimates,
         )
         self._stopper = stops.Stopper(self.registry, self.notes)
         self._arrived_core_ms = 0.0
--- a/packages/nutmegshelf/src/nutmegshelf/starts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starts.py
@@ -5,6 +5,7 @@
 """
 
 from nutmegshelf import (
+    estimates,
     fitting,
     fleetview,
     jobs,
@@ -27,11 +28,13 @@
         advice: policy.Advice,
         decision_notes: notes.Notes,
         router: window.StartRouter,
+        run_estimates: estimates.Estimates,
     ) -> None:
         self._registry = job_registry
         self._router = router
         self._advice = advice
         self._notes = decision_notes
+        self._estimates = run_estimates
         # Jobs with a task that no open worker had room for in the last pass.
         self.unplaced: list[registry.JobRecord] = []
         self._reservations = simulation.Reservations([], advice, 0.0)
@@ -55,7 +58,9 @@
             return []
         chosen: list[orders.StartRun] = []
         blocked = fitting.UnplaceableShapes()
-        for record in sorted(ready, key=lambda record: urgency.compute(record, now_s)):
+        for record in sorted(
+            ready, key=lambda record: urgency.compute(record, self._estimates, now_s)
+        ):
             usable = open_workers if record.job.is_long_running else self._reservations.unreserved
             chosen += self._start_job(record, usable, blocked, now_s)
             if self.is_throttled:
