Share scarce hosts among pools, and serve overdue work with what is left

Cause: free hosts went to the largest shortage first, so a pool with a flood got all of them while others lacked one or two; and jobs past their use asked for hosts like fresh ones, which made the shortage of the pool with the oldest backlog the largest. Now each free host goes to the pool that lacks hosts and has the fewest, so others get what they need up to an equal share.

--- a/features/overload_jobs.feature
+++ b/features/overload_jobs.feature
@@ -20,3 +20,17 @@
     Then at least 0.5 of the jobs end in time
     And every job has ended
 
+  Scenario: A flood in one pool leaves three calm ones what they need
+    Given 4 pools of 2 hosts and 12 spare hosts
+    And jobs for 60 hosts arrive in the first pool for 8 s, and for 2 hosts in the others for 12 s
+    When the load is replayed for 70 s
+    Then at least 0.5 of the jobs of each calm pool end in time
+    And at least 0.1 of the jobs of each pool end in time
+    And every job has ended
+
+  Scenario: Bursts of five times the mean in four pools by turns serve each pool
+    Given 4 pools of 2 hosts and 16 spare hosts
+    And jobs for 20 hosts arrive in each pool in turn for 4 s
+    When the load is replayed for 40 s
+    Then at least 0.2 of the jobs of each pool end in time
+    And every job has ended
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -83,6 +83,8 @@
 
     cpu_running: int
     cpu_waiting: int
+    # Work that waits and ends too late to be of use; it is part of cpu_waiting.
+    cpu_overdue: int = 0
     cpu_long_running: int = msgspec.field(name="cpu_lasting")
     waiting_ms: int
     arrived_core_ms: int
--- a/packages/nutmegshelf/src/nutmegshelf/needs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/needs.py
@@ -4,7 +4,17 @@
 import dataclasses
 import math
 
-from nutmegshelf import calls, estimates, fitting, fleetview, ids, jobs, registry, simulation
+from nutmegshelf import (
+    calls,
+    estimates,
+    fitting,
+    fleetview,
+    ids,
+    jobs,
+    registry,
+    simulation,
+    urgency,
+)
 
 # Workers unavailable for these reasons take no tasks for some time, and count as no capacity.
 _UNUSABLE = frozenset(
@@ -68,22 +78,28 @@
     largest = max(
         (worker.facts for worker, _ in workers), key=lambda facts: facts.cpu_millis, default=None
     )
-    waiting, min_hosts, weighted_ms = 0.0, 0, 0.0
+    waiting, overdue, min_hosts, weighted_ms = 0.0, 0.0, 0, 0.0
     for record, task_sets in waiting_task_sets:
         ratio = workload.estimates.get_ratio(record.job.queue.name)
+        is_overdue = (
+            not record.job.is_long_running
+            and urgency.classify(record, workload.estimates, now_s) is urgency.Timeliness.EXPIRED
+        )
         for task_set, tasks in task_sets:
             if not task_set.step.fills:
                 millis = len(tasks) * _get_needed_millis(task_set.step, largest)
                 waiting += millis
+                overdue += is_overdue * millis
                 weighted_ms += millis * task_set.step.estimate_ms * ratio
         if record.job.is_long_running:
             min_hosts = max(min_hosts, *(_get_min_hosts(step) for step in record.job.steps))
     waiting_ms = weighted_ms / waiting if waiting else 0.0
     if is_throttled and any(host.idle_s is not None for host in hosts.values()):
-        waiting = 0.0
+        waiting = overdue = 0.0
     return calls.DemandReport(
         cpu_running=running,
         cpu_waiting=int(waiting),
+        cpu_overdue=int(overdue),
         cpu_long_running=long_running,
         waiting_ms=int(waiting_ms),
         arrived_core_ms=int(workload.arrived_core_ms),
--- a/packages/nutmegshelf/src/nutmegshelf/rebalancing.py
+++ b/packages/nutmegshelf/src/nutmegshelf/rebalancing.py
@@ -4,6 +4,7 @@
 its mean for some seconds, and a twentieth of it in between. Idle hosts in a pool are paid for; a
 move takes time and costs about as much as one second of an idle host. So idle hosts go to the spare
 pool soon, and pools with waiting work get hosts from idle pools first, then from the spare pool.
+Where the pools want more hosts than there are, the pools with the fewest hosts come first.
 """
 
 import collections
@@ -12,6 +13,8 @@
 import enum
 import math
 
+import msgspec
+
 from nutmegshelf import bursts, calls, costs, ids
 
 
@@ -127,17 +130,26 @@
             and not _is_unusable(view, demands)
             and now_s - self._unreported_s.get(view.host, now_s) < _UNREPORTED_LIMIT_S
         )
-        needed = self._count_needed(views, demands, now_s)
+        size = max((view.cpu_millis for view in views), default=0)
+        self._observe_bursts(size, demands, now_s)
+        arriving = {
+            pool: self._arrivals.setdefault(pool, _Arrivals()).record(report.arrived_core_ms, now_s)
+            for pool, report in demands.items()
+        }
+        timely = {pool: _drop_overdue(report) for pool, report in demands.items()}
+        needed = _count_needed(size, demands, arriving)
+        needed_in_time = _count_needed(size, timely, arriving)
         self.wanted_hosts = wanted = needed | self._count_forecast(needed, demands, now_s)
-        # Tasks that fit at no host go before work that waits for capacity, and both before a burst
-        # that is only forecast, also on hosts reserved for it.
+        # Tasks that fit at no host go before work that waits for capacity, work that is overdue
+        # comes after that, and a burst that is only forecast last, also on hosts reserved for it.
         free = _find_free(views, demands, _count_surplus(needed, host_counts), reserved, spare)
         for_placement = {pool: _count_for_placement(report) for pool, report in demands.items()}
         moves = _move_to_pools(for_placement, host_counts, free, "tasks have no place")
         _apply_moves(moves, host_counts)
-        more = _move_to_pools(needed, host_counts, free, "work waits")
-        _apply_moves(more, host_counts)
-        moves += more
+        for counts, reason in ((needed_in_time, "work waits"), (needed, "overdue work waits")):
+            more = _move_to_pools(counts, host_counts, free, reason)
+            _apply_moves(more, host_counts)
+            moves += more
         remaining = {view.host for view in free}
         unneeded = _find_free(views, demands, _count_surplus(wanted, host_counts), reserved, spare)
         free = [view for view in unneeded if view.host in remaining]
@@ -146,25 +158,13 @@
             moves += self._release_idle(free, demands, spare, now_s)
         return moves
 
-    def _count_needed(
-        self,
-        views: list[HostView],
-        demands: dict[ids.ServiceName, calls.DemandReport],
-        now_s: float,
-    ) -> dict[ids.ServiceName, int]:
-        """Return the hosts that each pool needs for running, waiting and arriving work."""
-        size = max((view.cpu_millis for view in views), default=0)
-        wanted: dict[ids.ServiceName, int] = {}
+    def _observe_bursts(
+        self, size: int, demands: dict[ids.ServiceName, calls.DemandReport], now_s: float
+    ) -> None:
         for pool, report in demands.items():
-            need = self._get_needed_millis(pool, report, now_s) / size if size else 0.0
             used = (report.cpu_running - report.cpu_long_running) / max(1, size)
             requested = used + report.cpu_waiting / max(1, size)
             self.bursts.observe(pool, requested, used, now_s)
-            # Long-running tasks stay where they are, so only the others need headroom.
-            long_running = report.cpu_long_running / size if size else 0.0
-            hosts = math.ceil(long_running + _HEADROOM * max(0.0, need - long_running))
-            wanted[pool] = max(_MIN_HOSTS, report.min_hosts, hosts, _count_for_placement(report))
-        return wanted
 
     def _count_forecast(
         self,
@@ -183,17 +183,6 @@
                     wanted[pool] = max(needed[pool], demands[pool].min_hosts + math.ceil(hosts))
         return wanted
 
-    def _get_needed_millis(
-        self, pool: ids.ServiceName, report: calls.DemandReport, now_s: float
-    ) -> float:
-        """Return the millicores for running work, arriving work and the backlog."""
-        cores = self._arrivals.setdefault(pool, _Arrivals()).record(report.arrived_core_ms, now_s)
-        arriving = cores * 1000 + report.cpu_long_running
-        backlog = report.cpu_waiting * min(1.0, report.waiting_ms / 1000 / _MAX_BACKLOG_S)
-        # Estimates of run times are far off, so the rate is bounded by the work actually present.
-        present = _MAX_RATE_FACTOR * (report.cpu_running + report.cpu_waiting)
-        return max(report.cpu_running, min(arriving, present)) + backlog
-
     def _release_idle(
         self,
         free: list[HostView],
@@ -217,6 +206,37 @@
         return moves
 
 
+def _count_needed(
+    size: int,
+    demands: dict[ids.ServiceName, calls.DemandReport],
+    arriving_cores: dict[ids.ServiceName, float],
+) -> dict[ids.ServiceName, int]:
+    """Return the hosts that each pool needs for running, waiting and arriving work."""
+    wanted: dict[ids.ServiceName, int] = {}
+    for pool, report in demands.items():
+        need = _get_needed_millis(report, arriving_cores[pool]) / size if size else 0.0
+        # Long-running tasks stay where they are, so only the others need headroom.
+        long_running = report.cpu_long_running / size if size else 0.0
+        hosts = math.ceil(long_running + _HEADROOM * max(0.0, need - long_running))
+        wanted[pool] = max(_MIN_HOSTS, report.min_hosts, hosts, _count_for_placement(report))
+    return wanted
+
+
+def _get_needed_millis(report: calls.DemandReport, arriving_cores: float) -> float:
+    """Return the millicores for running work, arriving work and the backlog."""
+    arriving = arriving_cores * 1000 + report.cpu_long_running
+    backlog = report.cpu_waiting * min(1.0, report.waiting_ms / 1000 / _MAX_BACKLOG_S)
+    # Estimates of run times are far off, so the rate is bounded by the work actually present.
+    present = _MAX_RATE_FACTOR * (report.cpu_running + report.cpu_waiting)
+    return max(report.cpu_running, min(arriving, present)) + backlog
+
+
+def _drop_overdue(report: calls.DemandReport) -> calls.DemandReport:
+    """Return a demand without the work that is overdue."""
+    in_time = report.cpu_waiting - report.cpu_overdue
+    return msgspec.structs.replace(report, cpu_waiting=in_time, cpu_overdue=0)
+
+
 def _count_for_placement(report: calls.DemandReport) -> int:
     """Return the hosts needed to place every task, or 0 if all tasks can be placed."""
     return report.open_hosts + report.additional_hosts if report.additional_hosts else 0
@@ -241,13 +261,20 @@
     free: list[HostView],
     reason: str,
 ) -> list[Move]:
-    """Take free hosts for the pools that lack hosts, the largest shortage first."""
-    lacking = {pool: count - host_counts[pool] for pool, count in wanted.items()}
+    """Give the free hosts, one at a time, to the pool that lacks hosts and has the fewest.
+
+    So a pool with a flood of work leaves the others what they need, up to an equal share.
+    """
+    counts = {pool: host_counts[pool] for pool in wanted}
     moves: list[Move] = []
-    for pool in sorted(lacking, key=lambda pool: -lacking[pool]):
-        for _ in range(min(lacking[pool], len(free))):
-            view = free.pop(0)
-            moves.append(Move(view.host, view.pool, pool, reason))
+    while free:
+        lacking = [pool for pool, count in counts.items() if count < wanted[pool]]
+        if not lacking:
+            break
+        pool = min(lacking, key=lambda pool: (counts[pool], pool))
+        counts[pool] += 1
+        view = free.pop(0)
+        moves.append(Move(view.host, view.pool, pool, reason))
     return moves
 
 
