Hear a worker that is only slow to report before its runs' leases expire

Cause: a poll without an answer marks its worker as unresponsive, and polls no longer extend the lease of its runs. Each of these polls had 0.8 s for its answer, so a worker that took longer was never heard again: its runs ended with their lease after 5 s and started again elsewhere, though nothing was wrong with them. Now polls of an unresponsive worker have 2.4 s, less than what is left of the lease, and follow one another after 0.2 s at most.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -63,6 +63,8 @@
         self.unanswered_starts = 0
         self.dropped_starts = 0
         self.slowdown = 1.0
+        # How late the answers to polls are.
+        self.poll_delay_s = 0.0
         self.ended = asyncio.Event()
 
     def clock_ms(self):
@@ -337,7 +339,15 @@
             raise exceptions.OrderAnswerLost("no answer")
         return minion
 
-    async def poll(self, facts, *, fencing_token, last_seen, lease_until_ms, wait_s):
+    async def poll(self, facts, *, timeout_s=None, wait_s, **fields):
+        """Answer a poll; without a time-out the margin is that of a fast answer."""
+        try:
+            async with asyncio.timeout(wait_s + 0.8 if timeout_s is None else timeout_s):
+                return await self._poll(facts, wait_s=wait_s, **fields)
+        except TimeoutError as error:
+            raise exceptions.OrderAnswerLost("no answer") from error
+
+    async def _poll(self, facts, *, fencing_token, last_seen, lease_until_ms, wait_s):
         minion = await self._reach(facts)
         minion.check(fencing_token)
         if lease_until_ms is not None:
@@ -359,6 +369,7 @@
             fleetview.ReportedRun(run.task, run.number, "", self._percent(run, now_s), 0.0)
             for run in minion.runs.values()
         )
+        await asyncio.sleep(minion.poll_delay_s)
         return orders.PollResult(
             facts.incarnation.born_ms, minion.clock_ms(), listed, tuple(minion.ends)
         )
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -64,6 +64,16 @@
       | 503    |        | OrderNotDone |
       | 400    |        | OrderNotDone |
 
+  Scenario Outline: A malformed answer to a poll counts as lost: <body>
+    Then a poll that is answered with <body> raises "OrderAnswerLost"
+
+    Examples:
+      | body                                                           |
+      | {"clockMs":1,"finished":[[1,"0.0.0.0",1,"no such way",""]]}    |
+      | {"clockMs":1,"finished":[["first","0.0.0.0",1,"done",""]]}     |
+      | {"clockMs":1,"running":[["0.0.0.0"]]}                          |
+      | no object                                                      |
+
   Scenario Outline: A worker row that is <fault> is ignored
     When a worker row is <fault>
     Then the row is ignored
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -269,6 +269,7 @@
             last_seen=data["lastSeen"],
             lease_until_ms=data.get("deadlineMs"),
             wait_s=data.get("waitMs", 0) / 1000,
+            timeout_s=5.0,
         )
         return {
             "clockMs": result.clock_ms,
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,14 +1,16 @@
 """Check the platform adapter against a stand-in of the platform on the loopback interface."""
 
+import dataclasses
 import json
 import time
 
 import behave
 import msgspec
 from nutmegshelf import exceptions, fleetview, jobs, orders, platform, timeouts
+from nutmegshelf_http import server
 from nutmegshelf_platform import codec, fleet, minions, operators, store
 
-from features import jobworld, platformsite
+from features import jobsite, jobworld, platformsite
 
 STEP_BODY = {
     "count": 2,
@@ -298,3 +300,27 @@
 @behave.then("it is rejected with status {status:d}")
 def check_rejected(context, status):
     assert context.error is not None and context.error.response.status == status, context.error
+
+
+@behave.then('a poll that is answered with {body} raises "{error}"')
+def check_malformed_poll(context, body, error):
+    async def poll():
+        async def answer(exchange):
+            await exchange.respond(200, [(b"content-type", b"application/json")], body.encode())
+
+        worker = server.Server(answer)
+        facts = dataclasses.replace(
+            jobsite.worker_facts(), address=f"127.0.0.1:{await worker.start('127.0.0.1', 0)}"
+        )
+        try:
+            await minions.WorkerClient().poll(
+                facts, fencing_token=1, last_seen=0, lease_until_ms=1, wait_s=0.0, timeout_s=2.0
+            )
+        except exceptions.WorkerError as raised:
+            return type(raised).__name__
+        finally:
+            await worker.close()
+        return None
+
+    raised = context.run(poll())
+    assert raised == error, raised
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -67,8 +67,12 @@
         last_seen: int,
         lease_until_ms: int | None,
         wait_s: float,
+        timeout_s: float,
     ) -> orders.PollResult:
-        """Return running and ended runs, and renew the worker's lease; raises WorkerError."""
+        """Return running and ended runs, and renew the worker's lease; raises WorkerError.
+
+        The worker answers after wait_s at the latest if it is in order.
+        """
 
     async def start(
         self,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -19,8 +19,13 @@
 # Poll wait where long-running tasks share a worker with filler tasks, whose pace depends on the
 # reported response times.
 _SHARED_POLL_WAIT_S = 0.4
+# Time for the answer to a poll beyond its wait.
+_POLL_MARGIN_S = 0.8
+# The same after a poll that got no answer, so that a worker that is only slow to answer is heard
+# before the lease of its runs expires.
+_UNRESPONSIVE_POLL_MARGIN_S = 2.4
 _MIN_BACKOFF_S = 0.05
-_MAX_BACKOFF_S = 0.5
+_MAX_BACKOFF_S = 0.2
 _MAX_CONCURRENT_ORDERS = 6
 
 _log = logs.get_logger("worker")
@@ -108,12 +113,15 @@
         until_ms = self._to_worker_clock_ms(worker, self._lease_s) if is_responsive else None
         if until_ms is not None:
             worker.extend_lease(sent_s, self._lease_s)
+        wait_s = _get_poll_wait_s(worker) if until_ms is not None else 0.0
+        margin_s = _POLL_MARGIN_S if is_responsive else _UNRESPONSIVE_POLL_MARGIN_S
         result = await self._client.poll(
             worker.facts,
             fencing_token=self._fencing_token,
             last_seen=self._acknowledged,
             lease_until_ms=until_ms,
-            wait_s=_get_poll_wait_s(worker) if until_ms is not None else 0.0,
+            wait_s=wait_s,
+            timeout_s=wait_s + margin_s,
         )
         received_s = self._loop.time()
         if result.born_ms != self._incarnation.born_ms:
