Begin the evacuation of hosts with long-running tasks with the wave, not at its end

Cause: the hosts of a wave were taken in the order of their cost, so those with long-running tasks came last. Now these hosts have a pace of their own, at most half of the wave's bound, from the beginning, those with most tasks first. A line is logged as an evacuation begins. features/fleet_jobs.feature, a wave of 74 hosts of which 34 hold tasks: three hosts late before, none after.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -110,3 +110,8 @@
     Given bursts in pools "a, b, c, d" that begin every 8 s
     Then after the fourth burst the next is forecast for pool "a" within 1 s of its time
     And with bursts at 0, 3, 12 and 14 s none is forecast
+
+  Scenario: Hosts whose tasks leave a few at a time get their upkeep within the time of their wave
+    Given a wave of 74 hosts within 28 s, 24 at once
+    And 34 of them hold 3 long-running tasks each, of which 6 in all may be away for 1.5 s at once
+    Then each host goes down within 28 s, and at most 24 are down at once
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -460,3 +460,57 @@
 def check_idle_host(context, what):
     targets = [(move.host, move.target) for move in context.moves]
     assert targets == ([("h1", "spare")] if what == "put away" else []), targets
+
+
+@behave.given("a wave of {count:d} hosts within {seconds:g} s, {most:d} at once")
+def plan_timed_wave(context, count, seconds, most):
+    hosts = [f"h{number}" for number in range(count)]
+    row = upkeep.WaveRow(number=1, began_ms=0)
+    context.plan = upkeep.WavePlan(jobsite.wave(1, hosts, seconds, most), row)
+
+
+@behave.given(
+    "{slow:d} of them hold {tasks:d} long-running tasks each, of which {budget:d} in all may be"
+    " away for {away:g} s at once"
+)
+def set_slow_hosts(context, slow, tasks, budget, away):
+    hosts = context.plan.wave.hosts
+    context.budget, context.away_s = budget, away
+    context.tasks = {host: tasks if number < slow else 0 for number, host in enumerate(hosts)}
+    context.candidates = [
+        upkeep.Candidate(
+            host,
+            is_off=False,
+            idle_s=None if context.tasks[host] else 5.0,
+            long_running_count=context.tasks[host],
+            cpu_millis=100 * context.tasks[host],
+        )
+        for host in hosts
+    ]
+
+
+@behave.then("each host goes down within {seconds:g} s, and at most {most:d} are down at once")
+def replay_wave(context, seconds, most):
+    plan, upkeep_s, step_s = context.plan, 2.0, 0.1
+    down_until_s, away_until_s, late = {}, [], {}
+    for number in range(int(2 * seconds / step_s)):
+        now_s = number * step_s
+        away_until_s = [until_s for until_s in away_until_s if until_s > now_s]
+        for host in [host for host, until_s in down_until_s.items() if now_s >= until_s]:
+            del down_until_s[host], plan.down_since_s[host]
+        candidates = [each for each in context.candidates if each.host not in plan.row.done]
+        for host in plan.choose(candidates, set(down_until_s), int(now_s * 1000), upkeep_s):
+            plan.clearing_since_s[host] = now_s
+        for host in list(plan.clearing_since_s):
+            if context.tasks[host]:
+                if len(away_until_s) < context.budget:
+                    away_until_s.append(now_s + context.away_s)
+                    context.tasks[host] -= 1
+            elif plan.try_begin(host, set(down_until_s), now_s):
+                del plan.clearing_since_s[host]
+                plan.row.done.add(host)
+                down_until_s[host] = now_s + upkeep_s
+                if now_s > seconds:
+                    late[host] = now_s
+        assert len(down_until_s) <= most, down_until_s
+    assert plan.row.done == set(plan.wave.hosts) and not late, late
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -238,6 +238,13 @@
         ]
         for host in plan.choose(candidates, self._find_hosts_down(), now_ms, self._upkeep_s):
             plan.clearing_since_s[host] = now_s
+            _log.info(
+                "A host is evacuated for its upkeep.",
+                host=host,
+                wave=plan.wave.number,
+                elapsed_s=round(now_ms / 1000 - plan.row.began_ms / 1000, 1),
+                remaining=len(remaining),
+            )
             self._start_order(host, self._maintain_host(plan, host))
 
     def _make_candidate(self, view: rebalancing.HostView) -> upkeep.Candidate:
--- a/packages/nutmegshelf/src/nutmegshelf/upkeep.py
+++ b/packages/nutmegshelf/src/nutmegshelf/upkeep.py
@@ -1,4 +1,9 @@
-"""Plan waves of upkeep: choose the hosts to take down next, within a wave's time and bound."""
+"""Plan waves of upkeep: choose the hosts to take down next, within a wave's time and bound.
+
+Load pattern: most hosts of a wave are off, idle or soon empty. The others hold long-running tasks,
+which leave a few at a time within the budgets of their steps. Taken last, they would all remain
+when the time is over, so some of them are evacuated from the beginning, beside the others.
+"""
 
 import collections
 import collections.abc
@@ -13,6 +18,11 @@
 _OVERHEAD_S = 3.0
 # Waves are planned to end this fraction of their duration early.
 _RESERVE_FRACTION = 0.25
+# Time for the evacuation of a host with long-running tasks.
+_SLOW_EVACUATION_S = 6.0
+# The same reserve for these hosts, which begin early, and their share of the wave's bound.
+_SLOW_RESERVE_FRACTION = 0.1
+_SLOW_SHARE = 0.5
 
 
 class Wave(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,6 +66,11 @@
     long_running_count: int
     cpu_millis: int
 
+    @property
+    def is_slow(self) -> bool:
+        """Return whether the host takes long to evacuate."""
+        return not self.is_off and self.long_running_count > 0
+
 
 @dataclasses.dataclass(slots=True)
 class WavePlan:
@@ -69,6 +84,8 @@
     clear_failures: collections.Counter[ids.HostId] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # Hosts that were evacuated early, as their tasks take long to leave.
+    _slow: set[ids.HostId] = dataclasses.field(default_factory=set)
 
     def get_remaining(self, present: set[ids.HostId]) -> list[ids.HostId]:
         """Return the hosts that still need their upkeep, without those that left the fleet."""
@@ -83,6 +100,8 @@
     ) -> list[ids.HostId]:
         """Return the hosts to evacuate now: cheap ones at once, others at an even pace.
 
+        Hosts with long-running tasks have a pace of their own, so that they begin early.
+
         Hosts that are down count, whoever took them down. In a wave that is short of time the next
         hosts are evacuated while the ones before them are down.
         """
@@ -98,7 +117,9 @@
         waiting = [
             candidate for candidate in candidates if candidate.host not in self.clearing_since_s
         ]
-        chosen: list[ids.HostId] = []
+        chosen = self._choose_slow(waiting, max(0, slots), now_ms, upkeep_s)
+        slots -= len(chosen)
+        waiting = [candidate for candidate in waiting if candidate.host not in chosen]
         waiting.sort(
             key=lambda candidate: (self.clear_failures[candidate.host], _get_cost(candidate))
         )
@@ -109,6 +130,29 @@
                 chosen.append(candidate.host)
         return chosen
 
+    def _choose_slow(
+        self, waiting: list[Candidate], slots: int, now_ms: int, upkeep_s: float
+    ) -> list[ids.HostId]:
+        """Return hosts with long-running tasks to evacuate now, those with most tasks first."""
+        slow = [candidate for candidate in waiting if candidate.is_slow]
+        slow.sort(
+            key=lambda candidate: (
+                self.clear_failures[candidate.host],
+                -candidate.long_running_count,
+                candidate.host,
+            )
+        )
+        under_way = len(self._slow & self.clearing_since_s.keys())
+        time_s = self._get_remaining_s(_SLOW_RESERVE_FRACTION, now_ms)
+        rounds = max(1, math.floor(time_s / (upkeep_s + _SLOW_EVACUATION_S)))
+        pace = min(
+            math.floor(_SLOW_SHARE * self.wave.max_concurrent),
+            math.ceil((len(slow) + under_way) / rounds),
+        )
+        chosen = [candidate.host for candidate in slow[: max(0, min(slots, pace - under_way))]]
+        self._slow.update(chosen)
+        return chosen
+
     def get_down(self, hosts_down: set[ids.HostId]) -> set[ids.HostId]:
         """Return the hosts of the wave that are down, or may be."""
         return (hosts_down & set(self.wave.hosts)) | self.down_since_s.keys()
@@ -126,12 +170,14 @@
         return True
 
     def _get_pace(self, remaining: int, now_ms: int, upkeep_s: float) -> int:
-        elapsed_s = (now_ms - self.row.began_ms) / 1000
-        remaining_s = self.wave.duration_s * (1 - _RESERVE_FRACTION) - elapsed_s
         round_s = upkeep_s + _OVERHEAD_S
-        rounds = max(1, math.floor(remaining_s / round_s))
+        rounds = max(1, math.floor(self._get_remaining_s(_RESERVE_FRACTION, now_ms) / round_s))
         return min(self.wave.max_concurrent, math.ceil(remaining / rounds))
 
+    def _get_remaining_s(self, reserve_fraction: float, now_ms: int) -> float:
+        elapsed_s = (now_ms - self.row.began_ms) / 1000
+        return self.wave.duration_s * (1 - reserve_fraction) - elapsed_s
+
 
 def _get_cost(candidate: Candidate) -> tuple[bool, bool, int, int, ids.HostId]:
     return (
