Request hosts for a gang that doesn't fit beside the long-running tasks

Cause: a waiting task counted as placed if it had room at some worker beside the tasks that last, one by one. The tasks of a gang need their room at the same time, so a gang with room for two of its four tasks asked for no host and waited forever.

--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -220,20 +220,21 @@
 ) -> list[fleetview.Worker] | None:
     chosen: list[fleetview.Worker] = []
     for worker in sorted(workers, key=lambda worker: worker.free.cpu_millis):
-        fitting_count = _count_fitting(step, worker)
+        fitting_count = count_fitting(step, worker.free)
         chosen += [worker] * min(fitting_count, count - len(chosen))
         if len(chosen) == count:
             return chosen
     return None
 
 
-def _count_fitting(step: jobs.Step, worker: fleetview.Worker) -> int:
+def count_fitting(step: jobs.Step, room: fleetview.Resources) -> int:
+    """Return how many tasks of a step fit into some resources of one worker."""
     counts = [
         free // need
         for free, need in (
-            (worker.free.cpu_millis, 0 if step.fills else step.cpu_millis),
-            (worker.free.memory_mb, step.memory_mb),
-            (worker.free.accelerators, step.accelerators),
+            (room.cpu_millis, 0 if step.fills else step.cpu_millis),
+            (room.memory_mb, step.memory_mb),
+            (room.accelerators, step.accelerators),
         )
         if need > 0
     ]
--- a/packages/nutmegshelf/src/nutmegshelf/simulation.py
+++ b/packages/nutmegshelf/src/nutmegshelf/simulation.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 
-from nutmegshelf import fitting, fleetview, jobs, policy, registry
+from nutmegshelf import fitting, fleetview, ids, jobs, policy, registry
 
 # Further unplaced tasks are not counted, as their hosts arrive over several passes anyway.
 _MAX_UNPLACED = 256
@@ -179,11 +179,16 @@
         return True
 
     def add_unplaceable(self, ready: Ready) -> None:
-        """Count short tasks as unplaced if no worker will ever have room for them."""
+        """Count short tasks as unplaced if no worker will ever have room for them.
+
+        The tasks of a gang run at the same time, so they need room beside one another.
+        """
         for task_set, tasks in ready:
             if len(self.unplaced) >= _MAX_UNPLACED:
                 return
-            if not task_set.step.long_running and not self._has_room(task_set, tasks[0].key):
+            if task_set.step.gang and len(tasks) == len(task_set.tasks):
+                self.unplaced += [task_set] * self._count_missing(task_set, tasks[0].key)
+            elif not task_set.step.long_running and not self._has_room(task_set, tasks[0].key):
                 share = min(1.0, task_set.step.estimate_ms / 1000 / _SHARED_RUN_S)
                 self.unplaced += [task_set] * math.ceil(share * len(tasks))
 
@@ -232,6 +237,16 @@
             for worker in allowed
         )
 
+    def _count_missing(self, task_set: registry.TaskSet, key: jobs.TaskKey) -> int:
+        """Return how many tasks of a gang have no room beside the others."""
+        step, count = task_set.step, len(task_set.tasks)
+        by_rack: collections.Counter[ids.RackName] = collections.Counter()
+        for worker in self._get_allowed(key):
+            if not step.label or step.label in worker.facts.labels:
+                by_rack[worker.facts.rack] += fitting.count_fitting(step, worker.capacity)
+        largest = max(by_rack.values(), default=0)
+        return max(0, count - (largest if step.same_rack else by_rack.total()))
+
     def _get_allowed(self, key: jobs.TaskKey) -> list[_SimulatedWorker]:
         refused = self._get_refused(key)
         if not refused:
