Tell callers to come back within their time limit while the table is silent

Cause: jobs refused because the table doesn't answer were told to come back after 5 s, also where their callers wait for 3 s, so all of them gave up although most outages end sooner. Now they are told to come back after a third of their queue's time limit, at least 1 s and at most 5 s; and after 1 s where another entry has a newer configuration. They are refused at once as before, and nothing is sent. features/order_load.feature: callers with 3 s gave up before, and are accepted now.

--- a/features/order_load.feature
+++ b/features/order_load.feature
@@ -118,6 +118,18 @@
       | 2.5   |
       | 5     |
 
+  Scenario Outline: A job refused while the table doesn't answer is accepted as its caller comes back in time
+    Given 3 entries and 4 workers of one service
+    When the table stops answering for the service
+    And after 2.5 s callers with a time limit of <limit> s submit jobs and come back as told
+    And the table answers again after <outage> s
+    Then all their jobs are accepted within their time limit
+
+    Examples:
+      | limit | outage |
+      | 3     | 1.5    |
+      | 12    | 6      |
+
   Scenario Outline: Scheduling passes leave most of the processor to orders and polls
     Then after a scheduling pass of <took> ms the holder waits <gap> ms
 
--- a/features/steps/order_load_steps.py
+++ b/features/steps/order_load_steps.py
@@ -147,3 +147,46 @@
             await asyncio.sleep(0.2)
     done = jobs_steps.has_state(context, made, "succeeded")
     await jobs_steps.wait_until(until_s - jobs_steps.get_time_s(), done, "states")
+
+
+@behave.when(
+    "after {seconds:g} s callers with a time limit of {limit:g} s submit jobs and come back as told"
+)
+@jobs_steps.paused
+async def submit_and_come_back(context, seconds, limit):
+    await asyncio.sleep(seconds)
+    queue = jobsite.queue(timeout_ms=int(limit * 1000))
+
+    async def call(number, name):
+        gives_up_s = jobs_steps.get_time_s() + limit
+        while True:
+            try:
+                step = jobs_steps.parse_steps("1")
+                await jobs_steps.submit(context, number, step, name, queue=queue)
+                return "accepted"
+            except exceptions.RequestError as error:
+                if error.retry_after_s is None:
+                    return f"refused for good: {error}"
+                if jobs_steps.get_time_s() + error.retry_after_s >= gives_up_s:
+                    return f"told to come back after {error.retry_after_s} s"
+                await asyncio.sleep(error.retry_after_s)
+
+    context.callers = [
+        asyncio.ensure_future(call(number, name))
+        for number, name in enumerate([*context.site.entries] * 3)
+    ]
+    await asyncio.sleep(0)
+
+
+@behave.when("the table answers again after {seconds:g} s")
+@jobs_steps.paused
+async def restart_table_after(context, seconds):
+    await asyncio.sleep(seconds)
+    restart_table(context)
+
+
+@behave.then("all their jobs are accepted within their time limit")
+@jobs_steps.paused
+async def check_accepted(context):
+    answers = await asyncio.gather(*context.callers)
+    assert set(answers) == {"accepted"}, answers
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -13,6 +13,11 @@
 # Longer than for reads, as the holder may wait for a slow table before it answers.
 _WRITE_TIMEOUT_S = 0.9
 _MAX_UNSETTLED_JOBS = 4_096
+# While the table does not answer, callers are told to come back after this share of their time
+# limit, as most outages end within it, and after these bounds.
+_RETRY_SHARE = 1 / 3
+_MIN_RETRY_AFTER_S = 1.0
+_MAX_RETRY_AFTER_S = 5.0
 
 _log = logs.get_logger("desk")
 
@@ -99,7 +104,8 @@
             return CallResult(None, may_have_taken_effect=True)
         if reply.status is calls.Status.NOT_ROUTED:
             kind = exceptions.ErrorKind.CONFIGURATION_STALE
-            raise exceptions.RequestError(kind, f"version {reply.version} is in force elsewhere")
+            detail = f"version {reply.version} is in force elsewhere"
+            raise exceptions.RequestError(kind, detail, _MIN_RETRY_AFTER_S)
         if reply.status is calls.Status.NOT_HOLDER:
             return CallResult(None, may_have_taken_effect=False)
         return CallResult(reply, may_have_taken_effect=reply.status is calls.Status.UNSETTLED)
@@ -136,7 +142,12 @@
         self, job: jobs.Job, may_have_taken_effect: bool, detail: str
     ) -> exceptions.RequestError:
         if not may_have_taken_effect:
-            return exceptions.RequestError(exceptions.ErrorKind.TABLE_UNAVAILABLE, detail)
+            retry_after_s = _RETRY_SHARE * job.queue.timeout_ms / 1000
+            return exceptions.RequestError(
+                exceptions.ErrorKind.TABLE_UNAVAILABLE,
+                detail,
+                min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, retry_after_s)),
+            )
         # A retry of this job must not get the answer that it did not run either.
         self._unsettled[job.job] = None
         while len(self._unsettled) > _MAX_UNSETTLED_JOBS:
