Let runs go on whose lost stops wait for one another's budget

Cause: a run that was to leave and whose stop got no answer counts as unavailable for the others of its step. Two of three such runs with a budget of two, the third lost with its host, each waited for the other for ever, and kept their host closed to the third.

--- a/packages/nutmegshelf/src/nutmegshelf/stops.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stops.py
@@ -14,6 +14,8 @@
 _UNKNOWN_RUN_RETRY_S = 0.4
 # A pending stop with no outcome by then is retried, as calls time out long before.
 _OUTCOME_LIMIT_S = 5.0
+# A worker may execute a stop without an answer until this time after it was sent.
+_MAX_EXECUTION_DELAY_S = 12.0
 
 Workers = dict[fleetview.Incarnation, fleetview.Worker]
 
@@ -27,6 +29,7 @@
 
     def choose(self, workers: Workers, now_s: float) -> list[orders.Order]:
         """Return the stops to send now, and mark them as pending."""
+        self._keep_stranded(workers, now_s)
         chosen: list[orders.Order] = []
         for worker in workers.values():
             chosen += _stop_unknown_runs(worker, now_s)
@@ -61,6 +64,31 @@
         retry_s = _STOP_RETRY_S * task.stops_sent
         return task.stop_sent_s is None or now_s - task.stop_sent_s >= retry_s
 
+    def _keep_stranded(self, workers: Workers, now_s: float) -> None:
+        """Let runs go on that would wait for one another's budget, each with a lost stop."""
+        stranded = [
+            task
+            for worker in workers.values()
+            for task in worker.tasks.values()
+            if self._is_stranded(worker, task, workers, now_s)
+        ]
+        for task in stranded:
+            self._notes.note_task("run stays", task, reason="its stop has no budget left")
+            task.phase, task.stop_sent_s, task.stops_sent = fleetview.Phase.RUNNING, None, 0
+
+    def _is_stranded(
+        self, worker: fleetview.Worker, task: fleetview.Task, workers: Workers, now_s: float
+    ) -> bool:
+        """Return whether a run goes on and the budget no longer allows to repeat its lost stop."""
+        return (
+            task.phase is fleetview.Phase.STOPPING
+            and task.stop_acked_s is None
+            and not task.is_missing
+            and not _is_pending(worker, (task.key.name, task.run), now_s)
+            and (task.stop_sent_s is None or now_s - task.stop_sent_s > _MAX_EXECUTION_DELAY_S)
+            and not self._may_stop(task, workers, now_s)
+        )
+
     def _may_stop(self, task: fleetview.Task, workers: Workers, now_s: float) -> bool:
         """Return whether the disruption budget still allows stopping a run.
 
