--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -89,7 +89,7 @@
                     (ends_s[step] for step in task_set.step.after if step < index), default=0.0
                 )
                 ends_s.append(begins_s + is_ahead * task_set.step.estimate_ms / 1000)
-            longest_s = max(longest_s, *ends_s)
+            longest_s = max([longest_s, *ends_s])
         return longest_s
 
     def iterate_tasks(self) -> collections.abc.Iterator[fleetview.Task]:
--- a/packages/nutmegshelf/src/nutmegshelf/urgency.py
+++ b/packages/nutmegshelf/src/nutmegshelf/urgency.py
@@ -67,10 +67,15 @@
     if age_s <= target_s:
         return Timeliness.ON_TIME
     path_s, ratios = record.critical_path_s, run_estimates.get_ratio_range(queue.name)
-    if ratios is None:
-        low, high, remaining_s = 1.0, 1.0, 0.0
-    else:
-        (low, high), remaining_s = ratios, record.get_remaining_path_s()
+    low, high = ratios or (1.0, 1.0)
+    remaining_s = 0.0
+    if ratios is not None:
+        # The walk over the remaining steps is spared where its result makes no difference.
+        if age_s <= target_s + low * (queue.stretch - 1) * path_s:
+            return Timeliness.ON_TIME
+        if age_s > _EXPIRED_FACTOR * (target_s + high * queue.stretch * path_s):
+            return Timeliness.EXPIRED
+        remaining_s = record.get_remaining_path_s()
     spare_s = queue.stretch * path_s - remaining_s
     if age_s <= target_s + low * spare_s:
         return Timeliness.ON_TIME
