Keep a job's remaining path between passes, and count the delay of polls from their sending

The order of jobs walked each waiting job's steps in every pass and report, about 9 us each on a whole core, and unresponsive workers were polled up to five times a second. The path is computed again only after a change of a task of the job. A poll that timed out is repeated at once, one that was refused after up to 0.5 s again, so a silent worker is heard as soon and called less often.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -25,7 +25,7 @@
 # before the lease of its runs expires.
 _UNRESPONSIVE_POLL_MARGIN_S = 2.4
 _MIN_BACKOFF_S = 0.05
-_MAX_BACKOFF_S = 0.2
+_MAX_BACKOFF_S = 0.5
 _MAX_CONCURRENT_ORDERS = 6
 
 _log = logs.get_logger("worker")
@@ -80,6 +80,7 @@
             if not self._may_send():
                 await asyncio.sleep(_MIN_BACKOFF_S)
                 continue
+            sent_s = self._loop.time()
             try:
                 await self._poll_interruptibly(worker)
                 backoff_s = _MIN_BACKOFF_S
@@ -92,7 +93,9 @@
                     _log.warning(
                         "A worker doesn't answer.", worker=self._incarnation.worker, why=str(error)
                     )
-                await asyncio.sleep(backoff_s)
+                # The delay counts from the poll, so that one that timed out is repeated at once.
+                elapsed_s = self._loop.time() - sent_s
+                await asyncio.sleep(max(_MIN_BACKOFF_S, backoff_s - elapsed_s))
                 backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
         _log.info("Polling of a dropped worker ended.", worker=self._incarnation.worker)
 
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -34,6 +34,7 @@
     ended_s: float = 0.0
     # Whether tasks may still run at workers that an earlier holder used.
     has_recovering: bool = False
+    _remaining_path_s: float | None = None
 
     @property
     def is_live(self) -> bool:
@@ -75,7 +76,19 @@
         return groups
 
     def get_remaining_path_s(self) -> float:
-        """Return the estimated length of the critical path from the tasks that wait onwards."""
+        """Return the estimated length of the critical path from the tasks that wait onwards.
+
+        The result is kept until a task starts to wait, no longer waits or ends.
+        """
+        if self._remaining_path_s is None:
+            self._remaining_path_s = self._compute_remaining_path_s()
+        return self._remaining_path_s
+
+    def forget_remaining_path(self) -> None:
+        """Have the remaining critical path computed again, after a change of a task's phase."""
+        self._remaining_path_s = None
+
+    def _compute_remaining_path_s(self) -> float:
         waiting = {(key.occurrence, key.step) for key in self.ready}
         longest_s = 0.0
         for number, task_sets in self.occurrences.items():
@@ -192,6 +205,7 @@
         self._open_steps(record, number)
 
     def _open_steps(self, record: JobRecord, number: int) -> None:
+        record.forget_remaining_path()
         task_sets = record.occurrences[number]
         for task_set in task_sets:
             if task_set.is_open or not task_set.remaining:
@@ -271,6 +285,7 @@
     ) -> None:
         """Assign a task to a worker, before its start is sent."""
         record.ready.pop(task.key, None)
+        record.forget_remaining_path()
         task.phase = fleetview.Phase.STARTING
         task.incarnation, task.run = worker.facts.incarnation, run
         task.highest_run = max(task.highest_run, run)
@@ -344,6 +359,7 @@
 
     def _requeue(self, record: JobRecord, task: fleetview.Task) -> None:
         task.phase = fleetview.Phase.WAITING
+        record.forget_remaining_path()
         task_set = record.occurrences[task.key.occurrence][task.key.step]
         if record.is_live and task_set.is_open:
             record.ready[task.key] = task
@@ -366,6 +382,7 @@
             stored.checkpoints.pop(member.key.position, None)
             task_set.remaining -= 1
         self.mark_dirty(record)
+        record.forget_remaining_path()
         if task_set.remaining:
             return
         task_sets = record.occurrences[number]
