--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -78,12 +78,12 @@
 
     Resources are counted in cores: a task takes its dominant share of a host's resources. The
     arrived work is counted since the service's holder started; waiting_ms is the mean expected
-    run time of the waiting tasks. Tasks that fit at none of the present hosts need additional ones.
+    run time of the waiting tasks. Overdue work is the part of the waiting work that ends too late
+    to be of use. Tasks that fit at none of the present hosts need additional ones.
     """
 
     cpu_running: int
     cpu_waiting: int
-    # Work that waits and ends too late to be of use; it is part of cpu_waiting.
     cpu_overdue: int = 0
     cpu_long_running: int = msgspec.field(name="cpu_lasting")
     waiting_ms: int
--- a/packages/nutmegshelf/src/nutmegshelf/estimates.py
+++ b/packages/nutmegshelf/src/nutmegshelf/estimates.py
@@ -12,7 +12,7 @@
 # The most recent ratios kept by queue, and how many have to be known before any is assumed.
 _MAX_RATIOS = 200
 _MIN_RATIOS = 20
-# New ratios until the quantiles are computed again.
+# Number of new ratios after which their range is computed again.
 _REFRESH_INTERVAL = 20
 # The lowest and the highest of this many equal parts of the ratios lie outside the usual range.
 _QUANTILE_PARTS = 5
@@ -25,14 +25,14 @@
     ratios: collections.deque[float] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=_MAX_RATIOS)
     )
-    unseen: int = 0
+    new_ratios: int = 0
     ratio_range: tuple[float, float] | None = None
 
     def refresh(self) -> None:
         if len(self.ratios) >= _MIN_RATIOS:
             quantiles = statistics.quantiles(self.ratios, n=_QUANTILE_PARTS)
             self.ratio_range = quantiles[0], quantiles[-1]
-            self.unseen = 0
+            self.new_ratios = 0
 
 
 class Estimates:
@@ -47,8 +47,8 @@
         sums.estimated_s = sums.estimated_s * _DECAY + estimated_s
         sums.actual_s = sums.actual_s * _DECAY + actual_s
         sums.ratios.append(actual_s / estimated_s)
-        sums.unseen += 1
-        if sums.unseen >= _REFRESH_INTERVAL:
+        sums.new_ratios += 1
+        if sums.new_ratios >= _REFRESH_INTERVAL:
             sums.refresh()
 
     def get_expected_s(self, queue: ids.QueueName, estimate_ms: int) -> float:
