--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -339,10 +339,9 @@
             raise exceptions.OrderAnswerLost("no answer")
         return minion
 
-    async def poll(self, facts, *, timeout_s=None, wait_s, **fields):
-        """Answer a poll; without a time-out the margin is that of a fast answer."""
+    async def poll(self, facts, *, timeout_s, wait_s, **fields):
         try:
-            async with asyncio.timeout(wait_s + 0.8 if timeout_s is None else timeout_s):
+            async with asyncio.timeout(timeout_s):
                 return await self._poll(facts, wait_s=wait_s, **fields)
         except TimeoutError as error:
             raise exceptions.OrderAnswerLost("no answer") from error
--- a/features/places.feature
+++ b/features/places.feature
@@ -81,6 +81,11 @@
     When a gang of 4 tasks with 4 cores and 60 GB and 60 ms waits
     Then it starts within 15 s
 
+  Scenario: A gang that no rack can hold requests no hosts
+    Given a pool of 2 hosts with 32 cores and 128 GB, and 8 spare hosts
+    When a gang of 40 tasks with 4 cores and 60 GB that needs one rack waits
+    Then after 20 s the pool has at most 2 hosts
+
   Scenario: A pool in a burst leaves a host to a long-running task
     Given a pool that lacks 8 hosts for short tasks, and one that lacks 1 for a long-running task
     Then of 3 spare hosts one goes to the long-running task
--- a/features/steps/places_steps.py
+++ b/features/steps/places_steps.py
@@ -198,6 +198,28 @@
     add_job(context, context.gang)
 
 
+@behave.when(
+    "a gang of {count:d} tasks with {cores:d} cores and {memory:d} GB that needs one rack waits"
+)
+def add_rack_gang(context, count, cores, memory):
+    step = jobs.Step(
+        count=count,
+        cpu_millis=cores * 1000,
+        memory_mb=memory * room_steps.GB,
+        estimate_ms=500,
+        gang=True,
+        same_rack=True,
+    )
+    add_job(context, step)
+
+
+@behave.then("after {seconds:g} s the pool has at most {count:d} hosts")
+def check_pool_size(context, seconds, count):
+    context.simulation.run(seconds)
+    held = [host.name for host in context.simulation.hosts if host.pool == poolsimulation.POOL]
+    assert len(held) <= count, held
+
+
 @behave.then("it starts within {seconds:g} s")
 def check_started(context, seconds):
     for _ in range(int(seconds / poolsimulation.STEP_S)):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 import msgspec
-from nutmegshelf import calls, exceptions, ids, jobs, queues
+from nutmegshelf import calls, exceptions, ids, jobs, outages, queues
 
 from nutmegshelf_entry import forwarder, lease_manager, logs, ports, rowcodec
 
@@ -13,11 +13,8 @@
 # Longer than for reads, as the holder may wait for a slow table before it answers.
 _WRITE_TIMEOUT_S = 0.9
 _MAX_UNSETTLED_JOBS = 4_096
-# While the table does not answer, callers are told to come back after this share of their time
-# limit, as most outages end within it, and after these bounds.
-_RETRY_SHARE = 1 / 3
-_MIN_RETRY_AFTER_S = 1.0
-_MAX_RETRY_AFTER_S = 5.0
+# An entry with a stale configuration usually has the latest one after this time.
+_STALE_RETRY_AFTER_S = 1.0
 
 _log = logs.get_logger("desk")
 
@@ -105,7 +102,7 @@
         if reply.status is calls.Status.NOT_ROUTED:
             kind = exceptions.ErrorKind.CONFIGURATION_STALE
             detail = f"version {reply.version} is in force elsewhere"
-            raise exceptions.RequestError(kind, detail, _MIN_RETRY_AFTER_S)
+            raise exceptions.RequestError(kind, detail, _STALE_RETRY_AFTER_S)
         if reply.status is calls.Status.NOT_HOLDER:
             return CallResult(None, may_have_taken_effect=False)
         return CallResult(reply, may_have_taken_effect=reply.status is calls.Status.UNSETTLED)
@@ -142,11 +139,10 @@
         self, job: jobs.Job, may_have_taken_effect: bool, detail: str
     ) -> exceptions.RequestError:
         if not may_have_taken_effect:
-            retry_after_s = _RETRY_SHARE * job.queue.timeout_ms / 1000
             return exceptions.RequestError(
                 exceptions.ErrorKind.TABLE_UNAVAILABLE,
                 detail,
-                min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, retry_after_s)),
+                outages.get_retry_after_s(job.queue.timeout_ms / 1000),
             )
         # A retry of this job must not get the answer that it did not run either.
         self._unsettled[job.job] = None
--- a/packages/nutmegshelf/src/nutmegshelf/simulation.py
+++ b/packages/nutmegshelf/src/nutmegshelf/simulation.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 
-from nutmegshelf import fitting, fleetview, ids, jobs, policy, registry
+from nutmegshelf import fitting, fleetview, jobs, policy, registry
 
 # Further unplaced tasks are not counted, as their hosts arrive over several passes anyway.
 _MAX_UNPLACED = 256
@@ -186,7 +186,9 @@
         for task_set, tasks in ready:
             if len(self.unplaced) >= _MAX_UNPLACED:
                 return
-            if task_set.step.gang and len(tasks) == len(task_set.tasks):
+            # New hosts may join any rack, so a gang that needs one rack requests none.
+            is_waiting_gang = task_set.step.gang and len(tasks) == len(task_set.tasks)
+            if is_waiting_gang and not task_set.step.same_rack:
                 self.unplaced += [task_set] * self._count_missing(task_set, tasks[0].key)
             elif not task_set.step.long_running and not self._has_room(task_set, tasks[0].key):
                 share = min(1.0, task_set.step.estimate_ms / 1000 / _SHARED_RUN_S)
@@ -240,12 +242,12 @@
     def _count_missing(self, task_set: registry.TaskSet, key: jobs.TaskKey) -> int:
         """Return how many tasks of a gang have no room beside the others."""
         step, count = task_set.step, len(task_set.tasks)
-        by_rack: collections.Counter[ids.RackName] = collections.Counter()
-        for worker in self._get_allowed(key):
-            if not step.label or step.label in worker.facts.labels:
-                by_rack[worker.facts.rack] += fitting.count_fitting(step, worker.capacity)
-        largest = max(by_rack.values(), default=0)
-        return max(0, count - (largest if step.same_rack else by_rack.total()))
+        fitting_count = sum(
+            fitting.count_fitting(step, worker.capacity)
+            for worker in self._get_allowed(key)
+            if not step.label or step.label in worker.facts.labels
+        )
+        return max(0, count - fitting_count)
 
     def _get_allowed(self, key: jobs.TaskKey) -> list[_SimulatedWorker]:
         refused = self._get_refused(key)
