Log why, where and how late the runs of a worker were lost

A loss said neither at which worker nor why beyond two texts, nor how long the worker had not been heard; a crash that was noticed by its lease could not be told from a cut. No decision changes.

--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -60,6 +60,14 @@
     FULL = "refused a start for want of room"
 
 
+class LossCause(enum.Enum):
+    """The reason that the runs of a worker were released before they reported an end."""
+
+    RESTARTED = "its host runs a later worker"
+    LEASE_EXPIRED = "its lease expired"
+    HOST_LEFT = "its host left the pool or runs another worker"
+
+
 PLACED_PHASES = frozenset({Phase.STARTING, Phase.RUNNING, Phase.UNCONFIRMED, Phase.STOPPING})
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -32,6 +32,11 @@
 # A worker that refused a start for lack of resources gets no starts for this time, in which it
 # reports again.
 _REFUSAL_PAUSE_S = 0.3
+_LOSS_EVENTS = {
+    fleetview.LossCause.RESTARTED: "task lost",
+    fleetview.LossCause.LEASE_EXPIRED: "lease lapsed",
+    fleetview.LossCause.HOST_LEFT: "task lost",
+}
 
 
 class Scheduler:
@@ -118,7 +123,7 @@
                 continue
             worker.is_listed, worker.is_closed = False, True
             if newest.get(worker.facts.host, -1) > incarnation.born_ms:
-                self._drop_worker(worker, now_s, "its worker started anew")
+                self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
         return added
 
     def expect_incarnations(
@@ -146,31 +151,56 @@
         for incarnation in self._takeover.drop_ended(incarnations, views, pool):
             worker = self.workers.get(incarnation)
             if worker is not None and not worker.is_polled:
-                self._drop_worker(worker, now_s, "its host left the pool or runs another worker")
+                self._drop_worker(worker, now_s, fleetview.LossCause.HOST_LEFT)
         self._reconcile(now_s)
 
-    def _drop_worker(self, worker: fleetview.Worker, now_s: float, reason: str) -> None:
-        for task in list(worker.tasks.values()):
-            self.notes.note_task("task lost", task, reason=reason)
-            self.registry.release(self.registry.records[task.key.job], task, worker, now_s)
+    def _drop_worker(
+        self, worker: fleetview.Worker, now_s: float, cause: fleetview.LossCause
+    ) -> None:
+        self._release_lost(worker, now_s, cause)
         worker.is_polled = False
         self.workers.pop(worker.facts.incarnation, None)
 
+    def _release_lost(
+        self, worker: fleetview.Worker, now_s: float, cause: fleetview.LossCause
+    ) -> None:
+        """Release the runs of a worker that are lost, and record why."""
+        facts = worker.facts
+        if worker.tasks:
+            self.notes.note(
+                "worker lost",
+                worker=facts.incarnation.worker,
+                host=facts.host,
+                reason=cause.value,
+                tasks=len(worker.tasks),
+                unheard_s=round(now_s - worker.heard_s, 3),
+                is_draining=facts.is_draining,
+                is_listed=worker.is_listed,
+            )
+        for task in list(worker.tasks.values()):
+            self.notes.note_task(
+                _LOSS_EVENTS[cause],
+                task,
+                reason=cause.value,
+                worker=facts.incarnation.worker,
+                phase=task.phase.value,
+                started_ago_s=round(now_s - task.sent_s, 3),
+            )
+            self.registry.release(self.registry.records[task.key.job], task, worker, now_s)
+
     def record_restart(
         self, incarnation: fleetview.Incarnation, born_ms: int, now_s: float
     ) -> None:
         """Release the runs of a worker that answered as a later incarnation."""
         worker = self.workers.get(incarnation)
         if worker is not None and born_ms > incarnation.born_ms:
-            self._drop_worker(worker, now_s, "its worker started anew")
+            self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
 
     def tick(self, now_s: float, now_ms: int) -> None:
         """Expire leases, open the occurrences that are due and look for stalled tasks."""
         for worker in list(self.workers.values()):
             if worker.leased_until_s and now_s > worker.leased_until_s:
-                for task in list(worker.tasks.values()):
-                    self.notes.note_task("lease lapsed", task)
-                    self.registry.release(self.registry.records[task.key.job], task, worker, now_s)
+                self._release_lost(worker, now_s, fleetview.LossCause.LEASE_EXPIRED)
                 worker.is_polled, worker.leased_until_s = False, 0.0
                 worker.unknown_runs.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
