--- /dev/null
+++ b/features/crashing_tasks.feature
@@ -0,0 +1,100 @@
+Feature: A task that crashes the workers that start it
+  It is given up after few crashes, and costs the tasks beside it one run at most.
+
+  Scenario: A task that crashes its workers is started without limit
+    Given 3 entries and 6 workers of one service
+    And task 0 of the next job crashes its worker 0.01 s after its start
+    When a job of 4 tasks of 0.8 s is submitted
+    Then within 30 s the job is shown as failed
+    And no task broke the limit of crashes
+
+  Scenario: A task that crashes its workers late is started without limit
+    Given 3 entries and 6 workers of one service
+    And task 0 of the next job crashes its worker 2 s after its start
+    When a job of 4 tasks of 5 s is submitted
+    Then within 60 s the job is shown as failed
+    And no task broke the limit of crashes
+
+  Scenario: A task that crashes its workers stays unnoticed while their old entries are listed
+    Given 3 entries and 6 workers of one service
+    And workers that ended stay listed for 4.5 s
+    And task 0 of the next job crashes its worker 0.01 s after its start
+    When a job of 4 tasks of 0.8 s is submitted
+    Then within 30 s the job is shown as failed
+    And no task broke the limit of crashes
+
+  Scenario: Workers that come back after their lease hide a task that crashes them
+    Given 3 entries and 6 workers of one service
+    And a crashed worker is back after 8 s
+    And task 0 of the next job crashes its worker 0.01 s after its start
+    When a job of 4 tasks of 0.8 s is submitted
+    Then within 60 s the job is shown as failed
+    And no task broke the limit of crashes
+
+  Scenario: Tasks beside one that crashes its workers are lost with it again and again
+    Given 3 entries and 6 workers of one service
+    And its tasks take 2 s
+    And 8 jobs of 3 tasks run
+    And task 0 of the next job crashes its worker 0.01 s after its start
+    When a job of 4 tasks of 0.8 s is submitted
+    Then within 30 s the job is shown as failed
+    And the other jobs succeed within 30 s
+    And no task that crashes no worker was lost more than once
+    And no task broke the limit of crashes
+
+  Scenario Outline: The crashes of a task are forgotten as the service changes hands
+    Given 4 entries and 6 workers of one service
+    And task 0 of the next job crashes its worker 0.01 s after its start
+    When a job of 4 tasks of 0.8 s is submitted
+    And the holder is <fault> <delay> s after each of the first 3 crashes
+    Then within 60 s the job is shown as failed
+    And no task broke the limit of crashes
+
+    Examples: faults
+      | fault            | delay |
+      | killed           | 3.3   |
+      | killed           | 3.6   |
+      | stopped gracefully | 1.0 |
+
+  Scenario: A gang with a task that crashes its workers is started without limit
+    Given 3 entries and 6 workers of one service
+    And task 0 of the next job crashes its worker 0.01 s after its start
+    When a gang of 4 tasks of 0.8 s is submitted
+    Then within 40 s the job is shown as failed
+    And no task broke the limit of crashes
+
+  Scenario: A long-running task that crashes its workers is started without limit
+    Given 3 entries and 6 workers of one service
+    And task 0 of the next job crashes its worker 0.01 s after its start
+    When a long-running job of 4 tasks is submitted
+    Then within 40 s the job is shown as failed
+    And no task broke the limit of crashes
+
+  Scenario: Many tasks that crash their workers leave no workers to the others
+    Given 3 entries and 6 workers of one service
+    And task 0 of 6 jobs crashes its worker 0.01 s after its start
+    When these jobs of 2 tasks of 0.8 s are submitted over 3 s
+    And 10 jobs of 2 tasks of 0.8 s are submitted over 10 s
+    Then within 60 s the jobs that crash workers are shown as failed
+    And the other jobs succeed within 10 s
+    And no task broke the limit of crashes
+
+  Scenario: A job is given up because its worker was silent several times
+    Given 3 entries and 6 workers of one service
+    When a job of 1 tasks of 6 s is submitted
+    And the worker that runs it falls silent for 8 s, 5 times in a row
+    Then within 40 s the job succeeds
+    And no task was counted as crashed
+
+  Scenario: A job is given up because its hosts were moved and drained
+    Given 3 entries and 6 workers of one service
+    When a job of 1 tasks of 6 s is submitted
+    And the worker that runs it drains and leaves after 1 s, 5 times in a row
+    Then within 40 s the job succeeds
+    And no task was counted as crashed
+
+  Scenario: Jobs are given up because workers crash for other reasons
+    Given 3 entries and 8 workers of one service
+    And its tasks take 1.5 s
+    When 40 jobs of 3 tasks come over 20 s while a worker crashes every 0.7 s
+    Then within 40 s all are shown as succeeded
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -19,6 +19,11 @@
 CONFIRM_INTERVAL_S = 1.0
 # The size of a call without a job specification.
 CALL_BYTES = 350
+# A smaller capacity binds this long after a worker announced it.
+CAPACITY_GRACE_S = 4.5
+# A task under which this many workers have crashed may be started no more than twice again.
+MAX_CRASHES = 3
+MAX_FURTHER_STARTS = 3
 # How long a start waits for its answer.
 START_TIMEOUT_S = 0.4
 
@@ -63,6 +68,8 @@
         self.unanswered_starts = 0
         self.dropped_starts = 0
         self.slowdown = 1.0
+        # Until when the worker had which capacity, before its present one.
+        self.former_capacities = []
         # How late the answers to polls are.
         self.poll_delay_s = 0.0
         self.ended = asyncio.Event()
@@ -112,7 +119,9 @@
         if advised and not (order.ticket or "").endswith(f"-{self.facts.incarnation.worker}"):
             return orders.Refusal.TICKET
         if not self.fits(step):
-            return orders.Refusal.ROOM
+            if self.world.guards_capacity:
+                return orders.Refusal.ROOM
+            self.check_capacity(name, step)
         self.until_ms = max(self.until_ms, until_ms)
         duration_s, how = self.world.get_work(order.key, self)
         now_s = asyncio.get_running_loop().time()
@@ -120,12 +129,31 @@
         ends_s = now_s + duration_s * self.slowdown - saved_s
         self.runs[name] = Run(name, number, ends_s, how, step.checkpointing, saved_s, now_s)
         self.world.record_start(self, self.runs[name])
+        crash_delay_s = self.world.crash_delays_s.get(name)
+        if crash_delay_s is not None:
+            asyncio.get_running_loop().call_later(crash_delay_s, self.world.crash, self, name)
         return None
 
-    def fits(self, step):
+    def used_millis(self):
         steps = [self.world.step(jobs.parse_task_name(name)) for name in self.runs]
-        used_millis = sum(running.cpu_millis for running in steps if not running.fills)
-        return used_millis + (0 if step.fills else step.cpu_millis) <= self.facts.cpu_millis
+        return sum(running.cpu_millis for running in steps if not running.fills)
+
+    def fits(self, step):
+        needed_millis = 0 if step.fills else step.cpu_millis
+        return self.used_millis() + needed_millis <= self.facts.cpu_millis
+
+    def resize(self, cpu_millis):
+        """Change the capacity, which the fleet's list shows from then on."""
+        now_s = asyncio.get_running_loop().time()
+        self.former_capacities.append((now_s, self.facts.cpu_millis))
+        self.facts = dataclasses.replace(self.facts, cpu_millis=cpu_millis)
+
+    def check_capacity(self, name, step):
+        """Record a start over the capacity, unless it shrank only a moment ago."""
+        since_s = asyncio.get_running_loop().time() - CAPACITY_GRACE_S
+        millis = [before for at_s, before in self.former_capacities if at_s >= since_s]
+        if self.used_millis() + step.cpu_millis > max([self.facts.cpu_millis, *millis]):
+            self.world.violations.append(f"{name} brings its worker over its capacity")
 
     def end_life(self):
         self.world.ended_workers.append((self.facts, asyncio.get_running_loop().time()))
@@ -154,6 +182,16 @@
         self.done = collections.Counter()
         self.stopped = []
         self.violations = []
+        # Whether workers refuse a start that they have no room for.
+        self.guards_capacity = True
+        # The tasks that crash the worker that starts them, and how long after the start.
+        self.crash_delays_s = {}
+        self.crash_downtime_s = 3.0
+        # The workers that crashed by a task, the starts of it after the third, and by task the
+        # runs lost in any crash.
+        self.crashes = collections.Counter()
+        self.starts_after_third_crash = collections.Counter()
+        self.lost_runs = collections.Counter()
         self.moves = []
         self.upkeeps = []
         self.down = {}
@@ -213,6 +251,10 @@
             other.tick()
         if self.running[run.task] and not self.step(jobs.parse_task_name(run.task)).speculative:
             self.violations.append(f"{run.task} runs twice at the same time")
+        if self.crashes[run.task] >= MAX_CRASHES:
+            self.starts_after_third_crash[run.task] += 1
+            if self.starts_after_third_crash[run.task] >= MAX_FURTHER_STARTS:
+                self.violations.append(f"{run.task} is started again and again as it crashes")
         if run.task in self.acknowledged_tasks:
             self.violations.append(f"{run.task} starts after its end was acknowledged")
         self.running[run.task].add((minion.facts.incarnation, run.number))
@@ -234,6 +276,28 @@
 
         asyncio.get_running_loop().call_later(left_s, end)
 
+    def crash(self, minion, culprit=None):
+        """Crash a worker, which is back at its host after a while."""
+        if self.minions.get(minion.facts.incarnation) is not minion:
+            return
+        if culprit is not None:
+            if culprit not in minion.runs:
+                return
+            self.crashes[culprit] += 1
+        self.lost_runs.update(list(minion.runs))
+        host, pool = minion.facts.host, minion.facts.service
+        minion.end_life()
+        del self.minions[minion.facts.incarnation]
+
+        def come_back():
+            if self.hosts[host]["pool"] == pool and not self.has_minion(host):
+                self.add_minion(host)
+
+        asyncio.get_running_loop().call_later(self.crash_downtime_s, come_back)
+
+    def has_minion(self, host):
+        return any(minion.facts.host == host for minion in self.minions.values())
+
     def restart(self, minion):
         """Restart a worker at its host, which ends its runs."""
         minion.end_life()
--- /dev/null
+++ b/features/steps/crashing_task_steps.py
@@ -0,0 +1,265 @@
+"""Steps on tasks that crash their workers, and on workers that crash for other reasons."""
+
+import asyncio
+
+import behave
+from nutmegshelf import fleetview, jobs
+
+from features import jobsite
+from features.steps import jobs_steps
+
+# The numbers of the jobs in these scenarios, whose ids have to be known before they are submitted.
+FIRST_CRASHING_JOB = 1
+FIRST_OTHER_JOB = 100
+
+
+def get_task_name(number, position=0):
+    return jobs.TaskKey(f"{number:016x}", 0, 0, position).name
+
+
+def make_steps(count, duration_s=1.0, **fields):
+    step = jobs.Step(
+        count=count,
+        cpu_millis=1000,
+        memory_mb=100,
+        estimate_ms=int(duration_s * 1000),
+        **fields,
+    )
+    return (step,)
+
+
+async def submit_at_live(context, number, steps, work=None):
+    job = jobsite.job(number, steps)
+    if work is not None:
+        context.world.work_by_task[job.job] = work
+    return await jobs_steps.submit(context, number, steps, next(iter(context.site.entries)))
+
+
+def get_holder(context):
+    name = context.site.holder_of("a")
+    return context.site.entries[name][0].lease_manager.get_holder("a") if name else None
+
+
+@behave.given("task {position:d} of the next job crashes its worker {delay_s:g} s after its start")
+def set_crashing_task(context, position, delay_s):
+    context.world.crash_delays_s[get_task_name(FIRST_CRASHING_JOB, position)] = delay_s
+
+
+@behave.given(
+    "task {position:d} of {count:d} jobs crashes its worker {delay_s:g} s after its start"
+)
+def set_crashing_tasks(context, position, count, delay_s):
+    context.crashing_numbers = range(FIRST_CRASHING_JOB, FIRST_CRASHING_JOB + count)
+    for number in context.crashing_numbers:
+        context.world.crash_delays_s[get_task_name(number, position)] = delay_s
+
+
+@behave.given("a crashed worker is back after {seconds:g} s")
+def set_downtime(context, seconds):
+    context.world.crash_downtime_s = seconds
+
+
+@behave.given("{count:d} jobs of {tasks:d} tasks run")
+@jobs_steps.paused
+async def submit_running(context, count, tasks):
+    context.others = [
+        await submit_at_live(context, FIRST_OTHER_JOB + number, make_steps(tasks))
+        for number in range(count)
+    ]
+    await asyncio.sleep(0.3)
+
+
+@behave.when("a job of {count:d} tasks of {seconds:g} s is submitted")
+@jobs_steps.paused
+async def submit_crashing(context, count, seconds):
+    work = seconds, fleetview.RunOutcome.DONE
+    context.made = await submit_at_live(
+        context, FIRST_CRASHING_JOB, make_steps(count, seconds), work
+    )
+
+
+@behave.when("a gang of {count:d} tasks of {seconds:g} s is submitted")
+@jobs_steps.paused
+async def submit_gang(context, count, seconds):
+    work = seconds, fleetview.RunOutcome.DONE
+    steps = make_steps(count, seconds, gang=True)
+    context.made = await submit_at_live(context, FIRST_CRASHING_JOB, steps, work)
+
+
+@behave.when("a long-running job of {count:d} tasks is submitted")
+@jobs_steps.paused
+async def submit_long_running(context, count):
+    steps = make_steps(count, long_running=True)
+    context.made = await submit_at_live(context, FIRST_CRASHING_JOB, steps)
+
+
+@behave.when("these jobs of {tasks:d} tasks of {work_s:g} s are submitted over {seconds:g} s")
+@jobs_steps.paused
+async def submit_all_crashing(context, tasks, work_s, seconds):
+    work = work_s, fleetview.RunOutcome.DONE
+    context.crashing = []
+    for number in context.crashing_numbers:
+        context.crashing.append(
+            await submit_at_live(context, number, make_steps(tasks, work_s), work)
+        )
+        await asyncio.sleep(seconds / len(context.crashing_numbers))
+
+
+@behave.when("{count:d} jobs of {tasks:d} tasks of {work_s:g} s are submitted over {seconds:g} s")
+@jobs_steps.paused
+async def submit_others(context, count, tasks, work_s, seconds):
+    work = work_s, fleetview.RunOutcome.DONE
+    context.others = []
+    for number in range(FIRST_OTHER_JOB, FIRST_OTHER_JOB + count):
+        steps = make_steps(tasks, work_s)
+        context.others.append(await submit_at_live(context, number, steps, work))
+        await asyncio.sleep(seconds / count)
+
+
+@behave.when("the holder is {fault} {delay_s:g} s after each of the first {count:d} crashes")
+@jobs_steps.paused
+async def disturb_after_crashes(context, fault, delay_s, count):
+    for number in range(1, count + 1):
+
+        async def has_crashed(number=number):
+            return sum(context.world.crashes.values()) >= number or context.world.crashes
+
+        await jobs_steps.wait_until(40, has_crashed, "crashes")
+        await asyncio.sleep(delay_s)
+        name = context.site.holder_of("a")
+        if name is None:
+            continue
+        match fault:
+            case "killed":
+                await context.site.kill(name)
+            case "stopped gracefully":
+                await context.site.stop(name)
+        context.site.start(name)
+
+
+def find_running(context, name):
+    return next((each for each in context.world.minions.values() if name in each.runs), None)
+
+
+async def wait_for_run(context, name):
+    async def is_running():
+        return find_running(context, name) is not None or "it runs nowhere"
+
+    await jobs_steps.wait_until(15, is_running, name)
+    return find_running(context, name)
+
+
+@behave.when("the worker that runs it falls silent for {seconds:g} s, {times:d} times in a row")
+@jobs_steps.paused
+async def silence_repeatedly(context, seconds, times):
+    name = get_task_name(FIRST_CRASHING_JOB)
+    for _ in range(times):
+        minion = await wait_for_run(context, name)
+        minion.is_unresponsive = True
+
+        def speak(minion=minion):
+            minion.is_unresponsive = False
+
+        asyncio.get_running_loop().call_later(seconds, speak)
+
+        async def has_lapsed(minion=minion):
+            minion.tick()
+            return name not in minion.runs or "it still runs"
+
+        await jobs_steps.wait_until(15, has_lapsed, "lease")
+
+
+@behave.when(
+    "the worker that runs it drains and leaves after {seconds:g} s, {times:d} times in a row"
+)
+@jobs_steps.paused
+async def drain_repeatedly(context, seconds, times):
+    name = get_task_name(FIRST_CRASHING_JOB)
+    for _ in range(times):
+        minion = await wait_for_run(context, name)
+        host = minion.facts.host
+        context.world.drain(minion, seconds)
+        await asyncio.sleep(seconds + 0.2)
+        context.world.add_minion(host)
+
+
+@behave.when(
+    "{count:d} jobs of {tasks:d} tasks come over {seconds:g} s "
+    "while a worker crashes every {gap_s:g} s"
+)
+@jobs_steps.paused
+async def submit_during_crashes(context, count, tasks, seconds, gap_s):
+    world, loop = context.world, asyncio.get_running_loop()
+    until_s = loop.time() + seconds
+
+    async def crash_workers():
+        while loop.time() < until_s:
+            await asyncio.sleep(gap_s)
+            busy = max(world.minions.values(), key=lambda each: len(each.runs), default=None)
+            if busy is not None:
+                world.crash(busy)
+
+    crashing = asyncio.ensure_future(crash_workers())
+    context.all = []
+    for number in range(FIRST_OTHER_JOB, FIRST_OTHER_JOB + count):
+        context.all.append(await submit_at_live(context, number, make_steps(tasks, 1.5)))
+        await asyncio.sleep(seconds / count)
+    await crashing
+    assert max(world.lost_runs.values()) >= 2, "no task lost two workers"
+
+
+@behave.then("within {seconds:g} s the job is shown as failed")
+@jobs_steps.paused
+async def check_failed(context, seconds):
+    await jobs_steps.wait_until(
+        seconds, jobs_steps.has_state(context, context.made, "failed"), "states"
+    )
+    assert context.world.crashes[get_task_name(FIRST_CRASHING_JOB)] >= 2, context.world.crashes
+
+
+@behave.then("within {seconds:g} s the jobs that crash workers are shown as failed")
+@jobs_steps.paused
+async def check_all_failed(context, seconds):
+    for job in context.crashing:
+        await jobs_steps.wait_until(seconds, jobs_steps.has_state(context, job, "failed"), job.job)
+    for number in context.crashing_numbers:
+        assert context.world.crashes[get_task_name(number)] >= 2, context.world.crashes
+
+
+@behave.then("within {seconds:g} s the job succeeds")
+@jobs_steps.paused
+async def check_made_succeeds(context, seconds):
+    await jobs_steps.wait_until(
+        seconds, jobs_steps.has_state(context, context.made, "succeeded"), "states"
+    )
+    jobs_steps.check_no_violations(context)
+
+
+@behave.then("the other jobs succeed within {seconds:g} s")
+@jobs_steps.paused
+async def check_others_succeed(context, seconds):
+    for job in context.others:
+        await jobs_steps.wait_until(
+            seconds, jobs_steps.has_state(context, job, "succeeded"), job.job
+        )
+
+
+@behave.then("no task that crashes no worker was lost more than once")
+def check_neighbours(context):
+    world = context.world
+    innocent = {
+        name: count for name, count in world.lost_runs.items() if name not in world.crash_delays_s
+    }
+    assert innocent, "no task was lost beside the one that crashes its workers"
+    assert max(innocent.values()) <= 1, innocent
+
+
+@behave.then("no task broke the limit of crashes")
+def check_crash_limit(context):
+    jobs_steps.check_no_violations(context)
+
+
+@behave.then("no task was counted as crashed")
+def check_no_crash_counted(context):
+    holder = get_holder(context)
+    assert holder.notes.totals["worker crashed"] == 0, holder.notes.totals
