Give up a task that crashes its workers, and start suspected tasks alone

Cause: a run lost with its worker left no trace in its task, so that nothing limited how often it started. The same class as a retry without a budget: failures of the callee were counted, failures of the carrier were not. Now: a worker whose host runs a later one, and that did not drain, has crashed; silence proves nothing. The crash counts for each run that it had, and the count is stored before the task starts again. Tasks that had just started are suspects: they start alone, on a worker that is reserved until they have been seen running, under a plan that is stored first. As a worker falls silent its runs are stored as unresolved, so that a later holder can count them. A task is given up after three crashes, two of them alone, or after four; one more while many workers crash. Beside it: a crashed worker is noticed as soon as its host lists a later one, not only as its old entry expires.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -96,5 +96,17 @@
   Scenario: Jobs are given up because workers crash for other reasons
     Given 3 entries and 8 workers of one service
     And its tasks take 1.5 s
-    When 40 jobs of 3 tasks come over 20 s while a worker crashes every 0.7 s
+    When 40 jobs of 3 tasks come over 20 s while any worker crashes every 2 s
     Then within 40 s all are shown as succeeded
+
+  Scenario: Jobs are given up because half of the workers lose power several times
+    Given 3 entries and 8 workers of one service
+    And its tasks take 1.5 s
+    When 40 jobs of 3 tasks come over 20 s while half of the workers crash every 6 s
+    Then within 40 s all are shown as succeeded
+
+  Scenario: Jobs are given up early as the busiest worker crashes again and again
+    Given 3 entries and 8 workers of one service
+    And its tasks take 1.5 s
+    When 40 jobs of 3 tasks come over 20 s while the busiest worker crashes every 0.7 s
+    Then within 60 s each has ended, as failed only if a task of it lost 3 workers or more
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -248,6 +248,8 @@
         record = self.scheduler.registry.add(
             job, progress, arrived_s, _now_ms(), may_run=may_run, now_s=self._loop.time()
         )
+        if may_run and record.is_live:
+            self.scheduler.expect_unresolved(record, self._loop.time())
         if not is_known and not may_run:
             self.scheduler.record_arrival(job)
             _log.info(
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -16,6 +16,8 @@
 _STOPPING_POLL_WAIT_S = 0.05
 # Poll wait while it is unknown whether a start without an answer was executed.
 _UNCONFIRMED_POLL_WAIT_S = 0.2
+# Poll wait during the trial of a task that may crash its worker.
+_TRIAL_POLL_WAIT_S = 0.2
 # Poll wait where long-running tasks share a worker with filler tasks, whose pace depends on the
 # reported response times.
 _SHARED_POLL_WAIT_S = 0.4
@@ -207,6 +209,9 @@
         self._stages.observe("start", self._loop.time() - validity.sent_s)
         if refusal is None:
             self._scheduler.record_started(order, self._loop.time())
+            worker = self._scheduler.workers.get(self._incarnation)
+            if worker is not None and worker.is_in_trial:
+                self._poll_now()
         else:
             self._scheduler.record_refused(order, refusal.value, self._loop.time())
 
@@ -273,5 +278,7 @@
         return _STOPPING_POLL_WAIT_S
     if any(task.phase is fleetview.Phase.UNCONFIRMED for task in worker.tasks.values()):
         return _UNCONFIRMED_POLL_WAIT_S
+    if worker.is_in_trial:
+        return _TRIAL_POLL_WAIT_S
     filler_flags = {task.step.fills for task in worker.tasks.values() if task.step.long_running}
     return _SHARED_POLL_WAIT_S if len(filler_flags) > 1 else _BUSY_POLL_WAIT_S
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -100,6 +100,10 @@
     eviction_wait_s: float = 0.0
     # The highest run number assigned to the task so far.
     highest_run: int = 0
+    # The crashes of workers under the task, if any.
+    crashes: jobs.CrashHistory | None = None
+    # The task starts again only once this change of its job is stored.
+    start_after_change: int = 0
 
 
 class ReportedRun(typing.NamedTuple):
@@ -208,6 +212,8 @@
     idle_since_s: float = 0.0
     pace_set_s: float = 0.0
     drain_notified_s: float | None = None
+    # Whether the worker is reserved for the trial of a suspected task.
+    is_in_trial: bool = False
 
     def __post_init__(self) -> None:
         self.free = Resources(self.facts.cpu_millis, self.facts.memory_mb, self.facts.accelerators)
--- a/packages/nutmegshelf/src/nutmegshelf/jobs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/jobs.py
@@ -146,10 +146,40 @@
     return TaskKey(ids.JobId(parts[0]), int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+class UnresolvedRun(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A run at a worker that may have crashed; stored so that a later holder can find out.
+
+    It was alone if nothing else ran there, and early if it had not been seen running for a while.
+    """
+
+    run: int
+    worker: ids.WorkerId
+    born_ms: int
+    host: ids.HostId
+    is_alone: bool = msgspec.field(name="alone", default=False)
+    is_early: bool = msgspec.field(name="early", default=False)
+
+
+class CrashHistory(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """The runs of one task that were lost as their worker crashed, or may have been."""
+
+    runs: list[int] = msgspec.field(default_factory=list)
+    # Those of them beside which nothing else ran.
+    alone: list[int] = msgspec.field(default_factory=list)
+    hosts: set[ids.HostId] = msgspec.field(default_factory=set)
+    # Whether the last crash came so soon after a start that the task may have caused it.
+    is_suspect: bool = msgspec.field(name="suspect", default=False)
+    unresolved: list[UnresolvedRun] = msgspec.field(default_factory=list)
+
+
 class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
-    """The stored progress of one step: ended tasks, failed runs and checkpoints by task index."""
+    """The stored progress of one step: ended tasks, lost and failed runs, and checkpoints.
+
+    All but the ended tasks are kept by the index of the task.
+    """
 
     done: bytes = b""
+    crashes: dict[int, CrashHistory] = msgspec.field(default_factory=dict)
     failures: dict[int, list[int]] = msgspec.field(default_factory=dict)
     checkpoints: dict[int, str] = msgspec.field(name="saved", default_factory=dict)
 
--- a/packages/nutmegshelf/src/nutmegshelf/needs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/needs.py
@@ -48,11 +48,13 @@
     now_s: float,
     *,
     is_throttled: bool = False,
+    waiting_trials: int = 0,
 ) -> calls.DemandReport:
     """Return the service's present demand for hosts.
 
     If starts are throttled while workers idle, waiting work needs no more hosts, as it waits for
-    orders on their way. Hosts reserved for a long-running task do not count as idle.
+    orders on their way. Hosts reserved for a long-running task do not count as idle. Tasks that may
+    crash their workers need hosts of their own, up to half as many as there are.
     """
     hosts: dict[ids.HostId, calls.HostLoad] = {}
     running, long_running = 0, 0
@@ -104,9 +106,8 @@
         waiting_ms=int(waiting_ms),
         arrived_core_ms=int(workload.arrived_core_ms),
         min_hosts=min_hosts,
-        additional_hosts=(
-            simulated.count_additional_hosts(largest, shared_labels) if largest is not None else 0
-        ),
+        additional_hosts=min(waiting_trials, math.ceil(len(hosts) / 2))
+        + (simulated.count_additional_hosts(largest, shared_labels) if largest is not None else 0),
         host_cpu_millis=largest.cpu_millis if largest is not None else 0,
         hosts=hosts,
     )
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-from nutmegshelf import fleetview, ids, jobs
+from nutmegshelf import crashes, fleetview, ids, jobs
 
 # Run numbers of an epoch are above those of all earlier epochs, so the newer run always wins.
 RUNS_PER_EPOCH = 1 << 16
@@ -126,6 +126,8 @@
         self.in_flight: dict[ids.JobId, int] = {}
         self.last_change = 0
         self.recovering: set[fleetview.Task] = set()
+        # The tasks of live jobs under which a worker has crashed.
+        self.suspects: set[fleetview.Task] = set()
         self._first_run = epoch * RUNS_PER_EPOCH
 
     # --- jobs
@@ -190,7 +192,10 @@
                     run=self._first_run,
                     checkpoint=stored[index].checkpoints.get(position, ""),
                     failed_runs=list(stored[index].failures.get(position, ())),
+                    crashes=stored[index].crashes.get(position),
                 )
+                if task.crashes is not None:
+                    self.suspects.add(task)
                 if is_bit_set(stored[index].done, position):
                     task.phase = fleetview.Phase.DONE
                 else:
@@ -349,6 +354,9 @@
         remaining.duplicate = None
         tasks = record.occurrences[task.key.occurrence][task.key.step].tasks
         tasks[task.key.position] = remaining
+        if task in self.suspects:
+            self.suspects.remove(task)
+            self.suspects.add(remaining)
 
     def requeue_recovering(self, task: fleetview.Task) -> None:
         """Return a task to the ready ones, as no run of an earlier holder can be left."""
@@ -380,6 +388,8 @@
             record.ready.pop(member.key, None)
             stored.done = set_bit(stored.done, member.key.position)
             stored.checkpoints.pop(member.key.position, None)
+            stored.crashes.pop(member.key.position, None)
+            self.suspects.discard(member)
             task_set.remaining -= 1
         self.mark_dirty(record)
         record.forget_remaining_path()
@@ -414,6 +424,88 @@
             reason = f"task {task.key.name} failed {len(failed)} times"
             self.end_job(record, jobs.JobState.FAILED, reason, now_s)
 
+    def record_crash(
+        self,
+        record: JobRecord,
+        key: jobs.TaskKey,
+        lost: jobs.UnresolvedRun,
+        now_s: float,
+        *,
+        is_storm: bool = False,
+    ) -> None:
+        """Record the crash of a worker under a task, and fail the job once there were too many.
+
+        The task does not start again before its crashes are stored.
+        """
+        task = record.get_task(key)
+        if task is None or task.phase is fleetview.Phase.DONE or not record.is_live:
+            return
+        history = self._get_crash_history(record, task)
+        if lost.run in history.runs:
+            return
+        history.unresolved = [each for each in history.unresolved if each.run != lost.run]
+        history.runs.append(lost.run)
+        history.hosts.add(lost.host)
+        if lost.is_alone:
+            history.alone.append(lost.run)
+        history.is_suspect = lost.is_early
+        self.mark_dirty(record)
+        for run in (task, task.duplicate):
+            if run is not None:
+                run.crashes, run.start_after_change = history, self.last_change
+        if crashes.is_given_up(history, is_storm=is_storm):
+            count = len(history.runs)
+            reason = f"{count} workers crashed under task {task.key.name}"
+            self.end_job(record, jobs.JobState.FAILED, reason, now_s)
+
+    def _get_crash_history(self, record: JobRecord, task: fleetview.Task) -> jobs.CrashHistory:
+        if task.crashes is None:
+            stored = record.progress.steps[task.key.occurrence][task.key.step]
+            task.crashes = stored.crashes[task.key.position] = jobs.CrashHistory()
+            self.suspects.add(task)
+        return task.crashes
+
+    def add_unresolved(
+        self, record: JobRecord, key: jobs.TaskKey, unresolved: jobs.UnresolvedRun
+    ) -> None:
+        """Have a run stored whose worker may have crashed, or may crash by its start."""
+        task = record.get_task(key)
+        if task is None or task.phase is fleetview.Phase.DONE or not record.is_live:
+            return
+        history = self._get_crash_history(record, task)
+        others = [each for each in history.unresolved if each.run != unresolved.run]
+        history.unresolved = [*others, unresolved]
+        self.mark_dirty(record)
+
+    def clear_unresolved(self, record: JobRecord, key: jobs.TaskKey, run: int) -> None:
+        """Record that the worker of a run did not crash."""
+        task = record.get_task(key)
+        if task is None or task.crashes is None or not record.is_live:
+            return
+        remaining = [each for each in task.crashes.unresolved if each.run != run]
+        if len(remaining) == len(task.crashes.unresolved):
+            return
+        task.crashes.unresolved = remaining
+        if not remaining and not task.crashes.runs:
+            self.forget_crashes(record, task)
+        self.mark_dirty(record)
+
+    def forget_crashes(self, record: JobRecord, task: fleetview.Task) -> None:
+        """Forget the crashes under a task that has run well since."""
+        stored = record.progress.steps[task.key.occurrence][task.key.step]
+        stored.crashes.pop(task.key.position, None)
+        task.crashes = None
+        self.suspects.discard(task)
+        self.mark_dirty(record)
+
+    def get_waiting_suspects(self) -> list[fleetview.Task]:
+        """Return the tasks that are ready to start, but only in a trial."""
+        return [
+            task
+            for task in self.suspects
+            if crashes.needs_trial(task) and task.key in self.records[task.key.job].ready
+        ]
+
     def save_checkpoint(self, record: JobRecord, task: fleetview.Task, checkpoint: str) -> None:
         """Keep a task's newest checkpoint, which is stored with the job's next change."""
         if not checkpoint or checkpoint == task.checkpoint or task.phase is fleetview.Phase.DONE:
@@ -432,6 +524,7 @@
         record.ready.clear()
         record.ended_s = now_s
         for task in record.iterate_tasks():
+            self.suspects.discard(task)
             if task.phase is fleetview.Phase.RECOVERING:
                 task.phase = fleetview.Phase.WAITING
                 self.recovering.discard(task)
--- a/packages/nutmegshelf/src/nutmegshelf/starts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starts.py
@@ -16,6 +16,7 @@
     policy,
     registry,
     simulation,
+    trials,
     urgency,
     window,
 )
@@ -37,6 +38,9 @@
         self._advice = advice
         self._notes = decision_notes
         self._estimates = run_estimates
+        self._trials = trials.Trials(job_registry, decision_notes)
+        # The open workers that are not reserved for the trial of a suspected task.
+        self.usable: list[fleetview.Worker] = []
         # Jobs with a task that no open worker had room for in the last pass.
         self.unplaced: list[registry.JobRecord] = []
         self._reservations = simulation.Reservations([], advice, 0.0)
@@ -51,14 +55,24 @@
     def choose(self, open_workers: list[fleetview.Worker], now_s: float) -> list[orders.StartRun]:
         """Assign waiting tasks to open workers and return their starts."""
         self.unplaced = []
+
+        def get_allowed(
+            record: registry.JobRecord,
+            task_set: registry.TaskSet,
+            workers: list[fleetview.Worker],
+        ) -> list[fleetview.Worker]:
+            return self._get_allowed(record, task_set.tasks[0].key, task_set, workers, now_s)
+
+        self._trials.update(open_workers, get_allowed, now_s)
+        open_workers = self.usable = self._trials.get_unreserved(open_workers)
         self._reservations = simulation.Reservations(open_workers, self._advice, now_s)
         self.is_throttled = not self._router.window.has_link_capacity(now_s)
         if self.is_throttled:
             return []
+        chosen = self._start_trials(now_s)
         ready = self._registry.get_ready_records()
-        if not ready or not open_workers:
-            return []
-        chosen: list[orders.StartRun] = []
+        if not ready or not open_workers or self.is_throttled:
+            return chosen
         blocked = fitting.UnplaceableShapes()
         for record in sorted(
             ready, key=lambda record: urgency.compute(record, self._estimates, now_s)
@@ -70,6 +84,37 @@
         self._request_advice_ahead(open_workers, now_s)
         return chosen
 
+    @property
+    def waiting_trial_count(self) -> int:
+        """Return how many suspected tasks wait for a worker of their own."""
+        return self._trials.waiting_count
+
+    def _start_trials(self, now_s: float) -> list[orders.StartRun]:
+        chosen: list[orders.StartRun] = []
+        for trial in self._trials.get_startable(now_s):
+            checkpoint = max(task.checkpoint for task in trial.tasks)
+            for task, worker in zip(trial.tasks, trial.workers, strict=True):
+                task.checkpoint = checkpoint
+                route = self._router.route(trial.record.job, checkpoint, worker, now_s)
+                if route is None and not trial.is_started:
+                    self.is_throttled = True
+                    return chosen
+                trial.is_started = True
+                route = route or self._router.get_direct_route(trial.record.job, checkpoint)
+                chosen.append(
+                    self._start(trial.record, task, worker, run=trial.run, route=route, now_s=now_s)
+                )
+        return chosen
+
+    def _may_start(self, task: fleetview.Task, now_s: float) -> bool:
+        """Return whether a task may start beside others, and its crashes are stored."""
+        if task.crashes is None:
+            return True
+        return (
+            not self._trials.is_held(task, now_s)
+            and task.start_after_change <= self._registry.get_stored_change()
+        )
+
     def _request_advice_ahead(self, open_workers: list[fleetview.Worker], now_s: float) -> None:
         """Request advice for steps that open next, while the steps before them run."""
         for record in self._registry.live.values():
@@ -120,10 +165,14 @@
         now_s: float,
     ) -> list[orders.StartRun]:
         chosen: list[orders.StartRun] = []
-        for task_set, tasks in record.group_ready_tasks():
+        for task_set, ready in record.group_ready_tasks():
+            tasks = [task for task in ready if self._may_start(task, now_s)]
+            if not tasks:
+                continue
             allowed = self._get_allowed(record, tasks[0].key, task_set, workers, now_s)
             if task_set.step.gang:
-                chosen += self._start_gang(record, task_set, allowed, now_s)
+                if len(tasks) == len(ready):
+                    chosen += self._start_gang(record, task_set, allowed, now_s)
                 continue
             if blocked.covers(task_set.step):
                 self._record_unplaced(record, task_set, tasks)
