Follow a worker's capacity as it changes, and take back unsent starts that no longer fit

What callers would see: starts go on at a worker that has shrunk as if it had not (LIMIT where it doesn't guard its capacity, refusals where it does), and what a worker has grown by is never used. Cause: the free room of a worker was computed once, as it appeared; a newer entry of the fleet's list replaced the facts beside it. The same state was kept twice, and one copy was not maintained. Now: a newer entry changes the free room by the difference. It may become negative: what runs there stays and may end, nothing new starts until there is room, and what is being stopped counts until its end is listed. Starts chosen but not sent yet are taken back while less than nothing is free. Looked for elsewhere: the views of hosts, the needs of pools, preemption and simulation read the facts and the free room anew in each pass. The step of one now has its tasks run, as its text says; before, they were chosen and not sent.

--- a/features/steps/changing_capacity_steps.py
+++ b/features/steps/changing_capacity_steps.py
@@ -96,7 +96,10 @@
     (context.worker,) = context.scheduler.workers.values()
     if count:
         add_job(context, FIRST_JOB, count)
-        assert len(context.scheduler.choose_starts(10.0)) == count
+        chosen = context.scheduler.choose_starts(10.0)
+        assert len(chosen) == count
+        for order in chosen:
+            context.scheduler.record_started(order, 10.0)
 
 
 def add_job(context, number, count):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -200,6 +200,7 @@
             self._scheduler.record_refused(order, "not ordered", self._loop.time())
             return None
         sent_s = self._loop.time()
+        self._scheduler.record_sent(order)
         return StartValidity(until_ms, worker.extend_lease(sent_s, valid_s), sent_s)
 
     def record_answer(
--- a/packages/nutmegshelf/src/nutmegshelf/crashes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/crashes.py
@@ -52,10 +52,20 @@
             ),
         )
         for task in worker.tasks.values()
-        if task.phase is not fleetview.Phase.DONE and not is_cleared(task, worker)
+        if _may_have_run(task) and not is_cleared(task, worker)
     ]
 
 
+def _may_have_run(task: fleetview.Task) -> bool:
+    match task.phase:
+        case fleetview.Phase.DONE:
+            return False
+        case fleetview.Phase.STARTING:
+            return task.is_sent
+        case _:
+            return True
+
+
 def make_unresolved(
     facts: fleetview.WorkerFacts, run: int, *, is_alone: bool, is_early: bool
 ) -> jobs.UnresolvedRun:
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -10,6 +10,9 @@
 # A worker's clock may run slow by this fraction, so its lease may last longer than requested.
 SLOW_CLOCK_FRACTION = 0.02
 _LEASE_MARGIN_S = 0.1
+# A worker that refused a start for lack of resources gets no starts for this time, in which it
+# reports again.
+_REFUSAL_PAUSE_S = 0.3
 
 
 class Incarnation(typing.NamedTuple):
@@ -92,6 +95,8 @@
     stop_acked_s: float | None = None
     # A worker does not carry out an unanswered start after this time.
     may_start_until_s: float = 0.0
+    # Whether the start of the run has left for its worker.
+    is_sent: bool = False
     # A worker report sent after the run began did not list it.
     is_missing: bool = False
     # Another run of the same task, where its step is speculative.
@@ -164,6 +169,11 @@
         self.memory_mb += sign * step.memory_mb
         self.accelerators += sign * step.accelerators
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Return whether less than nothing is free, as after a capacity has shrunk."""
+        return min(self.cpu_millis, self.memory_mb, self.accelerators) < 0
+
     def fits(self, step: jobs.Step) -> bool:
         """Return whether a task of a step fits into these resources."""
         return (
@@ -218,6 +228,22 @@
     def __post_init__(self) -> None:
         self.free = Resources(self.facts.cpu_millis, self.facts.memory_mb, self.facts.accelerators)
 
+    def update_facts(self, facts: WorkerFacts) -> bool:
+        """Apply the list's newer entry; return whether the capacity has shrunk.
+
+        What is free may become negative, as the tasks on the worker stay.
+        """
+        previous, self.facts = self.facts, facts
+        changes = (
+            facts.cpu_millis - previous.cpu_millis,
+            facts.memory_mb - previous.memory_mb,
+            facts.accelerators - previous.accelerators,
+        )
+        self.free.cpu_millis += changes[0]
+        self.free.memory_mb += changes[1]
+        self.free.accelerators += changes[2]
+        return min(changes) < 0
+
     def add_task(self, task: Task) -> None:
         """Add a task and allocate its resources."""
         if task.key in self.tasks:
@@ -258,6 +284,14 @@
             and (not step.label or step.label in self.facts.labels)
         )
 
+    def get_pause_reason(self, now_s: float) -> Unavailability | None:
+        """Return why an open worker gets no new tasks for a while, or None."""
+        if self.unresponsive_since_s is not None:
+            return Unavailability.UNRESPONSIVE
+        if now_s < self.quarantined_until_s:
+            return Unavailability.QUARANTINED
+        return Unavailability.FULL if now_s < self.start_refused_s + _REFUSAL_PAUSE_S else None
+
     def extend_lease(self, sent_s: float, lease_s: float) -> float:
         """Record a lease requested at a time; return the latest time that it may last until."""
         until_s = sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -29,10 +29,11 @@
 )
 
 # Workers that take new tasks now or are expected to within moments.
-_SOON_OPEN = (None, fleetview.Unavailability.NOT_POLLED, fleetview.Unavailability.FULL)
-# A worker that refused a start for lack of resources gets no starts for this time, in which it
-# reports again.
-_REFUSAL_PAUSE_S = 0.3
+_SOON_OPEN = (
+    None,
+    fleetview.Unavailability.NOT_POLLED,
+    fleetview.Unavailability.FULL,
+)
 _LOSS_EVENTS = {
     fleetview.LossCause.RESTARTED: "task lost",
     fleetview.LossCause.LEASE_EXPIRED: "lease lapsed",
@@ -113,7 +114,7 @@
                 worker.drain_notified_s is None or worker.facts.left_ms != facts.left_ms
             ):
                 worker.drain_notified_s = now_s
-            worker.facts = facts
+            self._update_capacity(worker, facts, now_s)
             worker.is_listed = True
             worker.is_closed = facts.is_draining
         newest = {
@@ -131,6 +132,35 @@
             self._record_crash(incarnation, lost_runs, now_s)
         return added
 
+    def _update_capacity(
+        self, worker: fleetview.Worker, facts: fleetview.WorkerFacts, now_s: float
+    ) -> None:
+        """Apply a worker's capacity, and take back unsent starts that it has no room for now."""
+        if worker.facts == facts:
+            return
+        previous = worker.facts
+        if not worker.update_facts(facts):
+            return
+        unsent = [
+            task
+            for task in worker.tasks.values()
+            if task.phase is fleetview.Phase.STARTING and not task.is_sent
+        ]
+        while unsent and worker.free.is_overcommitted:
+            task = unsent.pop()
+            self.notes.note_task("start taken back", task, worker=facts.incarnation.worker)
+            self.registry.release(self.registry.records[task.key.job], task, worker, now_s)
+        self.notes.note(
+            "worker shrank",
+            worker=facts.incarnation.worker,
+            cpu_millis=facts.cpu_millis,
+            was_cpu_millis=previous.cpu_millis,
+            memory_mb=facts.memory_mb,
+            was_memory_mb=previous.memory_mb,
+            tasks=len(worker.tasks),
+            free_cpu_millis=worker.free.cpu_millis,
+        )
+
     def expect_incarnations(
         self, incarnations: collections.abc.Iterable[tuple[fleetview.Incarnation, ids.HostId]]
     ) -> None:
@@ -408,6 +438,12 @@
 
     # --- answers to orders
 
+    def record_sent(self, order: orders.StartRun) -> None:
+        """Record that a start leaves for its worker, which may carry it out from now on."""
+        task = self._get_task(order)
+        if task is not None:
+            task.is_sent = True
+
     def record_started(self, order: orders.StartRun, now_s: float) -> None:
         """Record that a worker accepted a start."""
         task = self._get_task(order)
@@ -527,15 +563,7 @@
             return fleetview.Unavailability.DRAINING
         if self.closed_hosts.is_closed(worker.facts.host, now_s):
             return fleetview.Unavailability.RECLAIMED
-        if worker.unresponsive_since_s is not None:
-            return fleetview.Unavailability.UNRESPONSIVE
-        if now_s < worker.quarantined_until_s:
-            return fleetview.Unavailability.QUARANTINED
-        return (
-            fleetview.Unavailability.FULL
-            if now_s < worker.start_refused_s + _REFUSAL_PAUSE_S
-            else None
-        )
+        return worker.get_pause_reason(now_s)
 
     def choose_starts(self, now_s: float) -> list[orders.StartRun]:
         """Return the starts to send now, the most urgent first, and mark runs to preempt."""
