Start nothing at a worker that still runs what its holder doesn't know

What callers would see: after a takeover the runs of jobs that ended before it, which are still being stopped, took no room in the view of the new holder, so that starts brought a worker over its capacity (LIMIT). Cause: such runs are known by name and number only, and were left out of the free room. Now: the worker gets no new starts until they have ended; a stop takes less than a second. The pool counts it as open soon.

--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -61,6 +61,7 @@
     UNRESPONSIVE = "does not answer"
     QUARANTINED = "failed what it started"
     FULL = "refused a start for want of room"
+    UNKNOWN_RUNS = "runs what it has been told to stop"
 
 
 class LossCause(enum.Enum):
@@ -290,6 +291,9 @@
             return Unavailability.UNRESPONSIVE
         if now_s < self.quarantined_until_s:
             return Unavailability.QUARANTINED
+        if self.unknown_runs:
+            # They take room until they have ended, and it is not known how much.
+            return Unavailability.UNKNOWN_RUNS
         return Unavailability.FULL if now_s < self.start_refused_s + _REFUSAL_PAUSE_S else None
 
     def extend_lease(self, sent_s: float, lease_s: float) -> float:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -33,6 +33,7 @@
     None,
     fleetview.Unavailability.NOT_POLLED,
     fleetview.Unavailability.FULL,
+    fleetview.Unavailability.UNKNOWN_RUNS,
 )
 _LOSS_EVENTS = {
     fleetview.LossCause.RESTARTED: "task lost",
