Keep long-running tasks going beside tasks that crash their workers

What callers would see: a long-running task that lost its worker twice beside a crashing one waited for a worker of its own and kept it for 30 s, or was given up after four such crashes; jobs that crash workers waited behind it for theirs. Cause: a run that had been at work for long counted as much as one that had just started. Now: a long-running task at work is not counted for a crash that a start just before explains, waits 1.5 s at most for a worker of its own, and shares it after 5 s. Found on the way, by reading: a task at a silent worker got no second run any more, the second run lost the history of the first as it remained alone, and runs of workers that never came back stayed stored.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -70,6 +70,15 @@
     Then within 40 s the job is shown as failed
     And no task broke the limit of crashes
 
+  Scenario: Long-running tasks are given up or kept away as others crash their workers
+    Given 3 entries and 6 workers of one service
+    And a long-running job of 8 tasks runs
+    And task 0 of 8 jobs crashes its worker 0.01 s after its start
+    When these jobs of 2 tasks of 0.8 s are submitted over 24 s
+    Then within 40 s the jobs that crash workers are shown as failed
+    And within 8 s all long-running tasks are at work
+    And no task broke the limit of crashes
+
   Scenario: Many tasks that crash their workers leave no workers to the others
     Given 3 entries and 6 workers of one service
     And task 0 of 6 jobs crashes its worker 0.01 s after its start
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -69,6 +69,31 @@
     await asyncio.sleep(0.3)
 
 
+@behave.given("a long-running job of {count:d} tasks runs")
+@jobs_steps.paused
+async def run_long_running(context, count):
+    steps = make_steps(count, long_running=True, cpu_millis=2000)
+    context.lasting = await submit_at_live(context, FIRST_OTHER_JOB, steps)
+    await asyncio.sleep(0.5)
+
+
+@behave.then("within {seconds:g} s all long-running tasks are at work")
+@jobs_steps.paused
+async def check_long_running(context, seconds):
+    async def check():
+        running = [
+            name
+            for minion in context.world.minions.values()
+            for name in minion.runs
+            if name.startswith(context.lasting.job)
+        ]
+        return len(running) == context.lasting.steps[0].count or running
+
+    await jobs_steps.wait_until(seconds, check, "tasks at work")
+    states = await jobs_steps.get_states(context, context.lasting)
+    assert set(states.values()) == {"running"}, states
+
+
 @behave.when("a job of {count:d} tasks of {seconds:g} s is submitted")
 @jobs_steps.paused
 async def submit_crashing(context, count, seconds):
--- a/packages/nutmegshelf/src/nutmegshelf/crashes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/crashes.py
@@ -13,6 +13,8 @@
 
 # A run that was seen running for this time did not crash its worker by its start.
 TRIAL_S = 0.5
+# The same for a long-running task that has crashed more than one worker.
+_REPEATED_TRIAL_S = 5.0
 # A long-running task that has run for this time is cleared of all crashes before.
 _CLEARED_S = 30.0
 # A task is given up after this many crashes, the given number of them of workers that ran nothing
@@ -38,21 +40,25 @@
 
 
 def get_lost_runs(worker: fleetview.Worker) -> LostRuns:
-    """Return the runs of a worker that would count if it crashed after its last report."""
+    """Return the runs of a worker that would count if it crashed after its last report.
+
+    A start just before explains a crash better than a long-running task that was at work.
+    """
+    tasks = [
+        task
+        for task in worker.tasks.values()
+        if _may_have_run(task) and not is_cleared(task, worker)
+    ]
+    early = {task for task in tasks if get_seen_running_s(task, worker) < TRIAL_S}
     groups = {_get_group(task) for task in worker.tasks.values()}
     is_alone = len(groups) == 1 and not worker.unknown_runs
     return [
         (
             task.key,
-            make_unresolved(
-                worker.facts,
-                task.run,
-                is_alone=is_alone,
-                is_early=get_seen_running_s(task, worker) < TRIAL_S,
-            ),
+            make_unresolved(worker.facts, task.run, is_alone=is_alone, is_early=task in early),
         )
-        for task in worker.tasks.values()
-        if _may_have_run(task) and not is_cleared(task, worker)
+        for task in tasks
+        if task in early or not early or not task.step.long_running
     ]
 
 
@@ -99,17 +105,21 @@
 def needs_trial(task: fleetview.Task) -> bool:
     """Return whether a task may start only where nothing else runs."""
     history = task.crashes
-    return history is not None and (history.is_suspect or len(history.runs) > 1)
+    if history is None:
+        return False
+    return history.is_suspect or (len(history.runs) > 1 and not task.step.long_running)
 
 
 def is_trial_over(task: fleetview.Task, worker: fleetview.Worker) -> bool:
     """Return whether other tasks may start beside a suspected task.
 
-    After a second crash it runs alone until its end, as it may crash its workers late.
+    After a second crash it runs alone for longer, as it may crash its workers late: a short task
+    until its end.
     """
-    has_crashed_once = task.crashes is None or len(task.crashes.runs) < 2
-    limit_s = _CLEARED_S if task.step.long_running else float("inf")
-    return get_seen_running_s(task, worker) >= (TRIAL_S if has_crashed_once else limit_s)
+    seen_s = get_seen_running_s(task, worker)
+    if task.crashes is None or len(task.crashes.runs) < 2:
+        return seen_s >= TRIAL_S
+    return task.step.long_running and seen_s >= _REPEATED_TRIAL_S
 
 
 def is_given_up(history: jobs.CrashHistory, *, is_storm: bool) -> bool:
@@ -149,20 +159,21 @@
         lost.runs.append((key, run))
 
     def discard(self, incarnation: fleetview.Incarnation) -> LostRuns:
-        """Drop and return the runs of a worker that answered, as it was only silent."""
+        """Drop and return the runs of a worker."""
         lost = self._lost.pop(incarnation, None)
         return lost.runs if lost is not None else []
 
-    def discard_host(self, host: ids.HostId) -> None:
-        """Drop the runs of a host that is cleared, as the end of its worker will be no crash."""
-        for incarnation in [each for each, lost in self._lost.items() if lost.host == host]:
-            del self._lost[incarnation]
+    def get_at_host(self, host: ids.HostId) -> list[fleetview.Incarnation]:
+        """Return the workers at a host whose runs are kept."""
+        return [incarnation for incarnation, lost in self._lost.items() if lost.host == host]
 
-    def expire(self, now_s: float) -> None:
-        """Drop the runs of workers that have neither answered nor restarted for long."""
-        for incarnation, lost in list(self._lost.items()):
-            if now_s - lost.lost_s > _RETENTION_S:
-                del self._lost[incarnation]
+    def get_expired(self, now_s: float) -> list[fleetview.Incarnation]:
+        """Return the workers that have neither answered nor restarted for long."""
+        return [
+            incarnation
+            for incarnation, lost in self._lost.items()
+            if now_s - lost.lost_s > _RETENTION_S
+        ]
 
     def take_crashed(
         self, newest_born_ms: collections.abc.Mapping[ids.HostId, int], now_s: float
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -126,8 +126,8 @@
         self.in_flight: dict[ids.JobId, int] = {}
         self.last_change = 0
         self.recovering: set[fleetview.Task] = set()
-        # The tasks of live jobs under which a worker has crashed.
-        self.suspects: set[fleetview.Task] = set()
+        # The tasks of live jobs under which a worker has crashed, or may have.
+        self.suspects: set[jobs.TaskKey] = set()
         self._first_run = epoch * RUNS_PER_EPOCH
 
     # --- jobs
@@ -195,7 +195,7 @@
                     crashes=stored[index].crashes.get(position),
                 )
                 if task.crashes is not None:
-                    self.suspects.add(task)
+                    self.suspects.add(key)
                 if is_bit_set(stored[index].done, position):
                     task.phase = fleetview.Phase.DONE
                 else:
@@ -354,9 +354,8 @@
         remaining.duplicate = None
         tasks = record.occurrences[task.key.occurrence][task.key.step].tasks
         tasks[task.key.position] = remaining
-        if task in self.suspects:
-            self.suspects.remove(task)
-            self.suspects.add(remaining)
+        remaining.crashes = remaining.crashes or task.crashes
+        remaining.start_after_change = max(remaining.start_after_change, task.start_after_change)
 
     def requeue_recovering(self, task: fleetview.Task) -> None:
         """Return a task to the ready ones, as no run of an earlier holder can be left."""
@@ -389,7 +388,7 @@
             stored.done = set_bit(stored.done, member.key.position)
             stored.checkpoints.pop(member.key.position, None)
             stored.crashes.pop(member.key.position, None)
-            self.suspects.discard(member)
+            self.suspects.discard(member.key)
             task_set.remaining -= 1
         self.mark_dirty(record)
         record.forget_remaining_path()
@@ -462,7 +461,7 @@
         if task.crashes is None:
             stored = record.progress.steps[task.key.occurrence][task.key.step]
             task.crashes = stored.crashes[task.key.position] = jobs.CrashHistory()
-            self.suspects.add(task)
+            self.suspects.add(task.key)
         return task.crashes
 
     def add_unresolved(
@@ -494,17 +493,21 @@
         """Forget the crashes under a task that has run well since."""
         stored = record.progress.steps[task.key.occurrence][task.key.step]
         stored.crashes.pop(task.key.position, None)
-        task.crashes = None
-        self.suspects.discard(task)
+        for run in (task, task.duplicate):
+            if run is not None:
+                run.crashes = None
+        self.suspects.discard(task.key)
         self.mark_dirty(record)
 
     def get_waiting_suspects(self) -> list[fleetview.Task]:
         """Return the tasks that are ready to start, but only in a trial."""
-        return [
-            task
-            for task in self.suspects
-            if crashes.needs_trial(task) and task.key in self.records[task.key.job].ready
-        ]
+        waiting: list[fleetview.Task] = []
+        for key in self.suspects:
+            record = self.live.get(key.job)
+            task = record.ready.get(key) if record is not None else None
+            if task is not None and crashes.needs_trial(task):
+                waiting.append(task)
+        return waiting
 
     def save_checkpoint(self, record: JobRecord, task: fleetview.Task, checkpoint: str) -> None:
         """Keep a task's newest checkpoint, which is stored with the job's next change."""
@@ -523,8 +526,8 @@
             self._ended_with_tasks.append(record)
         record.ready.clear()
         record.ended_s = now_s
+        self.suspects = {key for key in self.suspects if key.job != record.job.job}
         for task in record.iterate_tasks():
-            self.suspects.discard(task)
             if task.phase is fleetview.Phase.RECOVERING:
                 task.phase = fleetview.Phase.WAITING
                 self.recovering.discard(task)
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -220,8 +220,7 @@
                 is_draining=facts.is_draining,
                 is_listed=worker.is_listed,
             )
-        lost = list(worker.tasks.values())
-        for task in lost:
+        for task in list(worker.tasks.values()):
             self.notes.note_task(
                 _LOSS_EVENTS[cause],
                 task,
@@ -296,6 +295,7 @@
             self.registry.add_unresolved(self.registry.records[key.job], key, run)
 
     def _clear_unresolved(self, incarnation: fleetview.Incarnation) -> None:
+        """Record that a worker was only silent, or that it will never be known."""
         for key, run in self._lost_workers.discard(incarnation):
             record = self.registry.records.get(key.job)
             if record is not None:
@@ -319,7 +319,8 @@
         for record in self.registry.live.values():
             if record.job.occurrences:
                 self.registry.open_due_occurrences(record, now_ms)
-        self._lost_workers.expire(now_s)
+        for incarnation in self._lost_workers.get_expired(now_s):
+            self._clear_unresolved(incarnation)
         self._reconcile(now_s)
         if self._stall_detector.is_due(now_s):
             workers = self.workers.values()
@@ -385,7 +386,9 @@
         born_ms = max((worker.facts.incarnation.born_ms for worker in workers), default=0)
         self.closed_hosts.close(host, now_s, born_ms)
         if not is_busy:
-            self._lost_workers.discard_host(host)
+            # Its worker will end by the move or the maintenance, and not by a crash.
+            for incarnation in self._lost_workers.get_at_host(host):
+                self._clear_unresolved(incarnation)
             return True
         placements = self._create_placements(now_s)
         waiting = list(placements.unplaced)
--- a/packages/nutmegshelf/src/nutmegshelf/speculation.py
+++ b/packages/nutmegshelf/src/nutmegshelf/speculation.py
@@ -50,7 +50,7 @@
         step.speculative
         and not step.long_running
         and not step.gang
-        and task.crashes is None
+        and not (task.crashes is not None and task.crashes.runs)
         and task.duplicate is None
         and task.phase is fleetview.Phase.RUNNING
         and step.estimate_ms > 0
--- a/packages/nutmegshelf/src/nutmegshelf/trials.py
+++ b/packages/nutmegshelf/src/nutmegshelf/trials.py
@@ -17,7 +17,7 @@
 _MAX_REPEATED_VACATE_S = 8.0
 # A task that crashed one worker waits no longer than this for a trial.
 _MAX_WAIT_S = 10.0
-# The same for a long-running task, whose users wait for it.
+# The same for a long-running task, whose users wait for it, after any number of crashes.
 _MAX_LONG_RUNNING_WAIT_S = 1.5
 
 GetAllowed = collections.abc.Callable[
@@ -102,10 +102,11 @@
         """Return whether a task may not start outside of a trial."""
         if not crashes.needs_trial(task):
             return False
-        if self._is_planned(task) or _count_crashes(task) > 1:
+        if self._is_planned(task):
             return True
-        limit_s = _MAX_LONG_RUNNING_WAIT_S if task.step.long_running else _MAX_WAIT_S
-        return now_s - task.since_s < limit_s
+        if task.step.long_running:
+            return now_s - task.since_s < _MAX_LONG_RUNNING_WAIT_S
+        return _count_crashes(task) > 1 or now_s - task.since_s < _MAX_WAIT_S
 
     def _is_planned(self, task: fleetview.Task) -> bool:
         return _get_trial_key(task) in self._trials
