--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -249,7 +249,7 @@
             job, progress, arrived_s, _now_ms(), may_run=may_run, now_s=self._loop.time()
         )
         if may_run and record.is_live:
-            self.scheduler.expect_unresolved(record, self._loop.time())
+            self.scheduler.losses.expect_unresolved(record, self._loop.time())
         if not is_known and not may_run:
             self.scheduler.record_arrival(job)
             _log.info(
--- a/packages/nutmegshelf/src/nutmegshelf/crashes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/crashes.py
@@ -1,15 +1,6 @@
-"""Attribute the crashes of workers to the runs that were lost, and decide which task is given up.
+"""Decide which runs count for the crash of their worker, and which task is given up."""
 
-A worker has crashed if its host runs a later one, unless it drained or its host was cleared for a
-move or for maintenance. Silence proves nothing: the runs of a silent worker are kept and stored
-until it answers again or turns out to have crashed, also after their lease has expired.
-"""
-
-import collections
-import collections.abc
-import dataclasses
-
-from nutmegshelf import fleetview, ids, jobs
+from nutmegshelf import fleetview, jobs
 
 # A run that was seen running for this time did not crash its worker by its start.
 TRIAL_S = 0.5
@@ -22,23 +13,9 @@
 _PROVING_CRASHES = 3
 _PROVING_ALONE = 2
 _MAX_CRASHES = 4
-# This many crashes of workers of one service within the period make a storm.
-_STORM_CRASHES = 4
-_STORM_PERIOD_S = 10.0
-# The runs of a worker that neither answers nor restarts are forgotten after this time.
-_RETENTION_S = 120.0
-
-
 LostRuns = list[tuple[jobs.TaskKey, jobs.UnresolvedRun]]
 
 
-@dataclasses.dataclass(slots=True)
-class _LostWorker:
-    host: ids.HostId
-    lost_s: float
-    runs: LostRuns
-
-
 def get_lost_runs(worker: fleetview.Worker) -> LostRuns:
     """Return the runs of a worker that would count if it crashed after its last report.
 
@@ -130,69 +107,3 @@
     count = len(history.runs) - is_storm
     is_proven = count >= _PROVING_CRASHES and len(history.alone) - is_storm >= _PROVING_ALONE
     return is_proven or count >= _MAX_CRASHES
-
-
-class LostWorkers:
-    """The workers that are silent, or whose runs were released as they were, with these runs."""
-
-    def __init__(self) -> None:
-        self._lost: dict[fleetview.Incarnation, _LostWorker] = {}
-        # When the last crashes were found.
-        self._crashes_s: collections.deque[float] = collections.deque(maxlen=_STORM_CRASHES)
-
-    def has(self, incarnation: fleetview.Incarnation) -> bool:
-        """Return whether the runs of a worker are kept."""
-        return incarnation in self._lost
-
-    def add(self, worker: fleetview.Worker, now_s: float) -> LostRuns:
-        """Keep the runs of a worker that may have crashed, and return them."""
-        runs = get_lost_runs(worker)
-        if not runs or not worker.facts.host:
-            return []
-        self._lost[worker.facts.incarnation] = _LostWorker(worker.facts.host, now_s, runs)
-        return runs
-
-    def add_stored(self, key: jobs.TaskKey, run: jobs.UnresolvedRun, now_s: float) -> None:
-        """Keep a run that an earlier holder stored as unresolved."""
-        incarnation = fleetview.Incarnation(run.worker, run.born_ms)
-        lost = self._lost.setdefault(incarnation, _LostWorker(run.host, now_s, []))
-        lost.runs.append((key, run))
-
-    def discard(self, incarnation: fleetview.Incarnation) -> LostRuns:
-        """Drop and return the runs of a worker."""
-        lost = self._lost.pop(incarnation, None)
-        return lost.runs if lost is not None else []
-
-    def get_at_host(self, host: ids.HostId) -> list[fleetview.Incarnation]:
-        """Return the workers at a host whose runs are kept."""
-        return [incarnation for incarnation, lost in self._lost.items() if lost.host == host]
-
-    def get_expired(self, now_s: float) -> list[fleetview.Incarnation]:
-        """Return the workers that have neither answered nor restarted for long."""
-        return [
-            incarnation
-            for incarnation, lost in self._lost.items()
-            if now_s - lost.lost_s > _RETENTION_S
-        ]
-
-    def take_crashed(
-        self, newest_born_ms: collections.abc.Mapping[ids.HostId, int], now_s: float
-    ) -> list[tuple[fleetview.Incarnation, LostRuns]]:
-        """Remove and return the workers whose hosts run later ones, with their runs."""
-        return [
-            (incarnation, self.take_restarted(incarnation, now_s))
-            for incarnation, lost in list(self._lost.items())
-            if newest_born_ms.get(lost.host, -1) > incarnation.born_ms
-        ]
-
-    def take_restarted(self, incarnation: fleetview.Incarnation, now_s: float) -> LostRuns:
-        """Remove and return the runs of a worker that turned out to have crashed."""
-        runs = self.discard(incarnation)
-        if runs:
-            self._crashes_s.append(now_s)
-        return runs
-
-    def is_storm(self, now_s: float) -> bool:
-        """Return whether many workers crashed lately."""
-        is_full = len(self._crashes_s) == _STORM_CRASHES
-        return is_full and now_s - self._crashes_s[0] <= _STORM_PERIOD_S
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -1,6 +1,7 @@
 """Model the scheduler's view of workers: their resources, their tasks and their reports."""
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import typing
@@ -301,3 +302,24 @@
         until_s = sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
         self.leased_until_s = max(self.leased_until_s, until_s)
         return until_s
+
+
+def get_newest_by_host(
+    listed: collections.abc.Iterable[WorkerFacts],
+) -> dict[Incarnation, WorkerFacts]:
+    """Return the listed workers without those whose host runs a later one.
+
+    A host runs one worker at a time, so the later one proves that the others have ended, though
+    their entries may stay listed for a while.
+    """
+    facts_by_incarnation = {facts.incarnation: facts for facts in listed}
+    newest_born_ms: dict[ids.HostId, int] = {}
+    for incarnation, facts in facts_by_incarnation.items():
+        newest_born_ms[facts.host] = max(
+            incarnation.born_ms, newest_born_ms.get(facts.host, incarnation.born_ms)
+        )
+    return {
+        incarnation: facts
+        for incarnation, facts in facts_by_incarnation.items()
+        if not facts.host or incarnation.born_ms == newest_born_ms[facts.host]
+    }
--- a/packages/nutmegshelf/src/nutmegshelf/notes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/notes.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from nutmegshelf import fleetview
+from nutmegshelf import fleetview, jobs
 
 _MAX_NOTES = 2_000
 
@@ -34,6 +34,16 @@
         """Add an event about one run of a task."""
         self.note(event, task=task.key.name, run=task.run, lasts=task.step.long_running, **fields)
 
+    def note_job_ended(self, progress: jobs.Progress, took_s: float) -> None:
+        """Add an event about the end of a job."""
+        self.note(
+            "job ended",
+            job=progress.job,
+            state=progress.state.value,
+            reason=progress.reason,
+            took_s=round(took_s, 3),
+        )
+
     def take(self) -> list[Note]:
         """Return and remove all events in the buffer."""
         taken, self._notes = self._notes, []
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -102,13 +102,7 @@
             case _:
                 pass
         if not record.is_live and record.ended_s == now_s:
-            self._notes.note(
-                "job ended",
-                job=record.job.job,
-                state=record.progress.state.value,
-                reason=record.progress.reason,
-                took_s=round(now_s - record.accepted_s, 3),
-            )
+            self._notes.note_job_ended(record.progress, now_s - record.accepted_s)
         self._registry.save_checkpoint(record, task, end.checkpoint)
         if is_own:
             if end.outcome is not fleetview.RunOutcome.DONE:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -4,12 +4,12 @@
 
 from nutmegshelf import (
     calls,
-    crashes,
     estimates,
     evacuation,
     fleetview,
     ids,
     jobs,
+    losses,
     needs,
     notes,
     orders,
@@ -35,11 +35,6 @@
     fleetview.Unavailability.FULL,
     fleetview.Unavailability.UNKNOWN_RUNS,
 )
-_LOSS_EVENTS = {
-    fleetview.LossCause.RESTARTED: "task lost",
-    fleetview.LossCause.LEASE_EXPIRED: "lease lapsed",
-    fleetview.LossCause.HOST_LEFT: "task lost",
-}
 
 
 class Scheduler:
@@ -73,7 +68,7 @@
             began_s=now_s, lease_expiry_s=lease_expiry_s, is_needed=is_takeover
         )
         self._report_handler = reports.ReportHandler(self.registry, self.estimates, self.notes)
-        self._lost_workers = crashes.LostWorkers()
+        self.losses = losses.LossTracker(self.registry, self.notes)
         self._stall_detector = stalls.StallDetector(self.registry, self.notes)
 
     def record_arrival(self, job: jobs.Job) -> None:
@@ -98,7 +93,7 @@
         self, listed: collections.abc.Iterable[fleetview.WorkerFacts], now_s: float
     ) -> list[fleetview.Worker]:
         """Apply the fleet's list of this service's workers, and return those that are new."""
-        listed_by_incarnation = _get_newest_by_host(listed)
+        listed_by_incarnation = fleetview.get_newest_by_host(listed)
         added: list[fleetview.Worker] = []
         for incarnation, facts in listed_by_incarnation.items():
             if self._takeover.has_ended(incarnation):
@@ -129,8 +124,7 @@
             worker.is_listed, worker.is_closed = False, True
             if newest.get(worker.facts.host, -1) > incarnation.born_ms:
                 self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
-        for incarnation, lost_runs in self._lost_workers.take_crashed(newest, now_s):
-            self._record_crash(incarnation, lost_runs, now_s)
+        self.losses.count_crashes(newest, now_s)
         return added
 
     def _update_capacity(
@@ -193,44 +187,10 @@
     def _drop_worker(
         self, worker: fleetview.Worker, now_s: float, cause: fleetview.LossCause
     ) -> None:
-        self._release_lost(worker, now_s, cause)
+        self.losses.release(worker, now_s, cause)
         worker.is_polled = False
         self.workers.pop(worker.facts.incarnation, None)
 
-    def _release_lost(
-        self, worker: fleetview.Worker, now_s: float, cause: fleetview.LossCause
-    ) -> None:
-        """Release the runs of a worker that are lost, and record why."""
-        facts = worker.facts
-        for task in worker.tasks.values():
-            record = self.registry.records[task.key.job]
-            if task.crashes is not None and crashes.is_cleared(task, worker) and record.is_live:
-                self.registry.forget_crashes(record, task)
-        # A worker that drains is not lost by a crash, and one that left its pool may run on.
-        if not facts.is_draining and cause is not fleetview.LossCause.HOST_LEFT:
-            self._lost_workers.add(worker, now_s)
-        if worker.tasks:
-            self.notes.note(
-                "worker lost",
-                worker=facts.incarnation.worker,
-                host=facts.host,
-                reason=cause.value,
-                tasks=len(worker.tasks),
-                unheard_s=round(now_s - worker.heard_s, 3),
-                is_draining=facts.is_draining,
-                is_listed=worker.is_listed,
-            )
-        for task in list(worker.tasks.values()):
-            self.notes.note_task(
-                _LOSS_EVENTS[cause],
-                task,
-                reason=cause.value,
-                worker=facts.incarnation.worker,
-                phase=task.phase.value,
-                started_ago_s=round(now_s - task.sent_s, 3),
-            )
-            self.registry.release(self.registry.records[task.key.job], task, worker, now_s)
-
     def record_restart(
         self, incarnation: fleetview.Incarnation, born_ms: int, now_s: float
     ) -> None:
@@ -238,80 +198,15 @@
         worker = self.workers.get(incarnation)
         if worker is not None and born_ms > incarnation.born_ms:
             self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
-            lost_runs = self._lost_workers.take_restarted(incarnation, now_s)
-            self._record_crash(incarnation, lost_runs, now_s)
-
-    def _record_crash(
-        self,
-        incarnation: fleetview.Incarnation,
-        lost_runs: crashes.LostRuns,
-        now_s: float,
-    ) -> None:
-        """Count the crash of a worker for each task that it ran, and give up those it proves."""
-        if not lost_runs:
-            return
-        self.notes.note(
-            "worker crashed",
-            worker=incarnation.worker,
-            tasks=len(lost_runs),
-            alone=lost_runs[0][1].is_alone,
-            early=sum(lost.is_early for _, lost in lost_runs),
-        )
-        is_storm = self._lost_workers.is_storm(now_s)
-        for key, lost in lost_runs:
-            record = self.registry.records.get(key.job)
-            if record is None or not record.is_live:
-                continue
-            self.registry.record_crash(record, key, lost, now_s, is_storm=is_storm)
-            task = record.get_task(key)
-            if task is not None and task.crashes is not None:
-                history = task.crashes
-                self.notes.note_task(
-                    "crash counted",
-                    task,
-                    lost_run=lost.run,
-                    crashes=len(history.runs),
-                    alone=len(history.alone),
-                    is_suspect=history.is_suspect,
-                )
-            if not record.is_live:
-                self.notes.note(
-                    "job ended",
-                    job=record.job.job,
-                    state=record.progress.state.value,
-                    reason=record.progress.reason,
-                    took_s=round(now_s - record.accepted_s, 3),
-                )
-
-    def expect_unresolved(self, record: registry.JobRecord, now_s: float) -> None:
-        """Keep the unresolved runs of a loaded job until their workers answer or have crashed."""
-        for task in record.iterate_tasks():
-            for run in task.crashes.unresolved if task.crashes is not None else ():
-                self._lost_workers.add_stored(task.key, run, now_s)
-
-    def _store_unresolved(self, worker: fleetview.Worker, now_s: float) -> None:
-        """Have the runs of a worker that fell silent stored, in case that it has crashed."""
-        for key, run in self._lost_workers.add(worker, now_s):
-            self.registry.add_unresolved(self.registry.records[key.job], key, run)
-
-    def _clear_unresolved(self, incarnation: fleetview.Incarnation) -> None:
-        """Record that a worker was only silent, or that it will never be known."""
-        for key, run in self._lost_workers.discard(incarnation):
-            record = self.registry.records.get(key.job)
-            if record is not None:
-                self.registry.clear_unresolved(record, key, run.run)
+            self.losses.count_crash(incarnation, now_s)
 
     def tick(self, now_s: float, now_ms: int) -> None:
         """Expire leases, open the occurrences that are due and look for stalled tasks."""
         for worker in list(self.workers.values()):
-            if (
-                worker.unresponsive_since_s is not None
-                and not worker.facts.is_draining
-                and not self._lost_workers.has(worker.facts.incarnation)
-            ):
-                self._store_unresolved(worker, now_s)
+            if worker.unresponsive_since_s is not None:
+                self.losses.store_silent(worker, now_s)
             if worker.leased_until_s and now_s > worker.leased_until_s:
-                self._release_lost(worker, now_s, fleetview.LossCause.LEASE_EXPIRED)
+                self.losses.release(worker, now_s, fleetview.LossCause.LEASE_EXPIRED)
                 worker.is_polled, worker.leased_until_s = False, 0.0
                 worker.unknown_runs.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
@@ -319,8 +214,7 @@
         for record in self.registry.live.values():
             if record.job.occurrences:
                 self.registry.open_due_occurrences(record, now_ms)
-        for incarnation in self._lost_workers.get_expired(now_s):
-            self._clear_unresolved(incarnation)
+        self.losses.expire(now_s)
         self._reconcile(now_s)
         if self._stall_detector.is_due(now_s):
             workers = self.workers.values()
@@ -359,7 +253,7 @@
         """Apply a worker's report of its running and ended runs."""
         worker = self.workers.get(report.incarnation)
         if worker is not None:
-            self._clear_unresolved(report.incarnation)
+            self.losses.clear(report.incarnation)
             self._report_handler.apply(worker, report)
             self._reconcile(report.received_s)
 
@@ -386,9 +280,7 @@
         born_ms = max((worker.facts.incarnation.born_ms for worker in workers), default=0)
         self.closed_hosts.close(host, now_s, born_ms)
         if not is_busy:
-            # Its worker will end by the move or the maintenance, and not by a crash.
-            for incarnation in self._lost_workers.get_at_host(host):
-                self._clear_unresolved(incarnation)
+            self.losses.clear_host(host)
             return True
         placements = self._create_placements(now_s)
         waiting = list(placements.unplaced)
@@ -628,24 +520,3 @@
                         left_ms=worker.facts.left_ms,
                     )
                     self.request_stop(task)
-
-
-def _get_newest_by_host(
-    listed: collections.abc.Iterable[fleetview.WorkerFacts],
-) -> dict[fleetview.Incarnation, fleetview.WorkerFacts]:
-    """Return the listed workers without those whose host runs a later one.
-
-    A host runs one worker at a time, so the later one proves that the others have ended, though
-    their entries may stay listed for a while.
-    """
-    facts_by_incarnation = {facts.incarnation: facts for facts in listed}
-    newest_born_ms: dict[ids.HostId, int] = {}
-    for incarnation, facts in facts_by_incarnation.items():
-        newest_born_ms[facts.host] = max(
-            incarnation.born_ms, newest_born_ms.get(facts.host, incarnation.born_ms)
-        )
-    return {
-        incarnation: facts
-        for incarnation, facts in facts_by_incarnation.items()
-        if not facts.host or incarnation.born_ms == newest_born_ms[facts.host]
-    }
