--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -119,3 +119,23 @@
     And its tasks take 1.5 s
     When 40 jobs of 3 tasks come over 20 s while the busiest worker crashes every 0.7 s
     Then within 60 s each has ended, as failed only if a task of it lost 3 workers or more
+
+  Scenario Outline: Only a crash counts among the ends of a worker
+    Given a scheduler with 1 worker of 8 cores that runs 2 tasks
+    When the first worker <end>
+    Then <count> crashes are counted for each of its tasks
+
+    Examples: ends
+      | end                                         | count |
+      | answers as a later incarnation              | 1     |
+      | is followed by a later one at its host      | 1     |
+      | is followed by one at another host          | 0     |
+      | falls silent and answers again              | 0     |
+      | falls silent and restarts after its lease   | 1     |
+      | drains and is followed by a later one       | 0     |
+      | falls silent, and its host is cleared after | 0     |
+
+  Scenario: A task starts again before its crash is stored
+    Given a scheduler with 2 worker of 8 cores that runs 1 tasks
+    When the first worker is followed by a later one at its host
+    Then its task starts only after the crash and the plan of its trial are stored
--- a/features/steps/changing_capacity_steps.py
+++ b/features/steps/changing_capacity_steps.py
@@ -90,10 +90,12 @@
     jobs_steps.check_no_violations(context)
 
 
-@behave.given("a scheduler with 1 worker of {cores:d} cores that runs {count:d} tasks")
-def make_scheduler(context, cores, count):
-    context.scheduler = jobsite.scheduler_with_workers(1, cpu_millis=cores * 1000, memory_mb=9000)
-    (context.worker,) = context.scheduler.workers.values()
+@behave.given("a scheduler with {workers:d} worker of {cores:d} cores that runs {count:d} tasks")
+def make_scheduler(context, workers, cores, count):
+    context.scheduler = jobsite.scheduler_with_workers(
+        workers, cpu_millis=cores * 1000, memory_mb=9000
+    )
+    context.worker = next(iter(context.scheduler.workers.values()))
     if count:
         add_job(context, FIRST_JOB, count)
         chosen = context.scheduler.choose_starts(10.0)
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -1,6 +1,7 @@
 """Steps on tasks that crash their workers, and on workers that crash for other reasons."""
 
 import asyncio
+import dataclasses
 
 import behave
 from nutmegshelf import fleetview, jobs
@@ -318,3 +319,76 @@
 def check_no_crash_counted(context):
     holder = get_holder(context)
     assert holder.notes.totals["worker crashed"] == 0, holder.notes.totals
+
+
+def list_later(context, host=None, born_ms=2):
+    """List a later worker, at the host of the first one or at another host, and the other ones."""
+    first = context.worker.facts
+    later = dataclasses.replace(
+        first, incarnation=fleetview.Incarnation("later", born_ms), host=host or first.host
+    )
+    workers = context.scheduler.workers.values()
+    others = [worker.facts for worker in workers if worker is not context.worker]
+    context.scheduler.update_workers([*others, later], 20.0)
+
+
+def fall_silent(context, now_s):
+    context.worker.leased_until_s = 15.0
+    context.worker.unresponsive_since_s = now_s
+    context.scheduler.tick(now_s, 0)
+
+
+@behave.when("the first worker {end}")
+def end_worker(context, end):
+    scheduler, incarnation = context.scheduler, context.worker.facts.incarnation
+    context.job_record = next(iter(scheduler.registry.live.values()))
+    match end:
+        case "answers as a later incarnation":
+            scheduler.record_restart(incarnation, incarnation.born_ms + 1, 20.0)
+        case "is followed by a later one at its host":
+            list_later(context)
+        case "is followed by one at another host":
+            list_later(context, host="other")
+        case "falls silent and answers again":
+            fall_silent(context, 12.0)
+            report = fleetview.WorkerReport(incarnation, 0, 13.0, 13.1, (), ())
+            scheduler.apply_report(report)
+            list_later(context)
+        case "falls silent and restarts after its lease":
+            fall_silent(context, 12.0)
+            fall_silent(context, 16.0)
+            list_later(context)
+        case "drains and is followed by a later one":
+            draining = dataclasses.replace(context.worker.facts, is_draining=True, left_ms=1000)
+            scheduler.update_workers([draining], 12.0)
+            list_later(context)
+        case "falls silent, and its host is cleared after":
+            fall_silent(context, 12.0)
+            fall_silent(context, 16.0)
+            assert scheduler.evacuate_host(context.worker.facts.host, 17.0)
+            list_later(context)
+
+
+@behave.then("{count:d} crashes are counted for each of its tasks")
+def check_counts(context, count):
+    counted = [
+        len(task.crashes.runs) if task.crashes is not None else 0
+        for task in context.job_record.iterate_tasks()
+    ]
+    assert counted == [count, count], counted
+
+
+@behave.then("its task starts only after the crash and the plan of its trial are stored")
+def check_stored_first(context):
+    scheduler, registry = context.scheduler, context.scheduler.registry
+    for worker in scheduler.workers.values():
+        worker.is_polled = True
+    for now_s in (20.1, 20.2):
+        assert not scheduler.choose_starts(now_s), "it starts before its plan is stored"
+    (stored,) = registry.take_dirty(10)
+    history = stored.progress.steps[0][0].crashes[0]
+    assert len(history.runs) == 1 and len(history.unresolved) == 1, history
+    assert not scheduler.choose_starts(20.3), "it starts while the write is under way"
+    registry.confirm_stored({stored.job.job: stored.progress.state})
+    (start,) = scheduler.choose_starts(20.4)
+    assert start.run == history.unresolved[0].run, start
