Tell operators that a suspected task waits for a worker of its own

A task held back for a trial was shown as waiting for more urgent work, and its crashes nowhere. The views of jobs and tasks, the command job and the line on tasks that have not moved on now say it. No decision changes.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -135,6 +135,11 @@
       | drains and is followed by a later one       | 0     |
       | falls silent, and its host is cleared after | 0     |
 
+  Scenario: Operators can't tell why a suspected task waits
+    Given a scheduler with 2 worker of 8 cores that runs 1 tasks
+    When the first worker is followed by a later one at its host
+    Then operators see that its job waits for a worker of its own after 1 crash
+
   Scenario: A task starts again before its crash is stored
     Given a scheduler with 2 worker of 8 cores that runs 1 tasks
     When the first worker is followed by a later one at its host
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 import behave
-from nutmegshelf import fleetview, jobs
+from nutmegshelf import audit, fleetview, jobs, views
 
 from features import jobsite
 from features.steps import jobs_steps
@@ -392,3 +392,11 @@
     registry.confirm_stored({stored.job.job: stored.progress.state})
     (start,) = scheduler.choose_starts(20.4)
     assert start.run == history.unresolved[0].run, start
+
+
+@behave.then("operators see that its job waits for a worker of its own after {count:d} crash")
+def check_view(context, count):
+    log = audit.DecisionLog(max_subjects=1)
+    detail = views.make_job_detail(context.scheduler, context.job_record, log, 21.0)
+    assert detail.job.waits_for.startswith("a worker of its own"), detail.job
+    assert [task.crashes for task in detail.tasks] == [count], detail.tasks
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/jobs.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/jobs.py
@@ -11,7 +11,7 @@
 
 _COLUMNS: dict[str, tuple[str, ...]] = {
     "jobs": ("job", "queue", "state", "age_s", "tasks", "waits_for"),
-    "tasks": ("task", "phase", "worker", "run", "percent", "failures", "since_s"),
+    "tasks": ("task", "phase", "worker", "run", "percent", "failures", "crashes", "since_s"),
     "queues": (
         "queue",
         "service",
--- a/packages/nutmegshelf/src/nutmegshelf/stalls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stalls.py
@@ -81,6 +81,7 @@
             stops_sent=wait.task.stops_sent,
             cpu_millis=task_set.step.cpu_millis,
             memory_mb=task_set.step.memory_mb,
+            crashes=len(wait.task.crashes.runs) if wait.task.crashes is not None else 0,
             workers=_count_constraints(task_set, workers),
         )
 
--- a/packages/nutmegshelf/src/nutmegshelf/views.py
+++ b/packages/nutmegshelf/src/nutmegshelf/views.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from nutmegshelf import audit, fleetview, ids, jobs, registry, scheduler
+from nutmegshelf import audit, crashes, fleetview, ids, jobs, registry, scheduler
 
 
 class JobView(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,6 +31,8 @@
     percent: int
     failures: int
     since_s: float
+    # The workers that have crashed under it.
+    crashes: int = 0
 
 
 class JobDetail(msgspec.Struct, frozen=True, kw_only=True):
@@ -130,6 +132,7 @@
         percent=task.percent,
         failures=len(task.failed_runs),
         since_s=round(now_s - task.since_s, 3) if task.since_s else 0.0,
+        crashes=len(task.crashes.runs) if task.crashes is not None else 0,
     )
 
 
@@ -148,7 +151,10 @@
 def _find_shortage(
     job_scheduler: scheduler.Scheduler, record: registry.JobRecord, now_s: float
 ) -> str:
-    step = next(iter(record.ready.values())).step
+    task = next(iter(record.ready.values()))
+    if crashes.needs_trial(task):
+        return "a worker of its own, as workers crashed under it"
+    step = task.step
     open_workers = job_scheduler.get_open_workers(now_s)
     suitable = [worker for worker in open_workers if worker.fits_when_empty(step)]
     if not open_workers:
