--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,87 @@
+"""Kill the holder while both runs of a speculative task of a scheduled job are about to end."""
+
+import asyncio
+import pathlib
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+import world as standins
+
+PREFIX = "/jobs/"
+TIMED, SHORT, LASTING = "5c0e7a21d94b36f8", "00000000000000aa", "00000000000000bb"
+ESTIMATE_MS, WORK_S = 1000, 4.0
+KILL_AFTER_S = 3.4
+# How long the machine of the killed process is down.
+DOWN_S = 3.5
+# After the machine is back: contactMs, and the 4 s that have to be calm before the 3 s of LOST.
+CALM_S = 3.0 + 4.0
+IDLE_S = 3.0
+WATCH_S = 20.0
+
+
+def make_minions(world):
+    """Make the six minions of the service."""
+    return [
+        standins.Minion(world, f"i-{number:08x}", f"m-{number}", "bitacora") for number in range(6)
+    ]
+
+
+def get_work_s(task):
+    """Return the work of a task; that of the lasting job does not end."""
+    return {TIMED: WORK_S, LASTING: 1000.0}.get(task[:16], 0.3)
+
+
+async def play(world, has_trouble):
+    """Return whether all accepted jobs ran."""
+    world.get_work_s = lambda minion, task: get_work_s(task)
+    await world.start(make_minions, 3, standins.make_config(3, {PREFIX: "bitacora"}, ["bitacora"]))
+    await world.wait_ready(PREFIX, "0000000000000001")
+    step = {
+        "count": 3,
+        "cpu": 1000,
+        "memMb": 256,
+        "estimateMs": ESTIMATE_MS,
+        "speculative": True,
+        "antiAffinity": 1,
+    }
+    timed = {
+        "spec": "tally",
+        "steps": [step],
+        "times": 2,
+        "startAtMs": int(time.time() * 1000) + 500,
+        "intervalMs": 12_000,
+    }
+    if not await world.submit(PREFIX, TIMED, timed):
+        raise TimeoutError("the scheduled job was not accepted")
+    await world.wait_started(TIMED)
+    await asyncio.sleep(KILL_AFTER_S)
+    if has_trouble:
+        holder = world.find_holder("bitacora")
+        world.record.note("kill", entry=holder.name)
+        await holder.end()
+        await asyncio.sleep(DOWN_S)
+        await holder.start()
+    await asyncio.sleep(CALM_S)
+    step = {"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 300}
+    bodies = {SHORT: step, LASTING: {**step, "longRunning": True}}
+    handed_in_s = {}
+    for job, shape in bodies.items():
+        if await world.submit(PREFIX, job, {"spec": "x", "steps": [shape]}):
+            handed_in_s[job] = time.monotonic()
+    await asyncio.sleep(WATCH_S)
+    waited_s = {job: find_wait_s(world, job, since_s) for job, since_s in handed_in_s.items()}
+    states = {job: await world.get_state(PREFIX, job) for job in (TIMED, *handed_in_s)}
+    failures = sum(entry.log.read_text().count("A holder failed.") for entry in world.entries)
+    world.record.note("seen", waited_s=waited_s, states=states, failed_holders=failures)
+    return all(each <= IDLE_S for each in waited_s.values())
+
+
+def find_wait_s(world, job, since_s):
+    """Return how long a job that was accepted has had nothing running, from its acceptance."""
+    starts = [start[0] for start in world.starts if start[2].startswith(job)]
+    return round(min(starts, default=time.monotonic()) - since_s, 2)
+
+
+standins.run_case(pathlib.Path(__file__).resolve().parent, play)
