--- a/review/2/case.py
+++ b/review/2/case.py
@@ -58,7 +58,9 @@
     states = {job: await world.get_state("/tesoreria/", job) for job in (EARLY, LATE)}
     done = {job: world.count_done(job) for job in (EARLY, LATE)}
     world.record.note("seen", states=states, done=done)
-    return all(count == 4 for count in done.values())
+    return not any(
+        done[job] < 4 and world.has_nothing_running(job, IDLE_S) for job in (EARLY, LATE)
+    )
 
 
 standins.run_case(pathlib.Path(__file__).resolve().parent, play)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -89,7 +89,7 @@
     states = {job: await world.get_state(PREFIX, job) for job in accepted}
     done = {job: world.count_done(job) for job in accepted}
     world.record.note("seen", states=states, done=done)
-    return all(count == 4 for count in done.values())
+    return not any(done[job] < 4 and world.has_nothing_running(job, IDLE_S) for job in accepted)
 
 
 standins.run_case(pathlib.Path(__file__).resolve().parent, play)
