An end of a task that is over changes nothing

Callers saw accepted jobs of a service with nothing running for 14 s and longer: one scheduled job with a speculative or gang step ended every holder of its service by KeyError, about twice a second.

Cause: a task may be reported as ended more than once, by its other copy, by each member of its gang or by a late report. The registry looked up the stored progress of the step before it looked whether the task was over. That progress is dropped as an occurrence completes, so the second end raised; the error ended the holder before the first end was stored, and the next holder got the same two ends.

JobRecord.get_open_progress decides it once, for ends, failures, crashes, unresolved runs and checkpoints. Same cause on related paths: a silent worker's run that is cleared after the other copy ended (KeyError), and a copy that ends failed after the other ended done, which counted as an attempt and could fail the job.

--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -41,6 +41,15 @@
         """Return whether the job has not ended."""
         return self.progress.state not in jobs.ENDED_STATES
 
+    def get_open_progress(self, task: fleetview.Task) -> jobs.StepProgress | None:
+        """Return the stored progress of a task's step, or None if the task or the job is over.
+
+        A task may be reported to end again after it is over, by its other copy or by a late report.
+        """
+        if not self.is_live or task.phase is fleetview.Phase.DONE:
+            return None
+        return self.progress.steps[task.key.occurrence][task.key.step]
+
     def get_task(self, key: jobs.TaskKey) -> fleetview.Task | None:
         """Return a task, or None if its occurrence has not started."""
         task_sets = self.occurrences.get(key.occurrence)
@@ -372,10 +381,12 @@
             record.ready[task.key] = task
 
     def finish_task(self, record: JobRecord, task: fleetview.Task, now_s: float) -> None:
-        """Complete a task, or all tasks of its step if the step is a gang."""
-        number, index = task.key.occurrence, task.key.step
-        task_set = record.occurrences[number][index]
-        stored = record.progress.steps[number][index]
+        """Complete a task, or all tasks of its step if the step is a gang, unless it is over."""
+        stored = record.get_open_progress(task)
+        if stored is None:
+            return
+        number = task.key.occurrence
+        task_set = record.occurrences[number][task.key.step]
         ended = task_set.tasks if task.step.gang else [task]
         for member in ended:
             if member.phase is fleetview.Phase.DONE:
@@ -407,12 +418,12 @@
         self, record: JobRecord, task: fleetview.Task, run: int, now_s: float
     ) -> None:
         """Record a failed run, and fail the job once the queue's limit of attempts is reached."""
-        if run in task.failed_runs or not record.is_live:
+        stored = record.get_open_progress(task)
+        if run in task.failed_runs or stored is None:
             return
         task.failed_runs.append(run)
         if task.step.long_running:
             return
-        stored = record.progress.steps[task.key.occurrence][task.key.step]
         stored.failures[task.key.position] = list(task.failed_runs)
         self.mark_dirty(record)
         failed = set(task.failed_runs)
@@ -437,9 +448,10 @@
         The task does not start again before its crashes are stored.
         """
         task = record.get_task(key)
-        if task is None or task.phase is fleetview.Phase.DONE or not record.is_live:
+        stored = record.get_open_progress(task) if task is not None else None
+        if task is None or stored is None:
             return
-        history = self._get_crash_history(record, task)
+        history = self._get_crash_history(stored, task)
         if lost.run in history.runs:
             return
         history.unresolved = [each for each in history.unresolved if each.run != lost.run]
@@ -457,9 +469,10 @@
             reason = f"{count} workers crashed under task {task.key.name}"
             self.end_job(record, jobs.JobState.FAILED, reason, now_s)
 
-    def _get_crash_history(self, record: JobRecord, task: fleetview.Task) -> jobs.CrashHistory:
+    def _get_crash_history(
+        self, stored: jobs.StepProgress, task: fleetview.Task
+    ) -> jobs.CrashHistory:
         if task.crashes is None:
-            stored = record.progress.steps[task.key.occurrence][task.key.step]
             task.crashes = stored.crashes[task.key.position] = jobs.CrashHistory()
             self.suspects.add(task.key)
         return task.crashes
@@ -469,9 +482,10 @@
     ) -> None:
         """Have a run stored whose worker may have crashed, or may crash by its start."""
         task = record.get_task(key)
-        if task is None or task.phase is fleetview.Phase.DONE or not record.is_live:
+        stored = record.get_open_progress(task) if task is not None else None
+        if task is None or stored is None:
             return
-        history = self._get_crash_history(record, task)
+        history = self._get_crash_history(stored, task)
         others = [each for each in history.unresolved if each.run != unresolved.run]
         history.unresolved = [*others, unresolved]
         self.mark_dirty(record)
@@ -479,7 +493,7 @@
     def clear_unresolved(self, record: JobRecord, key: jobs.TaskKey, run: int) -> None:
         """Record that the worker of a run did not crash."""
         task = record.get_task(key)
-        if task is None or task.crashes is None or not record.is_live:
+        if task is None or task.crashes is None or record.get_open_progress(task) is None:
             return
         remaining = [each for each in task.crashes.unresolved if each.run != run]
         if len(remaining) == len(task.crashes.unresolved):
@@ -491,7 +505,9 @@
 
     def forget_crashes(self, record: JobRecord, task: fleetview.Task) -> None:
         """Forget the crashes under a task that has run well since."""
-        stored = record.progress.steps[task.key.occurrence][task.key.step]
+        stored = record.get_open_progress(task)
+        if stored is None:
+            return
         stored.crashes.pop(task.key.position, None)
         for run in (task, task.duplicate):
             if run is not None:
@@ -511,12 +527,11 @@
 
     def save_checkpoint(self, record: JobRecord, task: fleetview.Task, checkpoint: str) -> None:
         """Keep a task's newest checkpoint, which is stored with the job's next change."""
-        if not checkpoint or checkpoint == task.checkpoint or task.phase is fleetview.Phase.DONE:
+        stored = record.get_open_progress(task)
+        if not checkpoint or checkpoint == task.checkpoint or stored is None:
             return
         task.checkpoint = checkpoint
-        steps = record.progress.steps.get(task.key.occurrence)
-        if steps is not None:
-            steps[task.key.step].checkpoints[task.key.position] = checkpoint
+        stored.checkpoints[task.key.position] = checkpoint
 
     def end_job(self, record: JobRecord, state: jobs.JobState, reason: str, now_s: float) -> None:
         """End a job; the runs that it still has are left to be stopped."""
