An unexpected error about one job costs that job, not its service

Callers saw every job of a service stand still while one of them raised an error in its holder: what is not acknowledged is reported again, and what is stored is loaded again, so that every later holder ended in the same way.

Errors while a reported end or run, a start or a due occurrence is handled now fail the job that they are about, as a whole, so that no half of a change stays. A stored job that can't be opened stays out, a report that can't be applied counts as no answer of its worker, an order that raises as one without an outcome. Each leaves a log line with the id and the trace.

--- a/features/malformed_rows.feature
+++ b/features/malformed_rows.feature
@@ -51,3 +51,32 @@
       | report of demand   |
       | heartbeats         |
       | watch of leases    |
+
+  Scenario Outline: A job whose <what> raise an error ends every holder of its service
+    Given 2 entries and 4 workers of one service
+    When the <what> of one job raise an unexpected error
+    And that job is submitted beside 3 others
+    Then within 8 s the other jobs are shown as succeeded and that job as failed
+    And the service is still held in epoch 1
+
+    Examples:
+      | what            |
+      | reported ends   |
+      | reported runs   |
+      | starts          |
+      | due occurrences |
+
+  Scenario: A stored job that can't be opened ends every holder of its service
+    Given 2 entries and 4 workers of one service
+    When a job is stored whose progress lacks a step
+    And the holder is killed
+    And a job of steps "2, 2 after 0" is submitted after 1 s
+    Then within 12 s it is shown as succeeded at every entry
+    And the service is still held in epoch 2
+
+  Scenario: A worker's report that can't be applied ends the holder of its service
+    Given 2 entries and 4 workers of one service
+    When the next 3 reports of workers raise an unexpected error
+    And a job of steps "6, 2 after 0" is submitted after 1 s
+    Then within 12 s it is shown as succeeded at every entry
+    And the service is still held in epoch 1
--- a/features/steps/malformed_row_steps.py
+++ b/features/steps/malformed_row_steps.py
@@ -3,10 +3,14 @@
 import asyncio
 
 import behave
-from nutmegshelf import exceptions, jobs, platform
+from nutmegshelf import codecs, exceptions, jobs, platform
+from nutmegshelf import registry as jobs_registry
 
+from features import jobsite
 from features.steps import jobs_steps
 
+BAD_JOB = 50
+
 
 def store_malformed(context, key):
     context.world.table.apply(platform.Transaction(writes=(platform.Write(key, b"\xc1"),)))
@@ -89,3 +93,88 @@
         context.world.add_host("a", "h99", "r0")
     await asyncio.sleep(3.0)
     assert context.has_failed
+
+
+def get_holder(context):
+    service, _ = context.site.entries[context.site.holder_of("a")]
+    return service.lease_manager.get_holder("a")
+
+
+def fail_for(owner, method, is_affected):
+    """Make a method raise where its arguments are affected."""
+    call = getattr(owner, method)
+
+    def run(*args, **kwargs):
+        if any(is_affected(argument) for argument in args):
+            raise ZeroDivisionError("unexpected")
+        return call(*args, **kwargs)
+
+    setattr(owner, method, run)
+
+
+@behave.when("the {what} of one job raise an unexpected error")
+def fail_job(context, what):
+    context.bad_job = f"{BAD_JOB:016x}"
+    service = get_holder(context).scheduler
+    owner, method = {
+        "reported ends": (service.registry, "finish_task"),
+        "reported runs": (service.registry, "save_checkpoint"),
+        "starts": (service._starter, "_start_job"),
+        "due occurrences": (service.registry, "open_due_occurrences"),
+    }[what]
+
+    def is_affected(argument):
+        return isinstance(argument, jobs_registry.JobRecord) and (
+            argument.job.job == context.bad_job and argument.occurrences
+        )
+
+    fail_for(owner, method, is_affected)
+
+
+@behave.when("that job is submitted beside {count:d} others")
+@jobs_steps.paused
+async def submit_beside(context, count):
+    fields = {"occurrences": 2, "first_due_ms": 1, "interval_ms": 1}
+    steps = jobs_steps.parse_steps("2")
+    context.bad = await jobs_steps.submit(context, BAD_JOB, steps, "e0", **fields)
+    context.others = [
+        await jobs_steps.submit(context, number, jobs_steps.parse_steps("2, 1 after 0"), "e0")
+        for number in range(count)
+    ]
+
+
+@behave.then("within {seconds:g} s the other jobs are shown as succeeded and that job as failed")
+@jobs_steps.paused
+async def check_others(context, seconds):
+    for job, state in [
+        *((other, "succeeded") for other in context.others),
+        (context.bad, "failed"),
+    ]:
+        await jobs_steps.wait_until(seconds, jobs_steps.has_state(context, job, state), "states")
+
+
+@behave.then("the service is still held in epoch {epoch:d}")
+def check_epoch(context, epoch):
+    assert get_holder(context).epoch == epoch, get_holder(context).epoch
+
+
+@behave.when("a job is stored whose progress lacks a step")
+def store_short_progress(context):
+    job = jobsite.job(BAD_JOB, jobs_steps.parse_steps("2, 2 after 0"))
+    progress = jobs.Progress(job=job.job, steps={0: [jobs.StepProgress()]})
+    for key, value in (
+        (jobs.job_key("a", job.job), job),
+        (jobs.progress_key("a", job.job), progress),
+    ):
+        write = platform.Write(key, codecs.pack_unordered(value))
+        context.world.table.apply(platform.Transaction(writes=(write,)))
+
+
+@behave.when("the next {count:d} reports of workers raise an unexpected error")
+@jobs_steps.paused
+async def fail_reports(context, count):
+    left = iter(range(count))
+    fail_for(get_holder(context).scheduler, "apply_report", lambda _: next(left, None) is not None)
+    # An idle worker reports every 2 s.
+    await asyncio.sleep(3.0)
+    assert next(left, None) is None
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -91,8 +91,8 @@
         self.writer.on_stored = self.wake
         self.writer.on_accepted = self._handle_accepted
         self._arrived_s: dict[ids.JobId, float] = {}
-        # Stored jobs that don't run, as it can't be read which of their tasks have ended.
-        self._unreadable: set[ids.JobId] = set()
+        # Stored jobs that don't run, as it can't be told which of their tasks have ended.
+        self._unusable: set[ids.JobId] = set()
         self._links: dict[fleetview.Incarnation, worker_link.WorkerLink] = {}
         self._sender = sender.OrderSender(
             self.scheduler, self._links, transport, pool=pool, wake=self.wake
@@ -179,7 +179,7 @@
 
     async def _submit(self, job: jobs.Job) -> calls.Reply:
         job_registry = self.scheduler.registry
-        if job.job in job_registry.records or job.job in self._unreadable:
+        if job.job in job_registry.records or job.job in self._unusable:
             return calls.Reply(status=calls.Status.DONE)
         self._arrived_s.setdefault(job.job, self._loop.time())
         try:
@@ -242,14 +242,21 @@
         *,
         may_run: bool,
     ) -> None:
-        if job.job in self._unreadable:
+        if job.job in self._unusable:
             return
         is_known = job.job in self.scheduler.registry.records
-        record = self.scheduler.registry.add(
-            job, progress, arrived_s, _now_ms(), may_run=may_run, now_s=self._loop.time()
-        )
-        if may_run and record.is_live:
-            self.scheduler.losses.expect_unresolved(record, self._loop.time())
+        try:
+            record = self.scheduler.registry.add(
+                job, progress, arrived_s, _now_ms(), may_run=may_run, now_s=self._loop.time()
+            )
+            if may_run and record.is_live:
+                self.scheduler.losses.expect_unresolved(record, self._loop.time())
+        except Exception as error:
+            # The other jobs of the service must run, here and at every later holder.
+            _log.error("A stored job can't be used.", job=job.job, pool=self.pool, exc_info=error)
+            self.scheduler.registry.discard(job.job)
+            self._unusable.add(job.job)
+            return
         if not is_known and not may_run:
             self.scheduler.record_arrival(job)
             _log.info(
@@ -368,7 +375,7 @@
             self.pool, lambda: loading.load_service(self._rows, self.pool)
         )
         now_ms, now_s = _now_ms(), self._loop.time()
-        self._unreadable = stored.unreadable
+        self._unusable = stored.unreadable
         for job in stored.submitted:
             age_s = max(0, now_ms - job.accepted_ms) / 1000
             self._add(job, stored.progress.get(job.job), now_s - age_s, may_run=True)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -29,6 +29,8 @@
 _MIN_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.5
 _MAX_CONCURRENT_ORDERS = 6
+# Orders carry the job's specification, which may be long.
+_MAX_LOGGED = 300
 
 _log = logs.get_logger("worker")
 
@@ -99,6 +101,13 @@
                 elapsed_s = self._loop.time() - sent_s
                 await asyncio.sleep(max(_MIN_BACKOFF_S, backoff_s - elapsed_s))
                 backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
+            except Exception as error:
+                # A report that can't be applied must not cost the service its holder.
+                worker.unresponsive_since_s = worker.unresponsive_since_s or self._loop.time()
+                _log.error(
+                    "A report can't be applied.", worker=self._incarnation.worker, exc_info=error
+                )
+                await asyncio.sleep(_MAX_BACKOFF_S)
         _log.info("Polling of a dropped worker ended.", worker=self._incarnation.worker)
 
     async def _poll_interruptibly(self, worker: fleetview.Worker) -> None:
@@ -172,6 +181,9 @@
             self._window.waiting_orders -= 1
         try:
             await self._dispatch(worker, order)
+        except Exception as error:
+            # The scheduler treats an order without an outcome like one without an answer.
+            _log.error("An order failed.", order=repr(order)[:_MAX_LOGGED], exc_info=error)
         finally:
             self._slots.release()
 
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -191,6 +191,8 @@
             number, [jobs.StepProgress() for _ in record.job.steps]
         )
         task_sets: list[TaskSet] = []
+        suspects: list[jobs.TaskKey] = []
+        recovering: list[fleetview.Task] = []
         for index, step in enumerate(record.job.steps):
             task_set = TaskSet(step, [], 0)
             for position in range(step.count):
@@ -204,20 +206,29 @@
                     crashes=stored[index].crashes.get(position),
                 )
                 if task.crashes is not None:
-                    self.suspects.add(key)
+                    suspects.append(key)
                 if is_bit_set(stored[index].done, position):
                     task.phase = fleetview.Phase.DONE
                 else:
                     task_set.remaining += 1
                     if may_run:
                         task.phase = fleetview.Phase.RECOVERING
-                        self.recovering.add(task)
-                        record.has_recovering = True
+                        recovering.append(task)
                 task_set.tasks.append(task)
             task_sets.append(task_set)
         record.occurrences[number] = task_sets
+        record.has_recovering = record.has_recovering or bool(recovering)
+        self.suspects.update(suspects)
+        self.recovering.update(recovering)
         self._open_steps(record, number)
 
+    def discard(self, job: ids.JobId) -> None:
+        """Drop a job that could not be added as a whole."""
+        self.records.pop(job, None)
+        self.live.pop(job, None)
+        self.suspects = {key for key in self.suspects if key.job != job}
+        self.recovering = {task for task in self.recovering if task.key.job != job}
+
     def _open_steps(self, record: JobRecord, number: int) -> None:
         record.forget_remaining_path()
         task_sets = record.occurrences[number]
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -1,6 +1,6 @@
 """Apply workers' reports of their running and ended runs."""
 
-from nutmegshelf import estimates, fleetview, jobs, notes, orders, registry
+from nutmegshelf import containment, estimates, fleetview, ids, jobs, notes, orders, registry
 
 # Initial time of the last stop of an unknown run, so that it is stopped as soon as it is reported.
 _NEVER_STOPPED_S = -1.0
@@ -23,6 +23,7 @@
         self._registry = job_registry
         self._estimates = task_estimates
         self._notes = decision_notes
+        self._containment = containment.ErrorContainment(job_registry, decision_notes)
 
     def apply(self, worker: fleetview.Worker, report: fleetview.WorkerReport) -> None:
         """Apply one report of a worker."""
@@ -34,17 +35,20 @@
             reported.add((end.task, end.run))
             if end.number > worker.last_end:
                 worker.last_end = end.number
-                self._apply_end(worker, end, now_s)
+                with self._containment.confine(_get_job(end.task), now_s, end.task):
+                    self._apply_end(worker, end, now_s)
                 worker.unpersisted_ends.append((end.number, self._registry.last_change))
         for run in report.running:
             reported.add((run.task, run.run))
-            self._apply_run(worker, run, now_s)
+            with self._containment.confine(_get_job(run.task), now_s, run.task):
+                self._apply_run(worker, run, now_s)
         worker.unknown_runs = {
             key: sent_s for key, sent_s in worker.unknown_runs.items() if key in reported
         }
         for task in list(worker.tasks.values()):
             if (task.key.name, task.run) not in reported:
-                self._check_absent(worker, task, report)
+                with self._containment.confine(task.key.job, now_s, task.key.name):
+                    self._check_absent(worker, task, report)
 
     def _apply_run(
         self, worker: fleetview.Worker, reported: fleetview.ReportedRun, now_s: float
@@ -148,6 +152,12 @@
             )
 
 
+def _get_job(name: str) -> ids.JobId | None:
+    """Return the job of a reported task, or None if its name is not that of a task."""
+    key = jobs.parse_task_name(name)
+    return key.job if key is not None else None
+
+
 def _get_run(task: fleetview.Task, incarnation: fleetview.Incarnation, run: int) -> fleetview.Task:
     """Return the run that a worker reports, if a task has a speculative second one."""
     duplicate = task.duplicate
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -4,6 +4,7 @@
 
 from nutmegshelf import (
     calls,
+    containment,
     estimates,
     evacuation,
     fleetview,
@@ -67,6 +68,7 @@
         self._takeover = takeover.Takeover(
             began_s=now_s, lease_expiry_s=lease_expiry_s, is_needed=is_takeover
         )
+        self._containment = containment.ErrorContainment(self.registry, self.notes)
         self._report_handler = reports.ReportHandler(self.registry, self.estimates, self.notes)
         self.losses = losses.LossTracker(self.registry, self.notes)
         self._stall_detector = stalls.StallDetector(self.registry, self.notes)
@@ -211,9 +213,10 @@
                 worker.unknown_runs.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
                 del self.workers[worker.facts.incarnation]
-        for record in self.registry.live.values():
+        for job, record in list(self.registry.live.items()):
             if record.job.occurrences:
-                self.registry.open_due_occurrences(record, now_ms)
+                with self._containment.confine(job, now_s, "its due occurrences"):
+                    self.registry.open_due_occurrences(record, now_ms)
         self.losses.expire(now_s)
         self._reconcile(now_s)
         if self._stall_detector.is_due(now_s):
--- a/packages/nutmegshelf/src/nutmegshelf/starts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starts.py
@@ -7,6 +7,7 @@
 import collections
 
 from nutmegshelf import (
+    containment,
     estimates,
     fitting,
     fleetview,
@@ -38,6 +39,7 @@
         self._advice = advice
         self._notes = decision_notes
         self._estimates = run_estimates
+        self._containment = containment.ErrorContainment(job_registry, decision_notes)
         self._trials = trials.Trials(job_registry, decision_notes)
         # The open workers that are not reserved for the trial of a suspected task.
         self.usable: list[fleetview.Worker] = []
@@ -78,7 +80,8 @@
             ready, key=lambda record: urgency.compute(record, self._estimates, now_s)
         ):
             usable = open_workers if record.job.is_long_running else self._reservations.unreserved
-            chosen += self._start_job(record, usable, blocked, now_s)
+            with self._containment.confine(record.job.job, now_s, "its starts"):
+                chosen += self._start_job(record, usable, blocked, now_s)
             if self.is_throttled:
                 break
         self._request_advice_ahead(open_workers, now_s)
