An entry runs the holder of each lease that it holds

Callers saw jobs accepted with 200 that never started: one machine was left, the answer to its acquisition of the lease was lost, and its rows said that it held a service that nothing ran.

Cause: two records of one fact, joined by an event. Leases.held is made from rows, the holders from the answer to an acquisition. A lost answer, a late write, an unanswered release or a drop parts them, and nothing compared them again. The holders are now aligned with the held leases at each tick: a holder starts in an epoch acquired for it in which none has run, its lease counts from before the first write that may have acquired it, and any other lease held without a holder is acquired anew.

The deletion of a lease's row ended the watch of all leases, as the empty row was decoded.

--- a/features/jobtable.py
+++ b/features/jobtable.py
@@ -61,6 +61,10 @@
         self.is_partitioned = False
         self.is_unavailable = False
         self.lost_answers = 0
+        # Decides which transactions may get no answer; None for any.
+        self.is_unanswered = None
+        # Whether a transaction without an answer is not applied at all.
+        self.drops_unanswered = False
         self.apply_delay_s = None
         self.answer_delay_s = 0.0
         self.on_scan = None
@@ -110,9 +114,11 @@
         await self._connect(exceptions.TableAnswerLost)
         keys = [operation.key for operation in (*transaction.conditions, *transaction.writes)]
         await self._reach_partitions(keys, exceptions.TableAnswerLost)
-        if self.lost_answers:
+        if self.lost_answers and (self.is_unanswered is None or self.is_unanswered(transaction)):
             self.lost_answers -= 1
-            if self.apply_delay_s is None:
+            if self.drops_unanswered:
+                pass
+            elif self.apply_delay_s is None:
                 self.table.apply(transaction)
             else:
                 asyncio.get_running_loop().call_later(
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -69,7 +69,7 @@
     ) -> None:
         held = lease_set.held[pool]
         self.pool = pool
-        self.epoch = held.lease.epoch
+        self.epoch: ids.Epoch = held.lease.epoch
         self._entry = lease_set.entry
         self._rows = rows
         self._workers = workers
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import typing
 
 import msgspec
@@ -38,6 +39,7 @@
     """The interface of a holder, which runs while its lease is held."""
 
     writer: writer.Writer
+    epoch: ids.Epoch
 
     async def run(self) -> None:
         """Serve until the lease is lost."""
@@ -50,6 +52,14 @@
 HolderFactory = collections.abc.Callable[[ids.PoolName, float], LeaseHolder]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Acquisition:
+    """A lease that was requested at a time, in an epoch in which no holder has run yet."""
+
+    epoch: ids.Epoch
+    sent_s: float
+
+
 class LeaseManager:
     """The leases of this entry and the holders that run under them."""
 
@@ -71,6 +81,8 @@
         self._peers = peers
         self._loop = asyncio.get_running_loop()
         self._holders: dict[ids.PoolName, tuple[LeaseHolder, asyncio.Task[None]]] = {}
+        # Until its holder starts, as the answer to an acquisition may be lost.
+        self._acquisitions: dict[ids.PoolName, _Acquisition] = {}
         self._lease_rows: dict[str, platform.Row] = {}
         self._is_leaving = False
         self._failed_pools: set[ids.PoolName] = set()
@@ -131,7 +143,7 @@
     def _apply_lease_rows(self) -> None:
         latest_rows: list[platform.Row] = []
         for row in self._lease_rows.values():
-            held = self._lease_set.held.get(_get_pool(row.key))
+            held = self._lease_set.held.get(leases.get_pool(row.key))
             # A transaction of this entry may have changed the row since the watch returned it.
             is_outdated = held is not None and held.version > row.version
             latest_rows.append(_make_lease_row(held) if held is not None and is_outdated else row)
@@ -164,15 +176,19 @@
     async def _allocate(self, group: asyncio.TaskGroup) -> None:
         await self._reacquire(group)
         while True:
+            self._align_holders(group)
             if self.is_watching and self._has_sent_heartbeat and not self._is_leaving:
                 now_s = self._loop.time()
                 for failed in list(self._failed_pools):
                     self._failed_pools.discard(failed)
                     await self._release_lease(failed)
                     self._reacquirable_from_s[failed] = self._loop.time() + _REACQUIRE_DELAY_S
-                pool = self._lease_set.select_next_to_acquire(self._list_acquirable(now_s), now_s)
+                pool = self._lease_set.select_next_to_acquire(
+                    self._list_acquirable(now_s), self._holders, now_s
+                )
                 if pool is not None:
-                    await self._acquire(pool, group)
+                    await self._acquire(pool)
+                    self._align_holders(group)
                 # One lease beyond the share is kept, as a service pauses whenever its lease changes
                 # hands.
                 excess = self._lease_set.select_to_release(
@@ -189,9 +205,12 @@
         """Acquire what an earlier process of this entry held, while other entries become known."""
         until_s = self._loop.time() + _STARTUP_DELAY_S
         while self._loop.time() < until_s:
-            pool = self._lease_set.select_to_reacquire(self.pools) if self.is_watching else None
+            pool = None
+            if self.is_watching and not self._is_leaving:
+                pool = self._lease_set.select_to_reacquire(self.pools, self._holders)
             if pool is not None:
-                await self._acquire(pool, group)
+                await self._acquire(pool)
+            self._align_holders(group)
             await asyncio.sleep(_REACQUIRE_TICK_S)
 
     def _list_entries(self, now_s: float) -> list[ids.EntryId]:
@@ -199,8 +218,13 @@
         live -= self._lease_set.expired_holders(now_s)
         return sorted(live | {self._lease_set.entry})
 
-    async def _acquire(self, pool: ids.PoolName, group: asyncio.TaskGroup) -> None:
-        sent_s = self._loop.time()
+    async def _acquire(self, pool: ids.PoolName) -> None:
+        acquisition = _Acquisition(self._lease_set.get_next_epoch(pool), self._loop.time())
+        earlier = self._acquisitions.get(pool)
+        if earlier is None or earlier.epoch != acquisition.epoch:
+            # Of several attempts without an answer, any one may be carried out; the first is the
+            # safe one to count the age of the lease from.
+            self._acquisitions[pool] = acquisition
         try:
             committed = await self._rows.commit(self._lease_set.make_acquisition(pool))
         except exceptions.TableError as error:
@@ -212,11 +236,41 @@
         if not committed.ok:
             self._apply_lease_rows()
             return
+        self._acquisitions[pool] = acquisition
         lease_key = leases.key(pool)
         row = next(row for row in committed.rows if row.key == lease_key)
         self._lease_set.observe_held(row, self._loop.time())
-        _log.info("A lease is taken.", pool=pool, epoch=self._lease_set.held[pool].lease.epoch)
-        holder = self._make_holder(pool, sent_s)
+        if self._is_leaving:
+            await self._release_lease(pool)
+
+    def _align_holders(self, group: asyncio.TaskGroup) -> None:
+        """Start the holders of held leases, and stop those whose lease is not held any more.
+
+        A holder starts in an epoch that was acquired for it and in which none has run before. Any
+        other lease that is held without a holder is acquired anew.
+        """
+        held_by_pool = self._lease_set.held
+        for pool, (holder, _) in list(self._holders.items()):
+            held = held_by_pool.get(pool)
+            if held is None or held.lease.epoch != holder.epoch:
+                _log.warning("A lease was lost.", pool=pool, epoch=holder.epoch)
+                self._stop_holder(pool)
+        if self._is_leaving:
+            return
+        for pool, held in list(held_by_pool.items()):
+            acquisition = self._acquisitions.get(pool)
+            if pool in self._holders or acquisition is None:
+                continue
+            if acquisition.epoch == held.lease.epoch:
+                del self._acquisitions[pool]
+                self._start_holder(pool, acquisition, group)
+
+    def _start_holder(
+        self, pool: ids.PoolName, acquisition: _Acquisition, group: asyncio.TaskGroup
+    ) -> None:
+        age_s = round(self._loop.time() - acquisition.sent_s, 3)
+        _log.info("A lease is taken.", pool=pool, epoch=acquisition.epoch, age_s=age_s)
+        holder = self._make_holder(pool, acquisition.sent_s)
         self._holders[pool] = holder, group.create_task(self._run_holder(pool, holder))
 
     async def _run_holder(self, pool: ids.PoolName, holder: LeaseHolder) -> None:
@@ -224,7 +278,9 @@
             await holder.run()
         except* writer.LeaseLost as lost:
             _log.warning("A lease was lost.", pool=pool, why=str(lost.exceptions[0]))
-            self._lease_set.drop(pool)
+            held = self._lease_set.held.get(pool)
+            if held is not None and held.lease.epoch == holder.epoch:
+                self._lease_set.drop(pool)
         except* Exception as fault:
             # Another entry, or a new holder at this entry, resumes from the stored rows.
             _log.error("A holder failed.", pool=pool, exc_info=fault)
@@ -247,15 +303,18 @@
                 committed = await self._rows.commit(self._lease_set.make_release(pool))
             except exceptions.TableError as error:
                 _log.warning("Failed to release a lease.", pool=pool, why=str(error))
-                break
+                await asyncio.sleep(_RETRY_DELAY_S)
+                continue
+            for row in committed.rows:
+                self._store_lease_row(row)
             if committed.ok:
                 self._lease_set.drop(pool)
                 return True
             # The holder's last transaction may have changed the row after the holder was cancelled.
-            row = next((row for row in committed.rows if row.key == leases.key(pool)), None)
-            if row is None or not self._lease_set.is_held(row):
+            changed = next((row for row in committed.rows if row.key == leases.key(pool)), None)
+            if changed is None or not self._lease_set.is_held(changed):
                 break
-            self._lease_set.observe_held(row, self._loop.time())
+            self._lease_set.observe_held(changed, self._loop.time())
         self._lease_set.drop(pool)
         return False
 
@@ -264,8 +323,8 @@
         self._stop_holder(pool)
         if running is not None:
             await asyncio.wait([running[1]])
-            if await self._release_lease(pool):
-                _log.info("A lease is given back.", pool=pool)
+        if await self._release_lease(pool):
+            _log.info("A lease is given back.", pool=pool)
 
     async def _watch_table(self) -> None:
         """Relinquish all leases when other entries reach the table, but this one does not."""
@@ -333,9 +392,8 @@
         self._is_leaving = True
         try:
             async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                await asyncio.gather(
-                    *[self._stop_and_release(pool) for pool in list(self._holders)]
-                )
+                pools = self._holders.keys() | self._lease_set.held.keys()
+                await asyncio.gather(*[self._stop_and_release(pool) for pool in sorted(pools)])
                 row = msgspec.structs.replace(self._make_row(0), leaving=True)
                 write = platform.Write(f"entries//{row.entry}", codecs.pack(row))
                 await self._rows.commit(platform.Transaction(writes=(write,)))
@@ -345,7 +403,3 @@
 
 def _make_lease_row(held: leases.HeldLease) -> platform.Row:
     return platform.Row(leases.key(held.lease.pool), held.version, codecs.pack(held.lease))
-
-
-def _get_pool(key: str) -> ids.PoolName:
-    return ids.PoolName(key.removeprefix(leases.PREFIX))
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -1,5 +1,6 @@
 """Allocate the leases of pools to entries, and make transactions that only the holder can apply."""
 
+import collections.abc
 import dataclasses
 import hashlib
 import math
@@ -57,6 +58,11 @@
     return PREFIX + pool
 
 
+def get_pool(row_key: str) -> ids.PoolName:
+    """Return the pool of a lease's row."""
+    return ids.PoolName(row_key.removeprefix(PREFIX))
+
+
 def make_operation_id(lease: LeaseRow, subject: str, step: int) -> ids.OperationId:
     """Return the id of an order, which consists of pool, epoch, subject and step."""
     return ids.OperationId(f"{lease.pool}:{lease.epoch}:{subject}:{step}")
@@ -118,6 +124,9 @@
         before = set(self.held)
         self.held.clear()
         for row in rows:
+            if not row.version:
+                self._forget(get_pool(row.key), now_s)
+                continue
             lease = codecs.unpack(row.value, LeaseRow)
             observation = self._observations.get(lease.pool)
             if observation is None or observation.version != row.version:
@@ -131,6 +140,12 @@
             self._held_since_s.pop(pool, None)
         return lost
 
+    def _forget(self, pool: ids.PoolName, now_s: float) -> None:
+        """Apply the deletion of a lease's row."""
+        if self._rows.pop(pool, None) is not None:
+            self._leases.pop(pool, None)
+            self._observations[pool] = _Observation(0, now_s)
+
     def observe_held(self, row: platform.Row, now_s: float) -> None:
         """Apply the row of a lease that this entry wrote as its holder."""
         lease = codecs.unpack(row.value, LeaseRow)
@@ -197,16 +212,19 @@
         return selected
 
     def select_next_to_acquire(
-        self, pools: list[ids.PoolName], now_s: float
+        self,
+        pools: list[ids.PoolName],
+        running: collections.abc.Collection[ids.PoolName],
+        now_s: float,
     ) -> ids.PoolName | None:
-        """Choose one free lease; an entry waits longer the more leases it holds.
+        """Choose one free lease; an entry waits longer the more pools run at it.
 
         An entry does not leave leases beyond its share to others, as the work of a pool stops while
-        no entry holds its lease.
+        no entry holds its lease. A lease that this entry holds without running the pool is free.
         """
-        delay_s = self._delay_s + _DELAY_PER_HELD_LEASE_S * len(self.held)
+        delay_s = self._delay_s + _DELAY_PER_HELD_LEASE_S * len(running)
         for pool in sorted(pools, key=lambda pool: -_get_weight(pool, self.entry)):
-            if pool in self.held:
+            if pool in running:
                 continue
             self._observations.setdefault(pool, _Observation(0, now_s))
             if now_s >= self._get_free_since_s(pool) + delay_s:
@@ -222,11 +240,13 @@
             return relinquished.since_s
         return since_s + self.duration_s
 
-    def select_to_reacquire(self, pools: list[ids.PoolName]) -> ids.PoolName | None:
+    def select_to_reacquire(
+        self, pools: list[ids.PoolName], running: collections.abc.Collection[ids.PoolName]
+    ) -> ids.PoolName | None:
         """Choose one lease that an earlier process of this entry held and did not release."""
         for pool in sorted(pools):
             lease = self._leases.get(pool)
-            if lease is not None and lease.holder == self.entry and pool not in self.held:
+            if lease is not None and lease.holder == self.entry and pool not in running:
                 return pool
         return None
 
@@ -245,6 +265,11 @@
         excess = len(self.held) - len(undeclared) - _get_share(pools, entries)
         return undeclared + by_weight[: max(0, excess)]
 
+    def get_next_epoch(self, pool: ids.PoolName) -> ids.Epoch:
+        """Return the epoch in which the next acquisition holds a lease."""
+        lease = self._leases.get(pool)
+        return ids.Epoch(lease.epoch + 1 if lease else 1)
+
     def make_acquisition(self, pool: ids.PoolName) -> platform.Transaction:
         """Return the transaction that acquires a lease with the next epoch."""
         row, lease = self._rows.get(pool), self._leases.get(pool)
@@ -252,7 +277,7 @@
             pool=pool,
             holder=self.entry,
             incarnation=self.incarnation,
-            epoch=ids.Epoch(lease.epoch + 1 if lease else 1),
+            epoch=self.get_next_epoch(pool),
             revision=lease.revision if lease else 0,
             address=self._address,
         )
