A stored task recovers only while somebody may have started it

Cause: two facts answered whether somebody may have started a task, and differed in the first epoch. All loaded jobs recovered, and recovering tasks were queued as a takeover ended, which never came. The same facts allowed the opposite: an empty or old list of the workers in use let the next holder start tasks again, and so did occurrences that became due during a takeover or by a slower clock.

Scheduler.is_reconciled is the one answer now, recovering tasks are queued whenever it is true, and a worker gets no start before a stored row names it.

--- a/features/standstill.py
+++ b/features/standstill.py
@@ -227,8 +227,18 @@
         ]:
             self._send(order)
         self.scheduler.registry.dirty.clear()
+        self._check_recovering()
         self._record_waits()
 
+    def _check_recovering(self):
+        """Check that no task recovers once every incarnation is accounted for."""
+        recovering = self.scheduler.registry.recovering
+        assert not (self.scheduler.is_reconciled and recovering), recovering
+        for record in self.scheduler.registry.live.values():
+            for task in record.iterate_tasks():
+                is_recovering = task.phase is fleetview.Phase.RECOVERING
+                assert is_recovering == (task in recovering), self.describe(task)
+
     def _record_waits(self):
         self.waiting_since_s = {
             task: self.waiting_since_s.get(task, self.now_s) for task in self.get_blocked()
@@ -363,8 +373,7 @@
             self.scheduler.registry.add(
                 record.job, record.progress, record.accepted_s, 0, may_run=True, now_s=self.now_s
             )
-        if previous.is_reconciled:
-            self.used_incarnations = previous.get_incarnations_in_use(self.now_s)
+        self.used_incarnations = previous.get_incarnations_in_use(self.now_s)
         self.scheduler.expect_incarnations(self.used_incarnations)
         self.waiting_since_s = {}
         self.log_event(f"epoch {self.epoch} takes over")
--- a/features/steps/expired_permission_steps.py
+++ b/features/steps/expired_permission_steps.py
@@ -43,7 +43,7 @@
     holder = get_holder(context)
     job = jobsite.job(1, jobs_steps.parse_steps("8"))
     context.world.jobs[job.job] = job
-    holder._add(job, None, jobs_steps.get_time_s(), may_run=False)
+    holder._add(job, jobs_steps.get_time_s())
     if orders == "stops":
         await asyncio.sleep(1.0)
         for task in holder.scheduler.registry.records[job.job].iterate_tasks():
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import time
 
 from nutmegshelf import (
@@ -84,7 +85,8 @@
             self.epoch,
             lease_expiry_s=lease_expiry_s,
             now_s=self._loop.time(),
-            is_takeover=self.epoch > 1,
+            is_takeover=True,
+            records_incarnations=True,
             router=transport.router,
         )
         self.writer = writer.Writer(rows, lease_set, pool, acquired_s)
@@ -98,6 +100,8 @@
             self.scheduler, self._links, transport, pool=pool, wake=self.wake
         )
         self._stored_incarnations: loading.IncarnationHosts | None = None
+        # Set when workers appeared that are not stored as used yet.
+        self._workers_added = asyncio.Event()
         self._inbox = inbox.Inbox()
         self._wake_event = asyncio.Event()
         self._orders_allowed = asyncio.Event()
@@ -193,7 +197,7 @@
 
     def _handle_accepted(self, job: jobs.Job) -> None:
         arrived_s = self._arrived_s.pop(job.job, self._loop.time())
-        self._add(job, None, arrived_s, may_run=False)
+        self._add(job, arrived_s)
         self.wake()
 
     def _get_state(self, job: ids.JobId) -> calls.Reply:
@@ -234,40 +238,31 @@
         )
         return calls.Reply(status=calls.Status.DONE, count=pending)
 
-    def _add(
-        self,
-        job: jobs.Job,
-        progress: jobs.Progress | None,
-        arrived_s: float,
-        *,
-        may_run: bool,
-    ) -> None:
-        if job.job in self._unusable:
+    def _add(self, job: jobs.Job, arrived_s: float) -> None:
+        """Add a job that was stored in this epoch."""
+        if job.job in self._unusable or job.job in self.scheduler.registry.records:
             return
-        is_known = job.job in self.scheduler.registry.records
-        try:
-            record = self.scheduler.registry.add(
-                job, progress, arrived_s, _now_ms(), may_run=may_run, now_s=self._loop.time()
-            )
-            if may_run and record.is_live:
-                self.scheduler.losses.expect_unresolved(record, self._loop.time())
-        except Exception as error:
-            # The other jobs of the service must run, here and at every later holder.
-            _log.error("A stored job can't be used.", job=job.job, pool=self.pool, exc_info=error)
-            self.scheduler.registry.discard(job.job)
-            self._unusable.add(job.job)
-            return
-        if not is_known and not may_run:
-            self.scheduler.record_arrival(job)
+        with self._leave_out_unusable(job):
+            self.scheduler.add_job(job, arrived_s, self._loop.time(), _now_ms())
             _log.info(
                 "A job is taken in.",
                 job=job.job,
                 queue=job.queue.name,
                 pool=self.pool,
                 tasks=sum(step.count for step in job.steps),
-                chain_s=round(record.critical_path_s, 3),
+                chain_s=round(self.scheduler.registry.records[job.job].critical_path_s, 3),
             )
 
+    @contextlib.contextmanager
+    def _leave_out_unusable(self, job: jobs.Job) -> collections.abc.Iterator[None]:
+        """Leave a job out that can't be added; the others must run, here and at later holders."""
+        try:
+            yield
+        except Exception as error:
+            _log.error("A stored job can't be used.", job=job.job, pool=self.pool, exc_info=error)
+            self.scheduler.registry.discard(job.job)
+            self._unusable.add(job.job)
+
     # --- notices from the table, and the fleet's list
 
     def notify(self, notice: jobs.Notice) -> None:
@@ -297,7 +292,7 @@
                 return
             job = rowcodec.decode(row, jobs.Job) if row.version else None
             if job is not None:
-                self._add(job, None, self._loop.time(), may_run=False)
+                self._add(job, self._loop.time())
         # More notices may have arrived during the read, and a cancelled job must not start.
         for notice in [*notices, *self._inbox.pop_job(name)]:
             self._apply_notice(notice)
@@ -316,7 +311,8 @@
         self._listed = list(listed)
         if not self.is_loaded or self._group is None:
             return
-        self.scheduler.update_workers(self._listed, self._loop.time())
+        if self.scheduler.update_workers(self._listed, self._loop.time()):
+            self._workers_added.set()
         self._update_links()
         self.wake()
 
@@ -374,20 +370,17 @@
         stored = await loading.read_with_retries(
             self.pool, lambda: loading.load_service(self._rows, self.pool)
         )
+        await self._expect_runs(stored)
         now_ms, now_s = _now_ms(), self._loop.time()
         self._unusable = stored.unreadable
         for job in stored.submitted:
             age_s = max(0, now_ms - job.accepted_ms) / 1000
-            self._add(job, stored.progress.get(job.job), now_s - age_s, may_run=True)
+            progress = stored.progress.get(job.job)
+            with self._leave_out_unusable(job):
+                self.scheduler.load_job(job, progress, now_s - age_s, now_s, now_ms)
         # A cancelled job must not start, so notices are applied before the first order.
         for notice in stored.notices:
             self._apply_notice(notice)
-        if stored.incarnations is None:
-            self.scheduler.expect_unknown_incarnations()
-        elif self.epoch > 1:
-            self.scheduler.expect_incarnations(
-                await loading.filter_live(self._hosts, self.pool, stored.incarnations)
-            )
         self.is_loaded = True
         _log.info(
             "A service is held.",
@@ -400,19 +393,41 @@
             for notice in notices:
                 self.notify(notice)
 
+    async def _expect_runs(self, stored: loading.StoredService) -> None:
+        """Tell the scheduler which workers may run tasks that an earlier holder started."""
+        if self.epoch == 1 and not stored.has_incarnation_row:
+            self.scheduler.expect_no_runs()
+        elif stored.incarnations is None:
+            self.scheduler.expect_unknown_incarnations()
+        else:
+            self._stored_incarnations = sorted(stored.incarnations)
+            recorded = [incarnation for incarnation, _ in stored.incarnations]
+            self.scheduler.set_recorded(recorded, is_stored=True)
+            self.scheduler.expect_incarnations(
+                await loading.filter_live(self._hosts, self.pool, stored.incarnations)
+            )
+
     async def _store_incarnations(self) -> None:
-        incarnations = self.scheduler.get_incarnations_in_use(self._loop.time())
-        # Until the takeover is reconciled, the row must keep the incarnations of an earlier holder.
-        if incarnations == self._stored_incarnations or not self.scheduler.is_reconciled:
+        """Store which workers a later holder has to poll, before any of them gets a start."""
+        in_use = self.scheduler.get_incarnations_in_use(self._loop.time())
+        if in_use is None or in_use == self._stored_incarnations:
             return
-        self._stored_incarnations = incarnations
+        self._stored_incarnations = in_use
+        incarnations = [incarnation for incarnation, _ in in_use]
+        self.scheduler.set_recorded(incarnations, is_stored=False)
         key = f"{loading.INCARNATIONS}/{self.pool}/lives"
-        await self.writer.write_and_wait(platform.Write(key, codecs.pack(incarnations)))
+        await self.writer.write_and_wait(platform.Write(key, codecs.pack(in_use)))
+        if self._stored_incarnations is in_use:
+            self.scheduler.set_recorded(incarnations, is_stored=True)
+            self.wake()
 
     async def _track_incarnations(self) -> None:
         while True:
+            self._workers_added.clear()
             await self._store_incarnations()
-            await asyncio.sleep(_TICK_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_TICK_S):
+                    await self._workers_added.wait()
 
     async def _drop_ended_incarnations(self) -> None:
         """Drop the unreported incarnations whose host was moved, until none is left unreported."""
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
@@ -25,7 +25,8 @@
 class StoredService:
     """The stored rows of one service, and the worker incarnations that its last holder used.
 
-    The incarnations are None if their row is malformed.
+    The incarnations are None if their row is malformed. A service without such a row has never had
+    a holder that started anything.
     """
 
     submitted: list[jobs.Job]
@@ -34,6 +35,7 @@
     unreadable: set[ids.JobId]
     notices: list[jobs.Notice]
     incarnations: IncarnationHosts | None
+    has_incarnation_row: bool
 
 
 async def read_with_retries(
@@ -78,6 +80,7 @@
             if (notice := rowcodec.decode(row, jobs.Notice)) is not None
         ],
         incarnations=_decode_incarnations(incarnation_rows),
+        has_incarnation_row=bool(incarnation_rows),
     )
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -57,6 +57,7 @@
     """The reason that a worker gets no new tasks."""
 
     NOT_POLLED = "not asked yet"
+    NOT_RECORDED = "not stored as used yet"
     DRAINING = "drains or is not listed"
     RECLAIMED = "its host is asked for"
     UNRESPONSIVE = "does not answer"
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -32,6 +32,8 @@
     occurrences: dict[int, list[TaskSet]] = dataclasses.field(default_factory=dict)
     ready: dict[jobs.TaskKey, fleetview.Task] = dataclasses.field(default_factory=dict)
     ended_s: float = 0.0
+    # Whether the job was stored before this epoch, so that an earlier holder may have run it.
+    is_from_earlier_epoch: bool = False
     # Whether tasks may still run at workers that an earlier holder used.
     has_recovering: bool = False
     _remaining_path_s: float | None = None
@@ -161,6 +163,7 @@
         progress = progress or jobs.Progress(job=job.job)
         record = JobRecord(job, progress, accepted_s, get_critical_path_s(job))
         record.published_state = progress.state
+        record.is_from_earlier_epoch = may_run
         self.records[job.job] = record
         if record.is_live:
             self.live[job.job] = record
@@ -186,6 +189,21 @@
                 break
             self._open_occurrence(record, number, may_run)
 
+    def find_task(self, record: JobRecord, key: jobs.TaskKey) -> fleetview.Task | None:
+        """Return a reported task of a job, or None if there is none.
+
+        An earlier holder may have opened its occurrence by a clock that is ahead of this one.
+        """
+        if (
+            record.is_live
+            and record.is_from_earlier_epoch
+            and key.occurrence < record.job.occurrence_count
+            and key.occurrence not in record.occurrences
+            and key.occurrence not in record.progress.finished
+        ):
+            self._open_occurrence(record, key.occurrence, may_run=True)
+        return record.get_task(key)
+
     def _open_occurrence(self, record: JobRecord, number: int, may_run: bool) -> None:
         stored = record.progress.steps.setdefault(
             number, [jobs.StepProgress() for _ in record.job.steps]
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -55,7 +55,7 @@
     ) -> None:
         key = jobs.parse_task_name(reported.task)
         record = self._registry.records.get(key.job) if key else None
-        task = record.get_task(key) if record and key else None
+        task = self._registry.find_task(record, key) if record and key else None
         if task is not None:
             task = _get_run(task, worker.facts.incarnation, reported.run)
         if record is None or task is None or not record.is_live:
@@ -86,7 +86,7 @@
     def _apply_end(self, worker: fleetview.Worker, end: fleetview.RunEnd, now_s: float) -> None:
         key = jobs.parse_task_name(end.task)
         record = self._registry.records.get(key.job) if key else None
-        task = record.get_task(key) if record and key else None
+        task = self._registry.find_task(record, key) if record and key else None
         if record is None or task is None:
             return
         task = _get_run(task, worker.facts.incarnation, end.run)
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -33,6 +33,7 @@
 _SOON_OPEN = (
     None,
     fleetview.Unavailability.NOT_POLLED,
+    fleetview.Unavailability.NOT_RECORDED,
     fleetview.Unavailability.FULL,
     fleetview.Unavailability.UNKNOWN_RUNS,
 )
@@ -48,10 +49,13 @@
         lease_expiry_s: float,
         now_s: float,
         is_takeover: bool,
+        records_incarnations: bool = False,
         router: window.StartRouter | None = None,
     ) -> None:
         self.registry = registry.JobRegistry(epoch)
         self.workers: dict[fleetview.Incarnation, fleetview.Worker] = {}
+        # The incarnations that a later holder will know of, if they have to be stored for it.
+        self._recorded: set[fleetview.Incarnation] | None = set() if records_incarnations else None
         self.notes = notes.Notes()
         self.closed_hosts = evacuation.ClosedHosts()
         self.estimates = estimates.Estimates()
@@ -73,6 +77,31 @@
         self.losses = losses.LossTracker(self.registry, self.notes)
         self._stall_detector = stalls.StallDetector(self.registry, self.notes)
 
+    # --- jobs
+
+    def load_job(
+        self,
+        job: jobs.Job,
+        progress: jobs.Progress | None,
+        accepted_s: float,
+        now_s: float,
+        now_ms: int,
+    ) -> registry.JobRecord:
+        """Add a job that was stored before this epoch, so that its tasks may have been started."""
+        record = self.registry.add(
+            job, progress, accepted_s, now_ms, may_run=not self.is_reconciled, now_s=now_s
+        )
+        if record.is_live:
+            self.losses.expect_unresolved(record, now_s)
+        return record
+
+    def add_job(self, job: jobs.Job, accepted_s: float, now_s: float, now_ms: int) -> None:
+        """Add a job that was stored in this epoch, in which only this holder starts its tasks."""
+        if job.job in self.registry.records:
+            return
+        self.registry.add(job, None, accepted_s, now_ms, may_run=False, now_s=now_s)
+        self.record_arrival(job)
+
     def record_arrival(self, job: jobs.Job) -> None:
         """Add the expected work of a new job to the amount that has arrived."""
         ratio = self.estimates.get_ratio(job.queue.name)
@@ -164,6 +193,10 @@
         """Set the incarnations of workers that an earlier holder used."""
         self._takeover.expect(incarnations)
 
+    def expect_no_runs(self) -> None:
+        """Set that no earlier holder can have started anything."""
+        self._takeover.expect_none()
+
     def expect_unknown_incarnations(self) -> None:
         """Wait for the leases of an earlier holder, as it is unknown which workers it used."""
         self._takeover.expect_unknown()
@@ -216,7 +249,8 @@
         for job, record in list(self.registry.live.items()):
             if record.job.occurrences:
                 with self._containment.confine(job, now_s, "its due occurrences"):
-                    self.registry.open_due_occurrences(record, now_ms)
+                    may_run = record.is_from_earlier_epoch and not self.is_reconciled
+                    self.registry.open_due_occurrences(record, now_ms, may_run=may_run)
         self.losses.expire(now_s)
         self._reconcile(now_s)
         if self._stall_detector.is_due(now_s):
@@ -231,17 +265,45 @@
 
     def get_incarnations_in_use(
         self, now_s: float
-    ) -> list[tuple[fleetview.Incarnation, ids.HostId]]:
-        """Return the incarnations, with their hosts, that a later holder must poll or wait for."""
-        return sorted(
-            (incarnation, worker.facts.host)
+    ) -> list[tuple[fleetview.Incarnation, ids.HostId]] | None:
+        """Return the incarnations, with their hosts, that a later holder must poll or wait for.
+
+        They are None while it is unknown which ones an earlier holder used.
+        """
+        in_use = {
+            incarnation: worker.facts.host
             for incarnation, worker in self.workers.items()
             if worker.tasks
             or (worker.is_listed and not self.closed_hosts.is_closed(worker.facts.host, now_s))
-        )
+        }
+        if not self.is_reconciled:
+            expected = self._takeover.get_expected()
+            if expected is None:
+                return None
+            in_use = {**expected, **in_use}
+        return sorted(in_use.items())
+
+    def set_recorded(
+        self, incarnations: collections.abc.Iterable[fleetview.Incarnation], *, is_stored: bool
+    ) -> None:
+        """Set the incarnations that a later holder will know of.
+
+        Until they are known to be stored, the row may still hold the former ones.
+        """
+        if self._recorded is not None:
+            self._recorded = set(incarnations) if is_stored else self._recorded & set(incarnations)
+
+    def _is_recorded(self, incarnation: fleetview.Incarnation) -> bool:
+        # A later holder waits for the leases of all workers if it can't know which were used.
+        if self._recorded is None or (
+            not self.is_reconciled and self._takeover.get_expected() is None
+        ):
+            return True
+        return incarnation in self._recorded
 
     def _reconcile(self, now_s: float) -> None:
-        if self._takeover.reconcile(self.workers, now_s):
+        self._takeover.update(self.workers, now_s)
+        if self.is_reconciled:
             for task in list(self.registry.recovering):
                 self.registry.requeue_recovering(task)
 
@@ -458,6 +520,8 @@
         """Return why a worker gets no new tasks, or None if it may get some."""
         if not worker.is_polled:
             return fleetview.Unavailability.NOT_POLLED
+        if not self._is_recorded(worker.facts.incarnation):
+            return fleetview.Unavailability.NOT_RECORDED
         if worker.is_closed:
             return fleetview.Unavailability.DRAINING
         if self.closed_hosts.is_closed(worker.facts.host, now_s):
--- a/packages/nutmegshelf/src/nutmegshelf/takeover.py
+++ b/packages/nutmegshelf/src/nutmegshelf/takeover.py
@@ -35,6 +35,15 @@
         """Set that any incarnation may run tasks of an earlier holder until its leases expire."""
         self._is_incomplete = True
 
+    def expect_none(self) -> None:
+        """Set that no earlier holder can have started anything."""
+        self.is_reconciled = True
+        self.leases_expire_s = 0.0
+
+    def get_expected(self) -> Incarnations | None:
+        """Return the incarnations that an earlier holder used, or None if they are unknown."""
+        return None if self._is_incomplete else self._expected
+
     def has_ended(self, incarnation: fleetview.Incarnation) -> bool:
         """Return whether an incarnation is proven to have ended."""
         return incarnation in self._ended
@@ -90,12 +99,10 @@
             and all(incarnation.born_ms < newest for incarnation in missing)
         )
 
-    def reconcile(self, workers: Workers, now_s: float) -> bool:
-        """Return whether the last incarnation became accounted for by this call."""
-        if self.is_reconciled:
-            return False
-        self.is_reconciled = now_s > self.leases_expire_s or self._have_all_reported(workers)
-        return self.is_reconciled
+    def update(self, workers: Workers, now_s: float) -> None:
+        """Set whether every incarnation is accounted for, which stays so once it is."""
+        if not self.is_reconciled:
+            self.is_reconciled = now_s > self.leases_expire_s or self._have_all_reported(workers)
 
     def _have_all_reported(self, workers: Workers) -> bool:
         if self._is_incomplete:
