A report that leaves out ends proves nothing of the runs that it leaves out

Callers saw tasks run again after they had ended done: over 500 ends waited at one worker, and the next holder, or one that had stood still for 2.6 s, started again what the first list left out.

Cause: a worker lists 500 ends at a time, and every list was taken for a whole one, by the takeover, by the check for absent runs, and by whatever calls a worker idle, free or cleared. The platform's folder now says whether a report is complete; until it is, nothing is concluded from absence, and the worker gets no starts. A takeover no longer ends by the leases of the earlier holder for workers that this holder polls, as it extends their leases.

Also: an empty token of the list of machines, a machine in an unknown state, a feed that has more.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -26,6 +26,8 @@
 MAX_FURTHER_STARTS = 3
 # How long a start waits for its answer.
 START_TIMEOUT_S = 0.4
+# How many ends a worker lists at a time.
+MAX_LISTED_ENDS = 500
 
 
 @dataclasses.dataclass
@@ -433,8 +435,13 @@
             for run in minion.runs.values()
         )
         await asyncio.sleep(minion.poll_delay_s)
+        ends = tuple(minion.ends[:MAX_LISTED_ENDS])
         return orders.PollResult(
-            facts.incarnation.born_ms, minion.clock_ms(), listed, tuple(minion.ends)
+            facts.incarnation.born_ms,
+            minion.clock_ms(),
+            listed,
+            ends,
+            is_complete=len(ends) < MAX_LISTED_ENDS,
         )
 
     def _percent(self, run, now_s):
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -74,6 +74,24 @@
       | {"clockMs":1,"running":[["0.0.0.0"]]}                          |
       | no object                                                      |
 
+  Scenario Outline: A poll whose list of ends is cut off counts as complete
+    Then a poll that returns <count> ends is <completeness>
+
+    Examples:
+      | count | completeness |
+      | 0     | complete     |
+      | 499   | complete     |
+      | 500   | incomplete   |
+
+  Scenario Outline: A list of hosts <kind> ends a holder or never ends
+    Then a list of hosts <kind> gives "<outcome>"
+
+    Examples:
+      | kind                          | outcome          |
+      | in 2 parts                    | 2 hosts          |
+      | with an empty token           | 1 hosts          |
+      | with a state that is not known | HostsUnavailable |
+
   Scenario Outline: A worker row that is <fault> is ignored
     When a worker row is <fault>
     Then the row is ignored
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,7 +8,7 @@
 import msgspec
 from nutmegshelf import exceptions, fleetview, jobs, orders, platform, timeouts
 from nutmegshelf_http import server
-from nutmegshelf_platform import codec, fleet, minions, operators, store
+from nutmegshelf_platform import cloud, codec, fleet, minions, operators, store
 
 from features import jobsite, jobworld, platformsite
 
@@ -302,25 +302,56 @@
     assert context.error is not None and context.error.response.status == status, context.error
 
 
+async def serve(answer, call):
+    """Call a server whose answers are the given bodies; return the result, or the error's name."""
+
+    async def respond(exchange):
+        await exchange.respond(200, [(b"content-type", b"application/json")], answer())
+
+    stand_in = server.Server(respond)
+    address = f"127.0.0.1:{await stand_in.start('127.0.0.1', 0)}"
+    try:
+        return await call(address)
+    except (exceptions.WorkerError, exceptions.HostsError) as raised:
+        return type(raised).__name__
+    finally:
+        await stand_in.close()
+
+
+async def poll(address):
+    facts = dataclasses.replace(jobsite.worker_facts(), address=address)
+    return await minions.WorkerClient().poll(
+        facts, fencing_token=1, last_seen=0, lease_until_ms=1, wait_s=0.0, timeout_s=2.0
+    )
+
+
 @behave.then('a poll that is answered with {body} raises "{error}"')
 def check_malformed_poll(context, body, error):
-    async def poll():
-        async def answer(exchange):
-            await exchange.respond(200, [(b"content-type", b"application/json")], body.encode())
-
-        worker = server.Server(answer)
-        facts = dataclasses.replace(
-            jobsite.worker_facts(), address=f"127.0.0.1:{await worker.start('127.0.0.1', 0)}"
-        )
-        try:
-            await minions.WorkerClient().poll(
-                facts, fencing_token=1, last_seen=0, lease_until_ms=1, wait_s=0.0, timeout_s=2.0
-            )
-        except exceptions.WorkerError as raised:
-            return type(raised).__name__
-        finally:
-            await worker.close()
-        return None
-
-    raised = context.run(poll())
+    raised = context.run(serve(body.encode, poll))
     assert raised == error, raised
+
+
+@behave.then("a poll that returns {count:d} ends is {completeness}")
+def check_completeness(context, count, completeness):
+    ends = [[number + 1, "0.0.0.0", 1, "done", ""] for number in range(count)]
+    body = json.dumps({"clockMs": 1, "finished": ends}).encode()
+    result = context.run(serve(lambda: body, poll))
+    assert result.is_complete == (completeness == "complete"), result.is_complete
+
+
+@behave.then('a list of hosts {kind} gives "{outcome}"')
+def check_hosts(context, kind, outcome):
+    machine = {"machine": "m", "pool": "a", "state": "up"}
+    bodies = {
+        "in 2 parts": [{"machines": [machine], "nextToken": "t"}, {"machines": [machine]}],
+        "with an empty token": [{"machines": [machine], "nextToken": ""}],
+        "with a state that is not known": [{"machines": [{**machine, "state": "new"}]}],
+    }[kind]
+    pages = iter(bodies)
+
+    async def list_hosts(address):
+        hosts = await cloud.HostClient(address, None, "e0").list_hosts()
+        return f"{len(hosts)} hosts"
+
+    listed = context.run(serve(lambda: json.dumps(next(pages)).encode(), list_hosts))
+    assert listed == outcome, listed
--- a/features/steps/unaccounted_run_steps.py
+++ b/features/steps/unaccounted_run_steps.py
@@ -229,7 +229,7 @@
     context.task = context.record.get_task(key)
 
 
-@behave.then("the task is {state}")
+@behave.then("the task of that occurrence is {state}")
 def check_task(context, state):
     assert context.task is not None, "the occurrence is not known"
     assert context.task.phase.value == state, context.task
--- a/features/unaccounted_runs.feature
+++ b/features/unaccounted_runs.feature
@@ -45,7 +45,7 @@
   Scenario Outline: An occurrence that an earlier holder opened by a faster clock starts again
     Given a scheduled job of which a worker <has> a task of an occurrence that is not due yet
     When a holder with a slower clock takes over and the worker reports
-    Then the task is <state>
+    Then the task of that occurrence is <state>
     And no other task of it is recovering
 
     Examples:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -10,6 +10,9 @@
 
 # Runs that end within this time are reported by one poll.
 _MIN_POLL_INTERVAL_S = 0.025
+# The same while a worker has ends left that it lists only once the others are acknowledged. Long
+# lists are costly to read, and are repeated until the table has stored them.
+_UNREAD_POLL_INTERVAL_S = 0.06
 _IDLE_POLL_WAIT_S = 2.0
 _BUSY_POLL_WAIT_S = 1.0
 # Poll wait while the effect of an acknowledged stop is outstanding.
@@ -88,7 +91,9 @@
             try:
                 await self._poll_interruptibly(worker)
                 backoff_s = _MIN_BACKOFF_S
-                await asyncio.sleep(_MIN_POLL_INTERVAL_S)
+                await asyncio.sleep(
+                    _MIN_POLL_INTERVAL_S if worker.is_report_complete else _UNREAD_POLL_INTERVAL_S
+                )
             except TimeoutError:
                 continue  # An immediate poll was requested.
             except exceptions.WorkerError as error:
@@ -147,7 +152,13 @@
             _log.info("A worker answers again.", worker=self._incarnation.worker)
         self._scheduler.apply_report(
             fleetview.WorkerReport(
-                self._incarnation, result.clock_ms, sent_s, received_s, result.running, result.ends
+                self._incarnation,
+                result.clock_ms,
+                sent_s,
+                received_s,
+                result.running,
+                result.ends,
+                result.is_complete,
             )
         )
         self._wake()
@@ -284,6 +295,8 @@
 
 
 def _get_poll_wait_s(worker: fleetview.Worker) -> float:
+    if not worker.is_report_complete:
+        return 0.0
     if not worker.tasks:
         return _IDLE_POLL_WAIT_S
     if any(task.stop_acked_s is not None for task in worker.tasks.values()):
--- a/packages/nutmegshelf/src/nutmegshelf/crashes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/crashes.py
@@ -46,7 +46,7 @@
         case fleetview.Phase.STARTING:
             return task.is_sent
         case _:
-            return True
+            return not task.is_end_unread
 
 
 def make_unresolved(
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -64,6 +64,7 @@
     QUARANTINED = "failed what it started"
     FULL = "refused a start for want of room"
     UNKNOWN_RUNS = "runs what it has been told to stop"
+    REPORT_INCOMPLETE = "has ends that are not read yet"
 
 
 class LossCause(enum.Enum):
@@ -102,6 +103,8 @@
     is_sent: bool = False
     # A worker report sent after the run began did not list it.
     is_missing: bool = False
+    # The run has ended, but how is not among the ends that its worker has listed so far.
+    is_end_unread: bool = False
     # Another run of the same task, where its step is speculative.
     duplicate: "Task | None" = None
     # How long the task waited for its eviction from the last host.
@@ -155,6 +158,8 @@
     received_s: float
     running: tuple[ReportedRun, ...]
     ends: tuple[RunEnd, ...]
+    # Whether no end was left out; the rest is listed once these ends are acknowledged.
+    is_complete: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -204,6 +209,8 @@
     is_listed: bool = True
     is_closed: bool = False
     is_polled: bool = False
+    # Whether the last report listed all ends that were not acknowledged.
+    is_report_complete: bool = True
     tasks: dict[jobs.TaskKey, Task] = dataclasses.field(default_factory=dict)
     free: Resources = dataclasses.field(init=False)
     leased_until_s: float = 0.0
@@ -261,6 +268,16 @@
             if not self.tasks:
                 self.idle_since_s = now_s
 
+    @property
+    def is_accounted_for(self) -> bool:
+        """Return whether the worker has reported all that runs or has ended there."""
+        return self.is_polled and self.is_report_complete
+
+    @property
+    def is_occupied(self) -> bool:
+        """Return whether something runs on the worker, or has ended there in a way yet unread."""
+        return bool(self.tasks or self.unknown_runs) or not self.is_report_complete
+
     @property
     def long_running_count(self) -> int:
         """Return the number of long-running tasks on the worker."""
@@ -296,6 +313,9 @@
         if self.unknown_runs:
             # They take room until they have ended, and it is not known how much.
             return Unavailability.UNKNOWN_RUNS
+        if not self.is_report_complete:
+            # More starts would add to the ends that it has to keep.
+            return Unavailability.REPORT_INCOMPLETE
         return Unavailability.FULL if now_s < self.start_refused_s + _REFUSAL_PAUSE_S else None
 
     def extend_lease(self, sent_s: float, lease_s: float) -> float:
--- a/packages/nutmegshelf/src/nutmegshelf/needs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/needs.py
@@ -66,9 +66,7 @@
         running += used
         long_running += _get_used_millis(facts, worker.get_room_beside_long_running())
         is_reserved = facts.incarnation in simulated.reserved
-        is_idle = (
-            not worker.tasks and not worker.unknown_runs and worker.is_polled and not is_reserved
-        )
+        is_idle = not worker.is_occupied and worker.is_polled and not is_reserved
         hosts[facts.host] = calls.HostLoad(
             cpu_millis=used,
             long_running_count=worker.long_running_count,
--- a/packages/nutmegshelf/src/nutmegshelf/orders.py
+++ b/packages/nutmegshelf/src/nutmegshelf/orders.py
@@ -24,12 +24,16 @@
 
 
 class PollResult(typing.NamedTuple):
-    """A worker's answer to a poll: its start time, its clock, its running and its ended runs."""
+    """A worker's answer to a poll: its start time, its clock, its running and its ended runs.
+
+    It always lists all running ones, and is complete if it lists all unacknowledged ends.
+    """
 
     born_ms: int
     clock_ms: int
     running: tuple[fleetview.ReportedRun, ...]
     ends: tuple[fleetview.RunEnd, ...]
+    is_complete: bool
 
 
 class TicketGrant(typing.NamedTuple):
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -339,7 +339,7 @@
         task.stop_sent_s = task.stop_acked_s = None
         task.stops_sent = 0
         task.may_start_until_s = 0.0
-        task.is_sent = task.is_missing = False
+        task.is_sent = task.is_missing = task.is_end_unread = False
         task.percent, task.tail_latency_ms, task.pace_percent = 0, 0.0, 100
         worker.add_task(task)
         if record.progress.state is jobs.JobState.QUEUED:
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -30,6 +30,7 @@
         now_s = report.received_s
         worker.is_polled = True
         worker.heard_s, worker.unresponsive_since_s = now_s, None
+        worker.is_report_complete = report.is_complete
         reported: set[tuple[str, int]] = set()
         for end in report.ends:
             reported.add((end.task, end.run))
@@ -42,13 +43,21 @@
             reported.add((run.task, run.run))
             with self._containment.confine(_get_job(run.task), now_s, run.task):
                 self._apply_run(worker, run, now_s)
+        absent = [
+            task for task in worker.tasks.values() if (task.key.name, task.run) not in reported
+        ]
+        if not report.is_complete:
+            # These runs may have ended in any way, which a later report tells.
+            for task in absent:
+                is_known = task.phase in (fleetview.Phase.RUNNING, fleetview.Phase.STOPPING)
+                task.is_end_unread = is_known and report.sent_s >= task.since_s
+            return
         worker.unknown_runs = {
             key: sent_s for key, sent_s in worker.unknown_runs.items() if key in reported
         }
-        for task in list(worker.tasks.values()):
-            if (task.key.name, task.run) not in reported:
-                with self._containment.confine(task.key.job, now_s, task.key.name):
-                    self._check_absent(worker, task, report)
+        for task in absent:
+            with self._containment.confine(task.key.job, now_s, task.key.name):
+                self._check_absent(worker, task, report)
 
     def _apply_run(
         self, worker: fleetview.Worker, reported: fleetview.ReportedRun, now_s: float
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -36,6 +36,7 @@
     fleetview.Unavailability.NOT_RECORDED,
     fleetview.Unavailability.FULL,
     fleetview.Unavailability.UNKNOWN_RUNS,
+    fleetview.Unavailability.REPORT_INCOMPLETE,
 )
 
 
@@ -215,7 +216,7 @@
         """Drop the incarnations that have ended according to a newer list of all hosts."""
         for incarnation in self._takeover.drop_ended(incarnations, views, pool):
             worker = self.workers.get(incarnation)
-            if worker is not None and not worker.is_polled:
+            if worker is not None and not worker.is_accounted_for:
                 self._drop_worker(worker, now_s, fleetview.LossCause.HOST_LEFT)
         self._reconcile(now_s)
 
@@ -243,6 +244,7 @@
             if worker.leased_until_s and now_s > worker.leased_until_s:
                 self.losses.release(worker, now_s, fleetview.LossCause.LEASE_EXPIRED)
                 worker.is_polled, worker.leased_until_s = False, 0.0
+                worker.is_report_complete = True
                 worker.unknown_runs.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
                 del self.workers[worker.facts.incarnation]
@@ -261,7 +263,11 @@
 
     def _is_empty(self, worker: fleetview.Worker, now_s: float) -> bool:
         # Before reconciliation an earlier holder may have started runs that are not yet reported.
-        return not worker.tasks and (self.is_reconciled or now_s > worker.leased_until_s)
+        return (
+            not worker.tasks
+            and worker.is_report_complete
+            and (self.is_reconciled or now_s > worker.leased_until_s)
+        )
 
     def get_incarnations_in_use(
         self, now_s: float
@@ -274,6 +280,7 @@
             incarnation: worker.facts.host
             for incarnation, worker in self.workers.items()
             if worker.tasks
+            or not worker.is_report_complete
             or (worker.is_listed and not self.closed_hosts.is_closed(worker.facts.host, now_s))
         }
         if not self.is_reconciled:
@@ -335,7 +342,7 @@
     def evacuate_host(self, host: ids.HostId, now_s: float, *, only_idle: bool = False) -> bool:
         """Evacuate a host within its tasks' disruption budgets; return whether it is empty now."""
         workers = [each for each in self.workers.values() if each.facts.host == host]
-        is_busy = any(worker.tasks or worker.unknown_runs for worker in workers)
+        is_busy = any(worker.is_occupied for worker in workers)
         if only_idle and is_busy:
             return False
         if not self.is_reconciled and (
@@ -360,7 +367,7 @@
             if not evicted and simulation.has_room_for_waiting(worker, waiting):
                 self.notes.note("host stays open", host=host, waiting=len(waiting))
                 self.closed_hosts.reopen(host)
-        return not any(worker.tasks or worker.unknown_runs for worker in workers)
+        return not any(worker.is_occupied for worker in workers)
 
     def get_demand(self, now_s: float) -> calls.DemandReport:
         """Return how many hosts the service needs now, and how loaded its present ones are."""
--- a/packages/nutmegshelf/src/nutmegshelf/takeover.py
+++ b/packages/nutmegshelf/src/nutmegshelf/takeover.py
@@ -58,7 +58,7 @@
             if incarnation not in workers
         }
         for incarnation, worker in workers.items():
-            if not worker.is_polled:
+            if not worker.is_accounted_for:
                 incarnations[incarnation] = worker.facts.host
         return incarnations
 
@@ -95,14 +95,18 @@
         return (
             not self._is_incomplete
             and bool(at_host)
-            and all(worker.is_polled for worker in at_host)
+            and all(worker.is_accounted_for for worker in at_host)
             and all(incarnation.born_ms < newest for incarnation in missing)
         )
 
     def update(self, workers: Workers, now_s: float) -> None:
         """Set whether every incarnation is accounted for, which stays so once it is."""
-        if not self.is_reconciled:
-            self.is_reconciled = now_s > self.leases_expire_s or self._have_all_reported(workers)
+        if self.is_reconciled:
+            return
+        if any(worker.is_polled and not worker.is_report_complete for worker in workers.values()):
+            # This holder extends their leases, so that their runs have not lapsed by any time.
+            return
+        self.is_reconciled = now_s > self.leases_expire_s or self._have_all_reported(workers)
 
     def _have_all_reported(self, workers: Workers) -> bool:
         if self._is_incomplete:
@@ -114,4 +118,4 @@
             # A later incarnation at the same host proves that this one ended.
             if incarnation not in workers and newest_born_ms.get(host, -1) <= incarnation.born_ms:
                 return False
-        return all(worker.is_polled for worker in workers.values())
+        return all(worker.is_accounted_for for worker in workers.values())
--- a/packages/nutmegshelf/src/nutmegshelf/trials.py
+++ b/packages/nutmegshelf/src/nutmegshelf/trials.py
@@ -42,7 +42,7 @@
     @property
     def are_workers_empty(self) -> bool:
         """Return whether nothing runs at the workers of a trial that has not started."""
-        return not any(_is_occupied(worker) for worker in self.workers)
+        return not any(worker.is_occupied for worker in self.workers)
 
 
 class Trials:
@@ -119,7 +119,7 @@
             return True
         if trial.is_started or trial.are_workers_empty or task.step.gang:
             return False
-        empty = [each for each in self.get_unreserved(open_workers) if not _is_occupied(each)]
+        empty = [each for each in self.get_unreserved(open_workers) if not each.is_occupied]
         if _choose_workers(trial.task_set, trial.tasks, empty) is None:
             return False
         self._end(key, trial)
@@ -193,10 +193,6 @@
     return now_s - max(task.since_s for task in tasks) > limit_s
 
 
-def _is_occupied(worker: fleetview.Worker) -> bool:
-    return bool(worker.tasks or worker.unknown_runs)
-
-
 def _is_under_way(trial: Trial) -> bool:
     """Return whether a task of a started trial may still crash its worker."""
     return any(
@@ -228,7 +224,7 @@
     """Return the worker of each task, empty ones if possible, or None."""
     step = task_set.step
     if step.gang:
-        empty = [worker for worker in workers if not _is_occupied(worker)]
+        empty = [worker for worker in workers if not worker.is_occupied]
         chosen = fitting.choose_gang_workers(step, len(tasks), empty)
         return chosen or _choose_vacated(step, len(tasks), workers)
     run_counts = registry.count_runs_by_worker(task_set)
@@ -243,7 +239,7 @@
     best = min(
         suitable,
         key=lambda worker: (
-            _is_occupied(worker),
+            worker.is_occupied,
             worker.facts.host in crashed_hosts,
             bool(step.data_rack) and worker.facts.rack != step.data_rack,
             worker.consecutive_failures,
