A row that the table refuses stops no other change of its service

Callers saw no job of a service move on: ends were not taken note of and finished jobs stayed queued, because of one job whose row was too large, or changes over 1 MB together.

Cause: the writer took a refusal (400) for a lost answer and sent the same transaction again without end, and jobs' changes did not count towards the size of a transaction. A refused batch is now halved until the one item is found; a new job is rejected as too large, a job whose progress is refused fails.

--- a/features/jobtable.py
+++ b/features/jobtable.py
@@ -7,6 +7,8 @@
 
 CALL_DURATION_S = 0.004
 MAX_TRANSACTION_ENTRIES = 100
+MAX_ROW_BYTES = 65_536
+MAX_TRANSACTION_BYTES = 1_000_000
 # How long a call to an unresponsive partition waits.
 CALL_TIMEOUT_S = 0.6
 
@@ -21,6 +23,7 @@
         self.first_version = 0
         self.changed = asyncio.Event()
         self.transactions = 0
+        self.refused_transactions = 0
 
     def apply(self, transaction):
         count = len(transaction.conditions) + len(transaction.writes)
@@ -30,6 +33,11 @@
             len({tuple(key.split("/")[1:2]) for key in keys}) <= 1
         ), f"keys of several partitions: {keys}"
         self.transactions += 1
+        sizes = [len(write.value or b"") for write in transaction.writes]
+        # Values travel as base64.
+        if max(sizes, default=0) > MAX_ROW_BYTES or sum(sizes) * 4 / 3 > MAX_TRANSACTION_BYTES:
+            self.refused_transactions += 1
+            raise exceptions.TableRefused(f"rows of {sizes} bytes")
         for condition in transaction.conditions:
             if self.read(condition.key).version != condition.version:
                 current = tuple(self.read(operation.key) for operation in transaction.conditions)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -128,6 +128,10 @@
             raise self._make_refusal(job, may_have_taken_effect, "the table does not answer")
         try:
             committed = await self._rows.commit(jobs.build_submission(job))
+        except exceptions.TableRefused as error:
+            raise exceptions.RequestError(
+                exceptions.ErrorKind.BODY_TOO_LARGE, str(error)
+            ) from error
         except exceptions.TableUnavailable as error:
             raise self._make_refusal(job, may_have_taken_effect, str(error)) from error
         except exceptions.TableAnswerLost as error:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -50,7 +50,7 @@
         """Read all rows of a kind in a partition; raises TableUnavailable."""
 
     async def commit(self, transaction: platform.Transaction) -> platform.CommitResult:
-        """Apply a transaction; raises TableUnavailable or TableAnswerLost."""
+        """Apply a transaction; raises TableUnavailable, TableRefused or TableAnswerLost."""
 
     async def wait_for_changes(self, kind: str, after: int, wait_s: float) -> RowChanges:
         """Wait for changes of a kind; return a snapshot at first, or if the history is gone."""
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 
 from nutmegshelf import codecs, exceptions, ids, jobs, leases, platform, registry
 
@@ -27,20 +28,24 @@
 
 
 class _TransactionBudget:
-    """The operations and bytes that still fit into one transaction."""
+    """The items, operations and bytes that still fit into one transaction."""
 
-    def __init__(self) -> None:
-        self.left_operations = _MAX_OPERATIONS - _LEASE_OPERATIONS
+    def __init__(self, max_items: int) -> None:
+        self._left_operations = _MAX_OPERATIONS - _LEASE_OPERATIONS
         self._left_bytes = _MAX_BYTES
+        self._left_items = max_items
 
     def reserve(self, operations: int, size_bytes: int) -> bool:
         """Return whether there was enough left; an empty transaction takes a write of any size."""
-        if operations > self.left_operations or (
-            size_bytes > self._left_bytes
-            and self.left_operations < _MAX_OPERATIONS - _LEASE_OPERATIONS
+        is_empty = self._left_operations == _MAX_OPERATIONS - _LEASE_OPERATIONS
+        if (
+            not self._left_items
+            or operations > self._left_operations
+            or (size_bytes > self._left_bytes and not is_empty)
         ):
             return False
-        self.left_operations -= operations
+        self._left_items -= 1
+        self._left_operations -= operations
         self._left_bytes -= size_bytes
         return True
 
@@ -49,6 +54,20 @@
 PendingJobs = dict[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Batch:
+    """What one transaction stores, besides the lease."""
+
+    new_jobs: PendingJobs
+    queued: list[platform.Write]
+    dirty: list[registry.JobRecord]
+
+    @property
+    def size(self) -> int:
+        """Return the number of items, each of which could be stored alone."""
+        return len(self.new_jobs) + len(self.queued) + len(self.dirty)
+
+
 class Writer:
     """The transactions of one held lease, which are sent one at a time."""
 
@@ -69,6 +88,10 @@
         # Jobs of a transaction that was sent, so that they may be stored.
         self._maybe_stored: set[ids.JobId] = set()
         self._keys_in_flight: set[str] = set()
+        # Keys of queued rows that the table refused.
+        self._refused_keys: set[str] = set()
+        # Smaller after the table refused a batch, until the item that it refuses is found.
+        self._max_items = _MAX_OPERATIONS
         self._batch_stored = asyncio.Event()
         self._failing_since_s: float | None = None
         # Duration of the last transaction, including the batch delay.
@@ -97,14 +120,20 @@
         self._changed.set()
 
     async def write_and_wait(self, change: platform.Write) -> None:
-        """Queue a write of another row, and wait until it is stored."""
+        """Queue a write of another row, and wait until it is stored; raises TableRefused."""
+        self._refused_keys.discard(change.key)
         self.write(change)
         while self._queued_writes.get(change.key) is change or change.key in self._keys_in_flight:
             self._batch_stored.clear()
             await self._batch_stored.wait()
+        if change.key in self._refused_keys:
+            raise exceptions.TableRefused(f"the table refused {change.key}")
 
     async def accept(self, job: jobs.Job, timeout_s: float) -> None:
-        """Store a new job; raises TableUnavailable if not stored, TableAnswerLost if it may be."""
+        """Store a new job.
+
+        Raises TableUnavailable or TableRefused if it is not stored, TableAnswerLost if it may be.
+        """
         pending = self._pending.get(job.job)
         if pending is None:
             if self._failing_since_s is not None:
@@ -145,31 +174,58 @@
         return bool(job_registry.dirty or self._pending or self._queued_writes)
 
     async def _store(self, job_registry: registry.JobRegistry) -> None:
-        budget = _TransactionBudget()
-        new_jobs = self._choose_new_jobs(budget)
-        popped = self._pop_queued_writes(budget)
-        dirty = job_registry.take_dirty(budget.left_operations)
-        stored_states = {record.job.job: record.progress.state for record in dirty}
-        writes = [
-            platform.Write(
-                jobs.progress_key(self._pool, record.job.job),
-                codecs.pack_unordered(record.progress),
-            )
-            for record in dirty
-        ]
-        writes += popped
-        self._keys_in_flight = {write.key for write in popped}
+        budget = _TransactionBudget(self._max_items)
+        new_jobs, queued = self._choose_new_jobs(budget), self._pop_queued_writes(budget)
+        writes = self._choose_progress(job_registry, budget)
+        batch = _Batch(new_jobs, queued, job_registry.take_dirty(len(writes)))
+        stored_states = {record.job.job: record.progress.state for record in batch.dirty}
+        self._keys_in_flight = {write.key for write in batch.queued}
         try:
-            await self._commit(writes, new_jobs)
-        except BaseException:
+            await self._commit([*writes, *batch.queued], batch.new_jobs)
+        except BaseException as error:
             job_registry.restore_dirty()
-            self._queued_writes = {write.key: write for write in popped} | self._queued_writes
-            raise
+            self._queued_writes = {write.key: write for write in batch.queued} | self._queued_writes
+            if not isinstance(error, exceptions.TableRefused):
+                raise
+            self._keys_in_flight = set()
+            self._isolate_refused(job_registry, batch, error)
+            return
+        self._max_items = min(_MAX_OPERATIONS, 2 * self._max_items)
         self._keys_in_flight = set()
         self._batch_stored.set()
         job_registry.confirm_stored(stored_states)
         self.on_stored()
 
+    def _isolate_refused(
+        self, job_registry: registry.JobRegistry, batch: _Batch, error: exceptions.TableRefused
+    ) -> None:
+        """Have a refused batch sent in halves, or drop the one item in it."""
+        if batch.size > 1:
+            self._max_items = batch.size // 2
+            return
+        for job, (_, future) in batch.new_jobs.items():
+            _log.error("The table refused a new job.", pool=self._pool, job=job, why=str(error))
+            self._pending.pop(job, None)
+            self._maybe_stored.discard(job)
+            if not future.done():
+                future.set_exception(error)
+                # Mark the exception as retrieved, as no call may be waiting any more.
+                future.exception()
+        for write in batch.queued:
+            _log.error("The table refused a row.", pool=self._pool, key=write.key, why=str(error))
+            self._refused_keys.add(write.key)
+            if self._queued_writes.get(write.key) is write:
+                del self._queued_writes[write.key]
+            self._batch_stored.set()
+        for record in batch.dirty:
+            job = record.job.job
+            _log.error(
+                "The table refused a job's progress.", pool=self._pool, job=job, why=str(error)
+            )
+            job_registry.drop_unstorable(
+                record, f"the table refused its progress: {error}", self._loop.time()
+            )
+
     def _choose_new_jobs(self, budget: "_TransactionBudget") -> PendingJobs:
         chosen: PendingJobs = {}
         for name, pending in self._pending.items():
@@ -179,6 +235,18 @@
             chosen[name] = pending
         return chosen
 
+    def _choose_progress(
+        self, job_registry: registry.JobRegistry, budget: "_TransactionBudget"
+    ) -> list[platform.Write]:
+        """Return the writes of the dirty jobs with the oldest changes, as many as fit."""
+        chosen: list[platform.Write] = []
+        for name in job_registry.dirty:
+            packed = codecs.pack_unordered(job_registry.records[name].progress)
+            if not budget.reserve(1, len(packed)):
+                break
+            chosen.append(platform.Write(jobs.progress_key(self._pool, name), packed))
+        return chosen
+
     def _pop_queued_writes(self, budget: "_TransactionBudget") -> list[platform.Write]:
         chosen: list[platform.Write] = []
         for key, write in list(self._queued_writes.items()):
@@ -192,7 +260,7 @@
         writes: list[platform.Write],
         new_jobs: PendingJobs,
     ) -> None:
-        """Retry one transaction until it is stored; raises LeaseLost."""
+        """Retry one transaction until it is stored; raises LeaseLost or TableRefused."""
         while True:
             sent_s = self._loop.time()
             conditions, job_writes = [], []
@@ -209,6 +277,12 @@
             self._maybe_stored.update(new_jobs)
             try:
                 committed = await self._rows.commit(transaction)
+            except exceptions.TableRefused:
+                if not writes and not new_jobs:
+                    # A renewal alone is never too large; it is retried like one without an answer.
+                    await asyncio.sleep(_RETRY_DELAY_S)
+                    continue
+                raise
             except exceptions.TableError as error:
                 self._failing_since_s = self._failing_since_s or self._loop.time()
                 _log.warning("The table gave no answer.", pool=self._pool, why=str(error))
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -178,6 +178,10 @@
     """The call certainly had no effect."""
 
 
+class TableRefused(TableUnavailable):
+    """The table refused the call, and will refuse it again; it had no effect."""
+
+
 class TableAnswerLost(TableError):
     """The call may have had an effect."""
 
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -578,6 +578,15 @@
         record.progress.steps.clear()
         self.mark_dirty(record)
 
+    def drop_unstorable(self, record: JobRecord, reason: str, now_s: float) -> None:
+        """End a job whose progress the table refuses, and keep no more of it than its state."""
+        if not record.is_live and not record.progress.finished:
+            self.dirty.pop(record.job.job, None)
+            return
+        record.progress.finished.clear()
+        if record.is_live:
+            self.end_job(record, jobs.JobState.FAILED, reason, now_s)
+
     def get_next_run(self, task: fleetview.Task) -> int:
         """Return a run number above all earlier ones of the task."""
         return max(task.run, task.highest_run, self._first_run) + 1
