--- a/features/jobtable.py
+++ b/features/jobtable.py
@@ -23,6 +23,7 @@
         self.first_version = 0
         self.changed = asyncio.Event()
         self.transactions = 0
+        self.has_size_limits = False
         self.refused_transactions = 0
 
     def apply(self, transaction):
@@ -35,7 +36,9 @@
         self.transactions += 1
         sizes = [len(write.value or b"") for write in transaction.writes]
         # Values travel as base64.
-        if max(sizes, default=0) > MAX_ROW_BYTES or sum(sizes) * 4 / 3 > MAX_TRANSACTION_BYTES:
+        if self.has_size_limits and (
+            max(sizes, default=0) > MAX_ROW_BYTES or sum(sizes) * 4 / 3 > MAX_TRANSACTION_BYTES
+        ):
             self.refused_transactions += 1
             raise exceptions.TableRefused(f"rows of {sizes} bytes")
         for condition in transaction.conditions:
--- a/features/steps/refused_row_steps.py
+++ b/features/steps/refused_row_steps.py
@@ -10,6 +10,11 @@
 LARGE_JOB = 90
 
 
+@behave.given("the table refuses rows over 65536 bytes and transactions over 1 MB")
+def limit_sizes(context):
+    context.world.table.has_size_limits = True
+
+
 async def submit_others(context, count):
     context.others = [
         await jobs_steps.submit(context, number, jobs_steps.parse_steps("2"), "e0")
