--- a/features/repeated_ends.feature
+++ b/features/repeated_ends.feature
@@ -44,3 +44,9 @@
     When a gang of 2 tasks with 3 occurrences is submitted beside a plain job
     Then both jobs are shown as succeeded within 12 s
     And no holder has failed
+
+  Scenario: A host is given away though a start of a done task may still arrive there
+    Given a scheduled job with a speculative step runs at 2 workers
+    When the start of the second copy got no answer and may arrive within 1.5 s
+    And the first copy ends done and the second worker reports nothing
+    Then the host of the second worker is not cleared for 1.5 s unless a stop of the copy is answered
--- a/features/steps/repeated_end_steps.py
+++ b/features/steps/repeated_end_steps.py
@@ -12,6 +12,7 @@
 NOW_S = 10.0
 # The second occurrence is due long after the end of the test.
 INTERVAL_MS = 10_000_000
+START_VALID_S = 1.5
 
 
 def make_job(step, occurrences=2, **queue_fields):
@@ -143,3 +144,28 @@
         if service.lease_manager.get_holder("a")
     ]
     assert epochs == [1], epochs
+
+
+@behave.when("the start of the second copy got no answer and may arrive within 1.5 s")
+def leave_unanswered(context):
+    (task,) = context.record.iterate_tasks()
+    task.duplicate.phase = fleetview.Phase.UNCONFIRMED
+    task.duplicate.may_start_until_s = NOW_S + START_VALID_S
+
+
+@behave.when("the first copy ends done and the second worker reports nothing")
+def end_first(context):
+    report_end(context.service, context.runs[0], "done", NOW_S + 0.1)
+    incarnation = context.runs[1][2]
+    for now_s in (NOW_S + 0.2, NOW_S + 0.4):
+        context.service.apply_report(
+            fleetview.WorkerReport(incarnation, 0, now_s - 0.01, now_s, (), ())
+        )
+
+
+@behave.then(
+    "the host of the second worker is not cleared for 1.5 s unless a stop of the copy is answered"
+)
+def check_not_cleared(context):
+    worker = context.service.workers[context.runs[1][2]]
+    assert not context.service.evacuate_host(worker.facts.host, NOW_S + 0.5, only_idle=True)
