--- a/features/standstill.py
+++ b/features/standstill.py
@@ -107,7 +107,7 @@
         self.wave = None
         self.moves = []
         self.maintained = []
-        # Incarnations that a later holder has to poll, as the last reconciled one stored them.
+        # Incarnations that a later holder has to poll, as the last holder stored them.
         self.used_incarnations = []
         # Since when long-running tasks wait while a worker has room, and the longest such wait.
         self.waiting_since_s = {}
