Logs tell what became of a submission that its caller was not told of

The record of the incident could not tell its hypotheses apart: nothing at the holder said that a submission was not stored or in doubt, whether its transaction had been sent or answered, and how long it had waited; nothing at the entry said what the holder and the table had answered before a rejection.

- writer: "A submitted job is not stored in time.", with whether its transaction was sent, whether it was answered by then, the wait, how long the table has been failing, the age of the lease.
- router: "A submitted job got no confirmation.", with the holder's and the table's answers and what was concluded from them.
- holder: "A job is taken in." also gives the wait, the time of the try that was stored, the epoch and the version of the row.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -195,9 +195,9 @@
             return calls.Reply(status=calls.Status.UNSETTLED)
         return calls.Reply(status=calls.Status.DONE)
 
-    def _handle_accepted(self, job: jobs.Job) -> None:
+    def _handle_accepted(self, job: jobs.Job, version: int) -> None:
         arrived_s = self._arrived_s.pop(job.job, self._loop.time())
-        self._add(job, arrived_s)
+        self._add(job, arrived_s, version)
         self.wake()
 
     def _get_state(self, job: ids.JobId) -> calls.Reply:
@@ -238,8 +238,8 @@
         )
         return calls.Reply(status=calls.Status.DONE, count=pending)
 
-    def _add(self, job: jobs.Job, arrived_s: float) -> None:
-        """Add a job that was stored in this epoch."""
+    def _add(self, job: jobs.Job, arrived_s: float, version: int = 0) -> None:
+        """Add a job whose row was stored, with this version, in this epoch."""
         if job.job in self._unusable or job.job in self.scheduler.registry.records:
             return
         with self._leave_out_unusable(job):
@@ -251,6 +251,10 @@
                 pool=self.pool,
                 tasks=sum(step.count for step in job.steps),
                 chain_s=round(self.scheduler.registry.records[job.job].critical_path_s, 3),
+                waited_s=round(self._loop.time() - arrived_s, 3),
+                accepted_ms=job.accepted_ms,
+                epoch=self.epoch,
+                row_version=version,
             )
 
     @contextlib.contextmanager
@@ -292,7 +296,7 @@
                 return
             job = rowcodec.decode(row, jobs.Job) if row.version else None
             if job is not None:
-                self._add(job, self._loop.time())
+                self._add(job, self._loop.time(), row.version)
         # More notices may have arrived during the read, and a cancelled job must not start.
         for notice in [*notices, *self._inbox.pop_job(name)]:
             self._apply_notice(notice)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -16,6 +16,7 @@
 # An entry with a stale configuration usually has the latest one after this time.
 _STALE_RETRY_AFTER_S = 1.0
 
+_NOT_STORED = "A submitted job got no confirmation."
 _log = logs.get_logger("desk")
 
 
@@ -25,6 +26,13 @@
 
     reply: calls.Reply | None
     may_have_taken_effect: bool
+    # Why there is no reply.
+    why: str = ""
+
+    @property
+    def summary(self) -> str:
+        """Return the status of the reply, or why there is none."""
+        return self.reply.status.value if self.reply is not None else self.why
 
 
 class JobRouter:
@@ -92,24 +100,25 @@
                 reply = await self._peers.call(address, versioned_call, timeout_s)
                 self._active_queues.observe_version(reply.version)
             else:
-                return CallResult(None, may_have_taken_effect=False)
+                return CallResult(None, may_have_taken_effect=False, why="no holder is known")
         except exceptions.PeerUnreachable as error:
             _log.info("The holder can't be reached.", service=call.service, why=str(error))
-            return CallResult(None, may_have_taken_effect=False)
+            return CallResult(None, may_have_taken_effect=False, why=str(error))
         except (exceptions.PeerAnswerLost, TimeoutError) as error:
             _log.info("The holder gave no answer.", service=call.service, why=repr(error))
-            return CallResult(None, may_have_taken_effect=True)
+            return CallResult(None, may_have_taken_effect=True, why=repr(error))
         if reply.status is calls.Status.NOT_ROUTED:
             kind = exceptions.ErrorKind.CONFIGURATION_STALE
             detail = f"version {reply.version} is in force elsewhere"
             raise exceptions.RequestError(kind, detail, _STALE_RETRY_AFTER_S)
         if reply.status is calls.Status.NOT_HOLDER:
-            return CallResult(None, may_have_taken_effect=False)
+            return CallResult(None, may_have_taken_effect=False, why=reply.status.value)
         return CallResult(reply, may_have_taken_effect=reply.status is calls.Status.UNSETTLED)
 
     async def submit(self, job: jobs.Job) -> None:
         """Submit a job for storage and execution; raises RequestError."""
         call = calls.SubmitJob(service=job.service, queue=job.queue.name, job=job)
+        began_s = asyncio.get_running_loop().time()
         try:
             result = await self._call_holder(call, _WRITE_TIMEOUT_S)
         except exceptions.RequestError as error:
@@ -118,23 +127,37 @@
             raise
         if result.reply is not None and result.reply.status is calls.Status.DONE:
             return
-        may_have_taken_effect = result.may_have_taken_effect or job.job in self._unsettled
+        is_unsettled = job.job in self._unsettled
+        may_have_taken_effect = result.may_have_taken_effect or is_unsettled
+        log = _log.bind(
+            job=job.job,
+            service=job.service,
+            holder=result.summary,
+            holder_may_have_stored=result.may_have_taken_effect,
+            is_unsettled=is_unsettled,
+            took_s=round(asyncio.get_running_loop().time() - began_s, 3),
+        )
         if result.reply is not None and result.reply.status is calls.Status.TABLE_UNAVAILABLE:
+            log.info(_NOT_STORED, table="not asked")
             raise self._make_refusal(
                 job, may_have_taken_effect, "the table is silent for the service"
             )
         if not self._rows.is_available:
+            log.info(_NOT_STORED, table="unavailable, so not asked")
             # Nothing is sent that could still take effect later, so the job certainly did not run.
             raise self._make_refusal(job, may_have_taken_effect, "the table does not answer")
         try:
             committed = await self._rows.commit(jobs.build_submission(job))
         except exceptions.TableRefused as error:
+            log.info(_NOT_STORED, table=repr(error))
             raise exceptions.RequestError(
                 exceptions.ErrorKind.BODY_TOO_LARGE, str(error)
             ) from error
         except exceptions.TableUnavailable as error:
+            log.info(_NOT_STORED, table=repr(error))
             raise self._make_refusal(job, may_have_taken_effect, str(error)) from error
         except exceptions.TableAnswerLost as error:
+            log.info(_NOT_STORED, table=repr(error))
             raise self._make_refusal(job, True, str(error)) from error
         self._unsettled.pop(job.job, None)
         _log.info("A job is stored for its holder.", job=job.job, is_new=committed.ok)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -84,7 +84,10 @@
         self._lease = lease_set.held[pool].lease
         self.renewed_s = acquired_s
         self.on_stored: ports.Wake = lambda: None
-        self.on_accepted: collections.abc.Callable[[jobs.Job], None] = lambda job: None
+        # Called with a stored job and the version of its row.
+        self.on_accepted: collections.abc.Callable[[jobs.Job, int], None] = (
+            lambda job, version: None
+        )
         # Jobs of a transaction that was sent, so that they may be stored.
         self._maybe_stored: set[ids.JobId] = set()
         self._keys_in_flight: set[str] = set()
@@ -134,23 +137,43 @@
 
         Raises TableUnavailable or TableRefused if it is not stored, TableAnswerLost if it may be.
         """
+        began_s = self._loop.time()
         pending = self._pending.get(job.job)
         if pending is None:
             if self._failing_since_s is not None:
+                self._log_not_stored(job, began_s, is_sent=False, is_answered=False)
                 raise exceptions.TableUnavailable("the table does not answer")
             pending = self._pending[job.job] = (job, self._loop.create_future())
         self._changed.set()
-        began_s = self._loop.time()
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.shield(pending[1])
             self.stages.observe("accept", self._loop.time() - began_s)
         except TimeoutError as error:
-            if job.job in self._maybe_stored:
+            is_sent = job.job in self._maybe_stored
+            self._log_not_stored(job, began_s, is_sent=is_sent, is_answered=pending[1].done())
+            if is_sent:
                 raise exceptions.TableAnswerLost("the job may be stored") from error
             self._pending.pop(job.job, None)
             raise exceptions.TableUnavailable("the job waited for the table") from error
 
+    def _log_not_stored(
+        self, job: jobs.Job, began_s: float, *, is_sent: bool, is_answered: bool
+    ) -> None:
+        now_s = self._loop.time()
+        failing_s = None if self._failing_since_s is None else now_s - self._failing_since_s
+        _log.info(
+            "A submitted job is not stored in time.",
+            job=job.job,
+            pool=self._pool,
+            epoch=self._lease.epoch,
+            is_sent=is_sent,
+            is_answered=is_answered,
+            waited_s=round(now_s - began_s, 3),
+            failing_s=failing_s if failing_s is None else round(failing_s, 3),
+            lease_age_s=round(self.lease_age_s, 3),
+        )
+
     async def run(self, job_registry: registry.JobRegistry) -> None:
         """Store changes and renew the lease until cancelled; raises LeaseLost."""
         renewal_interval_s = self._lease_set.duration_s * _RENEWAL_FRACTION
@@ -293,7 +316,7 @@
             self.stages.observe("store", self.store_duration_s)
             if committed.ok:
                 self._apply_lease_row(committed, sent_s)
-                self._resolve_accepted(new_jobs)
+                self._resolve_accepted(new_jobs, committed.rows)
                 return
             self._apply_lease_row(committed, None)
             present_keys = {row.key for row in committed.rows if row.version}
@@ -302,7 +325,7 @@
                 for name, pending in new_jobs.items()
                 if jobs.job_key(self._pool, name) in present_keys
             }
-            self._resolve_accepted(already_stored)
+            self._resolve_accepted(already_stored, committed.rows)
             new_jobs = {
                 name: pending for name, pending in new_jobs.items() if name not in already_stored
             }
@@ -329,13 +352,12 @@
         if sent_s is not None:
             self.renewed_s = sent_s
 
-    def _resolve_accepted(
-        self, stored: collections.abc.Mapping[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]]
-    ) -> None:
+    def _resolve_accepted(self, stored: PendingJobs, rows: tuple[platform.Row, ...]) -> None:
+        versions = {row.key: row.version for row in rows}
         for name, (job, future) in stored.items():
             self._pending.pop(name, None)
             self._maybe_stored.discard(name)
-            self.on_accepted(job)
+            self.on_accepted(job, versions.get(jobs.job_key(self._pool, name), 0))
             if not future.done():
                 future.set_result(None)
 
