Test: a submission meets its answer, time limits, further tries and the end of its holder in any order

A submission meets every order of two events, and random orders of three, 0 to 3 turns of the event loop apart; the table answers when it is told to, and turns away whatever comes without its holder. Whatever a caller was told must agree with what ran.

--- /dev/null
+++ b/features/submission_orders.py
@@ -0,0 +1,202 @@
+"""Submit one job while its transaction, its time limit and its callers end in a given order."""
+
+import asyncio
+import dataclasses
+import enum
+import itertools
+
+from nutmegshelf import exceptions, jobs, leases
+
+from features import jobsite, jobworld
+
+START_S = 2.0
+# How long the holder waits for the table before it answers.
+ACCEPT_LIMIT_S = 0.7
+# A turn of a busy loop that a time limit ends in.
+LATE_S = 0.002
+# When transactions without an answer are carried out, and how long the job may then take to start.
+CARRY_OUT_DELAY_S = 1.0
+WATCH_S = 4.0
+STEPS = (jobs.Step(count=1, cpu_millis=1000, memory_mb=100, estimate_ms=500),)
+
+
+class Event(enum.Enum):
+    """What may happen to a submission while the holder stores it."""
+
+    STORED = "the table answers that it is stored"
+    UNAVAILABLE = "the table answers 503"
+    REFUSED = "the table refuses the transaction"
+    LOST = "the answer of the table is lost"
+    LATE = "there is no answer, and the transaction is carried out later"
+    LIMIT = "a time limit ends"
+    CANCEL = "a caller leaves"
+    TRY = "the job is submitted once more"
+    LEASE = "the holder stops"
+
+
+ANSWERS = (Event.STORED, Event.UNAVAILABLE, Event.REFUSED, Event.LOST, Event.LATE)
+
+
+def list_orders(length):
+    """Return the orders in which so many events can follow the first submission."""
+    return [
+        order
+        for order in itertools.product(Event, repeat=length)
+        if any(event in order for event in (Event.LIMIT, Event.CANCEL, Event.LEASE))
+        and order.count(Event.TRY) <= 2
+        and order.count(Event.LEASE) <= 1
+    ]
+
+
+@dataclasses.dataclass
+class Try:
+    """One call of a caller, and what it was told."""
+
+    task: asyncio.Task
+    began_s: float
+    ended_s: float | None = None
+    outcome: str = "no answer"
+
+
+class Trial:
+    """One entry that stores one job; the table answers its transaction when told to."""
+
+    def __init__(self, site, number):
+        self._site = site
+        self._job = jobsite.job(number, STEPS)
+        self._view = site.views["e0"]
+        self._service, _ = site.entries["e0"]
+        self._commit = self._view.commit
+        self._open = []
+        self._unanswered = []
+        self._is_held_back = True
+        self._tries = []
+        self._loop = asyncio.get_running_loop()
+        site.world.jobs[self._job.job] = self._job
+
+    async def _control_commit(self, transaction):
+        keys = {condition.key for condition in transaction.conditions}
+        if not self._is_held_back or jobs.job_key("a", self._job.job) not in keys:
+            return await self._commit(transaction)
+        if leases.key("a") not in keys:
+            raise exceptions.TableUnavailable("503")
+        answer = self._loop.create_future()
+        call = transaction, answer
+        self._open.append(call)
+        try:
+            return await answer
+        except asyncio.CancelledError:
+            if call in self._open:
+                self._open.remove(call)
+                self._unanswered.append(transaction)
+            raise
+
+    def _answer(self, event):
+        if not self._open:
+            return
+        transaction, answer = self._open.pop(0)
+        if answer.done():
+            # The caller is being cancelled, but the table has the call.
+            self._unanswered.append(transaction)
+            return
+        match event:
+            case Event.STORED:
+                answer.set_result(self._site.world.table.apply(transaction))
+            case Event.UNAVAILABLE:
+                answer.set_exception(exceptions.TableUnavailable("503"))
+            case Event.REFUSED:
+                answer.set_exception(exceptions.TableRefused("400"))
+            case Event.LOST:
+                self._site.world.table.apply(transaction)
+                answer.set_exception(exceptions.TableAnswerLost("no answer"))
+            case Event.LATE:
+                self._unanswered.append(transaction)
+                answer.set_exception(exceptions.TableAnswerLost("no answer"))
+
+    async def _submit(self, attempt):
+        try:
+            await self._service.job_router.submit(self._job)
+            attempt.outcome = "accepted"
+        except exceptions.RequestError as error:
+            attempt.outcome = error.outcome.value
+        finally:
+            attempt.ended_s = self._loop.time()
+
+    def _begin_try(self):
+        attempt = Try(None, self._loop.time())
+        attempt.task = asyncio.ensure_future(self._submit(attempt))
+        self._tries.append(attempt)
+
+    async def _apply(self, event):
+        open_tries = [attempt for attempt in self._tries if attempt.ended_s is None]
+        match event:
+            case Event.TRY:
+                self._begin_try()
+            case Event.CANCEL:
+                if open_tries:
+                    open_tries[-1].task.cancel()
+            case Event.LEASE:
+                self._service.lease_manager._stop_holder("a")
+                self._service.lease_manager._lease_set.drop("a")
+            case Event.LIMIT:
+                if open_tries:
+                    limit_s = open_tries[0].began_s + ACCEPT_LIMIT_S
+                    await asyncio.sleep(limit_s - LATE_S / 2 - self._loop.time())
+                    self._loop.block(LATE_S)
+            case _:
+                self._answer(event)
+
+    async def run(self, order, gap_turns):
+        """Apply the events, some turns of the loop apart; return what contradicts an answer."""
+        self._view.commit = self._control_commit
+        self._begin_try()
+        while not self._open and self._tries[0].ended_s is None:
+            await asyncio.sleep(0.001)
+        for event in order:
+            await self._apply(event)
+            for _ in range(gap_turns):
+                await asyncio.sleep(0)
+        await asyncio.sleep(CARRY_OUT_DELAY_S)
+        self._is_held_back = False
+        while self._open:
+            self._answer(Event.STORED)
+        for transaction in self._unanswered:
+            self._site.world.table.apply(transaction)
+        await asyncio.sleep(WATCH_S)
+        await asyncio.gather(*(attempt.task for attempt in self._tries), return_exceptions=True)
+        self._view.commit = self._commit
+        return self._find_contradiction()
+
+    def _find_contradiction(self):
+        has_run = self._site.world.starts[f"{self._job.job}.0.0.0"] > 0
+        outcomes = [attempt.outcome for attempt in self._tries]
+        if "accepted" in outcomes and not has_run:
+            return f"{outcomes}, and it didn't run"
+        rejected_s = [attempt.ended_s for attempt in self._tries if attempt.outcome == "not-run"]
+        # Only a try that begins after a rejection may have the job run all the same.
+        explained = [
+            attempt
+            for attempt in self._tries
+            if attempt.outcome != "not-run" and attempt.began_s >= max(rejected_s, default=0.0)
+        ]
+        if rejected_s and has_run and not explained:
+            return f"{outcomes}, and it ran"
+        return None
+
+
+async def run_orders(orders, gap_turns):
+    """Return the orders of events after which an answer was contradicted, with the answers."""
+    world = jobworld.World({"a": 4})
+    world.default_work = (0.1, world.default_work[1])
+    site = jobsite.Site(world)
+    world.declare(jobsite.declare(jobsite.queue()))
+    site.start("e0")
+    await asyncio.sleep(START_S)
+    contradictions = []
+    for number, order in enumerate(orders):
+        contradiction = await Trial(site, number + 1).run(order, gap_turns)
+        if contradiction is not None:
+            names = " > ".join(event.name for event in order)
+            contradictions.append(f"{names}: {contradiction}")
+    await site.close()
+    return contradictions
--- a/standins/src/nutmegshelf_standins/clock.py
+++ b/standins/src/nutmegshelf_standins/clock.py
@@ -36,6 +36,10 @@
         """Return the simulated time in seconds."""
         return self._simulated_selector.now_s
 
+    def block(self, duration_s: float) -> None:
+        """Advance the time within the present turn, as a callback does that takes long."""
+        self._simulated_selector.now_s += duration_s
+
 
 def run(main: typing.Coroutine[typing.Any, typing.Any, T]) -> T:
     """Run a coroutine to completion in simulated time."""
