A holder says what became of a submission by its attempts, not by what it finds at a time limit

Cause: after its time limit Writer.accept looked a job up in two dicts that the writing task clears as it applies the table's answer. With the answer and the limit within two turns of the event loop, the job was in neither, which read like a job that was never sent. The holder answered NOT_HOLDER, the entry tried the table itself, was turned away, and told the caller that the job did not run. Beside it: a try that ended by its limit removed the entry that another try of the same job waited on, and a third one could put in a new one that the second removed; a stalled holder, and one without a fresh lease, answered "nothing was sent" also of a job in a transaction under way.

Fix: submissions.Submission, in the kernel, records the attempts to store one job and decides alone what became of it: stored by an answer of the table, not stored if no attempt can be carried out and none will begin, unknown otherwise. All tries of a job share it; the last that leaves withdraws a job that was never sent. A 503 of the table ends an attempt, so such jobs are known not to be stored, where they counted as unknown. The limit decides nothing any more, so that its order against the answer doesn't matter.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -17,6 +17,7 @@
     platform,
     policy,
     scheduler,
+    submissions,
     views,
 )
 
@@ -124,12 +125,8 @@
         """Answer a call about a job, a queue or a host of the service."""
         if isinstance(call, calls.Inspect) and self.is_loaded:
             return self._inspect(call)
-        if isinstance(call, calls.SubmitJob) and self.is_loaded and self.writer.is_stalled:
-            is_known = call.job.job in self.scheduler.registry.records
-            status = calls.Status.DONE if is_known else calls.Status.TABLE_UNAVAILABLE
-            return calls.Reply(status=status)
         if not self.is_loaded or not self._is_lease_fresh():
-            return calls.Reply(status=calls.Status.NOT_HOLDER)
+            return calls.Reply(status=self._get_status_without_lease(call))
         match call:
             case calls.SubmitJob():
                 reply = await self._submit(call.job)
@@ -145,6 +142,19 @@
                 reply = calls.Reply(status=calls.Status.NOT_HOLDER)
         return reply
 
+    def _get_status_without_lease(self, call: calls.AnyCall) -> calls.Status:
+        if isinstance(call, calls.SubmitJob):
+            if self._is_stored(call.job.job):
+                return calls.Status.DONE
+            if self.writer.may_store(call.job.job):
+                return calls.Status.UNSETTLED
+            if self.is_loaded and self.writer.is_stalled:
+                return calls.Status.TABLE_UNAVAILABLE
+        return calls.Status.NOT_HOLDER
+
+    def _is_stored(self, job: ids.JobId) -> bool:
+        return job in self.scheduler.registry.records or job in self._unusable
+
     async def _evacuate(self, call: calls.EvacuateHost) -> calls.Reply:
         is_cleared = self.scheduler.evacuate_host(
             call.host, self._loop.time(), only_idle=call.only_idle
@@ -182,18 +192,24 @@
         return self.scheduler.get_demand(self._loop.time())
 
     async def _submit(self, job: jobs.Job) -> calls.Reply:
-        job_registry = self.scheduler.registry
-        if job.job in job_registry.records or job.job in self._unusable:
+        if self._is_stored(job.job):
             return calls.Reply(status=calls.Status.DONE)
+        if self.writer.is_stalled:
+            is_doubtful = self.writer.may_store(job.job)
+            return calls.Reply(
+                status=calls.Status.UNSETTLED if is_doubtful else calls.Status.TABLE_UNAVAILABLE
+            )
         self._arrived_s.setdefault(job.job, self._loop.time())
-        try:
-            await self.writer.accept(job, _ACCEPT_TIMEOUT_S)
-        except exceptions.TableUnavailable:
-            self._arrived_s.pop(job.job, None)
-            return calls.Reply(status=calls.Status.NOT_HOLDER)
-        except exceptions.TableAnswerLost:
-            return calls.Reply(status=calls.Status.UNSETTLED)
-        return calls.Reply(status=calls.Status.DONE)
+        outcome = await self.writer.accept(job, _ACCEPT_TIMEOUT_S)
+        match outcome:
+            case submissions.Outcome.STORED:
+                status = calls.Status.DONE
+            case submissions.Outcome.NOT_STORED:
+                self._arrived_s.pop(job.job, None)
+                status = calls.Status.NOT_HOLDER
+            case submissions.Outcome.UNKNOWN:
+                status = calls.Status.UNSETTLED
+        return calls.Reply(status=status)
 
     def _handle_accepted(self, job: jobs.Job, version: int) -> None:
         arrived_s = self._arrived_s.pop(job.job, self._loop.time())
@@ -368,7 +384,7 @@
                 group.create_task(self._watch_lease())
         finally:
             self.is_loaded = False
-            self.writer.abort_pending()
+            self.writer.end()
 
     async def _load(self) -> None:
         stored = await loading.read_with_retries(
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-from nutmegshelf import codecs, exceptions, ids, jobs, leases, platform, registry
+from nutmegshelf import codecs, exceptions, ids, jobs, leases, platform, registry, submissions
 
 from nutmegshelf_entry import histograms, logs, ports
 
@@ -50,8 +50,19 @@
         return True
 
 
-# New jobs by id, each with the future that resolves once the job is stored.
-PendingJobs = dict[ids.JobId, tuple[jobs.Job, asyncio.Future[None]]]
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _PendingJob:
+    """A job to be stored, and the event that is set once nothing more becomes of it here."""
+
+    submission: submissions.Submission
+    settled: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def job(self) -> jobs.Job:
+        return self.submission.job
+
+
+PendingJobs = dict[ids.JobId, _PendingJob]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,14 +99,13 @@
         self.on_accepted: collections.abc.Callable[[jobs.Job, int], None] = (
             lambda job, version: None
         )
-        # Jobs of a transaction that was sent, so that they may be stored.
-        self._maybe_stored: set[ids.JobId] = set()
         self._keys_in_flight: set[str] = set()
         # Keys of queued rows that the table refused.
         self._refused_keys: set[str] = set()
         # Smaller after the table refused a batch, until the item that it refuses is found.
         self._max_items = _MAX_OPERATIONS
         self._batch_stored = asyncio.Event()
+        self._is_ended = False
         self._failing_since_s: float | None = None
         # Duration of the last transaction, including the batch delay.
         self.store_duration_s = _BATCH_DELAY_S
@@ -132,43 +142,53 @@
         if change.key in self._refused_keys:
             raise exceptions.TableRefused(f"the table refused {change.key}")
 
-    async def accept(self, job: jobs.Job, timeout_s: float) -> None:
-        """Store a new job.
+    def may_store(self, job: ids.JobId) -> bool:
+        """Return whether a job that is not stored yet may become stored by a transaction here."""
+        pending = self._pending.get(job)
+        return pending is not None and pending.submission.may_be_carried_out
 
-        Raises TableUnavailable or TableRefused if it is not stored, TableAnswerLost if it may be.
-        """
+    async def accept(self, job: jobs.Job, timeout_s: float) -> submissions.Outcome:
+        """Store a new job; return what is known of it after the time limit at the latest."""
         began_s = self._loop.time()
         pending = self._pending.get(job.job)
         if pending is None:
-            if self._failing_since_s is not None:
-                self._log_not_stored(job, began_s, is_sent=False, is_answered=False)
-                raise exceptions.TableUnavailable("the table does not answer")
-            pending = self._pending[job.job] = (job, self._loop.create_future())
+            pending = _PendingJob(submissions.Submission(job))
+            if self._is_ended or self._failing_since_s is not None:
+                pending.submission.close()
+                self._log_not_stored(pending.submission, began_s)
+                return pending.submission.outcome
+            self._pending[job.job] = pending
+        pending.submission.join()
         self._changed.set()
         try:
             async with asyncio.timeout(timeout_s):
-                await asyncio.shield(pending[1])
+                await pending.settled.wait()
+        except TimeoutError:
+            pass  # The submission says what became of the job by now.
+        finally:
+            outcome = pending.submission.leave()
+            if pending.submission.is_closed and not pending.submission.may_be_carried_out:
+                self._forget(pending)
+        if outcome is submissions.Outcome.STORED:
             self.stages.observe("accept", self._loop.time() - began_s)
-        except TimeoutError as error:
-            is_sent = job.job in self._maybe_stored
-            self._log_not_stored(job, began_s, is_sent=is_sent, is_answered=pending[1].done())
-            if is_sent:
-                raise exceptions.TableAnswerLost("the job may be stored") from error
-            self._pending.pop(job.job, None)
-            raise exceptions.TableUnavailable("the job waited for the table") from error
-
-    def _log_not_stored(
-        self, job: jobs.Job, began_s: float, *, is_sent: bool, is_answered: bool
-    ) -> None:
+        else:
+            self._log_not_stored(pending.submission, began_s)
+        return outcome
+
+    def _forget(self, pending: _PendingJob) -> None:
+        if self._pending.get(pending.job.job) is pending:
+            del self._pending[pending.job.job]
+
+    def _log_not_stored(self, submission: submissions.Submission, began_s: float) -> None:
         now_s = self._loop.time()
         failing_s = None if self._failing_since_s is None else now_s - self._failing_since_s
         _log.info(
             "A submitted job is not stored in time.",
-            job=job.job,
+            job=submission.job.job,
             pool=self._pool,
             epoch=self._lease.epoch,
-            is_sent=is_sent,
-            is_answered=is_answered,
+            outcome=submission.outcome.value,
+            may_be_carried_out=submission.may_be_carried_out,
             waited_s=round(now_s - began_s, 3),
             failing_s=failing_s if failing_s is None else round(failing_s, 3),
             lease_age_s=round(self.lease_age_s, 3),
@@ -226,14 +246,11 @@
         if batch.size > 1:
             self._max_items = batch.size // 2
             return
-        for job, (_, future) in batch.new_jobs.items():
+        for job, pending in batch.new_jobs.items():
             _log.error("The table refused a new job.", pool=self._pool, job=job, why=str(error))
-            self._pending.pop(job, None)
-            self._maybe_stored.discard(job)
-            if not future.done():
-                future.set_exception(error)
-                # Mark the exception as retrieved, as no call may be waiting any more.
-                future.exception()
+            pending.submission.close()
+            pending.settled.set()
+            self._forget(pending)
         for write in batch.queued:
             _log.error("The table refused a row.", pool=self._pool, key=write.key, why=str(error))
             self._refused_keys.add(write.key)
@@ -253,7 +270,7 @@
         chosen: PendingJobs = {}
         for name, pending in self._pending.items():
             # A new job needs a condition and a write.
-            if not budget.reserve(2, len(codecs.pack(pending[0]))):
+            if not budget.reserve(2, len(codecs.pack(pending.job))):
                 break
             chosen[name] = pending
         return chosen
@@ -286,27 +303,40 @@
         """Retry one transaction until it is stored; raises LeaseLost or TableRefused."""
         while True:
             sent_s = self._loop.time()
+            new_jobs = {
+                name: pending
+                for name, pending in new_jobs.items()
+                if not pending.submission.is_closed
+            }
             conditions, job_writes = [], []
-            for job, _ in new_jobs.values():
-                key = jobs.job_key(self._pool, job.job)
+            for name, pending in new_jobs.items():
+                key = jobs.job_key(self._pool, name)
                 conditions.append(platform.Condition(key, 0))
-                job_writes.append(platform.Write(key, codecs.pack(job)))
+                job_writes.append(platform.Write(key, codecs.pack(pending.job)))
             transaction = leases.make_fenced_transaction(
                 self._get_held_lease(),
                 tuple(conditions),
                 (*writes, *job_writes),
                 bumps_revision=False,
             )
-            self._maybe_stored.update(new_jobs)
+            for pending in new_jobs.values():
+                pending.submission.begin_attempt()
             try:
                 committed = await self._rows.commit(transaction)
             except exceptions.TableRefused:
+                for pending in new_jobs.values():
+                    pending.submission.end_attempt_without_effect()
                 if not writes and not new_jobs:
                     # A renewal alone is never too large; it is retried like one without an answer.
                     await asyncio.sleep(_RETRY_DELAY_S)
                     continue
                 raise
             except exceptions.TableError as error:
+                for pending in new_jobs.values():
+                    if isinstance(error, exceptions.TableUnavailable):
+                        pending.submission.end_attempt_without_effect()
+                    else:
+                        pending.submission.lose_attempt()
                 self._failing_since_s = self._failing_since_s or self._loop.time()
                 _log.warning("The table gave no answer.", pool=self._pool, why=str(error))
                 await asyncio.sleep(_RETRY_DELAY_S)
@@ -318,6 +348,8 @@
                 self._apply_lease_row(committed, sent_s)
                 self._resolve_accepted(new_jobs, committed.rows)
                 return
+            for pending in new_jobs.values():
+                pending.submission.end_attempt_without_effect()
             self._apply_lease_row(committed, None)
             present_keys = {row.key for row in committed.rows if row.version}
             already_stored = {
@@ -354,18 +386,15 @@
 
     def _resolve_accepted(self, stored: PendingJobs, rows: tuple[platform.Row, ...]) -> None:
         versions = {row.key: row.version for row in rows}
-        for name, (job, future) in stored.items():
-            self._pending.pop(name, None)
-            self._maybe_stored.discard(name)
-            self.on_accepted(job, versions.get(jobs.job_key(self._pool, name), 0))
-            if not future.done():
-                future.set_result(None)
-
-    def abort_pending(self) -> None:
-        """Fail the calls that wait for a job to be stored; a sent job may still become stored."""
-        for _, future in self._pending.values():
-            if not future.done():
-                future.set_exception(exceptions.TableAnswerLost("the lease was lost"))
-                # Mark the exception as retrieved, as no call may be waiting any more.
-                future.exception()
-        self._pending.clear()
+        for name, pending in stored.items():
+            pending.submission.confirm_stored()
+            self._forget(pending)
+            self.on_accepted(pending.job, versions.get(jobs.job_key(self._pool, name), 0))
+            pending.settled.set()
+
+    def end(self) -> None:
+        """Release the calls that wait, as no transaction is sent any more."""
+        self._is_ended = True
+        for pending in self._pending.values():
+            pending.submission.close()
+            pending.settled.set()
