A job is rejected as not run only if no submission of it, at any entry, may be carried out

Callers saw a job rejected with 503, "never runs", that ran all the same, as an earlier submission of it had got 504, no answer, or 2xx.

Cause: a rejection spoke for the one submission at hand, and promised for the job. An entry remembered its own doubtful submissions only where it had answered 504 itself, not where its time limit or the caller's leaving ended one; other entries knew nothing; a 413 and the refusals before routing (shutting down, not ready, stale configuration) didn't ask; nobody asked what a holder that was gone had sent.

Who can know, now: each entry keeps a ledger in which a submission is in doubt from its beginning until it ends with proof (submissions.Ledger). It tells the other entries of a doubt before it answers 504. A holder names the other entries that submitted the job (SubmitterIndex); one that would reject it asks them, and a process that doesn't answer, or is another one by now, rules out nothing. Without a holder, until a caller's time limit has passed since it was first missed, nothing is ruled out either. What can't be ruled out is answered 504; a 413 keeps its status and says "unknown".

Evidence: features/submissions.feature.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -1,20 +1,26 @@
 """Steps that run submissions through orders of events."""
 
+import asyncio
+import types
+
 import behave
+from nutmegshelf import exceptions, jobs, leases
+from nutmegshelf_entry import job_codec, job_handler, job_metrics
 from nutmegshelf_standins import clock
 
-from features import submission_orders
+from features import jobsite, submission_orders
+from features.steps import jobs_steps
 
 # The fake table's log grows with each order, so that a site serves only so many.
 ORDERS_PER_SITE = 40
 
 
-def run(context, orders, gap_turns):
+def run(context, orders, gap_turns, entries):
     for start in range(0, len(orders), ORDERS_PER_SITE):
         batch = orders[start : start + ORDERS_PER_SITE]
         context.contradictions += [
             f"{gap_turns} turns apart: {contradiction}"
-            for contradiction in clock.run(submission_orders.run_orders(batch, gap_turns))
+            for contradiction in clock.run(submission_orders.run_orders(batch, gap_turns, entries))
         ]
 
 
@@ -25,21 +31,170 @@
 def run_all(context, length, low, high):
     context.contradictions = []
     for gap_turns in range(low, high + 1):
-        run(context, submission_orders.list_orders(length), gap_turns)
+        run(context, submission_orders.list_orders(length), gap_turns, entries=1)
 
 
 @behave.when(
-    "a submission meets {count:d} random orders of {length:d} events, "
+    "a submission at {entries:d} entries meets {count:d} random orders of {length:d} events, "
     "{low:d} to {high:d} turns of the loop apart"
 )
-def run_random(context, count, length, low, high):
+def run_random(context, entries, count, length, low, high):
     context.contradictions = []
     gaps = range(low, high + 1)
     for gap_turns in gaps:
-        orders = context.rng.sample(submission_orders.list_orders(length), count // len(gaps))
-        run(context, orders, gap_turns)
+        orders = submission_orders.draw_orders(context.rng, count // len(gaps), length)
+        run(context, orders, gap_turns, entries)
 
 
 @behave.then("no caller's answer is contradicted")
 def check_answers(context):
     assert not context.contradictions, "\n".join(context.contradictions)
+
+
+def make_job(context):
+    context.made = jobsite.job(1, submission_orders.STEPS)
+    context.world.jobs[context.made.job] = context.made
+    return context.made
+
+
+def stores_job(transaction, job):
+    key = jobs.job_key("a", job.job)
+    return any(condition.key == key for condition in transaction.conditions)
+
+
+def replace_commit(view, job, respond):
+    """Have a function respond to the transactions that store a job; the others are unchanged."""
+    commit = view.commit
+
+    async def choose(transaction):
+        if stores_job(transaction, job):
+            return await respond(transaction)
+        return await commit(transaction)
+
+    view.commit = choose
+
+
+async def turn_away(transaction):
+    raise exceptions.TableUnavailable("503")
+
+
+async def submit(context, name):
+    service, _ = context.site.entries[name]
+    try:
+        await service.job_router.submit(context.made)
+    except exceptions.RequestError as error:
+        return error
+    return None
+
+
+@behave.when(
+    "a job's write by the {gone} of its first try is carried out {delay_s:d} s "
+    "after that entry's end"
+)
+@jobs_steps.paused
+async def end_first_entry(context, gone, delay_s):
+    job, site = make_job(context), context.site
+    holder = site.holder_of("a")
+    others = [name for name in site.entries if name != holder]
+    first = holder if gone == "holder" else others[0]
+    sent = asyncio.Event()
+
+    async def lose(transaction):
+        has_lease = any(row.key == leases.key("a") for row in transaction.conditions)
+        if has_lease and gone == "entry":
+            raise exceptions.TableUnavailable("503")
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, site.world.table.apply, transaction)
+        sent.set()
+        await asyncio.sleep(submission_orders.WATCH_S)
+
+    for view in site.views.values():
+        replace_commit(view, job, turn_away)
+    replace_commit(site.views[first], job, lose)
+    if gone == "entry":
+        replace_commit(site.views[holder], job, lose)
+    attempt = asyncio.ensure_future(submit(context, first))
+    await sent.wait()
+    await site.kill(first)
+    attempt.cancel()
+    await asyncio.gather(attempt, return_exceptions=True)
+    context.retry_at = next(name for name in others if name != first)
+
+
+@behave.when("the job is submitted again at another entry, which the table turns away")
+@jobs_steps.paused
+async def retry(context):
+    context.error = await submit(context, context.retry_at)
+
+
+@behave.then("the caller is told that the job may run")
+def check_told_unknown(context):
+    assert context.error is not None, "accepted"
+    assert context.error.outcome is exceptions.Outcome.UNKNOWN, context.error.kind
+
+
+@behave.then("the job runs")
+@jobs_steps.paused
+async def check_runs(context):
+    async def has_run():
+        return context.world.starts[f"{context.made.job}.0.0.0"] > 0
+
+    await jobs_steps.wait_until(15, has_run, "started")
+
+
+async def leave_in_doubt(context):
+    async def lose(transaction):
+        raise exceptions.TableAnswerLost("no answer")
+
+    job = make_job(context)
+    context.respond = lose
+    view = context.site.views["e0"]
+
+    async def respond(transaction):
+        return await context.respond(transaction)
+
+    replace_commit(view, job, respond)
+    context.error = await submit(context, "e0")
+    assert context.error.outcome is exceptions.Outcome.UNKNOWN, context.error.kind
+
+
+@behave.when("a job's submission gets no answer, and the table refuses the next one as too large")
+@jobs_steps.paused
+async def refuse_after_doubt(context):
+    async def refuse(transaction):
+        raise exceptions.TableRefused("413")
+
+    await leave_in_doubt(context)
+    context.respond = refuse
+    context.error = await submit(context, "e0")
+
+
+@behave.when("a job's submission gets no answer, and it is submitted again as the entry shuts down")
+@jobs_steps.paused
+async def submit_at_shutdown(context):
+    await leave_in_doubt(context)
+    service, _ = context.site.entries["e0"]
+    handler = job_handler.JobHandler(
+        service.active_queues,
+        job_codec.JobCodec(),
+        service.job_router,
+        job_metrics.JobMetrics(service.timings),
+    )
+    handler.refusal = exceptions.ErrorKind.SHUTTING_DOWN
+
+    async def respond(status, headers, body):
+        context.response = status, dict(headers)
+
+    exchange = types.SimpleNamespace(
+        method="POST",
+        target=f"/q/{context.made.job}",
+        get_header=lambda name: None,
+        respond=respond,
+    )
+    await handler.handle(exchange)
+
+
+@behave.then("the response has status {status:d} and says that the job may run")
+def check_response(context, status):
+    shown, headers = context.response
+    assert (shown, headers[b"nutmegshelf-outcome"]) == (status, b"unknown"), context.response
--- a/features/submission_orders.py
+++ b/features/submission_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import functools
 import itertools
 
 from nutmegshelf import exceptions, jobs, leases
@@ -12,8 +13,8 @@
 START_S = 2.0
 # How long the holder waits for the table before it answers.
 ACCEPT_LIMIT_S = 0.7
-# A turn of a busy loop that a time limit ends in.
-LATE_S = 0.002
+# A turn of a busy loop that a time limit ends in; a call between entries takes less.
+LATE_S = 0.008
 # When transactions without an answer are carried out, and how long the job may then take to start.
 CARRY_OUT_DELAY_S = 1.0
 WATCH_S = 4.0
@@ -30,7 +31,8 @@
     LATE = "there is no answer, and the transaction is carried out later"
     LIMIT = "a time limit ends"
     CANCEL = "a caller leaves"
-    TRY = "the job is submitted once more"
+    TRY = "the job is submitted once more, at the next entry"
+    DIRECT_LATE = "the next write without the holder gets no answer, and is carried out later"
     LEASE = "the holder stops"
 
 
@@ -39,13 +41,26 @@
 
 def list_orders(length):
     """Return the orders in which so many events can follow the first submission."""
-    return [
-        order
-        for order in itertools.product(Event, repeat=length)
-        if any(event in order for event in (Event.LIMIT, Event.CANCEL, Event.LEASE))
+    events = [event for event in Event if event is not Event.DIRECT_LATE]
+    return [order for order in itertools.product(events, repeat=length) if _is_of_interest(order)]
+
+
+def draw_orders(rng, count, length):
+    """Draw orders of so many events, also those in which writes without the holder are lost."""
+    orders = []
+    while len(orders) < count:
+        order = tuple(rng.choices(list(Event), k=length))
+        if _is_of_interest(order):
+            orders.append(order)
+    return orders
+
+
+def _is_of_interest(order):
+    return (
+        any(event in order for event in (Event.LIMIT, Event.CANCEL, Event.LEASE))
         and order.count(Event.TRY) <= 2
         and order.count(Event.LEASE) <= 1
-    ]
+    )
 
 
 @dataclasses.dataclass
@@ -59,26 +74,35 @@
 
 
 class Trial:
-    """One entry that stores one job; the table answers its transaction when told to."""
+    """Entries that are to store one job; the table answers its transaction when told to.
+
+    The table turns away whatever tries to store the job without its holder.
+    """
 
     def __init__(self, site, number):
         self._site = site
         self._job = jobsite.job(number, STEPS)
-        self._view = site.views["e0"]
-        self._service, _ = site.entries["e0"]
-        self._commit = self._view.commit
+        self._commits = {name: view.commit for name, view in site.views.items()}
+        holder = site.holder_of("a")
+        # The holder comes last, as tries that start at other entries involve one more of them.
+        self._names = sorted(site.entries, key=lambda name: (name == holder, name))
         self._open = []
+        self._late_direct_writes = 0
         self._unanswered = []
         self._is_held_back = True
         self._tries = []
         self._loop = asyncio.get_running_loop()
         site.world.jobs[self._job.job] = self._job
 
-    async def _control_commit(self, transaction):
+    async def _control_commit(self, name, transaction):
         keys = {condition.key for condition in transaction.conditions}
         if not self._is_held_back or jobs.job_key("a", self._job.job) not in keys:
-            return await self._commit(transaction)
+            return await self._commits[name](transaction)
         if leases.key("a") not in keys:
+            if self._late_direct_writes:
+                self._late_direct_writes -= 1
+                self._unanswered.append(transaction)
+                raise exceptions.TableAnswerLost("no answer")
             raise exceptions.TableUnavailable("503")
         answer = self._loop.create_future()
         call = transaction, answer
@@ -113,9 +137,10 @@
                 self._unanswered.append(transaction)
                 answer.set_exception(exceptions.TableAnswerLost("no answer"))
 
-    async def _submit(self, attempt):
+    async def _submit(self, attempt, name):
+        service, _ = self._site.entries[name]
         try:
-            await self._service.job_router.submit(self._job)
+            await service.job_router.submit(self._job)
             attempt.outcome = "accepted"
         except exceptions.RequestError as error:
             attempt.outcome = error.outcome.value
@@ -124,7 +149,8 @@
 
     def _begin_try(self):
         attempt = Try(None, self._loop.time())
-        attempt.task = asyncio.ensure_future(self._submit(attempt))
+        name = self._names[len(self._tries) % len(self._names)]
+        attempt.task = asyncio.ensure_future(self._submit(attempt, name))
         self._tries.append(attempt)
 
     async def _apply(self, event):
@@ -136,8 +162,13 @@
                 if open_tries:
                     open_tries[-1].task.cancel()
             case Event.LEASE:
-                self._service.lease_manager._stop_holder("a")
-                self._service.lease_manager._lease_set.drop("a")
+                holder = self._site.holder_of("a")
+                if holder is not None:
+                    service, _ = self._site.entries[holder]
+                    service.lease_manager._stop_holder("a")
+                    service.lease_manager._lease_set.drop("a")
+            case Event.DIRECT_LATE:
+                self._late_direct_writes += 1
             case Event.LIMIT:
                 if open_tries:
                     limit_s = open_tries[0].began_s + ACCEPT_LIMIT_S
@@ -148,7 +179,8 @@
 
     async def run(self, order, gap_turns):
         """Apply the events, some turns of the loop apart; return what contradicts an answer."""
-        self._view.commit = self._control_commit
+        for name, view in self._site.views.items():
+            view.commit = functools.partial(self._control_commit, name)
         self._begin_try()
         while not self._open and self._tries[0].ended_s is None:
             await asyncio.sleep(0.001)
@@ -164,7 +196,8 @@
             self._site.world.table.apply(transaction)
         await asyncio.sleep(WATCH_S)
         await asyncio.gather(*(attempt.task for attempt in self._tries), return_exceptions=True)
-        self._view.commit = self._commit
+        for name, commit in self._commits.items():
+            self._site.views[name].commit = commit
         return self._find_contradiction()
 
     def _find_contradiction(self):
@@ -184,13 +217,14 @@
         return None
 
 
-async def run_orders(orders, gap_turns):
+async def run_orders(orders, gap_turns, entries=1):
     """Return the orders of events after which an answer was contradicted, with the answers."""
     world = jobworld.World({"a": 4})
     world.default_work = (0.1, world.default_work[1])
     site = jobsite.Site(world)
     world.declare(jobsite.declare(jobsite.queue()))
-    site.start("e0")
+    for number in range(entries):
+        site.start(f"e{number}")
     await asyncio.sleep(START_S)
     contradictions = []
     for number, order in enumerate(orders):
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -10,10 +10,36 @@
     Then no caller's answer is contradicted
 
   Scenario: A job is rejected though another try of it is stored
-    When a submission meets 160 random orders of 3 events, 0 to 3 turns of the loop apart
+    When a submission at 1 entries meets 160 random orders of 3 events, 0 to 3 turns of the loop apart
     Then no caller's answer is contradicted
 
+  Scenario: A job is rejected though another try of it at another entry is stored
+    When a submission at 3 entries meets 80 random orders of 4 events, 0 to 3 turns of the loop apart
+    Then no caller's answer is contradicted
+
+  Scenario Outline: A retry is rejected as not run though the <gone> of the first try stored the job late
+    Given 3 entries and 4 workers of one service
+    When a job's write by the <gone> of its first try is carried out 2 s after that entry's end
+    And the job is submitted again at another entry, which the table turns away
+    Then the caller is told that the job may run
+    And the job runs
+
+    Examples: who sent the write that got no answer
+      | gone   |
+      | entry  |
+      | holder |
+
+  Scenario: A job is rejected as too large though an earlier submission of it may be stored
+    Given 1 entries and 4 workers of one service
+    When a job's submission gets no answer, and the table refuses the next one as too large
+    Then the caller is told that the job may run
+
+  Scenario: An entry that shuts down rejects a job as not run though its first submission may be stored
+    Given 1 entries and 4 workers of one service
+    When a job's submission gets no answer, and it is submitted again as the entry shuts down
+    Then the response has status 504 and says that the job may run
+
   @soak
   Scenario: A job is rejected though it was stored, in long orders
-    When a submission meets 4000 random orders of 4 events, 0 to 3 turns of the loop apart
+    When a submission at 3 entries meets 2000 random orders of 5 events, 0 to 3 turns of the loop apart
     Then no caller's answer is contradicted
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -48,6 +48,8 @@
 # How often the hosts are listed after a takeover while workers have not reported.
 _HOST_LIST_INTERVAL_S = 0.4
 
+_MAX_SUBMITTED_JOBS = 4_096
+
 _log = logs.get_logger("holder")
 
 
@@ -94,6 +96,7 @@
         self.writer.on_stored = self.wake
         self.writer.on_accepted = self._handle_accepted
         self._arrived_s: dict[ids.JobId, float] = {}
+        self._submitters = submissions.SubmitterIndex(_MAX_SUBMITTED_JOBS)
         # Stored jobs that don't run, as it can't be told which of their tasks have ended.
         self._unusable: set[ids.JobId] = set()
         self._links: dict[fleetview.Incarnation, worker_link.WorkerLink] = {}
@@ -125,11 +128,11 @@
         """Answer a call about a job, a queue or a host of the service."""
         if isinstance(call, calls.Inspect) and self.is_loaded:
             return self._inspect(call)
+        if isinstance(call, calls.SubmitJob):
+            return await self._handle_submission(call)
         if not self.is_loaded or not self._is_lease_fresh():
-            return calls.Reply(status=self._get_status_without_lease(call))
+            return calls.Reply(status=calls.Status.NOT_HOLDER)
         match call:
-            case calls.SubmitJob():
-                reply = await self._submit(call.job)
             case calls.GetJob():
                 reply = self._get_state(call.job)
             case calls.CancelJob():
@@ -142,16 +145,6 @@
                 reply = calls.Reply(status=calls.Status.NOT_HOLDER)
         return reply
 
-    def _get_status_without_lease(self, call: calls.AnyCall) -> calls.Status:
-        if isinstance(call, calls.SubmitJob):
-            if self._is_stored(call.job.job):
-                return calls.Status.DONE
-            if self.writer.may_store(call.job.job):
-                return calls.Status.UNSETTLED
-            if self.is_loaded and self.writer.is_stalled:
-                return calls.Status.TABLE_UNAVAILABLE
-        return calls.Status.NOT_HOLDER
-
     def _is_stored(self, job: ids.JobId) -> bool:
         return job in self.scheduler.registry.records or job in self._unusable
 
@@ -191,28 +184,39 @@
             return None
         return self.scheduler.get_demand(self._loop.time())
 
-    async def _submit(self, job: jobs.Job) -> calls.Reply:
-        if self._is_stored(job.job):
+    async def _handle_submission(self, call: calls.SubmitJob) -> calls.Reply:
+        job = call.job.job
+        if self._is_stored(job):
             return calls.Reply(status=calls.Status.DONE)
-        if self.writer.is_stalled:
-            is_doubtful = self.writer.may_store(job.job)
-            return calls.Reply(
-                status=calls.Status.UNSETTLED if is_doubtful else calls.Status.TABLE_UNAVAILABLE
-            )
-        self._arrived_s.setdefault(job.job, self._loop.time())
-        outcome = await self.writer.accept(job, _ACCEPT_TIMEOUT_S)
-        match outcome:
-            case submissions.Outcome.STORED:
-                status = calls.Status.DONE
-            case submissions.Outcome.NOT_STORED:
-                self._arrived_s.pop(job.job, None)
-                status = calls.Status.NOT_HOLDER
-            case submissions.Outcome.UNKNOWN:
-                status = calls.Status.UNSETTLED
-        return calls.Reply(status=status)
+        self._submitters.add(job, call.submitter)
+        status = await self._submit(call.job)
+        if status is calls.Status.DONE:
+            return calls.Reply(status=status)
+        others = self._submitters.get_others(job, call.submitter)
+        return calls.Reply(status=status, other_submitters=others)
+
+    async def _submit(self, job: jobs.Job) -> calls.Status:
+        if self.is_loaded and self._is_lease_fresh() and not self.writer.is_stalled:
+            self._arrived_s.setdefault(job.job, self._loop.time())
+            outcome = await self.writer.accept(job, _ACCEPT_TIMEOUT_S)
+            match outcome:
+                case submissions.Outcome.STORED:
+                    return calls.Status.DONE
+                case submissions.Outcome.UNKNOWN:
+                    return calls.Status.UNSETTLED
+                case submissions.Outcome.NOT_STORED:
+                    self._arrived_s.pop(job.job, None)
+                    return calls.Status.NOT_STORED
+        if self.writer.may_store(job.job):
+            return calls.Status.UNSETTLED
+        if not self.is_loaded:
+            return calls.Status.NOT_HOLDER
+        is_stalled = self.writer.is_stalled
+        return calls.Status.TABLE_UNAVAILABLE if is_stalled else calls.Status.NOT_STORED
 
     def _handle_accepted(self, job: jobs.Job, version: int) -> None:
         arrived_s = self._arrived_s.pop(job.job, self._loop.time())
+        self._submitters.discard(job.job)
         self._add(job, arrived_s, version)
         self.wake()
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -4,25 +4,28 @@
 import dataclasses
 
 import msgspec
-from nutmegshelf import calls, exceptions, ids, jobs, outages, queues
+from nutmegshelf import calls, exceptions, ids, jobs, outages, queues, submissions
 
-from nutmegshelf_entry import forwarder, lease_manager, logs, ports, rowcodec
+from nutmegshelf_entry import doubt_reports, forwarder, lease_manager, logs, ports, rowcodec
 
 # After this time without an answer of the holder, the table is read instead.
 _READ_TIMEOUT_S = 0.8
 # Longer than for reads, as the holder may wait for a slow table before it answers.
 _WRITE_TIMEOUT_S = 0.9
-_MAX_UNSETTLED_JOBS = 4_096
+_CHECK_TIMEOUT_S = 0.1
+_MAX_KNOWN_JOBS = 4_096
 # An entry with a stale configuration usually has the latest one after this time.
 _STALE_RETRY_AFTER_S = 1.0
 
-_NOT_STORED = "A submitted job got no confirmation."
+# Rejections after which callers submit a job again, under the same id.
+_RETRYABLE_STATUSES = (429, 503)
+
 _log = logs.get_logger("desk")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallResult:
-    """The holder's reply to a call, if any, and whether the call may have taken effect."""
+    """The holder's reply to a call, if any, and whether this or an earlier call took effect."""
 
     reply: calls.Reply | None
     may_have_taken_effect: bool
@@ -35,6 +38,15 @@
         return self.reply.status.value if self.reply is not None else self.why
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StoreResult:
+    """What became of one submission, what its caller is told, and who else submitted the job."""
+
+    outcome: submissions.Outcome
+    refusal: exceptions.RequestError | None = None
+    other_submitters: tuple[calls.Submitter, ...] = ()
+
+
 class JobRouter:
     """The route of job requests: the holder here, the holder at a peer, or the table."""
 
@@ -45,14 +57,21 @@
         peers: ports.PeerClient,
         active_queues: queues.ActiveQueues,
         start_forwarder: forwarder.Forwarder,
+        *,
+        doubt_reporter: doubt_reports.DoubtReporter,
+        submitter: calls.Submitter,
     ) -> None:
         self._active_queues = active_queues
         self._rows = rows
         self._lease_manager = lease_manager
         self._peers = peers
         self._forwarder = start_forwarder
-        # Jobs that may be stored although their callers got an error, the oldest first.
-        self._unsettled: dict[ids.JobId, None] = {}
+        self._doubt_reporter = doubt_reporter
+        self._submitter = submitter
+        self._loop = asyncio.get_running_loop()
+        self._ledger = submissions.Ledger(_MAX_KNOWN_JOBS)
+        # Since when no holder of a service has said what it knows.
+        self._holder_missing_since_s: dict[ids.ServiceName, float] = {}
 
     async def handle_call(self, call: calls.AnyCall) -> calls.Reply:
         """Handle another entry's call, usually for a service that this entry holds."""
@@ -64,19 +83,31 @@
         if isinstance(call, calls.QueueCall) and not self._is_routed(call):
             return calls.Reply(status=calls.Status.NOT_ROUTED)
         match call:
-            case calls.CheckTableAccess():
-                is_reached = await self._lease_manager.can_read_table(call.service)
-                success, failure = calls.Status.DONE, calls.Status.UNSETTLED
-                return calls.Reply(status=success if is_reached else failure)
             case calls.ForwardStarts():
                 return await self._forwarder.forward(call)
+            case calls.CheckTableAccess():
+                is_reached = await self._lease_manager.can_read_table(call.service)
+                status = calls.Status.DONE if is_reached else calls.Status.UNSETTLED
+            case calls.CheckSubmission():
+                can_rule_out = self._can_rule_out(call)
+                status = calls.Status.NOT_STORED if can_rule_out else calls.Status.UNSETTLED
             case calls.LeaseRelinquished():
                 self._lease_manager.record_relinquished(call.service, call.epoch)
-                return calls.Reply(status=calls.Status.DONE)
-        holder = self._lease_manager.get_holder(call.service)
-        if holder is None:
-            return calls.Reply(status=calls.Status.NOT_HOLDER)
-        return await holder.handle_call(call)
+                status = calls.Status.DONE
+            case calls.ReportDoubts():
+                for job in call.jobs:
+                    self._ledger.report_doubt(job, self._loop.time())
+                status = calls.Status.DONE
+            case _:
+                holder = self._lease_manager.get_holder(call.service)
+                if holder is not None:
+                    return await holder.handle_call(call)
+                status = calls.Status.NOT_HOLDER
+        return calls.Reply(status=status)
+
+    def _can_rule_out(self, call: calls.CheckSubmission) -> bool:
+        is_same_process = call.incarnation == self._submitter.incarnation
+        return is_same_process and not self._ledger.may_be_stored(call.job)
 
     def _is_routed(self, call: calls.QueueCall) -> bool:
         routes = self._active_queues.routes
@@ -100,10 +131,10 @@
                 reply = await self._peers.call(address, versioned_call, timeout_s)
                 self._active_queues.observe_version(reply.version)
             else:
-                return CallResult(None, may_have_taken_effect=False, why="no holder is known")
+                return self._make_missing_holder_result(call, "no holder is known")
         except exceptions.PeerUnreachable as error:
             _log.info("The holder can't be reached.", service=call.service, why=str(error))
-            return CallResult(None, may_have_taken_effect=False, why=str(error))
+            return self._make_missing_holder_result(call, str(error))
         except (exceptions.PeerAnswerLost, TimeoutError) as error:
             _log.info("The holder gave no answer.", service=call.service, why=repr(error))
             return CallResult(None, may_have_taken_effect=True, why=repr(error))
@@ -112,70 +143,114 @@
             detail = f"version {reply.version} is in force elsewhere"
             raise exceptions.RequestError(kind, detail, _STALE_RETRY_AFTER_S)
         if reply.status is calls.Status.NOT_HOLDER:
-            return CallResult(None, may_have_taken_effect=False, why=reply.status.value)
+            return self._make_missing_holder_result(call, reply.status.value)
+        self._holder_missing_since_s.pop(call.service, None)
         return CallResult(reply, may_have_taken_effect=reply.status is calls.Status.UNSETTLED)
 
+    def _make_missing_holder_result(self, call: calls.AnyCall, why: str) -> CallResult:
+        """Return the result of a call that had no effect, as its service has no holder now.
+
+        The last holder may have stored a job that nobody knows of yet. Once a caller's time limit
+        has passed, retries of such a job were told that it may run, and it is known to be in doubt.
+        """
+        now_s = self._loop.time()
+        since_s = self._holder_missing_since_s.setdefault(call.service, now_s)
+        may_be_stored = (
+            isinstance(call, calls.SubmitJob) and now_s - since_s < call.job.queue.timeout_ms / 1000
+        )
+        return CallResult(None, may_have_taken_effect=may_be_stored, why=why)
+
     async def submit(self, job: jobs.Job) -> None:
-        """Submit a job for storage and execution; raises RequestError."""
-        call = calls.SubmitJob(service=job.service, queue=job.queue.name, job=job)
-        began_s = asyncio.get_running_loop().time()
+        """Submit a job for storage and execution; raises RequestError.
+
+        Unless it is proven that neither this nor an earlier submission of the job is carried out,
+        the error says that the job may run.
+        """
+        self._ledger.begin(job.job)
+        result = _StoreResult(submissions.Outcome.UNKNOWN)
         try:
-            result = await self._call_holder(call, _WRITE_TIMEOUT_S)
-        except exceptions.RequestError as error:
-            if job.job in self._unsettled:
-                raise self._make_refusal(job, True, error.detail) from error
-            raise
-        if result.reply is not None and result.reply.status is calls.Status.DONE:
+            result = await self._store(job)
+        finally:
+            self._ledger.end(job.job, result.outcome, self._loop.time())
+            if result.outcome is submissions.Outcome.UNKNOWN:
+                reported = self._doubt_reporter.add(job)
+        if result.refusal is None or self._ledger.is_stored(job.job):
             return
-        is_unsettled = job.job in self._unsettled
-        may_have_taken_effect = result.may_have_taken_effect or is_unsettled
-        log = _log.bind(
-            job=job.job,
-            service=job.service,
-            holder=result.summary,
-            holder_may_have_stored=result.may_have_taken_effect,
-            is_unsettled=is_unsettled,
-            took_s=round(asyncio.get_running_loop().time() - began_s, 3),
-        )
-        if result.reply is not None and result.reply.status is calls.Status.TABLE_UNAVAILABLE:
-            log.info(_NOT_STORED, table="not asked")
-            raise self._make_refusal(
-                job, may_have_taken_effect, "the table is silent for the service"
+        if result.outcome is submissions.Outcome.UNKNOWN:
+            await self._doubt_reporter.wait(job, reported)
+        elif not await self._do_others_rule_out(job, result.other_submitters):
+            self._ledger.report_doubt(job.job, self._loop.time())
+        raise self.qualify_refusal(job.job, result.refusal)
+
+    async def _do_others_rule_out(
+        self, job: jobs.Job, submitters: tuple[calls.Submitter, ...]
+    ) -> bool:
+        """Return whether all other entries that submitted a job rule out that they stored it."""
+
+        async def rules_out(submitter: calls.Submitter) -> bool:
+            call = calls.CheckSubmission(
+                service=job.service, job=job.job, incarnation=submitter.incarnation
             )
-        if not self._rows.is_available:
-            log.info(_NOT_STORED, table="unavailable, so not asked")
-            # Nothing is sent that could still take effect later, so the job certainly did not run.
-            raise self._make_refusal(job, may_have_taken_effect, "the table does not answer")
-        try:
-            committed = await self._rows.commit(jobs.build_submission(job))
-        except exceptions.TableRefused as error:
-            log.info(_NOT_STORED, table=repr(error))
-            raise exceptions.RequestError(
-                exceptions.ErrorKind.BODY_TOO_LARGE, str(error)
-            ) from error
-        except exceptions.TableUnavailable as error:
-            log.info(_NOT_STORED, table=repr(error))
-            raise self._make_refusal(job, may_have_taken_effect, str(error)) from error
-        except exceptions.TableAnswerLost as error:
-            log.info(_NOT_STORED, table=repr(error))
-            raise self._make_refusal(job, True, str(error)) from error
-        self._unsettled.pop(job.job, None)
-        _log.info("A job is stored for its holder.", job=job.job, is_new=committed.ok)
+            try:
+                reply = await self._peers.call(submitter.address, call, _CHECK_TIMEOUT_S)
+            except exceptions.PeerError as error:
+                _log.info(
+                    "An entry did not say what became of a submission.",
+                    job=job.job,
+                    entry_address=submitter.address,
+                    why=str(error),
+                )
+                return False
+            return reply.status is calls.Status.NOT_STORED
 
-    def _make_refusal(
-        self, job: jobs.Job, may_have_taken_effect: bool, detail: str
+        return all(await asyncio.gather(*map(rules_out, submitters)))
+
+    def qualify_refusal(
+        self, job: ids.JobId, refusal: exceptions.RequestError
     ) -> exceptions.RequestError:
-        if not may_have_taken_effect:
-            return exceptions.RequestError(
-                exceptions.ErrorKind.TABLE_UNAVAILABLE,
-                detail,
-                outages.get_retry_after_s(job.queue.timeout_ms / 1000),
+        """Return a refusal of a job as it is, or one that says that the job may run."""
+        if refusal.outcome is not exceptions.Outcome.NOT_RUN or not self._ledger.may_be_stored(job):
+            return refusal
+        if refusal.response.status not in _RETRYABLE_STATUSES:
+            refusal.mark_sent()
+            return refusal
+        kind = exceptions.ErrorKind.JOB_UNSETTLED
+        return exceptions.RequestError(kind, refusal.detail, refusal.retry_after_s)
+
+    async def _store(self, job: jobs.Job) -> _StoreResult:
+        """Store a job through its holder or without it."""
+        began_s = self._loop.time()
+        call = calls.SubmitJob(
+            service=job.service, queue=job.queue.name, job=job, submitter=self._submitter
+        )
+        try:
+            result = await self._call_holder(call, _WRITE_TIMEOUT_S)
+        except exceptions.RequestError as error:
+            return _StoreResult(submissions.Outcome.NOT_STORED, error)
+        status = result.reply.status if result.reply is not None else calls.Status.NOT_HOLDER
+        if status is calls.Status.DONE:
+            return _StoreResult(submissions.Outcome.STORED)
+        try:
+            if status is calls.Status.TABLE_UNAVAILABLE:
+                raise exceptions.TableUnavailable("the table is silent for the service")
+            if not self._rows.is_available:
+                # Nothing is sent that could still take effect later.
+                raise exceptions.TableUnavailable("the table does not answer")
+            committed = await self._rows.commit(jobs.build_submission(job))
+        except exceptions.TableError as error:
+            _log.info(
+                "A submitted job got no confirmation.",
+                job=job.job,
+                service=job.service,
+                holder=result.summary,
+                table=repr(error),
+                holder_may_have_stored=result.may_have_taken_effect,
+                has_doubt=self._ledger.has_doubt(job.job),
+                took_s=round(self._loop.time() - began_s, 3),
             )
-        # A retry of this job must not get the answer that it did not run either.
-        self._unsettled[job.job] = None
-        while len(self._unsettled) > _MAX_UNSETTLED_JOBS:
-            del self._unsettled[next(iter(self._unsettled))]
-        return exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, detail)
+            return _make_failure(job, error, result)
+        _log.info("A job is stored for its holder.", job=job.job, is_new=committed.ok)
+        return _StoreResult(submissions.Outcome.STORED)
 
     async def get_state(self, queue: queues.Queue, job: ids.JobId) -> jobs.JobState:
         """Return a job's state from its holder or the table; raises RequestError."""
@@ -222,3 +297,25 @@
         if result.reply is None:
             raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNREADABLE)
         return result.reply.count
+
+
+def _make_failure(
+    job: jobs.Job, error: exceptions.TableError, holder_result: CallResult
+) -> _StoreResult:
+    may_be_stored = holder_result.may_have_taken_effect or isinstance(
+        error, exceptions.TableAnswerLost
+    )
+    outcome = submissions.Outcome.UNKNOWN if may_be_stored else submissions.Outcome.NOT_STORED
+    if isinstance(error, exceptions.TableRefused):
+        refusal = exceptions.RequestError(exceptions.ErrorKind.BODY_TOO_LARGE, str(error))
+        if may_be_stored:
+            refusal.mark_sent()
+    elif may_be_stored:
+        refusal = exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, str(error))
+    else:
+        retry_after_s = outages.get_retry_after_s(job.queue.timeout_ms / 1000)
+        refusal = exceptions.RequestError(
+            exceptions.ErrorKind.TABLE_UNAVAILABLE, str(error), retry_after_s
+        )
+    others = holder_result.reply.other_submitters if holder_result.reply is not None else ()
+    return _StoreResult(outcome, refusal, others)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -23,6 +23,7 @@
 
 from nutmegshelf_entry import (
     advisor,
+    doubt_reports,
     fleet_holder,
     forwarder,
     histograms,
@@ -161,7 +162,13 @@
         )
         self._forwarder = forwarder.Forwarder(adapters.workers, self._window)
         self.job_router = job_router.JobRouter(
-            adapters.rows, self.lease_manager, peers, self.active_queues, self._forwarder
+            adapters.rows,
+            self.lease_manager,
+            peers,
+            self.active_queues,
+            self._forwarder,
+            doubt_reporter=doubt_reports.DoubtReporter(peers, self._members.list_addresses),
+            submitter=calls.Submitter(settings.peers.address, self.incarnation),
         )
         self._advisor = advisor.Advisor(adapters.advice, self._list_holders)
         self._random = random.Random(self.incarnation)
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -23,10 +23,25 @@
     queue: ids.QueueName
 
 
+class Submitter(msgspec.Struct, frozen=True, array_like=True):
+    """One run of an entry's process, which has submitted a job."""
+
+    address: str
+    incarnation: str
+
+
 class SubmitJob(QueueCall, frozen=True, kw_only=True, tag="Submit"):
     """Store and run a job."""
 
     job: jobs.Job
+    submitter: Submitter
+
+
+class CheckSubmission(Call, frozen=True, kw_only=True, tag="CheckSubmission"):
+    """Return whether the called process, if it still runs, can rule out that it stored a job."""
+
+    job: ids.JobId
+    incarnation: str
 
 
 class GetJob(QueueCall, frozen=True, kw_only=True, tag="Show"):
@@ -132,6 +147,12 @@
     epoch: ids.Epoch
 
 
+class ReportDoubts(Call, frozen=True, kw_only=True, tag="Doubts"):
+    """Report jobs whose submission at the sender may still be carried out."""
+
+    jobs: tuple[ids.JobId, ...]
+
+
 class ForwardedStart(msgspec.Struct, frozen=True, array_like=True):
     """A start to forward to its worker; the call has the job's specification."""
 
@@ -162,6 +183,8 @@
     | Inspect
     | CheckTableAccess
     | LeaseRelinquished
+    | ReportDoubts
+    | CheckSubmission
     | ForwardStarts
 )
 
@@ -171,7 +194,10 @@
 
     DONE = "done"
     UNKNOWN_JOB = "unknown-job"
+    # The called entry does not hold the service, or its holder does not know the stored jobs yet.
     NOT_HOLDER = "not-holder"
+    # The holder has not stored the job, and won't.
+    NOT_STORED = "not-stored"
     # The sender's configuration is older; the active one routes the queue elsewhere or nowhere.
     NOT_ROUTED = "not-routed"
     UNSETTLED = "unsettled"
@@ -189,3 +215,5 @@
     count: int = 0
     payload: bytes = msgspec.field(default=b"", name="shown")
     outcomes: tuple[orders.Outcome, ...] = ()
+    # Other entries that may be storing the submitted job without its holder.
+    other_submitters: tuple[Submitter, ...] = ()
--- a/packages/nutmegshelf/src/nutmegshelf/members.py
+++ b/packages/nutmegshelf/src/nutmegshelf/members.py
@@ -72,6 +72,11 @@
     def _is_live(self, member: Member, now_s: float) -> bool:
         return now_s - member.last_heard_s <= self.silence_limit_s
 
+    def list_addresses(self) -> list[str]:
+        """Return the peer addresses of all other known entries, live or not."""
+        rows = [member.row for member in self.by_entry.values()]
+        return [row.peer_address for row in rows if row.entry != self.entry]
+
     def get_live(self, now_s: float) -> list[EntryRow]:
         """Return the other entries that were heard of within the silence limit."""
         return [
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -4,9 +4,10 @@
 table, or that the job was in no transaction and will never be in one.
 """
 
+import collections
 import enum
 
-from nutmegshelf import jobs
+from nutmegshelf import calls, ids, jobs
 
 
 class Outcome(enum.Enum):
@@ -84,3 +85,86 @@
     def close(self) -> None:
         """Record that no further attempt begins."""
         self._is_closed = True
+
+
+class Ledger:
+    """What one entry knows of the submissions of callers, its own and those that others report.
+
+    A submission is in doubt from its beginning until it is ended with proof.
+    """
+
+    def __init__(self, max_jobs: int) -> None:
+        self._max_jobs = max_jobs
+        self._open: collections.Counter[ids.JobId] = collections.Counter()
+        # When each job was last in doubt, and the stored jobs; the oldest first.
+        self._doubtful_s: dict[ids.JobId, float] = {}
+        self._stored: dict[ids.JobId, None] = {}
+
+    def begin(self, job: ids.JobId) -> None:
+        """Record that a submission begins."""
+        self._open[job] += 1
+
+    def end(self, job: ids.JobId, outcome: Outcome, now_s: float) -> None:
+        """Record what became of a submission that began."""
+        self._open[job] -= 1
+        if not self._open[job]:
+            del self._open[job]
+        match outcome:
+            case Outcome.STORED:
+                self._doubtful_s.pop(job, None)
+                self._stored.pop(job, None)
+                self._stored[job] = None
+                while len(self._stored) > self._max_jobs:
+                    del self._stored[next(iter(self._stored))]
+            case Outcome.UNKNOWN:
+                self.report_doubt(job, now_s)
+            case Outcome.NOT_STORED:
+                pass
+
+    def report_doubt(self, job: ids.JobId, now_s: float) -> None:
+        """Record that a submission of a job ended without proof."""
+        self._doubtful_s.pop(job, None)
+        self._doubtful_s[job] = now_s
+        while len(self._doubtful_s) > self._max_jobs:
+            del self._doubtful_s[next(iter(self._doubtful_s))]
+
+    def is_stored(self, job: ids.JobId) -> bool:
+        """Return whether the table has the job for certain."""
+        return job in self._stored
+
+    def has_doubt(self, job: ids.JobId) -> bool:
+        """Return whether a submission of a job ended without proof."""
+        return job in self._doubtful_s
+
+    def may_be_stored(self, job: ids.JobId) -> bool:
+        """Return whether any submission has stored the job, or may have done so."""
+        return job in self._open or job in self._doubtful_s or job in self._stored
+
+
+class SubmitterIndex:
+    """Which entries have submitted a job to a holder that has not stored it.
+
+    Each of them may have tried to store the job without its holder afterwards.
+    """
+
+    def __init__(self, max_jobs: int) -> None:
+        self._max_jobs = max_jobs
+        self._by_job: dict[ids.JobId, set[calls.Submitter]] = {}
+
+    def add(self, job: ids.JobId, submitter: calls.Submitter) -> None:
+        """Record a submission."""
+        self._by_job.setdefault(job, set()).add(submitter)
+        while len(self._by_job) > self._max_jobs:
+            del self._by_job[next(iter(self._by_job))]
+
+    def discard(self, job: ids.JobId) -> None:
+        """Forget a job, as it is stored."""
+        self._by_job.pop(job, None)
+
+    def get_others(self, job: ids.JobId, submitter: calls.Submitter) -> tuple[calls.Submitter, ...]:
+        """Return the other entries that have submitted a job."""
+        return tuple(sorted(self._by_job.get(job, set()) - {submitter}, key=_get_address))
+
+
+def _get_address(submitter: calls.Submitter) -> str:
+    return submitter.address
