A job whose submission may still be carried out is not said to be unknown

Callers saw 410, "no such job", for a job that ran later: after a 504 they asked for its state, or cancelled it, before the transaction without an answer was carried out. A caller who hands the work in anew under another id has it run twice; a cancel that got 410 counts as done.

Cause: the absence of a row was read as proof. Fix: while a submission is under way, or was last in doubt within 60 s, a job without a row is answered 503 (state) or 504 (cancel); the holder answers the same for a job in a transaction of its own. After that the absence is taken for proof: the table carries a call out "seconds later".

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -169,6 +169,43 @@
     context.error = await submit(context, "e0")
 
 
+async def ask(context):
+    router = context.site.entries["e0"][0].job_router
+    call = router.cancel if context.asks == "cancels the job" else router.get_state
+    try:
+        await call(context.made.queue, context.made.job)
+    except exceptions.RequestError as error:
+        return error.kind
+    return None
+
+
+@behave.when("a job's submission gets no answer, and a caller {asks}")
+@jobs_steps.paused
+async def ask_in_doubt(context, asks):
+    await leave_in_doubt(context)
+    context.asks = asks
+    context.kind = await ask(context)
+
+
+@behave.then("the caller is not told that there is no such job")
+def check_not_unknown(context):
+    doubtful = {exceptions.ErrorKind.JOB_UNSETTLED, exceptions.ErrorKind.JOB_UNREADABLE}
+    assert context.kind in doubtful, context.kind
+
+
+@behave.then("{seconds:d} s later it is told that there is no such job")
+@jobs_steps.paused
+async def check_unknown(context, seconds):
+    # The holder gives the job up as well.
+    context.respond = turn_away
+    service, _ = context.site.entries["e0"]
+    service.lease_manager._stop_holder("a")
+    service.lease_manager._lease_set.drop("a")
+    await asyncio.sleep(seconds)
+    context.kind = await ask(context)
+    assert context.kind is exceptions.ErrorKind.UNKNOWN_JOB, context.kind
+
+
 @behave.when("a job's submission gets no answer, and it is submitted again as the entry shuts down")
 @jobs_steps.paused
 async def submit_at_shutdown(context):
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -34,6 +34,17 @@
     When a job's submission gets no answer, and the table refuses the next one as too large
     Then the caller is told that the job may run
 
+  Scenario Outline: A job whose submission is in doubt is <said> as unknown to a caller that <asks>
+    Given 1 entries and 4 workers of one service
+    When a job's submission gets no answer, and a caller <asks>
+    Then the caller is not told that there is no such job
+    But 61 s later it is told that there is no such job
+
+    Examples: calls
+      | asks                  | said      |
+      | asks for its state    | shown     |
+      | cancels the job       | cancelled |
+
   Scenario: An entry that shuts down rejects a job as not run though its first submission may be stored
     Given 1 entries and 4 workers of one service
     When a job's submission gets no answer, and it is submitted again as the entry shuts down
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -223,14 +223,18 @@
     def _get_state(self, job: ids.JobId) -> calls.Reply:
         record = self.scheduler.registry.records.get(job)
         if record is None:
-            return calls.Reply(status=calls.Status.UNKNOWN_JOB)
+            return calls.Reply(status=self._get_status_of_unknown(job))
         return calls.Reply(status=calls.Status.DONE, state=record.published_state)
 
+    def _get_status_of_unknown(self, job: ids.JobId) -> calls.Status:
+        may_appear = self.writer.may_store(job)
+        return calls.Status.UNSETTLED if may_appear else calls.Status.UNKNOWN_JOB
+
     async def _cancel(self, job: ids.JobId) -> calls.Reply:
         job_registry = self.scheduler.registry
         record = job_registry.records.get(job)
         if record is None:
-            return calls.Reply(status=calls.Status.UNKNOWN_JOB)
+            return calls.Reply(status=self._get_status_of_unknown(job))
         if record.is_live:
             job_registry.end_job(
                 record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -261,6 +261,9 @@
         try:
             job_row = await self._rows.read(jobs.job_key(queue.service, job))
             if not job_row.version:
+                if self._may_appear(job, result):
+                    kind = exceptions.ErrorKind.JOB_UNREADABLE
+                    raise exceptions.RequestError(kind, "its submission is in doubt")
                 raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
             progress_row = await self._rows.read(jobs.progress_key(queue.service, job))
         except exceptions.TableError as error:
@@ -283,6 +286,9 @@
             row = await self._rows.read(jobs.job_key(queue.service, job))
             stored_job = rowcodec.decode(row, jobs.Job) if row.version else None
             if stored_job is None:
+                if self._may_appear(job, result):
+                    kind = exceptions.ErrorKind.JOB_UNSETTLED
+                    raise exceptions.RequestError(kind, "its submission is in doubt")
                 raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
             await self._rows.commit(jobs.build_cancellation(stored_job, row.version))
         except exceptions.TableError as error:
@@ -290,6 +296,11 @@
             raise exceptions.RequestError(kind, str(error)) from error
         _log.info("A job's cancellation is stored for its holder.", job=job)
 
+    def _may_appear(self, job: ids.JobId, result: CallResult) -> bool:
+        """Return whether a job that is not in the table may still be stored."""
+        is_under_way = result.reply is not None and result.reply.status is calls.Status.UNSETTLED
+        return is_under_way or self._ledger.may_appear(job, self._loop.time())
+
     async def count_pending(self, queue: queues.Queue) -> int:
         """Return the number of jobs of a queue that have not started; raises RequestError."""
         call = calls.CountPendingJobs(service=queue.service, queue=queue.name)
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -9,6 +9,9 @@
 
 from nutmegshelf import calls, ids, jobs
 
+# A transaction without an answer is carried out within this time, if at all.
+MAX_CARRY_OUT_DELAY_S = 60.0
+
 
 class Outcome(enum.Enum):
     """What is known of a submitted job."""
@@ -136,6 +139,12 @@
         """Return whether a submission of a job ended without proof."""
         return job in self._doubtful_s
 
+    def may_appear(self, job: ids.JobId, now_s: float) -> bool:
+        """Return whether a job that is not in the table now may be stored later."""
+        doubtful_s = self._doubtful_s.get(job)
+        is_recent = doubtful_s is not None and now_s - doubtful_s < MAX_CARRY_OUT_DELAY_S
+        return job in self._open or is_recent
+
     def may_be_stored(self, job: ids.JobId) -> bool:
         """Return whether any submission has stored the job, or may have done so."""
         return job in self._open or job in self._doubtful_s or job in self._stored
