Jobs that run although a caller was told that they would not are counted

What callers saw: 429 or 503, which says that a job never runs, and the job ran. Nothing compared what callers were told at one entry with what ran at another, so the fault was found by its users.

- Entries keep the submissions that they rejected with 429 or 503 as not run (at most 4,096, for 30 s) and tell the holder of the service once a second if there is something new; the next holder is told again, as it may be the one that finds the job in the table.
A job whose stored try was rejected, or began before the rejection of another try, is logged as a warning, "rejected job runs", and counted in nutmegshelf_job_events_total, which starts at 0.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -128,6 +128,9 @@
         """Answer a call about a job, a queue or a host of the service."""
         if isinstance(call, calls.Inspect) and self.is_loaded:
             return self._inspect(call)
+        if isinstance(call, calls.ReportRejections) and self.is_loaded:
+            self.scheduler.rejections.report(call, self._loop.time())
+            return calls.Reply(status=calls.Status.DONE)
         if isinstance(call, calls.SubmitJob):
             return await self._handle_submission(call)
         if not self.is_loaded or not self._is_lease_fresh():
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
@@ -6,7 +6,7 @@
 import typing
 
 import h11
-from nutmegshelf import exceptions, ids, jobs, queues
+from nutmegshelf import exceptions, ids, jobs, queues, rejections
 from nutmegshelf_http import channel, server
 
 from nutmegshelf_entry import job_metrics, job_router, logs, problems
@@ -49,6 +49,7 @@
         metrics: job_metrics.JobMetrics,
     ) -> None:
         self.refusal: exceptions.ErrorKind | None = None
+        self.on_rejected: collections.abc.Callable[[jobs.Job], None] = lambda job: None
         self._active_queues = active_queues
         self._codec = codec
         self._router = router
@@ -165,7 +166,12 @@
         job = self._codec.decode_job(body, route.job, route.queue, now_ms)
         if faults := jobs.find_faults(job):
             raise exceptions.RequestError(exceptions.ErrorKind.BAD_REQUEST, "; ".join(faults))
-        await self._router.submit(job)
+        try:
+            await self._router.submit(job)
+        except exceptions.RequestError as error:
+            if rejections.is_rejection(error):
+                self.on_rejected(job)
+            raise
         return self._codec.encode_state(jobs.JobState.QUEUED)
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -33,6 +33,7 @@
     lease_manager,
     logs,
     ports,
+    rejection_reports,
     rowcodec,
     sender,
     supervision,
@@ -170,6 +171,9 @@
             doubt_reporter=doubt_reports.DoubtReporter(peers, self._members.list_addresses),
             submitter=calls.Submitter(settings.peers.address, self.incarnation),
         )
+        self.rejection_reporter = rejection_reports.RejectionReporter(
+            settings.entry, self.job_router.call_holder, self._get_lease_epoch
+        )
         self._advisor = advisor.Advisor(adapters.advice, self._list_holders)
         self._random = random.Random(self.incarnation)
         # The greatest lateness of timers in the last second.
@@ -182,6 +186,7 @@
             "fleet": self._watch_fleet,
             "inbox": self._watch_inbox,
             "demand": self._report_demand,
+            "rejections": self.rejection_reporter.run,
             "advice": self._advisor.run,
             "settings": self._watch_settings,
             "leases": self.lease_manager.run,
@@ -276,6 +281,10 @@
     def _list_other_entries(self) -> list[members.EntryRow]:
         return self._members.get_active(asyncio.get_running_loop().time())
 
+    def _get_lease_epoch(self, service: ids.ServiceName) -> ids.Epoch | None:
+        lease = self._lease_set.holder(ids.PoolName(service))
+        return lease.epoch if lease is not None else None
+
     def _list_holders(self) -> list[holder.Holder]:
         holders = self.lease_manager.get_holders().values()
         return [candidate for candidate in holders if isinstance(candidate, holder.Holder)]
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -42,6 +42,7 @@
             self.service.job_router,
             self._metrics,
         )
+        self._front.on_rejected = self.service.rejection_reporter.add
         self._callers = server.Server(
             self._front.handle, make_error=problems.make_head_error, on_error=self._report_error
         )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import collections
+import logging
 import time
 
-from nutmegshelf import audit, jobs, notes
+from nutmegshelf import audit, jobs, notes, rejections
 
 from nutmegshelf_entry import histograms, logs
 
@@ -18,6 +19,9 @@
 # Events that end a stage: the name of the stage and the field with its duration.
 _STAGES = {"run starts": ("wait", "waited_s"), "job ended": ("job", "took_s")}
 
+# Events of faults; their counters exist from the start, so that alarms can compare them with 0.
+_FAULTS = (rejections.REJECTED_JOB_RUNS,)
+
 
 class NoteLog:
     """Log of the decisions of one pool, which also records the durations of stages."""
@@ -28,7 +32,7 @@
         self._pool = pool
         self._second = 0
         # Events since the start, including those left out of the log.
-        self.totals: collections.Counter[str] = collections.Counter()
+        self.totals: collections.Counter[str] = collections.Counter(dict.fromkeys(_FAULTS, 0))
         self._lines: collections.Counter[str] = collections.Counter()
         # The newest decisions on the most recent jobs, for operators.
         self.decisions = audit.DecisionLog(max_subjects=_MAX_JOBS)
@@ -48,7 +52,8 @@
                 stage, field = _STAGES[note.event]
                 self._stages.observe(stage, note.fields[field])
             if self._lines[kind] <= _MAX_LINES:
-                self._log.info(note.event, pool=self._pool, **note.fields)
+                level = logging.WARNING if note.event in _FAULTS else logging.INFO
+                self._log.log(level, note.event, pool=self._pool, **note.fields)
         if buffer.dropped:
             self._lines["notes of the kernel"] += buffer.dropped + _MAX_LINES
             buffer.dropped = 0
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -119,6 +119,25 @@
         return {host: load.idle_s for host, load in self.hosts.items() if load.idle_s is not None}
 
 
+class Rejection(msgspec.Struct, frozen=True, kw_only=True):
+    """A try to submit a job whose caller was told that the job never runs.
+
+    The times are by the wall clock of the entry that received the try.
+    """
+
+    job: ids.JobId
+    queue: ids.QueueName
+    received_ms: int
+    rejected_ms: int
+
+
+class ReportRejections(Call, frozen=True, kw_only=True, tag="Rejections"):
+    """Report the rejections of a service's jobs at one entry, to see whether these jobs run."""
+
+    entry: ids.EntryId
+    rejections: tuple[Rejection, ...]
+
+
 class View(enum.Enum):
     """What an operator may ask of a holder."""
 
@@ -180,6 +199,7 @@
     | CountPendingJobs
     | EvacuateHost
     | ReportDemand
+    | ReportRejections
     | Inspect
     | CheckTableAccess
     | LeaseRelinquished
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -36,6 +36,7 @@
     is_from_earlier_epoch: bool = False
     # Whether tasks may still run at workers that an earlier holder used.
     has_recovering: bool = False
+    is_rejection_counted: bool = False
     _remaining_path_s: float | None = None
 
     @property
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -19,6 +19,7 @@
     preemption,
     rebalancing,
     registry,
+    rejections,
     reports,
     simulation,
     speculation,
@@ -76,6 +77,7 @@
         self._containment = containment.ErrorContainment(self.registry, self.notes)
         self._report_handler = reports.ReportHandler(self.registry, self.estimates, self.notes)
         self.losses = losses.LossTracker(self.registry, self.notes)
+        self.rejections = rejections.RejectionTracker(self.registry, self.notes)
         self._stall_detector = stalls.StallDetector(self.registry, self.notes)
 
     # --- jobs
@@ -102,6 +104,7 @@
             return
         self.registry.add(job, None, accepted_s, now_ms, may_run=False, now_s=now_s)
         self.record_arrival(job)
+        self.rejections.check_added(job.job)
 
     def record_arrival(self, job: jobs.Job) -> None:
         """Add the expected work of a new job to the amount that has arrived."""
