--- /dev/null
+++ b/features/steps/unconfirmed_row_steps.py
@@ -0,0 +1,111 @@
+"""Steps that answer a writer's transactions one by one, and check what its calls conclude."""
+
+import asyncio
+
+import behave
+from nutmegshelf import exceptions, leases, platform, registry
+from nutmegshelf_entry import writer
+
+from features import jobtable
+from features.steps import jobs_steps
+
+POOL = "a"
+# Longer than the delay until a batch is sent.
+PAUSE_S = 0.05
+
+
+class GatedTable(jobtable.TableClient):
+    """A table whose transactions wait until the test decides on them."""
+
+    def __init__(self, table):
+        super().__init__(table)
+        self.waiting = []
+
+    async def commit(self, transaction):
+        decision = asyncio.get_running_loop().create_future()
+        self.waiting.append(decision)
+        await decision
+        return self.table.apply(transaction)
+
+
+def start_call(context, key, value):
+    change = platform.Write(f"rows/{POOL}/{key}", value)
+    call = asyncio.ensure_future(context.writer.write_and_wait(change))
+    if key == "hosts":
+        context.calls.append(call)
+
+
+@behave.given("a writer whose transactions wait for their answers")
+@jobs_steps.paused
+async def start_writer(context):
+    table = jobtable.Table()
+    context.gated, context.calls = GatedTable(table), []
+    lease_set = leases.Leases("e0", "i", 1000.0)
+    lease_row = table.apply(lease_set.make_acquisition(POOL)).rows[0]
+    lease_set.observe_held(lease_row, 0.0)
+    context.writer = writer.Writer(context.gated, lease_set, POOL, jobs_steps.get_time_s())
+    context.running = asyncio.ensure_future(context.writer.run(registry.JobRegistry(1)))
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.when('row "{key}" is written and sent')
+@jobs_steps.paused
+async def send_row(context, key):
+    start_call(context, key, b"1")
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.when('rows "{first}" and "{second}" are written and sent')
+@jobs_steps.paused
+async def send_rows(context, first, second):
+    start_call(context, first, b"1")
+    start_call(context, second, b"1")
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.when('row "{key}" is written again')
+@jobs_steps.paused
+async def write_again(context, key):
+    start_call(context, key, b"2")
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.when('row "{key}" is written twice before it is sent')
+@jobs_steps.paused
+async def write_twice(context, key):
+    start_call(context, key, b"1")
+    start_call(context, key, b"2")
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.when("the transaction is stored")
+@behave.when("the next transaction is stored")
+@jobs_steps.paused
+async def store(context):
+    context.gated.waiting.pop(0).set_result(None)
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.when("the transaction is refused")
+@jobs_steps.paused
+async def refuse(context):
+    context.gated.waiting.pop(0).set_exception(exceptions.TableRefused("too large"))
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.then("none of the calls has returned")
+def check_waiting(context):
+    assert context.calls
+    assert not any(call.done() for call in context.calls), context.calls
+
+
+@behave.then("both calls have returned and the table has the second value")
+def check_stored(context):
+    assert [call.done() and call.exception() for call in context.calls] == [None] * 2, context.calls
+    assert context.gated.table.read(f"rows/{POOL}/hosts").value == b"2"
+
+
+@behave.then("the call raises {error}")
+def check_raised(context, error):
+    raised = [type(call.exception()).__name__ for call in context.calls if call.done()]
+    assert raised == [error] * len(context.calls), (raised, context.calls)
--- /dev/null
+++ b/features/unconfirmed_rows.feature
@@ -0,0 +1,36 @@
+Feature: A row of a service counts as stored only once it is
+  Hosts are moved and workers get starts only after a row that says so is stored, as the next holder
+  relies on it.
+
+  Scenario: A row counts as stored as a transaction without it is
+    Given a writer whose transactions wait for their answers
+    When row "other" is written and sent
+    And row "hosts" is written twice before it is sent
+    And the transaction is stored
+    Then none of the calls has returned
+    When the next transaction is stored
+    Then both calls have returned and the table has the second value
+
+  Scenario: A row counts as stored as its transaction was refused and a newer one waits
+    Given a writer whose transactions wait for their answers
+    When rows "other" and "hosts" are written and sent
+    And row "hosts" is written again
+    And the transaction is refused
+    And the next transaction is stored
+    Then none of the calls has returned
+    When the next transaction is stored
+    Then both calls have returned and the table has the second value
+
+  Scenario: A stored row counts as refused as an older one of its key was
+    Given a writer whose transactions wait for their answers
+    When row "hosts" is written and sent
+    And row "hosts" is written again
+    And the transaction is refused
+    And the next transaction is stored
+    Then both calls have returned and the table has the second value
+
+  Scenario: A refused row counts as stored
+    Given a writer whose transactions wait for their answers
+    When row "hosts" is written and sent
+    And the transaction is refused
+    Then the call raises TableRefused
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -63,6 +63,8 @@
 
 
 PendingJobs = dict[ids.JobId, _PendingJob]
+# By key, the futures that resolve once the row that is queued now, or a newer one, is stored.
+Waiters = dict[str, list[asyncio.Future[None]]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +74,7 @@
     new_jobs: PendingJobs
     queued: list[platform.Write]
     dirty: list[registry.JobRecord]
+    waiters: Waiters
 
     @property
     def size(self) -> int:
@@ -99,12 +102,10 @@
         self.on_accepted: collections.abc.Callable[[jobs.Job, int], None] = (
             lambda job, version: None
         )
-        self._keys_in_flight: set[str] = set()
-        # Keys of queued rows that the table refused.
-        self._refused_keys: set[str] = set()
+        # The waiters of queued rows; those of rows in flight are in the batch.
+        self._waiters: Waiters = {}
         # Smaller after the table refused a batch, until the item that it refuses is found.
         self._max_items = _MAX_OPERATIONS
-        self._batch_stored = asyncio.Event()
         self._is_ended = False
         self._failing_since_s: float | None = None
         # Duration of the last transaction, including the batch delay.
@@ -133,14 +134,14 @@
         self._changed.set()
 
     async def write_and_wait(self, change: platform.Write) -> None:
-        """Queue a write of another row, and wait until it is stored; raises TableRefused."""
-        self._refused_keys.discard(change.key)
+        """Queue a write of another row, and wait until it or a newer one of its key is stored.
+
+        Raises TableRefused if the table refuses the row.
+        """
         self.write(change)
-        while self._queued_writes.get(change.key) is change or change.key in self._keys_in_flight:
-            self._batch_stored.clear()
-            await self._batch_stored.wait()
-        if change.key in self._refused_keys:
-            raise exceptions.TableRefused(f"the table refused {change.key}")
+        waiter: asyncio.Future[None] = self._loop.create_future()
+        self._waiters.setdefault(change.key, []).append(waiter)
+        await waiter
 
     def may_store(self, job: ids.JobId) -> bool:
         """Return whether a job that is not stored yet may become stored by a transaction here."""
@@ -220,22 +221,23 @@
         budget = _TransactionBudget(self._max_items)
         new_jobs, queued = self._choose_new_jobs(budget), self._pop_queued_writes(budget)
         writes = self._choose_progress(job_registry, budget)
-        batch = _Batch(new_jobs, queued, job_registry.take_dirty(len(writes)))
+        waiters = {write.key: self._waiters.pop(write.key, []) for write in queued}
+        batch = _Batch(new_jobs, queued, job_registry.take_dirty(len(writes)), waiters)
         stored_states = {record.job.job: record.progress.state for record in batch.dirty}
-        self._keys_in_flight = {write.key for write in batch.queued}
         try:
             await self._commit([*writes, *batch.queued], batch.new_jobs)
         except BaseException as error:
             job_registry.restore_dirty()
             self._queued_writes = {write.key: write for write in batch.queued} | self._queued_writes
+            for key, waiting in batch.waiters.items():
+                self._waiters[key] = waiting + self._waiters.get(key, [])
             if not isinstance(error, exceptions.TableRefused):
                 raise
-            self._keys_in_flight = set()
             self._isolate_refused(job_registry, batch, error)
             return
         self._max_items = min(_MAX_OPERATIONS, 2 * self._max_items)
-        self._keys_in_flight = set()
-        self._batch_stored.set()
+        for waiting in batch.waiters.values():
+            _resolve_waiters(waiting)
         job_registry.confirm_stored(stored_states)
         self.on_stored()
 
@@ -253,10 +255,10 @@
             self._forget(pending)
         for write in batch.queued:
             _log.error("The table refused a row.", pool=self._pool, key=write.key, why=str(error))
-            self._refused_keys.add(write.key)
+            # A newer row of the key may still be stored, which its waiters wait for.
             if self._queued_writes.get(write.key) is write:
                 del self._queued_writes[write.key]
-            self._batch_stored.set()
+                _resolve_waiters(self._waiters.pop(write.key), error)
         for record in batch.dirty:
             job = record.job.job
             _log.error(
@@ -398,3 +400,15 @@
         for pending in self._pending.values():
             pending.submission.close()
             pending.settled.set()
+
+
+def _resolve_waiters(
+    waiting: list[asyncio.Future[None]], error: exceptions.TableError | None = None
+) -> None:
+    for waiter in waiting:
+        if waiter.done():
+            continue  # The call that waited was cancelled.
+        if error is None:
+            waiter.set_result(None)
+        else:
+            waiter.set_exception(error)
