A call that waits for a row ends with its writer

Seen: no caller saw it; found by reading. A call to clear a host, sent by the fleet's holder at another entry, never ended if the service's lease was lost while the row without the host waited. Its connection stayed occupied at the entry that lost the lease. A row that the table refused raised in the call instead, and through a call within one entry it ended the fleet's holder.

Cause: nobody resolved what waited for rows when the writer ended.

Now these calls raise TableAnswerLost with the jobs that wait, as a sent row may still be stored, and a host is handed over only after its row is known to be stored; else it is kept, with a log line.

Two scenarios of features/unconfirmed_rows.feature failed before.

--- a/features/steps/unconfirmed_row_steps.py
+++ b/features/steps/unconfirmed_row_steps.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import behave
-from nutmegshelf import exceptions, leases, platform, registry
+from nutmegshelf import calls, exceptions, leases, platform, registry
 from nutmegshelf_entry import writer
 
 from features import jobtable
-from features.steps import jobs_steps
+from features.steps import jobs_steps, malformed_row_steps
 
 POOL = "a"
 # Longer than the delay until a batch is sent.
@@ -93,6 +93,15 @@
     await asyncio.sleep(PAUSE_S)
 
 
+@behave.when("the writer ends")
+@jobs_steps.paused
+async def end_writer(context):
+    context.running.cancel()
+    await asyncio.gather(context.running, return_exceptions=True)
+    context.writer.abort_pending()
+    await asyncio.sleep(PAUSE_S)
+
+
 @behave.then("none of the calls has returned")
 def check_waiting(context):
     assert context.calls
@@ -106,6 +115,38 @@
 
 
 @behave.then("the call raises {error}")
+@behave.then("each call raises {error}")
 def check_raised(context, error):
     raised = [type(call.exception()).__name__ for call in context.calls if call.done()]
     assert raised == [error] * len(context.calls), (raised, context.calls)
+
+
+def start_clearing(context, host):
+    call = calls.EvacuateHost(service=POOL, host=host, reason="move", only_idle=True)
+    return asyncio.ensure_future(malformed_row_steps.get_holder(context).handle_call(call))
+
+
+@behave.when("the entry is cut off from the table")
+def cut_off(context):
+    context.site.views["e0"].is_partitioned = True
+
+
+@behave.when("one of its idle hosts is to be cleared")
+@jobs_steps.paused
+async def clear_host(context):
+    context.clearing = start_clearing(context, "h1")
+
+
+@behave.when("the entry is killed after {seconds:g} s")
+@jobs_steps.paused
+async def kill_entry(context, seconds):
+    await asyncio.sleep(seconds)
+    assert not context.clearing.done(), context.clearing
+    await context.site.kill("e0")
+    await asyncio.sleep(PAUSE_S)
+
+
+@behave.then("the host is not given away")
+def check_not_cleared(context):
+    assert context.clearing.done(), context.clearing
+    assert context.clearing.result().status is calls.Status.IN_PROGRESS, context.clearing
--- a/features/unconfirmed_rows.feature
+++ b/features/unconfirmed_rows.feature
@@ -34,3 +34,17 @@
     When row "hosts" is written and sent
     And the transaction is refused
     Then the call raises TableRefused
+
+  Scenario: A call waits forever for a row whose writer has ended
+    Given a writer whose transactions wait for their answers
+    When row "hosts" is written and sent
+    And row "hosts" is written again
+    And the writer ends
+    Then each call raises TableAnswerLost
+
+  Scenario: A call to clear a host never returns as its holder has ended
+    Given 1 entries and 3 workers of one service
+    When the entry is cut off from the table
+    And one of its idle hosts is to be cleared
+    And the entry is killed after 0.3 s
+    Then the host is not given away
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -159,7 +159,11 @@
         if not is_cleared:
             return calls.Reply(status=calls.Status.IN_PROGRESS)
         # A later holder must not wait for the workers of a host that was handed over.
-        await self._store_incarnations()
+        try:
+            await self._store_incarnations()
+        except exceptions.TableError as error:
+            _log.warning("A host is kept.", host=call.host, pool=self.pool, why=str(error))
+            return calls.Reply(status=calls.Status.IN_PROGRESS)
         return calls.Reply(status=calls.Status.DONE)
 
     def get_advice_timeout_s(self, question: policy.Question) -> float:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -136,7 +136,7 @@
     async def write_and_wait(self, change: platform.Write) -> None:
         """Queue a write of another row, and wait until it or a newer one of its key is stored.
 
-        Raises TableRefused if the table refuses the row.
+        Raises TableRefused if the table refuses the row, TableAnswerLost if the writer ends first.
         """
         self.write(change)
         waiter: asyncio.Future[None] = self._loop.create_future()
@@ -400,6 +400,9 @@
         for pending in self._pending.values():
             pending.submission.close()
             pending.settled.set()
+        for waiting in self._waiters.values():
+            _resolve_waiters(waiting, exceptions.TableAnswerLost("the lease was lost"))
+        self._waiters.clear()
 
 
 def _resolve_waiters(
