The row of workers in use is known to hold what was confirmed

With a table slower than the 0.6 s that the fleet's holder waits, a second try to clear a host was answered "done" while the row without the host was not stored, so that a later holder would wait for a worker that had been handed over. And a worker that had joined meanwhile got no start until the row changed again, as the call that had it stored ended by its time limit.

Cause: what the row holds was noted before it was written. Another call, or the next one after a cancellation, took the note as proof.

Now the note says "unknown" until the write is confirmed, and one call at a time writes the row.

--- a/features/steps/unconfirmed_row_steps.py
+++ b/features/steps/unconfirmed_row_steps.py
@@ -3,8 +3,9 @@
 import asyncio
 
 import behave
-from nutmegshelf import calls, exceptions, leases, platform, registry
-from nutmegshelf_entry import writer
+import msgspec
+from nutmegshelf import calls, codecs, exceptions, leases, platform, registry
+from nutmegshelf_entry import loading, writer
 
 from features import jobtable
 from features.steps import jobs_steps, malformed_row_steps
@@ -121,9 +122,16 @@
     assert raised == [error] * len(context.calls), (raised, context.calls)
 
 
-def start_clearing(context, host):
-    call = calls.EvacuateHost(service=POOL, host=host, reason="move", only_idle=True)
-    return asyncio.ensure_future(malformed_row_steps.get_holder(context).handle_call(call))
+CLEAR_CALL = calls.EvacuateHost(service=POOL, host="h1", reason="move", only_idle=True)
+
+
+@behave.given("its hosts stay in its pool")
+@jobs_steps.paused
+async def keep_hosts(context):
+    declared = context.world.declared
+    services = tuple(service for service in declared.services if not service.is_spare)
+    context.world.declare(msgspec.structs.replace(declared, version=2, services=services))
+    await asyncio.sleep(PAUSE_S)
 
 
 @behave.when("the entry is cut off from the table")
@@ -134,7 +142,8 @@
 @behave.when("one of its idle hosts is to be cleared")
 @jobs_steps.paused
 async def clear_host(context):
-    context.clearing = start_clearing(context, "h1")
+    holder = malformed_row_steps.get_holder(context)
+    context.clearing = asyncio.ensure_future(holder.handle_call(CLEAR_CALL))
 
 
 @behave.when("the entry is killed after {seconds:g} s")
@@ -150,3 +159,51 @@
 def check_not_cleared(context):
     assert context.clearing.done(), context.clearing
     assert context.clearing.result().status is calls.Status.IN_PROGRESS, context.clearing
+
+
+@behave.then("{count:d} tries to clear an idle host within {seconds:g} s give no answer")
+@jobs_steps.paused
+async def try_to_clear(context, count, seconds):
+    service, _ = context.site.entries["e0"]
+    replies = [await service.job_router.call_holder(CLEAR_CALL, seconds) for _ in range(count)]
+    assert replies == [None] * count, replies
+
+
+@behave.when("the entry reaches the table again")
+@jobs_steps.paused
+async def reach(context):
+    context.site.views["e0"].is_partitioned = False
+    # A transaction that is under way fails first.
+    await asyncio.sleep(1.0)
+
+
+@behave.then(
+    'a try to clear an idle host within {seconds:g} s gives "{status}" and its worker is not'
+    " stored as used"
+)
+@jobs_steps.paused
+async def clear_idle_host(context, seconds, status):
+    service, _ = context.site.entries["e0"]
+    reply = await service.job_router.call_holder(CLEAR_CALL, seconds)
+    assert reply.status.value == status, reply
+    row = context.world.table.read(f"{loading.INCARNATIONS}/{POOL}/lives")
+    hosts = {host for _, host in codecs.unpack(row.value, list[tuple[object, str]])}
+    assert "h1" not in hosts, hosts
+
+
+@behave.when("a host joins the service")
+@jobs_steps.paused
+async def join(context):
+    context.world.add_host(POOL, "h9", "r0")
+    await asyncio.sleep(0.3)
+
+
+@behave.then("within {seconds:g} s tasks run at the new host")
+@jobs_steps.paused
+async def check_new_host(context, seconds):
+    (minion,) = [each for each in context.world.minions.values() if each.facts.host == "h9"]
+
+    async def check():
+        return bool(minion.runs)
+
+    await jobs_steps.wait_until(seconds, check, "tasks run at the new host")
--- a/features/unconfirmed_rows.feature
+++ b/features/unconfirmed_rows.feature
@@ -44,7 +44,27 @@
 
   Scenario: A call to clear a host never returns as its holder has ended
     Given 1 entries and 3 workers of one service
+    And its hosts stay in its pool
     When the entry is cut off from the table
     And one of its idle hosts is to be cleared
     And the entry is killed after 0.3 s
     Then the host is not given away
+
+  Scenario: A host is given away before the row without it is stored
+    Given 1 entries and 3 workers of one service
+    And its hosts stay in its pool
+    When the entry is cut off from the table
+    Then 2 tries to clear an idle host within 0.3 s give no answer
+    When the entry reaches the table again
+    Then a try to clear an idle host within 0.6 s gives "done" and its worker is not stored as used
+
+  Scenario: A new worker gets no starts as the call that stored it was cancelled
+    Given 1 entries and 3 workers of one service
+    And its hosts stay in its pool
+    And its tasks take 2 s
+    When the entry is cut off from the table
+    And a host joins the service
+    Then 1 tries to clear an idle host within 0.6 s give no answer
+    When the entry reaches the table again
+    And a job of steps "48" is submitted at entry 0
+    Then within 1 s tasks run at the new host
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -103,7 +103,9 @@
         self._sender = sender.OrderSender(
             self.scheduler, self._links, transport, pool=pool, wake=self.wake
         )
+        # What the row is known to hold, and None while that is not known.
         self._stored_incarnations: loading.IncarnationHosts | None = None
+        self._storing_incarnations = asyncio.Lock()
         # Set when workers appeared that are not stored as used yet.
         self._workers_added = asyncio.Event()
         self._inbox = inbox.Inbox()
@@ -444,15 +446,17 @@
 
     async def _store_incarnations(self) -> None:
         """Store which workers a later holder has to poll, before any of them gets a start."""
-        in_use = self.scheduler.get_incarnations_in_use(self._loop.time())
-        if in_use is None or in_use == self._stored_incarnations:
-            return
-        self._stored_incarnations = in_use
-        incarnations = [incarnation for incarnation, _ in in_use]
-        self.scheduler.set_recorded(incarnations, is_stored=False)
-        key = f"{loading.INCARNATIONS}/{self.pool}/lives"
-        await self.writer.write_and_wait(platform.Write(key, codecs.pack(in_use)))
-        if self._stored_incarnations is in_use:
+        async with self._storing_incarnations:
+            in_use = self.scheduler.get_incarnations_in_use(self._loop.time())
+            if in_use is None or in_use == self._stored_incarnations:
+                return
+            # Until the write is confirmed, the row may hold either value.
+            self._stored_incarnations = None
+            incarnations = [incarnation for incarnation, _ in in_use]
+            self.scheduler.set_recorded(incarnations, is_stored=False)
+            key = f"{loading.INCARNATIONS}/{self.pool}/lives"
+            await self.writer.write_and_wait(platform.Write(key, codecs.pack(in_use)))
+            self._stored_incarnations = in_use
             self.scheduler.set_recorded(incarnations, is_stored=True)
             self.wake()
 
