Only an answer of the protocol says that an order was not executed

A worker that answers a start with a status beyond the protocol (500, 502, 504, 408) was taken not to have executed it, so that the task would start elsewhere while it runs there. A 409 without a reason counted as a start.

Cause: every status without a branch of its own meant "not done".

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -61,9 +61,40 @@
       | 409    | ticket | TICKET       |
       | 409    | fence  | Fenced       |
       | 421    |        | WrongWorker  |
+      | 429    |        | OrderNotDone |
       | 503    |        | OrderNotDone |
       | 400    |        | OrderNotDone |
 
+  Scenario Outline: Status <status> of a worker says that a start was not executed, or that it was
+    Given the platform's stand-in
+    When workers return status <status> "" to a start
+    Then the start results in OrderAnswerLost
+
+    Examples: Answers that the protocol doesn't have
+      | status |
+      | 204    |
+      | 408    |
+      | 409    |
+      | 500    |
+      | 502    |
+      | 504    |
+
+  Scenario Outline: Status <status> of the host service to an order results in <outcome>
+    Given the platform's stand-in
+    When the host service returns status <status> "<reason>" to a move
+    Then the move results in <outcome>
+
+    Examples:
+      | status | reason | outcome          |
+      | 200    |        | DONE             |
+      | 400    |        | NO_SUCH_HOST     |
+      | 409    | fence  | FENCED           |
+      | 409    | busy   | BUSY             |
+      | 429    |        | HostsUnavailable |
+      | 503    |        | HostsUnavailable |
+      | 500    |        | HostsAnswerLost  |
+      | 504    |        | HostsAnswerLost  |
+
   Scenario Outline: A malformed answer to a poll counts as lost: <body>
     Then a poll that is answered with <body> raises "OrderAnswerLost"
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,7 +6,7 @@
 
 import behave
 import msgspec
-from nutmegshelf import exceptions, fleetview, jobs, orders, platform, timeouts
+from nutmegshelf import exceptions, fleetview, jobs, orders, platform, rebalancing, timeouts
 from nutmegshelf_http import server
 from nutmegshelf_platform import cloud, codec, fleet, minions, operators, store
 
@@ -183,6 +183,27 @@
     assert result == outcome, result
 
 
+@behave.when('the host service returns status {status:d} "{reason}" to a move')
+@behave.when('the host service returns status {status:d} "" to a move')
+def set_move_response(context, status, reason=""):
+    context.platform.fault_responses["/v1/machine-move"] = (status, {"reason": reason})
+
+
+@behave.then("the move results in {outcome}")
+def check_move(context, outcome):
+    address = f"127.0.0.1:{context.platform.port}"
+    move = rebalancing.Move("m", "a", "b", "idle")
+
+    async def send():
+        return await cloud.HostClient(address, context.store, "e0").move(move, 1)
+
+    try:
+        result = context.run(send()).name
+    except exceptions.HostsError as hosts_error:
+        result = type(hosts_error).__name__
+    assert result == outcome, result
+
+
 @behave.when("a worker row is {fault}")
 def decode_malformed_worker(context, fault):
     worker = {
