An idle connection with unread data isn't used for the next call

A server that sends something unasked on a kept connection, such as 408 or 503 before it closes it, has that taken for the answer to the next call. A commit that the table carries out then counts as refused, which says that nothing was done.

Cause: the client kept and reused a connection if the peer had not closed it.

Now the client checks for it as well, when it keeps a connection and when it takes one. What arrives after a call is sent can't be told from its answer.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -47,6 +47,15 @@
       | 503    | TableUnavailable |
       | 500    | TableAnswerLost  |
 
+  Scenario Outline: An answer that nobody asked for, <when>, refuses the next commit
+    Given a store that sends a second answer, of status 503, <when> after its first
+    Then 2 commits over kept connections raise no error
+
+    Examples:
+      | when    |
+      | 0 s     |
+      | 0.05 s  |
+
   Scenario Outline: Status <status> <reason> of a worker results in <outcome>
     Given the platform's stand-in
     When workers return status <status> "<reason>" to a start
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,7 +1,10 @@
 """Check the platform adapter against a stand-in of the platform on the loopback interface."""
 
+import asyncio
+import contextlib
 import dataclasses
 import json
+import re
 import time
 
 import behave
@@ -159,6 +162,46 @@
     assert raised == error, raised
 
 
+@behave.given("a store that sends a second answer, of status 503, {seconds:g} s after its first")
+def start_talkative_store(context, seconds):
+    unasked = [b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"]
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ver":5}'
+
+    async def respond(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = re.search(rb"content-length: (\d+)", head.lower())
+                await reader.readexactly(int(size[1]))
+                late = unasked.pop() if unasked else b""
+                writer.write(answer + (b"" if seconds else late))
+                await asyncio.sleep(seconds)
+                writer.write(late if seconds else b"")
+        writer.close()
+
+    async def start():
+        listener = await asyncio.start_server(respond, "127.0.0.1", 0)
+        context.store = store.Store(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+
+        async def close():
+            context.store.close()
+            listener.close()
+            # The handlers of the connections end.
+            await asyncio.sleep(0.05)
+
+        context.cleanup.append(close)
+
+    context.run(start())
+
+
+@behave.then("{count:d} commits over kept connections raise no error")
+def check_commits(context, count):
+    for _ in range(count):
+        check_commit(context, "no error")
+        # Whatever the store sends without being asked arrives meanwhile.
+        context.run(asyncio.sleep(0.2))
+
+
 @behave.when('workers return status {status:d} "{reason}" to a start')
 @behave.when('workers return status {status:d} "" to a start')
 def set_start_response(context, status, reason=""):
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -152,7 +152,7 @@
         except BaseException:
             connection.abort()
             raise
-        if connection.is_reusable():
+        if connection.is_reusable() and connection.is_idle():
             connection.start_next_cycle()
             self._idle.append(connection)
         else:
@@ -167,7 +167,8 @@
     async def _checkout(self) -> channel.Channel:
         while self._idle:
             connection = self._idle.pop()
-            if not connection.peer_closed.is_set():
+            # Unread data would be taken for the response to the next request.
+            if connection.is_idle():
                 return connection
             connection.close()
         return await open_channel(self._host, self._port)
