A cancellation's notice stays until the end of its job is stored

An entry that cancels a job without its holder confirms it once a notice is stored. The holder ended the job and removed the notice, then was killed: the next holder ran the job on, after its caller had been told that it is cancelled.

Cause: the removal is queued as a row, and queued rows go into a transaction before jobs' progress.

Now the holder keeps the notice until the stored progress says that the job has ended, and removes it in a later pass. A holder that dies in between leaves the notice to the next one, which applies it again.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -109,6 +109,8 @@
         # Set when workers appeared that are not stored as used yet.
         self._workers_added = asyncio.Event()
         self._inbox = inbox.Inbox()
+        # Their notices tell a later holder of them until the ends of their jobs are stored.
+        self._applied_cancellations: dict[ids.JobId, jobs.Notice] = {}
         self._wake_event = asyncio.Event()
         self._orders_allowed = asyncio.Event()
         self.is_loaded = False
@@ -337,11 +339,21 @@
 
     def _apply_notice(self, notice: jobs.Notice) -> None:
         record = self.scheduler.registry.records.get(notice.job)
-        if notice.cancels and record is not None and record.is_live:
-            self.scheduler.registry.end_job(
-                record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time()
-            )
-        self.writer.write(platform.Write(jobs.notice_key(notice), None))
+        if notice.cancels and record is not None:
+            if record.is_live:
+                self.scheduler.registry.end_job(
+                    record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time()
+                )
+            self._applied_cancellations[notice.job] = notice
+        else:
+            self.writer.write(platform.Write(jobs.notice_key(notice), None))
+
+    def _delete_applied_cancellations(self) -> None:
+        for job, notice in list(self._applied_cancellations.items()):
+            record = self.scheduler.registry.records.get(job)
+            if record is None or record.published_state in jobs.ENDED_STATES:
+                del self._applied_cancellations[job]
+                self.writer.write(platform.Write(jobs.notice_key(notice), None))
 
     def update_workers(self, listed: collections.abc.Iterable[fleetview.WorkerFacts]) -> None:
         """Apply the fleet's list of this service's workers."""
@@ -525,6 +537,7 @@
             self._transport.router.update_entries(self._transport.list_entries())
             if self._group is not None:
                 self._sender.send(self._choose_orders(now_s), self._group)
+        self._delete_applied_cancellations()
         self._delete_ended(now_s)
         if self.scheduler.registry.dirty:
             self.writer.schedule_store()
