A reply without outcomes doesn't say that starts were not executed

Seen: no entry of this version sends such a reply; found by reading. If another entry answers a request to forward starts without an outcome for each, the holder counted them all as not executed and started their tasks elsewhere, so that they ran twice at once.

Cause: a missing list of outcomes was read as "not carried".

Now these starts count as starts without an answer, which are settled by a poll of their workers or the end of their validity.

--- a/features/order_load.feature
+++ b/features/order_load.feature
@@ -64,6 +64,7 @@
       | a forwarding entry is killed                 |
       | a forwarding entry restarts                  |
       | answers of a forwarding entry are lost       |
+      | a forwarding entry reports no outcomes       |
       | the holder is killed                         |
       | the holder loses its lease                   |
       | a forwarding entry can't reach the workers   |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import behave
-from nutmegshelf import exceptions, jobs
+from nutmegshelf import calls, exceptions, jobs
 
 from features import jobsite, jobworld
 from features.steps import jobs_steps
@@ -61,6 +61,18 @@
     assert not any(unanswered.values()), unanswered
 
 
+def leave_out_outcomes(router):
+    handle_call = router.handle_call
+
+    async def handle_and_forget(call):
+        reply = await handle_call(call)
+        if isinstance(call, calls.ForwardStarts):
+            return calls.Reply(status=calls.Status.NOT_HOLDER)
+        return reply
+
+    router.handle_call = handle_and_forget
+
+
 @behave.when(
     "{count:d} jobs of {tasks:d} tasks with {size_kb:d} KB of specification are submitted"
     " within {seconds:g} s, and {fault} after {after_s:g} s"
@@ -81,6 +93,9 @@
                 context.site.start(forwarder)
             case "answers of a forwarding entry are lost":
                 context.site.net.dropping_answers.add(f"{forwarder}:3")
+            case "a forwarding entry reports no outcomes":
+                service, _ = context.site.entries[forwarder]
+                leave_out_outcomes(service.job_router)
             case "a forwarding entry can't reach the workers":
                 context.site.workers[forwarder].is_partitioned = True
             case "a forwarding entry does not know the workers":
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/sender.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/sender.py
@@ -153,12 +153,12 @@
     ) -> None:
         router, now_s = self._transport.router, self._loop.time()
         if len(reply.outcomes) != len(prepared):
-            _log.warning(
-                "An entry did not forward starts.", entry=entry, verdict=reply.status.value
-            )
+            # Without their outcomes it isn't known whether the starts were executed.
+            why = f"{entry} replied {reply.status.value}"
+            _log.warning("Starts may be carried.", entry=entry, count=len(prepared), why=why)
             router.avoid(entry, now_s)
-            for order, _, _ in prepared:
-                self._scheduler.record_refused(order, f"not carried by {entry}", now_s)
+            for order, link, validity in prepared:
+                link.record_answer_lost(order, validity, why)
             return
         for (order, link, validity), outcome in zip(prepared, reply.outcomes, strict=True):
             match outcome:
