A host is back only by a list that was requested after its upkeep

With a list of hosts that takes longer than the upkeep, a wave of one host at a time had two down: the list that ended the first host's upkeep was requested before it began, and showed the host as it was then.

Cause: a list counted as new as of its arrival.

Now it counts as of its request.

The new scenario of features/fleet_jobs.feature failed before ("over 1 hosts are down for wave 1").

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -78,6 +78,13 @@
     Given a wave of 10 hosts with 3 at once, of which 2 are down by an earlier holder's order
     Then only 1 host goes down, though all others idle
 
+  Scenario: A host counts as back by a list that was requested before its upkeep
+    Given 1 entries and 4 workers of one service
+    And the hosts' upkeep takes 3.5 s, and a list of the hosts arrives 2.5 s late
+    When a wave requests the upkeep of all hosts within 40 s, 1 at once
+    Then within 40 s the wave is reported as done
+    And no bound of the hosts was broken
+
   Scenario: Hosts that move between pools do not delay a wave
     Given a wave of 10 hosts with 3 at once, of which 2 move and 1 is in another wave's upkeep
     Then only 2 hosts go down, though all others idle
--- a/features/jobhosts.py
+++ b/features/jobhosts.py
@@ -76,7 +76,8 @@
         limit = next(row.max_concurrent for row in self.world.waves if row.number == wave)
         if len(hosts_down) >= limit:
             self.world.violations.append(f"over {limit} hosts are down for wave {wave}")
-        self.world.replace(host, jobworld.UPKEEP_DURATION_S, state=rebalancing.HostState.UPKEEP)
+        duration_s = self.world.upkeep_duration_s
+        self.world.replace(host, duration_s, state=rebalancing.HostState.UPKEEP)
         return ports.HostOrderOutcome.DONE
 
     async def report_wave(self, wave, *, is_finished):
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -196,6 +196,7 @@
         self.lost_runs = collections.Counter()
         self.moves = []
         self.upkeeps = []
+        self.upkeep_duration_s = UPKEEP_DURATION_S
         self.down = {}
         # Ended workers stay in the fleet list for list_lag_s.
         self.ended_workers = []
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -51,6 +51,24 @@
     await asyncio.sleep(1.0)
 
 
+@behave.given(
+    "the hosts' upkeep takes {upkeep_s:g} s, and a list of the hosts arrives {late_s:g} s late"
+)
+@jobs_steps.paused
+async def delay_lists(context, upkeep_s, late_s):
+    context.world.upkeep_duration_s = upkeep_s
+    service, _ = context.site.entries["e0"]
+    hosts = service._adapters.hosts
+    list_hosts = hosts.list_hosts
+
+    async def list_late():
+        views = await list_hosts()
+        await asyncio.sleep(late_s)
+        return views
+
+    hosts.list_hosts = list_late
+
+
 @behave.when("a wave requests the upkeep of all hosts within {seconds:g} s, {at_once:d} at once")
 @jobs_steps.paused
 async def request_wave(context, seconds, at_once):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -181,9 +181,11 @@
     async def _poll_hosts(self) -> None:
         while True:
             try:
+                # The list may show any host as it was when the list was requested.
+                requested_s = self._loop.time()
                 views = await self._hosts.list_hosts()
                 self._host_views = {view.host: view for view in views}
-                self._listed_at_s = self._loop.time()
+                self._listed_at_s = requested_s
             except exceptions.HostsError as error:
                 _log.warning("Listing the hosts failed.", why=str(error))
             if any(plan.down_since_s for plan in self._wave_plans.values()):
