A cancelled job that can't be used keeps its cancellation

A job whose progress can't be read was cancelled, and its caller told so. Once an operator had restored the row, the next holder ran the job.

Cause: the holder doesn't know a job that it can't use, and removed the notice as one of a job that is gone.

Now it keeps the notice of such a job, so that the holder that can use the job ends it before its first order.

The second scenario of features/lost_cancellations.feature failed before.

--- a/features/steps/lost_cancellation_steps.py
+++ b/features/steps/lost_cancellation_steps.py
@@ -51,3 +51,32 @@
         return not context.world.table.read(context.notice_key).version
 
     await jobs_steps.wait_until(seconds, check, "the notice is removed")
+
+
+@behave.when("the row of its progress becomes malformed after {seconds:g} s")
+@jobs_steps.paused
+async def spoil_progress(context, seconds):
+    await asyncio.sleep(seconds)
+    context.progress_row = context.world.table.read(jobs.progress_key("a", context.made.job))
+    malformed_row_steps.store_malformed(context, context.progress_row.key)
+
+
+@behave.when("it is cancelled after {seconds:g} s at the entry that is left")
+@jobs_steps.paused
+async def cancel_at_left(context, seconds):
+    await asyncio.sleep(seconds)
+    ((service, _),) = context.site.entries.values()
+    await service.job_router.cancel(context.made.queue, context.made.job)
+    await asyncio.sleep(1.0)
+
+
+@behave.when("the row of its progress is restored and another entry takes over")
+@jobs_steps.paused
+async def restore_progress(context):
+    row = context.progress_row
+    write = platform.Write(row.key, row.value if row.version else None)
+    context.world.table.apply(platform.Transaction(writes=(write,)))
+    former = context.site.holder_of("a")
+    context.site.start("e9")
+    await asyncio.sleep(1.0)
+    await context.site.kill(former)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -345,7 +345,8 @@
                     record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time()
                 )
             self._applied_cancellations[notice.job] = notice
-        else:
+        elif not notice.cancels or notice.job not in self._unusable:
+            # Any other one stays, as a later holder may be able to use the job.
             self.writer.write(platform.Write(jobs.notice_key(notice), None))
 
     def _delete_applied_cancellations(self) -> None:
