--- a/features/steps/unconfirmed_row_steps.py
+++ b/features/steps/unconfirmed_row_steps.py
@@ -99,7 +99,7 @@
 async def end_writer(context):
     context.running.cancel()
     await asyncio.gather(context.running, return_exceptions=True)
-    context.writer.abort_pending()
+    context.writer.end()
     await asyncio.sleep(PAUSE_S)
 
 
--- a/features/unconfirmed_rows.feature
+++ b/features/unconfirmed_rows.feature
@@ -40,6 +40,7 @@
     When row "hosts" is written and sent
     And row "hosts" is written again
     And the writer ends
+    And row "hosts" is written again
     Then each call raises TableAnswerLost
 
   Scenario: A call to clear a host never returns as its holder has ended
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -138,6 +138,8 @@
 
         Raises TableRefused if the table refuses the row, TableAnswerLost if the writer ends first.
         """
+        if self._is_ended:
+            raise exceptions.TableAnswerLost("the lease was lost")
         self.write(change)
         waiter: asyncio.Future[None] = self._loop.create_future()
         self._waiters.setdefault(change.key, []).append(waiter)
