--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_reports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_reports.py
@@ -29,6 +29,9 @@
         self._waiting: dict[ids.ServiceName, set[ids.JobId]] = {}
         self._sending: asyncio.Task[None] | None = None
         self._batch_sent = asyncio.Event()
+        # Entries whose last call failed; batches don't wait for them.
+        self._unresponsive: set[str] = set()
+        self._unawaited: set[asyncio.Task[None]] = set()
 
     def add(self, job: jobs.Job) -> asyncio.Event:
         """Have a job reported; the event is set once all entries have been told or have failed."""
@@ -50,26 +53,32 @@
             await asyncio.sleep(_BATCH_DELAY_S)
             batch, self._waiting = self._waiting, {}
             sent, self._batch_sent = self._batch_sent, asyncio.Event()
-            addresses = self._list_addresses()
-            await asyncio.gather(
-                *(
-                    self._send(address, service, sorted(doubtful))
-                    for address in addresses
-                    for service, doubtful in batch.items()
-                )
-            )
+            calls_by_address = [
+                (address, calls.ReportDoubts(service=service, jobs=tuple(sorted(doubtful))))
+                for address in self._list_addresses()
+                for service, doubtful in batch.items()
+            ]
+            awaited = []
+            for address, call in calls_by_address:
+                task = asyncio.ensure_future(self._send(address, call))
+                if address in self._unresponsive:
+                    self._unawaited.add(task)
+                    task.add_done_callback(self._unawaited.discard)
+                else:
+                    awaited.append(task)
+            await asyncio.gather(*awaited)
             sent.set()
 
-    async def _send(
-        self, address: str, service: ids.ServiceName, doubtful: list[ids.JobId]
-    ) -> None:
-        call = calls.ReportDoubts(service=service, jobs=tuple(doubtful))
+    async def _send(self, address: str, call: calls.ReportDoubts) -> None:
         try:
             await self._peers.call(address, call, _CALL_TIMEOUT_S)
         except exceptions.PeerError as error:
+            self._unresponsive.add(address)
             _log.info(
                 "An entry did not confirm which jobs are in doubt.",
                 entry_address=address,
-                jobs=len(doubtful),
+                jobs=len(call.jobs),
                 why=str(error),
             )
+        else:
+            self._unresponsive.discard(address)
