Seeded faults of store and entries: jobs run whose last try was rejected after an unknown

What callers saw: after a try with 504 or no answer, another entry answered 503, which promises that the job never runs, and the job ran.

Two scenarios submit 80 jobs a second for 6 s with up to 3 tries each at 3 entry processes, while the store's transactions are slow, refused, reset, lost or carried out late, in series that overlap, and entries are killed or stopped for up to 2.5 s. They judge 15 s later. Check A: no job runs whose tries were all rejected. Check B: none whose last try was. Soaks run 6 loads of 20 s. Each run prints its counts; tries, store's record and logs are kept for jobs that broke a check.

By the logs, most of these jobs got 503 "the table is silent for the service" from a holder whose own transaction, or another entry's, was under way or carried out; the others got it from an entry that knew nothing of the earlier try: its own write got 429 or 503, it was not asked as the table was silent, or the entry was not ready.

--- a/features/rejected_submissions.py
+++ b/features/rejected_submissions.py
@@ -86,7 +86,8 @@
             http_client.close()
 
     async def submit(self, submission):
-        for process in self.rng.sample(self.processes, self.max_tries):
+        tries = self.rng.randint(1, self.max_tries)
+        for process in self.rng.sample(self.processes, tries):
             one, retry_after_s = await self.post(process.name, submission.job)
             submission.tries.append(one)
             if one.status == 200:
@@ -119,21 +120,24 @@
     return f"{len(submissions)} jobs: {', '.join(parts)}"
 
 
-def explain(broken, processes):
+def explain(broken, processes, store_lines):
     """Keep the tries of jobs and the logs of all entries; return where, and the jobs' lines."""
     folder = tempfile.mkdtemp(prefix="rejected-")
-    with open(f"{folder}/tries.json", "w") as file:
-        json.dump([dataclasses.asdict(submission) for submission in broken], file, indent=1)
+    with open(f"{folder}/tries.jsonl", "w") as file:
+        for submission in broken:
+            store = store_lines.get(submission.job, [])
+            file.write(json.dumps({**dataclasses.asdict(submission), "store": store}) + "\n")
     lines = [f"logs and tries: {folder}"]
     logs = {process.name: (process.folder / "log").read_text() for process in processes}
     for process in processes:
         shutil.copy(process.folder / "log", f"{folder}/{process.name}.log")
     for submission in broken[:MAX_EXPLAINED_JOBS]:
         lines += map(str, submission.tries)
-        lines += sorted(
+        entry_lines = [
             f"{json.loads(line).get('timestamp')} {name} {line}"
             for name, log in logs.items()
             for line in log.splitlines()
             if submission.job in line
-        )
+        ]
+        lines += sorted([*entry_lines, *store_lines.get(submission.job, ())])
     return "\n".join(lines)
