--- a/features/steps/stale_configuration_steps.py
+++ b/features/steps/stale_configuration_steps.py
@@ -28,6 +28,9 @@
 
 
 class Codec:
+    def get_request_id(self, exchange):
+        return None
+
     def get_timeout_s(self, exchange):
         return None
 
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -9,7 +9,7 @@
 from nutmegshelf_standins import clock
 
 from features import jobsite, submission_orders
-from features.steps import jobs_steps
+from features.steps import explaining_steps, jobs_steps
 
 # The fake table's log grows with each order, so that a site serves only so many.
 ORDERS_PER_SITE = 40
@@ -225,9 +225,10 @@
     exchange = types.SimpleNamespace(
         method="POST",
         target=f"/q/{context.made.job}",
-        get_header=lambda name: None,
+        get_header={b"request-id": b"r-1"}.get,
         respond=respond,
     )
+    explaining_steps.capture_logs(context)
     await handler.handle(exchange)
 
 
@@ -235,3 +236,10 @@
 def check_response(context, status):
     shown, headers = context.response
     assert (shown, headers[b"nutmegshelf-outcome"]) == (status, b"unknown"), context.response
+
+
+@behave.then("the log names the request by its caller's id")
+def check_log(context):
+    lines = explaining_steps.get_lines(context)
+    named = [line["event"] for line in lines if line.get("request") == "r-1"]
+    assert named == ["A request got no success."], lines
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -49,6 +49,7 @@
     Given 1 entries and 4 workers of one service
     When a job's submission gets no answer, and it is submitted again as the entry shuts down
     Then the response has status 504 and says that the job may run
+    And the log names the request by its caller's id
 
   @soak
   Scenario: A job is rejected though it was stored, in long orders
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_codec.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_codec.py
@@ -30,6 +30,11 @@
             raise exceptions.RequestError(exceptions.ErrorKind.BAD_REQUEST, detail)
         return int(value) / 1000
 
+    def get_request_id(self, exchange: server.Exchange) -> str | None:
+        """Return the id that the caller gave this request, if any."""
+        value = exchange.get_header(b"request-id")
+        return None if value is None else value.decode("latin-1")
+
     def decode_job(
         self, body: bytes, job: ids.JobId, queue: queues.Queue, accepted_ms: int
     ) -> jobs.Job:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
@@ -26,6 +26,9 @@
     def get_timeout_s(self, exchange: server.Exchange) -> float | None:
         """Return the timeout that the caller sent, if any."""
 
+    def get_request_id(self, exchange: server.Exchange) -> str | None:
+        """Return the id that the caller gave this request, if any."""
+
     def decode_job(
         self, body: bytes, job: ids.JobId, queue: queues.Queue, accepted_ms: int
     ) -> jobs.Job:
@@ -106,6 +109,7 @@
             "A request got no success.",
             method=exchange.method,
             target=exchange.target,
+            request=self._codec.get_request_id(exchange),
             kind=error.kind.value,
             status=error.response.status,
             detail=error.detail,
