A holder that was lost is in doubt anew each time, for every question about a job

An absence of a holder now begins anew when the lease's row has changed or nobody noticed it for 5 s; it counts for submissions, states and cancels alike. Until a submission is closed it may be stored.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -4,7 +4,7 @@
 import types
 
 import behave
-from nutmegshelf import exceptions, jobs, leases
+from nutmegshelf import calls, exceptions, fleetview, jobs, leases
 from nutmegshelf_entry import job_codec, job_handler, job_metrics
 from nutmegshelf_standins import clock
 
@@ -62,6 +62,10 @@
     return any(condition.key == key for condition in transaction.conditions)
 
 
+def has_lease(transaction):
+    return any(condition.key == leases.key("a") for condition in transaction.conditions)
+
+
 def replace_commit(view, job, respond):
     """Have a function respond to the transactions that store a job; the others are unchanged."""
     commit = view.commit
@@ -74,6 +78,13 @@
     view.commit = choose
 
 
+async def power_off(site, name):
+    """End an entry so that its open submissions report nothing any more."""
+    service, _ = site.entries[name]
+    service.job_router._doubt_reporter._list_addresses = list
+    await site.kill(name)
+
+
 async def turn_away(transaction):
     raise exceptions.TableUnavailable("503")
 
@@ -100,8 +111,7 @@
     sent = asyncio.Event()
 
     async def lose(transaction):
-        has_lease = any(row.key == leases.key("a") for row in transaction.conditions)
-        if has_lease and gone == "entry":
+        if has_lease(transaction) and gone != "holder":
             raise exceptions.TableUnavailable("503")
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, site.world.table.apply, transaction)
@@ -111,16 +121,47 @@
     for view in site.views.values():
         replace_commit(view, job, turn_away)
     replace_commit(site.views[first], job, lose)
-    if gone == "entry":
+    if gone != "holder":
         replace_commit(site.views[holder], job, lose)
     attempt = asyncio.ensure_future(submit(context, first))
     await sent.wait()
-    await site.kill(first)
+    await power_off(site, first)
     attempt.cancel()
     await asyncio.gather(attempt, return_exceptions=True)
+    if gone == "restarted entry":
+        site.start(first)
+        await asyncio.sleep(0.1)
     context.retry_at = next(name for name in others if name != first)
 
 
+@behave.when(
+    "a job's first try reaches no holder, "
+    "and the entry's own write is carried out {delay_s:d} s late"
+)
+@jobs_steps.paused
+async def cut_first_entry(context, delay_s):
+    job, site = make_job(context), context.site
+    first, context.retry_at = (name for name in site.entries if name != site.holder_of("a"))
+    deliver = site.net.call
+
+    async def lose_submission(address, call, timeout_s):
+        if isinstance(call, calls.SubmitJob) and call.submitter.address == f"{first}:3":
+            raise exceptions.PeerAnswerLost("cut")
+        return await deliver(address, call, timeout_s)
+
+    async def lose(transaction):
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, site.world.table.apply, transaction)
+        raise exceptions.TableAnswerLost("no answer")
+
+    site.net.call = lose_submission
+    for view in site.views.values():
+        replace_commit(view, job, turn_away)
+    replace_commit(site.views[first], job, lose)
+    error = await submit(context, first)
+    assert error.outcome is exceptions.Outcome.UNKNOWN, error.kind
+
+
 @behave.when("the job is submitted again at another entry, which the table turns away")
 @jobs_steps.paused
 async def retry(context):
@@ -169,8 +210,8 @@
     context.error = await submit(context, "e0")
 
 
-async def ask(context):
-    router = context.site.entries["e0"][0].job_router
+async def ask(context, name="e0"):
+    router = context.site.entries[name][0].job_router
     call = router.cancel if context.asks == "cancels the job" else router.get_state
     try:
         await call(context.made.queue, context.made.job)
@@ -187,6 +228,70 @@
     context.kind = await ask(context)
 
 
+@behave.when("a job waits for its next transaction, and a caller at another entry {asks}")
+@jobs_steps.paused
+async def ask_between_attempts(context, asks):
+    context.asks = asks
+    job, site = make_job(context), context.site
+    holder = site.holder_of("a")
+    first, other = (name for name in site.entries if name != holder)
+    sent = asyncio.Event()
+
+    async def refuse_late(transaction):
+        if not has_lease(transaction):
+            raise exceptions.TableUnavailable("503")
+        if sent.is_set():
+            return await commit(transaction)
+        sent.set()
+        await asyncio.sleep(0.5)
+        raise exceptions.TableUnavailable("503")
+
+    commit = site.views[holder].commit
+    replace_commit(site.views[holder], job, refuse_late)
+    attempt = asyncio.ensure_future(submit(context, first))
+    await sent.wait()
+    await power_off(site, first)
+    attempt.cancel()
+    await asyncio.sleep(0.53)
+    context.kind = await ask(context, other)
+
+
+@behave.when(
+    "a job is in a transaction of a holder that died, and a caller at another entry {asks}"
+)
+@jobs_steps.paused
+async def ask_after_holder(context, asks):
+    context.asks = asks
+    await end_first_entry.__wrapped__(context, "holder", 2)
+    context.kind = await ask(context, context.retry_at)
+
+
+@behave.when(
+    "a running job is cancelled at its holder while the table is silent, and the holder ends"
+)
+@jobs_steps.paused
+async def cancel_and_end_holder(context):
+    job = make_job(context)
+    context.world.work_by_task[f"{job.job}.0.0.0"] = (30.0, fleetview.RunOutcome.DONE)
+    assert await submit(context, "e0") is None
+    service, _ = context.site.entries["e0"]
+    holder = service.lease_manager.get_holder("a")
+    context.site.views["e0"].is_partitioned = True
+    call = calls.CancelJob(service="a", queue="q", job=job.job)
+    context.cancel = asyncio.ensure_future(holder.handle_call(call))
+    await asyncio.sleep(0.1)
+    assert not context.cancel.done()
+    service.lease_manager._stop_holder("a")
+
+
+@behave.then("the holder's answer to the cancel comes within {seconds:g} s")
+@jobs_steps.paused
+async def check_cancel_ends(context, seconds):
+    async with asyncio.timeout(seconds):
+        reply = await context.cancel
+    assert reply.status is calls.Status.UNSETTLED, reply
+
+
 @behave.then("the caller is not told that there is no such job")
 def check_not_unknown(context):
     doubtful = {exceptions.ErrorKind.JOB_UNSETTLED, exceptions.ErrorKind.JOB_UNREADABLE}
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -25,9 +25,30 @@
     And the job runs
 
     Examples: who sent the write that got no answer
-      | gone   |
-      | entry  |
-      | holder |
+      | gone            |
+      | entry           |
+      | restarted entry |
+      | holder          |
+
+  Scenario: A retry is rejected as not run though the entry of the first try, cut off from the holder, is in doubt
+    Given 3 entries and 4 workers of one service
+    When a job's first try reaches no holder, and the entry's own write is carried out 2 s late
+    And the job is submitted again at another entry, which the table turns away
+    Then the caller is told that the job may run
+    And the job runs
+
+  Scenario Outline: A job that <where> is said to be unknown to a caller that <asks>, and runs
+    Given 3 entries and 4 workers of one service
+    When a job <where>, and a caller at another entry <asks>
+    Then the caller is not told that there is no such job
+    And the job runs
+
+    Examples: states in which no row tells of the job yet
+      | where                                     | asks               |
+      | waits for its next transaction            | asks for its state |
+      | waits for its next transaction            | cancels the job    |
+      | is in a transaction of a holder that died | asks for its state |
+      | is in a transaction of a holder that died | cancels the job    |
 
   Scenario: A job is rejected as too large though an earlier submission of it may be stored
     Given 1 entries and 4 workers of one service
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -13,6 +13,8 @@
 # Longer than for reads, as the holder may wait for a slow table before it answers.
 _WRITE_TIMEOUT_S = 0.9
 _CHECK_TIMEOUT_S = 0.1
+# Callers whose call was with a holder that is gone come back within this time.
+_LOST_HOLDER_DOUBT_S = 5.0
 _MAX_KNOWN_JOBS = 4_096
 # An entry with a stale configuration usually has the latest one after this time.
 _STALE_RETRY_AFTER_S = 1.0
@@ -25,10 +27,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallResult:
-    """The holder's reply to a call, if any, and whether this or an earlier call took effect."""
+    """The holder's reply to a call, if any, and whether the call may have taken effect."""
 
     reply: calls.Reply | None
     may_have_taken_effect: bool
+    # The holder has been missing for so short that it may have stored what nobody knows of yet.
+    is_holder_lost: bool = False
     # Why there is no reply.
     why: str = ""
 
@@ -38,6 +42,15 @@
         return self.reply.status.value if self.reply is not None else self.why
 
 
+@dataclasses.dataclass(slots=True)
+class _Absence:
+    """A time without a holder that says what it knows, in which the lease's row didn't change."""
+
+    began_s: float
+    last_noticed_s: float
+    lease_version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StoreResult:
     """What became of one submission, what its caller is told, and who else submitted the job."""
@@ -45,6 +58,7 @@
     outcome: submissions.Outcome
     refusal: exceptions.RequestError | None = None
     other_submitters: tuple[calls.Submitter, ...] = ()
+    is_holder_lost: bool = False
 
 
 class JobRouter:
@@ -70,8 +84,7 @@
         self._submitter = submitter
         self._loop = asyncio.get_running_loop()
         self._ledger = submissions.Ledger(_MAX_KNOWN_JOBS)
-        # Since when no holder of a service has said what it knows.
-        self._holder_missing_since_s: dict[ids.ServiceName, float] = {}
+        self._absences: dict[ids.ServiceName, _Absence] = {}
 
     async def handle_call(self, call: calls.AnyCall) -> calls.Reply:
         """Handle another entry's call, usually for a service that this entry holds."""
@@ -144,21 +157,22 @@
             raise exceptions.RequestError(kind, detail, _STALE_RETRY_AFTER_S)
         if reply.status is calls.Status.NOT_HOLDER:
             return self._make_missing_holder_result(call, reply.status.value)
-        self._holder_missing_since_s.pop(call.service, None)
+        self._absences.pop(call.service, None)
         return CallResult(reply, may_have_taken_effect=reply.status is calls.Status.UNSETTLED)
 
     def _make_missing_holder_result(self, call: calls.AnyCall, why: str) -> CallResult:
-        """Return the result of a call that had no effect, as its service has no holder now.
-
-        The last holder may have stored a job that nobody knows of yet. Once a caller's time limit
-        has passed, retries of such a job were told that it may run, and it is known to be in doubt.
-        """
-        now_s = self._loop.time()
-        since_s = self._holder_missing_since_s.setdefault(call.service, now_s)
-        may_be_stored = (
-            isinstance(call, calls.SubmitJob) and now_s - since_s < call.job.queue.timeout_ms / 1000
-        )
-        return CallResult(None, may_have_taken_effect=may_be_stored, why=why)
+        """Return the result of a call that had no effect, as its service has no holder now."""
+        now_s, version = self._loop.time(), self._lease_manager.get_lease_version(call.service)
+        absence = self._absences.get(call.service)
+        if (
+            absence is None
+            or absence.lease_version != version
+            or now_s - absence.last_noticed_s >= _LOST_HOLDER_DOUBT_S
+        ):
+            absence = self._absences[call.service] = _Absence(now_s, now_s, version)
+        absence.last_noticed_s = now_s
+        is_recent = now_s - absence.began_s < _LOST_HOLDER_DOUBT_S
+        return CallResult(None, may_have_taken_effect=False, is_holder_lost=is_recent, why=why)
 
     async def submit(self, job: jobs.Job) -> None:
         """Submit a job for storage and execution; raises RequestError.
@@ -178,7 +192,10 @@
             return
         if result.outcome is submissions.Outcome.UNKNOWN:
             await self._doubt_reporter.wait(job, reported)
-        elif not await self._do_others_rule_out(job, result.other_submitters):
+        elif result.is_holder_lost or not await self._do_others_rule_out(
+            job, result.other_submitters
+        ):
+            # Nothing of this submission is under way; others may be.
             self._ledger.report_doubt(job.job, self._loop.time())
         raise self.qualify_refusal(job.job, result.refusal)
 
@@ -245,6 +262,7 @@
                 holder=result.summary,
                 table=repr(error),
                 holder_may_have_stored=result.may_have_taken_effect,
+                is_holder_lost=result.is_holder_lost,
                 has_doubt=self._ledger.has_doubt(job.job),
                 took_s=round(self._loop.time() - began_s, 3),
             )
@@ -299,7 +317,9 @@
     def _may_appear(self, job: ids.JobId, result: CallResult) -> bool:
         """Return whether a job that is not in the table may still be stored."""
         is_under_way = result.reply is not None and result.reply.status is calls.Status.UNSETTLED
-        return is_under_way or self._ledger.may_appear(job, self._loop.time())
+        return (
+            is_under_way or result.is_holder_lost or self._ledger.may_appear(job, self._loop.time())
+        )
 
     async def count_pending(self, queue: queues.Queue) -> int:
         """Return the number of jobs of a queue that have not started; raises RequestError."""
@@ -329,4 +349,4 @@
             exceptions.ErrorKind.TABLE_UNAVAILABLE, str(error), retry_after_s
         )
     others = holder_result.reply.other_submitters if holder_result.reply is not None else ()
-    return _StoreResult(outcome, refusal, others)
+    return _StoreResult(outcome, refusal, others, holder_result.is_holder_lost)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -105,6 +105,11 @@
         lease = self._lease_set.holder(ids.PoolName(pool))
         return lease.address if lease is not None and lease.address else None
 
+    def get_lease_version(self, pool: str) -> int:
+        """Return the last known version of the row of a pool's lease, or 0."""
+        row = self._lease_rows.get(leases.key(ids.PoolName(pool)))
+        return row.version if row is not None else 0
+
     async def run(self) -> None:
         """Acquire, renew and release leases until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -148,7 +148,10 @@
     def may_store(self, job: ids.JobId) -> bool:
         """Return whether a job that is not stored yet may become stored by a transaction here."""
         pending = self._pending.get(job)
-        return pending is not None and pending.submission.may_be_carried_out
+        if pending is None:
+            return False
+        # Between two attempts none is under way, but the next one follows.
+        return pending.submission.may_be_carried_out or not pending.submission.is_closed
 
     async def accept(self, job: jobs.Job, timeout_s: float) -> submissions.Outcome:
         """Store a new job; return what is known of it after the time limit at the latest."""
