A cancel that waits for a holder that has ended is told so

Found by a review. A call to cancel waited, 125 looks a second, until the job's end was stored, also once its holder had ended and would store nothing more; its caller had left long before. Now it is answered as unsettled, and the entry that called stores the cancellation for the next holder. The scenario in features/submissions.feature failed before.

--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -50,6 +50,11 @@
       | is in a transaction of a holder that died | asks for its state |
       | is in a transaction of a holder that died | cancels the job    |
 
+  Scenario: A cancel that waits for its holder never ends as the holder has ended
+    Given 1 entries and 4 workers of one service
+    When a running job is cancelled at its holder while the table is silent, and the holder ends
+    Then the holder's answer to the cancel comes within 1 s
+
   Scenario: A job is rejected as too large though an earlier submission of it may be stored
     Given 1 entries and 4 workers of one service
     When a job's submission gets no answer, and the table refuses the next one as too large
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -253,6 +253,9 @@
             _log.info("A caller cancelled a job.", job=job, pool=self.pool)
             self.wake()
         while record.published_state not in jobs.ENDED_STATES:
+            if not self.is_loaded:
+                # The holder has ended; the entry that called stores the cancellation itself.
+                return calls.Reply(status=calls.Status.UNSETTLED)
             self.writer.schedule_store()
             await asyncio.sleep(_MIN_PASS_INTERVAL_S)
         return calls.Reply(status=calls.Status.DONE, state=record.published_state)
