A row of workers in use that is being written is not written again

Callers waited longer for hosts while the table was slow: each try to clear a host queued the same row anew, behind the transaction that held it already, and tries waited for one another.

Now one write of a value goes on whoever waits for it, a newer value takes its place, and what the row holds is noted by the write itself. The scenarios of features/unconfirmed_rows.feature hold as before.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -105,7 +105,8 @@
         )
         # What the row is known to hold, and None while that is not known.
         self._stored_incarnations: loading.IncarnationHosts | None = None
-        self._storing_incarnations = asyncio.Lock()
+        self._latest_incarnations: loading.IncarnationHosts | None = None
+        self._storing_incarnations: asyncio.Task[None] | None = None
         # Set when workers appeared that are not stored as used yet.
         self._workers_added = asyncio.Event()
         self._inbox = inbox.Inbox()
@@ -462,16 +463,29 @@
 
     async def _store_incarnations(self) -> None:
         """Store which workers a later holder has to poll, before any of them gets a start."""
-        async with self._storing_incarnations:
-            in_use = self.scheduler.get_incarnations_in_use(self._loop.time())
-            if in_use is None or in_use == self._stored_incarnations:
-                return
-            # Until the write is confirmed, the row may hold either value.
-            self._stored_incarnations = None
-            incarnations = [incarnation for incarnation, _ in in_use]
-            self.scheduler.set_recorded(incarnations, is_stored=False)
-            key = f"{loading.INCARNATIONS}/{self.pool}/lives"
-            await self.writer.write_and_wait(platform.Write(key, codecs.pack(in_use)))
+        in_use = self.scheduler.get_incarnations_in_use(self._loop.time())
+        if in_use is None or in_use == self._stored_incarnations:
+            return
+        storing = self._storing_incarnations
+        if storing is None or storing.done() or in_use != self._latest_incarnations:
+            assert self._group is not None
+            self._latest_incarnations = in_use
+            storing = self._group.create_task(self._write_incarnations(in_use))
+            self._storing_incarnations = storing
+        # The write goes on if the call that began it ends, and others may wait for it.
+        await asyncio.wait([storing])
+        if storing.cancelled():
+            raise exceptions.TableAnswerLost("the holder has ended")
+        storing.result()
+
+    async def _write_incarnations(self, in_use: loading.IncarnationHosts) -> None:
+        # Until the write is confirmed, the row may hold either value.
+        self._stored_incarnations = None
+        incarnations = [incarnation for incarnation, _ in in_use]
+        self.scheduler.set_recorded(incarnations, is_stored=False)
+        key = f"{loading.INCARNATIONS}/{self.pool}/lives"
+        await self.writer.write_and_wait(platform.Write(key, codecs.pack(in_use)))
+        if self._latest_incarnations is in_use:
             self._stored_incarnations = in_use
             self.scheduler.set_recorded(incarnations, is_stored=True)
             self.wake()
