A list that was requested before a move doesn't take the move back

A spare host moves to a pool whose job waits. A list of the hosts that was requested before the move arrives 0.9 s late and shows the host as up in the spare pool, until the next list arrives. The host was ordered away again as it came up: hosts of the spare pool are taken without asking any holder. With its task already started there, the task would have been lost.

Now the kernel's list of hosts keeps a move until a list arrives that was requested after its answer. No call to the platform is added.

The fake host service answers a move that is already done as the protocol says.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -80,11 +80,20 @@
 
   Scenario: A host counts as back by a list that was requested before its upkeep
     Given 1 entries and 4 workers of one service
-    And the hosts' upkeep takes 3.5 s, and a list of the hosts arrives 2.5 s late
+    And the hosts' upkeep takes 3.5 s
+    And a list of the hosts arrives 2.5 s late
     When a wave requests the upkeep of all hosts within 40 s, 1 at once
     Then within 40 s the wave is reported as done
     And no bound of the hosts was broken
 
+  Scenario: A host that moved while the hosts were listed is taken for another pool as it arrives
+    Given 1 entries and 1 workers of one service and 1 spare hosts
+    And a list of the hosts arrives 0.9 s late
+    When a job for 2 hosts arrives while the hosts are listed, and one of them moves
+    And work for 1 hosts of another service waits for 4 s
+    Then no bound of the hosts was broken
+    And the only move brought a host to the service
+
   Scenario: Hosts that move between pools do not delay a wave
     Given a wave of 10 hosts with 3 at once, of which 2 move and 1 is in another wave's upkeep
     Then only 2 hosts go down, though all others idle
--- a/features/jobhosts.py
+++ b/features/jobhosts.py
@@ -34,6 +34,10 @@
             for host, fields in self.world.hosts.items()
         )
 
+    def _is_moved(self, move):
+        fields = self.world.hosts[move.host]
+        return fields["pool"] == move.target and fields["state"] is rebalancing.HostState.UP
+
     def _refuse(self, host):
         if self.world.hosts[host]["state"] is not rebalancing.HostState.UP:
             return ports.HostOrderOutcome.BUSY
@@ -56,6 +60,8 @@
 
     async def move(self, move, fencing_token):
         await asyncio.sleep(jobtable.CALL_DURATION_S)
+        if self._is_moved(move):
+            return ports.HostOrderOutcome.DONE
         if (refused := self._refuse(move.host)) is not None:
             return refused
         self._record(move.host, move.target)
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -51,17 +51,21 @@
     await asyncio.sleep(1.0)
 
 
-@behave.given(
-    "the hosts' upkeep takes {upkeep_s:g} s, and a list of the hosts arrives {late_s:g} s late"
-)
-@jobs_steps.paused
-async def delay_lists(context, upkeep_s, late_s):
+@behave.given("the hosts' upkeep takes {upkeep_s:g} s")
+def set_upkeep_duration(context, upkeep_s):
     context.world.upkeep_duration_s = upkeep_s
+
+
+@behave.given("a list of the hosts arrives {late_s:g} s late")
+@jobs_steps.paused
+async def delay_lists(context, late_s):
     service, _ = context.site.entries["e0"]
     hosts = service._adapters.hosts
     list_hosts = hosts.list_hosts
+    context.list_requested = asyncio.Event()
 
     async def list_late():
+        context.list_requested.set()
         views = await list_hosts()
         await asyncio.sleep(late_s)
         return views
@@ -69,6 +73,28 @@
     hosts.list_hosts = list_late
 
 
+@behave.when("a job for {hosts:d} hosts arrives while the hosts are listed, and one of them moves")
+@jobs_steps.paused
+async def submit_while_listed(context, hosts):
+    context.world.default_work = (6.0, fleetview.RunOutcome.DONE)
+    context.list_requested.clear()
+    await context.list_requested.wait()
+    step = jobs.Step(
+        count=hosts, cpu_millis=context.world.cpu_millis, memory_mb=100, estimate_ms=6000
+    )
+    await jobs_steps.submit(context, 1, (step,), "e0")
+
+    async def check():
+        return bool(context.world.moves) or context.world.hosts
+
+    await jobs_steps.wait_until(3.0, check, "hosts")
+
+
+@behave.then("the only move brought a host to the service")
+def check_only_move(context):
+    assert [target for *_, target in context.world.moves] == ["a"], context.world.moves
+
+
 @behave.when("a wave requests the upkeep of all hosts within {seconds:g} s, {at_once:d} at once")
 @jobs_steps.paused
 async def request_wave(context, seconds, at_once):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -10,6 +10,7 @@
     calls,
     codecs,
     exceptions,
+    hostlist,
     ids,
     leases,
     platform,
@@ -95,8 +96,7 @@
         self._retry_at_s: dict[ids.HostId, float] = {}
         self._loop = asyncio.get_running_loop()
         self._demand_arrived = asyncio.Event()
-        self._host_views: dict[ids.HostId, rebalancing.HostView] = {}
-        self._listed_at_s = -1.0
+        self._host_list = hostlist.HostList()
         self._demands: dict[ids.ServiceName, tuple[float, calls.DemandReport]] = {}
         self._demand_epochs: dict[ids.ServiceName, ids.Epoch] = {}
         self._move_targets: dict[ids.HostId, ids.ServiceName] = {}
@@ -128,7 +128,7 @@
         holder_view = views.make_holder_view(call.service, self._entry, self.epoch, age_s, None)
         return inspection.inspect_fleet(
             call,
-            self._host_views.values(),
+            self._host_list.views.values(),
             self._planner.wanted_hosts,
             self._wave_plans,
             holder_view,
@@ -176,16 +176,13 @@
                 self._quiet_until_s[host] = now_s + self._quiet_period_s + _ORDER_DURATION_S - age_s
 
     def _may_send_orders(self) -> bool:
-        return self.writer.lease_age_s < self._max_lease_age_s and self._listed_at_s >= 0
+        return self.writer.lease_age_s < self._max_lease_age_s and self._host_list.is_known
 
     async def _poll_hosts(self) -> None:
         while True:
             try:
-                # The list may show any host as it was when the list was requested.
                 requested_s = self._loop.time()
-                views = await self._hosts.list_hosts()
-                self._host_views = {view.host: view for view in views}
-                self._listed_at_s = requested_s
+                self._host_list.update(await self._hosts.list_hosts(), requested_s)
             except exceptions.HostsError as error:
                 _log.warning("Listing the hosts failed.", why=str(error))
             if any(plan.down_since_s for plan in self._wave_plans.values()):
@@ -214,11 +211,11 @@
 
     def _advance_wave(self, plan: upkeep.WavePlan, now_ms: int, now_s: float) -> None:
         for host, since_s in list(plan.down_since_s.items()):
-            view = self._host_views.get(host)
+            view = self._host_list.views.get(host)
             is_back = view is None or view.state is rebalancing.HostState.UP
-            if is_back and self._listed_at_s > since_s + self._upkeep_s:
+            if is_back and self._host_list.requested_s > since_s + self._upkeep_s:
                 del plan.down_since_s[host]
-        remaining = plan.get_remaining(set(self._host_views))
+        remaining = plan.get_remaining(set(self._host_list.views))
         if not remaining:
             if not plan.clearing_since_s:
                 plan.row.is_finished = True
@@ -227,10 +224,10 @@
                 self._start_wave_report(plan.wave.number, is_finished=True)
             return
         candidates = [
-            self._make_candidate(self._host_views[host])
+            self._make_candidate(self._host_list.views[host])
             for host in remaining
             if host not in self._active_orders
-            and self._host_views[host].state is rebalancing.HostState.UP
+            and self._host_list.views[host].state is rebalancing.HostState.UP
         ]
         candidates = [
             candidate
@@ -262,7 +259,7 @@
 
     async def _maintain_host(self, plan: upkeep.WavePlan, host: ids.HostId) -> None:
         try:
-            if not await self._prepare_upkeep(plan, self._host_views[host]):
+            if not await self._prepare_upkeep(plan, self._host_list.views[host]):
                 plan.defer(host)
                 self._retry_at_s[host] = self._loop.time() + _UPKEEP_RETRY_S
                 return
@@ -296,7 +293,7 @@
 
     def _find_hosts_down(self) -> set[ids.HostId]:
         recently_ordered = {host for host in self._quiet_until_s if self._is_quiet(host)}
-        return upkeep.find_hosts_down(self._host_views.values(), recently_ordered)
+        return upkeep.find_hosts_down(self._host_list.views.values(), recently_ordered)
 
     def _store_wave(self, plan: upkeep.WavePlan) -> None:
         key = f"{_WAVES_PREFIX}{plan.wave.number}"
@@ -356,7 +353,7 @@
                 if host in self._move_targets
                 else view
             )
-            for host, view in self._host_views.items()
+            for host, view in self._host_list.views.items()
         ]
 
     def _log_pools(
@@ -365,7 +362,7 @@
         if now_s - self._logged_at_s < _LOG_INTERVAL_S:
             return
         self._logged_at_s = now_s
-        host_counts = collections.Counter(view.pool for view in self._host_views.values())
+        host_counts = collections.Counter(view.pool for view in self._host_list.views.values())
         _log.info(
             "What pools have and need.",
             pools={
@@ -383,7 +380,7 @@
         )
 
     async def _move_host(self, move: rebalancing.Move) -> None:
-        view = self._host_views[move.host]
+        view = self._host_list.views[move.host]
         if not await self._evacuate(view, move.reason, _MOVE_EVACUATION_TIMEOUT_S, only_idle=True):
             self._retry_at_s[move.host] = self._loop.time() + _MOVE_RETRY_S
             return
@@ -400,9 +397,7 @@
             outcome=_get_outcome_label(outcome),
         )
         if outcome is ports.HostOrderOutcome.DONE:
-            self._host_views[move.host] = dataclasses.replace(
-                view, pool=move.target, state=rebalancing.HostState.MOVING
-            )
+            self._host_list.record_move(move.host, move.target, self._loop.time())
 
     # --- orders about hosts
 
