A move without an answer keeps its host until a list shows whether it was carried out

The connection is reset as a move's answer is due, though the platform carries it out. Until the next list the host counted where it was: it was ordered to the same pool and to others in each pass, and was taken away as it came up in its new pool.

Cause: an order without an answer was treated as one that did nothing.

Now the list of hosts keeps such a move until a list arrives that was requested after the platform would have carried it out. A list that shows the host where it was frees it. Moves that the platform couldn't accept (429, 503, not sent) did nothing, and hosts are free at once as before; their log line and their label in the metrics say so. What a wave does after them is unchanged.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -94,6 +94,22 @@
     Then no bound of the hosts was broken
     And the only move brought a host to the service
 
+  Scenario: A host whose move was carried out without an answer is taken for another pool as it arrives
+    Given 1 entries and 1 workers of one service and 1 spare hosts
+    And a list of the hosts arrives 0.9 s late
+    And the answers to moves are lost
+    When a job for 2 hosts arrives while the hosts are listed, and one of them moves
+    And work for 1 hosts of another service waits for 4 s
+    Then no bound of the hosts was broken
+    And the only move brought a host to the service
+
+  Scenario: A move that was lost on its way is not ordered again
+    Given 1 entries and 1 workers of one service and 1 spare hosts
+    And a list of the hosts arrives 0.9 s late
+    And the first move is lost
+    When a job for 2 hosts arrives while the hosts are listed, and one of them moves
+    Then the only move brought a host to the service
+
   Scenario: Hosts that move between pools do not delay a wave
     Given a wave of 10 hosts with 3 at once, of which 2 move and 1 is in another wave's upkeep
     Then only 2 hosts go down, though all others idle
--- a/features/jobhosts.py
+++ b/features/jobhosts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from nutmegshelf import rebalancing
+from nutmegshelf import exceptions, rebalancing
 from nutmegshelf_entry import ports
 
 from features import jobtable, jobworld
@@ -60,12 +60,18 @@
 
     async def move(self, move, fencing_token):
         await asyncio.sleep(jobtable.CALL_DURATION_S)
+        if self.world.lost_moves:
+            self.world.lost_moves -= 1
+            raise exceptions.HostsAnswerLost("the connection was reset")
         if self._is_moved(move):
             return ports.HostOrderOutcome.DONE
         if (refused := self._refuse(move.host)) is not None:
             return refused
         self._record(move.host, move.target)
         self.world.replace(move.host, jobworld.MOVE_DURATION_S, move.target)
+        if self.world.lost_move_answers:
+            self.world.lost_move_answers -= 1
+            raise exceptions.HostsAnswerLost("the connection was reset")
         return ports.HostOrderOutcome.DONE
 
     async def start_upkeep(self, host, wave, fencing_token):
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -195,6 +195,9 @@
         self.starts_after_third_crash = collections.Counter()
         self.lost_runs = collections.Counter()
         self.moves = []
+        # How many of the next moves are not carried out, or are carried out without an answer.
+        self.lost_moves = 0
+        self.lost_move_answers = 0
         self.upkeeps = []
         self.upkeep_duration_s = UPKEEP_DURATION_S
         self.down = {}
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -73,6 +73,16 @@
     hosts.list_hosts = list_late
 
 
+@behave.given("the answers to moves are lost")
+def lose_move_answers(context):
+    context.world.lost_move_answers = 100
+
+
+@behave.given("the first move is lost")
+def lose_move(context):
+    context.world.lost_moves = 1
+
+
 @behave.when("a job for {hosts:d} hosts arrives while the hosts are listed, and one of them moves")
 @jobs_steps.paused
 async def submit_while_listed(context, hosts):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -272,8 +272,9 @@
             _log.info(
                 "Upkeep.", host=host, wave=plan.wave.number, outcome=_get_outcome_label(outcome)
             )
-            if outcome in (ports.HostOrderOutcome.DONE, None):
-                # The platform may have carried out an order that got no answer.
+            if outcome in (ports.HostOrderOutcome.DONE, ports.HostOrderOutcome.UNAVAILABLE, None):
+                # An order that got no answer may have been carried out; it is not repeated at once,
+                # nor is one that the platform couldn't accept.
                 plan.down_since_s[host] = self._loop.time()
             else:
                 plan.down_since_s.pop(host, None)
@@ -398,6 +399,10 @@
         )
         if outcome is ports.HostOrderOutcome.DONE:
             self._host_list.record_move(move.host, move.target, self._loop.time())
+        elif outcome is None:
+            # The next list shows whether the platform has carried it out.
+            listed_from_s = self._loop.time() + _ORDER_DURATION_S
+            self._host_list.record_move(move.host, move.target, listed_from_s)
 
     # --- orders about hosts
 
@@ -458,8 +463,12 @@
     async def _send_order(
         self, host: ids.HostId, order: collections.abc.Awaitable[ports.HostOrderOutcome]
     ) -> ports.HostOrderOutcome | None:
+        """Return the outcome of an order, or None if it may have been carried out."""
         try:
             return await order
+        except exceptions.HostsUnavailable as error:
+            _log.warning("An order for a host was not accepted.", host=host, why=str(error))
+            return ports.HostOrderOutcome.UNAVAILABLE
         except exceptions.HostsError as error:
             _log.warning("An order for a host got no answer.", host=host, why=str(error))
             return None
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -28,6 +28,7 @@
     FENCED = "fenced"
     NOT_DUE = "not-due"
     NO_SUCH_HOST = "no-such-host"
+    UNAVAILABLE = "unavailable"
 
 
 class RowStore(typing.Protocol):
