A publish whose answer was lost is not said not to have run while the table is down

The table accepts a publish, its answer is lost, and the reads that would settle it fail. The operator was told 503 with outcome "not-run", though the version is in force.

Cause: the error of the read was passed on, which says that a call had no effect. It says nothing of the transaction before it.

Now a publish whose transaction got no answer is unknown unless the rows settle it.

--- a/features/entries.py
+++ b/features/entries.py
@@ -45,6 +45,9 @@
         if fault == "paused for hours":
             await asyncio.sleep(8000)
         result = effect()
+        if fault == "partitioned after":
+            self.partitioned = frozenset({entry})
+            raise exceptions.TableAnswerLost(step)
         if fault == "killed after":
             raise asyncio.CancelledError
         if fault == "lost":
--- a/features/publish.feature
+++ b/features/publish.feature
@@ -28,6 +28,12 @@
       | commit head      | killed after  |
       | commit head      | paused        |
 
+  Scenario: A publish whose answer is lost just before the table goes down is told that it did not run
+    Given 3 entries with version 1 in force
+    When the table goes down for "e0" as it accepts the publish "p"
+    Then the outcome of the publish is unknown
+    And the publish "p" is in force at version 2
+
   Scenario: Racing operators get one winner, and the others learn who, when and what
     Given 3 entries with version 1 in force
     When every entry publishes a different set at the same time, all based on version 1
--- a/features/steps/publish_steps.py
+++ b/features/steps/publish_steps.py
@@ -89,6 +89,29 @@
         assert is_partitioned or accepted.head == newest, (entry.name, accepted.head, newest)
 
 
+@behave.when('the table goes down for "{name}" as it accepts the publish "{publish_id}"')
+def lose_table(context, name, publish_id):
+    site = context.entries
+    site.platform.faults[name, "commit head"] = "partitioned after"
+
+    async def main():
+        publishing = site.entries[name].publish(50, publish_id, 1)
+        context.outcome = (await asyncio.gather(publishing, return_exceptions=True))[0]
+
+    _on_paused_clock(context, main())
+
+
+@behave.then("the outcome of the publish is unknown")
+def check_unknown(context):
+    assert isinstance(context.outcome, exceptions.TableAnswerLost), repr(context.outcome)
+
+
+@behave.then('the publish "{publish_id}" is in force at version {version:d}')
+def check_head(context, publish_id, version):
+    head = context.entries.head()
+    assert (head.publish_id, head.version) == (publish_id, version), head
+
+
 @behave.when("every entry publishes a different set at the same time, all based on version 1")
 def publish_concurrently(context):
     async def main():
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
@@ -136,19 +136,28 @@
     async def _commit(
         self, request: acceptance.PublishRequest, commit: acceptance.Commit, head: platform.Row
     ) -> configuration.Revision:
-        is_answer_lost = False
         try:
             answer = await self._store.commit(commit.transaction)
             if answer.ok:
                 return commit.revision
         except exceptions.TableAnswerLost:
             _log.info("Resolving a publish whose answer was lost.", publish=request.publish_id)
-            is_answer_lost = True
+            try:
+                return await self._settle(request, head)
+            except exceptions.TableUnavailable as error:
+                # The transaction may have taken effect, or may still do so.
+                raise exceptions.TableAnswerLost(str(error)) from error
+        return await self._settle(request, head)
+
+    async def _settle(
+        self, request: acceptance.PublishRequest, head: platform.Row
+    ) -> configuration.Revision:
+        """Return the revision of a publish whose transaction was not answered with success."""
         current_head, accepted = await self._find_accepted(request)
         if accepted is not None:
             return accepted
         if current_head.version == head.version:
-            # While the head is unchanged, a transaction with a lost answer may still take effect.
-            kind = exceptions.TableAnswerLost if is_answer_lost else exceptions.TableUnavailable
-            raise kind("the publish is not settled; repeat it with the same publish id")
+            raise exceptions.TableUnavailable(
+                "the publish is not settled; repeat it with the same publish id"
+            )
         raise VersionConflict(codecs.unpack(current_head.value, configuration.Head))
