A publish that was accepted is not told to conflict with its successor

A publish is accepted after its answer was lost, and another one follows. The operator's repetition with the same publish id got 409, "version 3 by ... is in the table", though its own set is version 2: it was told of a conflict where it had won.

Cause: the head and the row of the publish id are read at the same time, one by one. If the row was read before the transaction took effect, or the read was stale, the missing row counted as proof that the publish was not accepted.

Now a conflict is told only once a transaction with only conditions has confirmed both rows. It is sent in a conflict alone, so other publishes cost no more calls. A stale head that would have been a conflict lets the publish go on with the newest one.

--- a/features/entries.py
+++ b/features/entries.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
-from nutmegshelf import audit, codecs, configuration, declarations, exceptions, ids
+from nutmegshelf import audit, codecs, configuration, declarations, exceptions, ids, platform
 from nutmegshelf_entry import collector, configurator, publisher
 from nutmegshelf_standins import store
 
 SLOW_CALL_S = 1.0
+SLOW_READ_S = 2.0
+# How long after its answer was lost a transaction takes effect.
+LATE_S = 1.0
 _CALL_DURATION_S = 0.01
 _TIMEOUT_S = 2.0
 
@@ -44,6 +47,13 @@
             await asyncio.sleep(30)
         if fault == "paused for hours":
             await asyncio.sleep(8000)
+        if fault == "slow":
+            await asyncio.sleep(SLOW_READ_S)
+        if fault == "done late":
+            asyncio.get_running_loop().call_later(LATE_S, effect)
+            raise exceptions.TableAnswerLost(step)
+        if fault == "stale":
+            return platform.Row(step, 0)
         result = effect()
         if fault == "partitioned after":
             self.partitioned = frozenset({entry})
--- a/features/publish.feature
+++ b/features/publish.feature
@@ -34,6 +34,18 @@
     Then the outcome of the publish is unknown
     And the publish "p" is in force at version 2
 
+  Scenario Outline: A publish that is repeated after <after> s, as "<step>" is <fault>, is told to conflict with its successor
+    Given 3 entries with version 1 in force
+    When the publish "p" takes effect at "e0" 1 s after its answer was lost, and another one at "e1" 0.2 s later
+    And the publish "p", based on version 1, is repeated at "e2" after <after> s, and the fault "<fault>" occurs in the step "<step>"
+    Then the publish "p" was accepted once
+    And no entry used an older or an incomplete set
+
+    Examples:
+      | after | step           | fault |
+      | 0     | read head      | slow  |
+      | 2     | read published | stale |
+
   Scenario: Racing operators get one winner, and the others learn who, when and what
     Given 3 entries with version 1 in force
     When every entry publishes a different set at the same time, all based on version 1
--- a/features/steps/publish_steps.py
+++ b/features/steps/publish_steps.py
@@ -112,6 +112,46 @@
     assert (head.publish_id, head.version) == (publish_id, version), head
 
 
+@behave.when(
+    'the publish "{publish_id}" takes effect at "{name}" 1 s after its answer was lost, and '
+    'another one at "{other}" {later_s:g} s later'
+)
+def publish_late(context, publish_id, name, other, later_s):
+    site = context.entries
+    site.platform.faults[name, "commit head"] = "done late"
+
+    async def publish_after():
+        await asyncio.sleep(entries.LATE_S + later_s)
+        await site.entries[other].publish(60, "other")
+
+    async def main():
+        context.first_try = asyncio.create_task(
+            entries.try_publish(site.entries[name], 50, publish_id, 1)
+        )
+        await context.first_try
+        context.other_try = asyncio.create_task(publish_after())
+
+    _on_paused_clock(context, main())
+
+
+@behave.when(
+    'the publish "{publish_id}", based on version 1, is repeated at "{name}" after {after_s:g} s, '
+    'and the fault "{fault}" occurs in the step "{step}"'
+)
+def repeat_with_fault(context, publish_id, name, after_s, fault, step):
+    site = context.entries
+
+    async def main():
+        await asyncio.sleep(after_s)
+        site.platform.faults[name, step] = fault
+        context.answer = await entries.try_publish(site.entries[name], 50, publish_id, 1)
+        assert (name, step) not in site.platform.faults, "the step was not reached"
+        await context.other_try
+        await asyncio.sleep(_HEAL_S)
+
+    _on_paused_clock(context, main())
+
+
 @behave.when("every entry publishes a different set at the same time, all based on version 1")
 def publish_concurrently(context):
     async def main():
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
@@ -59,16 +59,18 @@
         head, accepted = await self._find_accepted(request)
         if accepted is not None:
             return accepted
-        self._check_expected_version(request, head)
+        if acceptance.has_conflict(request, head):
+            head, accepted = await self._confirm_unaccepted(request, head)
+            if accepted is not None:
+                return accepted
+            if acceptance.has_conflict(request, head):
+                raise VersionConflict(codecs.unpack(head.value, configuration.Head))
         intent_row = await self._open_intent(request)
         await self._store.put_object(codecs.unpack(intent_row.value, acceptance.Intent).key, data)
         expired = await self._read_expired_revision(head)
         request = msgspec.structs.replace(request, now_s=self._clock())
-        match acceptance.plan_commit(request, self._active.current, head, intent_row, expired):
-            case acceptance.Conflict(current):
-                raise VersionConflict(current)
-            case acceptance.Commit() as commit:
-                return await self._commit(request, commit, head)
+        commit = acceptance.plan_commit(request, self._active.current, head, intent_row, expired)
+        return await self._commit(request, commit, head)
 
     async def get_history(self, after: int, limit: int = 100) -> list[configuration.Revision]:
         """Return the revisions after a version, the oldest first; raises TableUnavailable."""
@@ -76,14 +78,6 @@
         rows = await self._store.scan(configuration.HISTORY_PREFIX, key, limit)
         return [codecs.unpack(row.value, configuration.Revision) for row in rows]
 
-    def _check_expected_version(
-        self, request: acceptance.PublishRequest, head: platform.Row
-    ) -> None:
-        if head.version and request.expected is not None:
-            current = codecs.unpack(head.value, configuration.Head)
-            if current.version != request.expected:
-                raise VersionConflict(current)
-
     async def _find_accepted(
         self, request: acceptance.PublishRequest
     ) -> tuple[platform.Row, configuration.Revision | None]:
@@ -92,15 +86,29 @@
             self._store.read(configuration.HEAD_KEY),
             self._store.read(configuration.publish_key(request.publish_id)),
         )
-        match acceptance.match_publish_id(request, published, head):
-            case acceptance.AlreadyAccepted(earlier):
-                return head, configuration.Revision(head=earlier)
-            case acceptance.PublishIdReused(earlier):
-                raise PublishIdConflict(
-                    f"the publish id was used for another set, version {earlier.version}"
-                )
-            case None:
-                return head, None
+        return head, _match_publish_id(request, published, head)
+
+    async def _confirm_unaccepted(
+        self, request: acceptance.PublishRequest, head: platform.Row
+    ) -> tuple[platform.Row, configuration.Revision | None]:
+        """Check what was read of a publish; return the head, and the revision if accepted.
+
+        Rows are read one by one, and reads may be stale. Neither is true of a transaction with only
+        conditions.
+        """
+        published_key = configuration.publish_key(request.publish_id)
+        conditions = (
+            platform.Condition(head.key, head.version),
+            platform.Condition(published_key, 0),
+        )
+        try:
+            answer = await self._store.commit(platform.Transaction(conditions))
+        except exceptions.TableAnswerLost as error:
+            raise exceptions.TableUnavailable(str(error)) from error
+        changed_rows = {row.key: row for row in answer.rows}
+        head = changed_rows.get(head.key, head)
+        published = changed_rows.get(published_key, platform.Row(published_key, 0))
+        return head, _match_publish_id(request, published, head)
 
     async def _open_intent(self, request: acceptance.PublishRequest) -> platform.Row:
         key = configuration.intent_key(request.publish_id)
@@ -154,6 +162,8 @@
     ) -> configuration.Revision:
         """Return the revision of a publish whose transaction was not answered with success."""
         current_head, accepted = await self._find_accepted(request)
+        if accepted is None and current_head.version != head.version:
+            current_head, accepted = await self._confirm_unaccepted(request, current_head)
         if accepted is not None:
             return accepted
         if current_head.version == head.version:
@@ -161,3 +171,17 @@
                 "the publish is not settled; repeat it with the same publish id"
             )
         raise VersionConflict(codecs.unpack(current_head.value, configuration.Head))
+
+
+def _match_publish_id(
+    request: acceptance.PublishRequest, published: platform.Row, head: platform.Row
+) -> configuration.Revision | None:
+    match acceptance.match_publish_id(request, published, head):
+        case acceptance.AlreadyAccepted(earlier):
+            return configuration.Revision(head=earlier)
+        case acceptance.PublishIdReused(earlier):
+            raise PublishIdConflict(
+                f"the publish id was used for another set, version {earlier.version}"
+            )
+        case None:
+            return None
--- a/packages/nutmegshelf/src/nutmegshelf/acceptance.py
+++ b/packages/nutmegshelf/src/nutmegshelf/acceptance.py
@@ -54,12 +54,6 @@
     head: configuration.Head
 
 
-class Conflict(msgspec.Struct, frozen=True):
-    """The table holds another version than the request expects."""
-
-    current: configuration.Head
-
-
 class Commit(msgspec.Struct, frozen=True):
     """The transaction that accepts the set, and the revision that it creates."""
 
@@ -84,18 +78,23 @@
     return None
 
 
+def has_conflict(request: PublishRequest, head: platform.Row) -> bool:
+    """Return whether a head is of another version than a publish expects."""
+    if not head.version or request.expected is None:
+        return False
+    return codecs.unpack(head.value, configuration.Head).version != request.expected
+
+
 def plan_commit(
     request: PublishRequest,
     base: configuration.Configuration | None,
     head: platform.Row,
     intent: platform.Row,
     oldest: configuration.Revision | None,
-) -> Commit | Conflict:
-    """Return the transaction that accepts the set, or the conflict that prevents it."""
+) -> Commit:
+    """Return the transaction that accepts the set."""
     current = codecs.unpack(head.value, configuration.Head) if head.version else None
     version = current.version if current else ids.NO_VERSION
-    if current is not None and request.expected is not None and request.expected != version:
-        return Conflict(current)
     if current is not None and (base is None or base.head.digest != current.digest):
         base = None
     accepted = configuration.Head(
