Callers at the limit of connections are refused with proof, and what a listener ends is logged

At the limit of connections a caller got 503 before its request was read, without a log line or metric. A 503 promises that the job never runs, and an earlier submission of it could be stored. The listener's other answers (400, 408 and 431 for requests that it can't read) said `not-run` of jobs that nobody asked about, and were not logged either, nor were a broken body and a TimeoutError or OSError of a handler, which close the connection. The 500 of a handler that failed said `unknown`, but its line didn't name the request, and a flood of failures was a flood of traces.

Cause: the listener answered by itself, without the ledger of submissions, and told nobody but of unexpected exceptions.

Now a connection beyond the limit is read up to one head, which the handler refuses like any other request: 503 if no earlier submission of the job is in doubt, else 504, with its usual line. 256 connections beyond the limit get that, each within 1 s; any further, and those that send no request, are closed without an answer, which says nothing. What the listener ends without the handler goes to one callback: logged with the request where its head was read, 20 lines a kind and second and the sum of the others, and counted by kind. Answers of the job listener of its own say `unknown`.

Weighed: closing all connections beyond the limit is cheapest, but callers get no time to come back and no line names their requests; 504 for all makes callers ask for jobs that can't have run. Before, the number of connections beyond the limit had no bound; now 4,352 are open at most.

features/bad_input.feature expected 503 on connections that hadn't sent anything, which is the fault; it now expects that answer where a request was sent, none where not, and a bound of open connections, which is stricter.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -55,8 +55,20 @@
     And the entry keeps no connection or task open
 
   Scenario: Connections beyond the limit are refused with a time to come back
+    When 34 callers connect and the last 14 of them send a request
+    Then 20 of them stay connected until they are idle for too long
+    And 10 of them get the status 503 "not-run" with Retry-After
+    And 4 of them are closed without an answer, and reported
+    And at most 30 were open at a time
+    And no minion saw a request
+    And the entry keeps no connection or task open
+
+  Scenario: Connections beyond the limit that ask for nothing are told what became of a request
     When 25 callers connect and wait
-    Then 20 of them stay connected and 5 get the status 503 "not-run" with Retry-After
+    Then 20 of them stay connected until they are idle for too long
+    And 0 of them get the status 503 "not-run" with Retry-After
+    And 5 of them are closed without an answer, and reported
+    And at most 25 were open at a time
     And the entry keeps no connection or task open
 
   Scenario Outline: An unexpected fault of a handler is answered visibly and reported
--- a/features/sites.py
+++ b/features/sites.py
@@ -49,7 +49,7 @@
             telemetry.Telemetry(0.0),
         )
         self.relay.refusal = None
-        self.entry = server.Server(self.relay.handle, make_error=problems.make_head_error)
+        self.entry = server.Server(self.relay.handle, make_error=problems.make_fault_response)
         self.port = await self.entry.start("127.0.0.1", 0)
         self.calls = caller.Caller([self.port], self.rng)
 
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -9,6 +9,7 @@
 
 _DRIP_S = 0.05
 _SHORT_S = 0.1
+_EXCESS_CONNECTIONS = 10
 _ANSWER_LIMIT_S = 5
 _PIECE = re.compile(r"\{(pause|short|drip|eof|.+?\*\d+)\}|^(eof)$", re.DOTALL)
 
@@ -17,9 +18,13 @@
 def start_strict(context, limit, count):
     async def replace():
         await context.site.entry.close()
-        limits = server.Limits(limit, limit, limit, limit / 10, count)
+        limits = server.Limits(limit, limit, limit, limit / 10, count, _EXCESS_CONNECTIONS)
+        context.faults = []
         context.site.entry = server.Server(
-            context.site.relay.handle, limits, make_error=problems.make_head_error
+            context.site.relay.handle,
+            limits,
+            make_error=problems.make_fault_response,
+            on_fault=context.faults.append,
         )
         context.site.port = await context.site.entry.start("127.0.0.1", 0)
 
@@ -38,7 +43,7 @@
 
     async def replace():
         await context.site.entry.close()
-        context.site.entry = server.Server(handle, on_error=context.faults.append)
+        context.site.entry = server.Server(handle, on_fault=context.faults.append)
         context.site.port = await context.site.entry.start("127.0.0.1", 0)
 
     context.run(replace())
@@ -46,7 +51,7 @@
 
 @behave.then("the fault was reported once")
 def check_reported(context):
-    assert [type(fault) for fault in context.faults] == [LookupError], context.faults
+    assert [type(fault.error) for fault in context.faults] == [LookupError], context.faults
 
 
 async def _send(writer, pieces):
@@ -150,32 +155,63 @@
     assert context.run(settle()) <= context.tasks_before
 
 
-@behave.when("{count:d} callers connect and wait")
-def connect_many(context, count):
-    async def connect():
-        context.tasks_before = _entry_tasks(context.site)
-        connections = [
-            await asyncio.open_connection("127.0.0.1", context.site.port) for _ in range(count)
-        ]
-        context.answers = []
-        for reader, _ in connections:
-            # Connections within the limit are closed when idle, without any bytes sent.
+async def connect_callers(context, count, send):
+    site = context.site
+    context.tasks_before = _entry_tasks(site)
+    connections = [await asyncio.open_connection("127.0.0.1", site.port) for _ in range(count)]
+    while len(context.faults) + site.entry.connection_count < count:
+        await asyncio.sleep(0.001)
+    context.connection_count = site.entry.connection_count
+    send(connections)
+    context.answers = []
+    for reader, _ in connections:
+        # Idle connections are closed without any bytes sent.
+        try:
             context.answers.append(await reader.read(-1))
-        for _, writer in connections:
-            writer.close()
+        except ConnectionResetError:
+            context.answers.append(b"")
+    for _, writer in connections:
+        writer.close()
+
+
+@behave.when("{count:d} callers connect and the last {senders:d} of them send a request")
+def connect_and_send(context, count, senders):
+    def send(connections):
+        for _, writer in connections[-senders:]:
+            writer.write(b"GET /orders/ HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    context.run(connect_callers(context, count, send))
+
+
+def connect_many(context, count):
+    context.run(connect_callers(context, count, lambda connections: None))
 
-    context.run(connect())
 
+@behave.then("{stay:d} of them stay connected until they are idle for too long")
+def check_stay(context, stay):
+    assert context.answers[:stay] == [b""] * stay, context.answers
 
-@behave.then(
-    '{stay:d} of them stay connected and {refused:d} get the status {status:d} "{outcome}" '
-    "with Retry-After"
-)
-def check_many(context, stay, refused, status, outcome):
-    refusals = [answer.lower() for answer in context.answers if answer]
-    assert len(context.answers) - len(refusals) == stay, len(refusals)
-    assert len(refusals) == refused
+
+def find_refusals(context):
+    return [answer.lower() for answer in context.answers if answer]
+
+
+@behave.then('{refused:d} of them get the status {status:d} "{outcome}" with Retry-After')
+def check_refused(context, refused, status, outcome):
+    refusals = find_refusals(context)
+    assert len(refusals) == refused, len(refusals)
     for answer in refusals:
         assert answer.startswith(f"http/1.1 {status} ".encode()), answer
         assert b"retry-after: " in answer
         assert f"nutmegshelf-outcome: {outcome}".encode() in answer
+
+
+@behave.then("{count:d} of them are closed without an answer, and reported")
+def check_closed(context, count):
+    kinds = [fault.kind for fault in context.faults]
+    assert kinds == [server.FaultKind.TOO_MANY_CONNECTIONS] * count, kinds
+
+
+@behave.then("at most {most:d} were open at a time")
+def check_open(context, most):
+    assert context.connection_count <= most, context.connection_count
--- a/features/steps/rejection_steps.py
+++ b/features/steps/rejection_steps.py
@@ -32,6 +32,7 @@
     """A submission without a socket, which records the status of its response."""
 
     method = "POST"
+    is_over_limit = False
 
     def __init__(self, job):
         self.target = f"/q/{job}"
--- a/features/steps/stale_configuration_steps.py
+++ b/features/steps/stale_configuration_steps.py
@@ -16,6 +16,7 @@
     """A request without a body, which records its response."""
 
     method = "GET"
+    is_over_limit = False
 
     def __init__(self, target):
         self.target = target
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -330,6 +330,7 @@
     exchange = types.SimpleNamespace(
         method="POST",
         target=f"/q/{context.made.job}",
+        is_over_limit=False,
         get_header={b"request-id": b"r-1"}.get,
         respond=respond,
     )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/daemon.py
@@ -28,6 +28,7 @@
     configurator,
     connections,
     directory,
+    fault_log,
     health,
     heartbeat,
     lending,
@@ -188,13 +189,16 @@
         self._shutdown = shutdown.Shutdown(
             entry_settings.shutdown_grace_s, entry_settings.drain_timeout_s
         )
+        self._caller_faults = fault_log.FaultLog("callers")
         self._callers = server.Server(
             self._relay.handle,
             server.Limits(max_connections=entry_settings.max_connections),
-            make_error=problems.make_head_error,
-            on_error=self._report_error,
+            make_error=problems.make_fault_response,
+            on_fault=self._report_fault,
+        )
+        self._operators = server.Server(
+            self._operator.handle, on_fault=fault_log.FaultLog("operators").write
         )
-        self._operators = server.Server(self._operator.handle, on_error=self._report_error)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and stop all components."""
@@ -321,9 +325,9 @@
             case _:
                 self._configurator.handle_message(message)
 
-    def _report_error(self, error: Exception) -> None:
-        self._telemetry.count_fault()
-        _log.error("A handler failed.", exc_info=error)
+    def _report_fault(self, fault: server.Fault) -> None:
+        self._telemetry.count_fault(fault)
+        self._caller_faults.write(fault)
 
     def _add_gauges(self) -> None:
         loop, add = asyncio.get_running_loop(), self._telemetry.add_gauge
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
@@ -123,6 +123,8 @@
         return max(_MIN_TIMEOUT_S, caller_timeout_s - _RESPONSE_RESERVE_S)
 
     async def _serve(self, exchange: server.Exchange) -> bytes:
+        if exchange.is_over_limit:
+            raise exceptions.RequestError(exceptions.ErrorKind.OVERLOADED, "too many connections")
         routes = self._active_queues.routes
         if self.refusal is not None or routes is None:
             raise exceptions.RequestError(self.refusal or exceptions.ErrorKind.NOT_READY)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_metrics.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_metrics.py
@@ -21,6 +21,8 @@
         self._durations = histograms.Histograms()
         self.gauges: collections.abc.Callable[[], Gauges] = dict
         self.events: collections.abc.Callable[[], Gauges] = dict
+        # Requests that got no response of their handler, by kind.
+        self.faults: collections.abc.Mapping[str, int] = {}
 
     def count_request(self, method: str, status: int, took_s: float) -> None:
         """Count one answered request and record its duration."""
@@ -44,6 +46,13 @@
         )
         for kind, count in self._refusals.items():
             refusals.set({"kind": kind}, count)
+        faults = aioprometheus.Counter(
+            "nutmegshelf_job_unhandled_requests_total",
+            "Requests and connections that got no response of their handler, by kind",
+            registry=registry,
+        )
+        for kind, count in self.faults.items():
+            faults.set({"kind": kind}, count)
         events = aioprometheus.Counter(
             "nutmegshelf_job_events_total", "Decisions by service", registry=registry
         )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -10,6 +10,7 @@
 from nutmegshelf_http import channel, server
 
 from nutmegshelf_entry import (
+    fault_log,
     job_handler,
     job_metrics,
     job_operator_api,
@@ -43,14 +44,21 @@
             self._metrics,
         )
         self._front.on_rejected = self.service.rejection_reporter.add
+        self._caller_faults = fault_log.FaultLog("callers", outside.codec.get_request_id)
         self._callers = server.Server(
-            self._front.handle, make_error=problems.make_head_error, on_error=self._report_error
+            self._front.handle,
+            make_error=problems.make_job_fault_response,
+            on_fault=self._caller_faults.write,
         )
         self.service.on_limits_changed = self._set_limits
         self._ready = server.Server(
-            job_handler.make_ready_handler(self._is_ready), on_error=self._report_error
+            job_handler.make_ready_handler(self._is_ready),
+            on_fault=fault_log.FaultLog("ready").write,
         )
-        self._metrics_listener = server.Server(self._metrics.handle, on_error=self._report_error)
+        self._metrics_listener = server.Server(
+            self._metrics.handle, on_fault=fault_log.FaultLog("metrics").write
+        )
+        self._metrics.faults = self._caller_faults.totals
         self._metrics.gauges = self.service.get_gauges
         self._metrics.events = self.service.count_events
         self._shutdown = shutdown.Shutdown(entry_settings.grace_s / 2, entry_settings.grace_s / 3)
@@ -123,9 +131,6 @@
     def _is_ready(self) -> bool:
         return not self._shutdown.is_stopping and self.service.active_queues.routes is not None
 
-    def _report_error(self, error: Exception) -> None:
-        _log.error("A handler failed.", exc_info=error)
-
 
 class BoottimeEventLoop(asyncio.SelectorEventLoop):
     """Event loop whose clock includes the time during which the host was suspended."""
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/problems.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/problems.py
@@ -1,10 +1,11 @@
 """Build the error responses that callers get."""
 
+import http
 import json
 import math
 
 from nutmegshelf import exceptions, ids
-from nutmegshelf_http import channel
+from nutmegshelf_http import channel, server
 
 
 def make_problem(
@@ -32,17 +33,38 @@
     return headers, json.dumps(fields).encode()
 
 
-def make_head_error(status: int, detail: str) -> tuple[int, channel.Headers, bytes]:
-    """Build the error response to a request whose head can't be parsed."""
-    kinds = {
-        431: exceptions.ErrorKind.HEAD_TOO_LARGE,
-        408: exceptions.ErrorKind.HEAD_TIMEOUT,
-        500: exceptions.ErrorKind.INTERNAL,
-        503: exceptions.ErrorKind.OVERLOADED,
-    }
-    error = exceptions.RequestError(kinds.get(status, exceptions.ErrorKind.BAD_REQUEST), detail)
-    if error.kind is exceptions.ErrorKind.INTERNAL:
-        # The request may have been sent to a minion before the failure.
-        error.mark_sent()
+def make_fault_response(fault: server.Fault) -> tuple[int, channel.Headers, bytes]:
+    """Build the error response to a request that a listener ended in place of its handler."""
+    error = _make_fault_error(fault)
     headers, body = make_problem(error, None)
     return error.response.status, headers, body
+
+
+def make_job_fault_response(fault: server.Fault) -> tuple[int, channel.Headers, bytes]:
+    """Build the error response to a request for a job, which an earlier one may have stored."""
+    error = _make_fault_error(fault)
+    error.mark_sent()
+    headers, body = make_problem(error, None)
+    return error.response.status, headers, body
+
+
+def _make_fault_error(fault: server.Fault) -> exceptions.RequestError:
+    match fault.kind:
+        case server.FaultKind.HANDLER_FAILED:
+            kind = exceptions.ErrorKind.INTERNAL
+        case server.FaultKind.SLOW_HEAD:
+            kind = exceptions.ErrorKind.HEAD_TIMEOUT
+        case server.FaultKind.SLOW_BODY:
+            kind = exceptions.ErrorKind.BODY_TIMEOUT
+        case _:
+            is_too_large = fault.status == http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            kind = (
+                exceptions.ErrorKind.HEAD_TOO_LARGE
+                if is_too_large
+                else exceptions.ErrorKind.BAD_REQUEST
+            )
+    error = exceptions.RequestError(kind, fault.detail)
+    if fault.exchange is not None:
+        # The handler may have sent the request to a minion before.
+        error.mark_sent()
+    return error
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/relay.py
@@ -60,6 +60,9 @@
         request: requests.Request | None = None
         cancel_scope: cancellation.CancelScope | None = None
         try:
+            if exchange.is_over_limit:
+                kind = exceptions.ErrorKind.OVERLOADED
+                raise exceptions.RequestError(kind, "too many connections")
             if self.refusal is not None:
                 raise exceptions.RequestError(self.refusal)
             # After a suspension of the process, requests may arrive before overdue timers have run.
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/rpc.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/rpc.py
@@ -7,7 +7,7 @@
 from nutmegshelf import calls, codecs, exceptions
 from nutmegshelf_http import client, server
 
-from nutmegshelf_entry import logs
+from nutmegshelf_entry import fault_log, logs
 
 _HEADERS = [(b"content-type", b"application/msgpack")]
 _PATH = "/call"
@@ -28,7 +28,9 @@
         self.operator_handler: ExchangeHandler | None = None
         self._handle_call = handle_call
         self._clients: dict[str, client.Client] = {}
-        self._server = server.Server(self._handle_exchange, on_error=self._report_error)
+        self._server = server.Server(
+            self._handle_exchange, on_fault=fault_log.FaultLog("peers").write
+        )
 
     async def start(self, host: str, port: int) -> int:
         """Start to listen and return the port."""
@@ -69,9 +71,6 @@
         reply = await self._handle_call(call)
         await exchange.respond(200, _HEADERS, codecs.pack(reply))
 
-    def _report_error(self, error: Exception) -> None:
-        _log.error("The handler of a peer's call failed.", exc_info=error)
-
     async def close(self) -> None:
         """Close the listener and all connections."""
         await self._server.close()
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/telemetry.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/telemetry.py
@@ -139,7 +139,7 @@
         self._requests: collections.Counter[str] = collections.Counter()
         self._retries: collections.Counter[str] = collections.Counter()
         self._errors: collections.Counter[tuple[str, str]] = collections.Counter()
-        self._fault_count = 0
+        self._faults = collections.Counter({kind: 0 for kind in server.FaultKind})
         self._gauges: dict[str, tuple[str, GaugeReader]] = {}
         self._trace_fraction = trace_fraction
         self._rng = rng or random.Random()
@@ -157,9 +157,9 @@
         """Count an error response by service and kind."""
         self._errors[service, kind.value] += 1
 
-    def count_fault(self) -> None:
-        """Count an unexpected exception of a request handler."""
-        self._fault_count += 1
+    def count_fault(self, fault: server.Fault) -> None:
+        """Count a request or connection that got no response of its handler."""
+        self._faults[fault.kind] += 1
 
     @contextlib.contextmanager
     def trace_request(
@@ -254,9 +254,16 @@
         faults = aioprometheus.Counter(
             "nutmegshelf_handler_faults_total", "Unexpected exceptions", registry=registry
         )
+        unhandled = aioprometheus.Counter(
+            "nutmegshelf_unhandled_requests_total",
+            "Requests and connections that got no response of their handler, by kind",
+            registry=registry,
+        )
         for service, count in self._requests.items():
             requests_total.set({"service": service}, count)
             retries.set({"service": service}, self._retries[service])
         for (service, kind), count in self._errors.items():
             errors.set({"service": service, "kind": kind}, count)
-        faults.set({}, self._fault_count)
+        faults.set({}, self._faults[server.FaultKind.HANDLER_FAILED])
+        for fault_kind, count in self._faults.items():
+            unhandled.set({"kind": fault_kind.value}, count)
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import enum
 
 import h11
 
@@ -11,13 +12,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Timeouts and sizes for each connection, and the number of connections."""
+    """Timeouts and sizes for each connection, and the number of connections.
+
+    Connections beyond max_connections get one response each, which the handler can make without
+    serving the request; those beyond max_excess_connections more are closed at once.
+    """
 
     head_timeout_s: float = 10.0
     body_timeout_s: float = 20.0
     idle_timeout_s: float = 75.0
     check_interval_s: float = 0.5
     max_connections: int = 4096
+    max_excess_connections: int = 256
+    excess_head_timeout_s: float = 1.0
     max_head_bytes: int = channel.MAX_HEAD_BYTES
 
 
@@ -29,9 +36,12 @@
         connection: channel.Channel,
         request: h11.Request,
         is_closing: collections.abc.Callable[[], bool],
+        is_over_limit: bool = False,
     ) -> None:
         self.connection = connection
         self.request = request
+        # The connection is beyond the limit: the handler refuses the request, without its body.
+        self.is_over_limit = is_over_limit
         self.response_started = False
         self._is_closing = is_closing
         self._headers_by_name: dict[bytes, bytes] | None = None
@@ -72,7 +82,11 @@
     ) -> None:
         """Send the response head, together with the whole body if it is given."""
         self.response_started = True
-        if self._is_closing() or self.connection.state.their_state is not h11.DONE:
+        if (
+            self._is_closing()
+            or self.is_over_limit
+            or self.connection.state.their_state is not h11.DONE
+        ):
             # The rest of the request is not read, so that the client can't reuse the connection.
             headers = [*headers, (b"connection", b"close")]
         head = h11.Response(status_code=status, headers=headers)
@@ -92,9 +106,36 @@
         await self.connection.send(h11.EndOfMessage())
 
 
+class FaultKind(enum.Enum):
+    """Why a server ended a connection or request by itself."""
+
+    # The connection is closed without a response.
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    BAD_HEAD = "bad-head"
+    SLOW_HEAD = "slow-head"
+    SLOW_BODY = "slow-body"
+    # The connection failed within a request; it is closed without a response of the server.
+    BROKEN_REQUEST = "broken-request"
+    HANDLER_FAILED = "handler-failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """A connection or request that the server ended in place of the handler.
+
+    The status is None where the server sent no response, the exchange where no head was read.
+    """
+
+    kind: FaultKind
+    status: int | None
+    detail: str
+    exchange: Exchange | None = None
+    error: Exception | None = None
+
+
 Handler = collections.abc.Callable[[Exchange], collections.abc.Awaitable[None]]
-ErrorResponder = collections.abc.Callable[[int, str], tuple[int, channel.Headers, bytes]]
-ErrorCallback = collections.abc.Callable[[Exception], None]
+ErrorResponder = collections.abc.Callable[[Fault], tuple[int, channel.Headers, bytes]]
+FaultCallback = collections.abc.Callable[[Fault], None]
 
 
 def _count_head_bytes(request: h11.Request) -> int:
@@ -102,11 +143,14 @@
     return len(request.method) + len(request.target) + header_bytes
 
 
-def _plain_error(status: int, detail: str) -> tuple[int, channel.Headers, bytes]:
-    return status, [(b"content-type", b"text/plain")], detail.encode()
+_TOO_MANY_CONNECTIONS = Fault(FaultKind.TOO_MANY_CONNECTIONS, None, "closed without a response")
+
+
+def _plain_error(fault: Fault) -> tuple[int, channel.Headers, bytes]:
+    return fault.status or 500, [(b"content-type", b"text/plain")], fault.detail.encode()
 
 
-def _ignore_error(error: Exception) -> None:
+def _ignore_fault(fault: Fault) -> None:
     pass
 
 
@@ -118,12 +162,12 @@
         handler: Handler,
         limits: Limits | None = None,
         make_error: ErrorResponder = _plain_error,
-        on_error: ErrorCallback = _ignore_error,
+        on_fault: FaultCallback = _ignore_fault,
     ) -> None:
         self._handler = handler
         self._limits = limits or Limits()
         self._make_error = make_error
-        self._on_error = on_error
+        self._on_fault = on_fault
         self._connections: dict[asyncio.Task[None], channel.Channel] = {}
         self._listener: asyncio.Server | None = None
         self._read_check_timer: asyncio.TimerHandle | None = None
@@ -188,26 +232,42 @@
         )
 
     def _handle_connection(self, byte_stream: stream.Stream) -> None:
+        excess = len(self._connections) - self._limits.max_connections
+        if excess >= self._limits.max_excess_connections:
+            # Without a response, as what it asks for is not known.
+            byte_stream.transport.abort()
+            self._on_fault(_TOO_MANY_CONNECTIONS)
+            return
         connection = channel.Channel(h11.SERVER, byte_stream)
-        task = asyncio.ensure_future(self._serve(connection))
+        task = asyncio.ensure_future(self._serve(connection, is_over_limit=excess >= 0))
         self._connections[task] = connection
         task.add_done_callback(self._connections.pop)
 
-    async def _serve(self, connection: channel.Channel) -> None:
+    async def _serve(self, connection: channel.Channel, is_over_limit: bool) -> None:
+        exchange: Exchange | None = None
         try:
-            if len(self._connections) > self._limits.max_connections:
-                await self._send_error(connection, 503, "too many connections")
-                return
-            while await self._serve_request(connection):
+            while exchange := await self._read_head(connection, is_over_limit):
+                if not await self._handle(exchange):
+                    break
                 connection.start_next_cycle()
+                exchange = None
+            if exchange is None and is_over_limit:
+                self._on_fault(_TOO_MANY_CONNECTIONS)
             await self._finish_connection(connection)
         except stream.ReadTimeout as error:
-            await self._try_send_error(connection, 408, str(error))
-        except (h11.RemoteProtocolError, OSError, TimeoutError):
+            kind = FaultKind.SLOW_BODY if exchange else FaultKind.SLOW_HEAD
+            await self._end_with_error(connection, Fault(kind, 408, str(error), exchange))
+        except (h11.RemoteProtocolError, OSError, TimeoutError) as error:
+            if exchange is None and isinstance(error, h11.RemoteProtocolError):
+                status = error.error_status_hint
+                fault = Fault(FaultKind.BAD_HEAD, status, str(error))
+                await self._end_with_error(connection, fault)
+                return
+            self._on_fault(Fault(FaultKind.BROKEN_REQUEST, None, repr(error), exchange))
             connection.abort()
         except Exception as error:
-            self._on_error(error)
-            await self._try_send_error(connection, 500, "internal error")
+            fault = Fault(FaultKind.HANDLER_FAILED, 500, "internal error", exchange, error)
+            await self._end_with_error(connection, fault)
         except BaseException:
             connection.abort()
             raise
@@ -221,14 +281,8 @@
         else:
             connection.close()
 
-    async def _serve_request(self, connection: channel.Channel) -> bool:
-        try:
-            exchange = await self._read_head(connection)
-        except h11.RemoteProtocolError as error:
-            await self._send_error(connection, error.error_status_hint, str(error))
-            return False
-        if exchange is None:
-            return False
+    async def _handle(self, exchange: Exchange) -> bool:
+        """Have a request handled; return whether another one may follow on its connection."""
         self.active_requests += 1
         self._idle_event.clear()
         try:
@@ -237,43 +291,47 @@
             self.active_requests -= 1
             if not self.active_requests:
                 self._idle_event.set()
-        return connection.is_reusable() and not self._closing
-
-    async def _read_head(self, connection: channel.Channel) -> Exchange | None:
+        may_continue = not self._closing and not exchange.is_over_limit
+        return may_continue and exchange.connection.is_reusable()
+
+    async def _read_head(self, connection: channel.Channel, is_over_limit: bool) -> Exchange | None:
+        limits = self._limits
+        idle_timeout_s, head_timeout_s = limits.idle_timeout_s, limits.head_timeout_s
+        if is_over_limit:
+            idle_timeout_s = min(idle_timeout_s, limits.excess_head_timeout_s)
+            head_timeout_s = min(head_timeout_s, limits.excess_head_timeout_s)
         # An idle connection may wait long for its next request, but a head that has started has
         # its own, shorter deadline: a client that sends it slowly would occupy a connection.
         if not connection.state.trailing_data[0]:
-            connection.set_read_timeout(self._limits.idle_timeout_s)
+            connection.set_read_timeout(idle_timeout_s)
             try:
                 data = await connection.read()
-            except stream.ReadTimeout:
+            except h11.RemoteProtocolError:
+                # It timed out or was closed without a request.
                 return None
             if not data:
                 return None
             connection.state.receive_data(data)
-        connection.set_read_deadline(self._limits.head_timeout_s)
+        connection.set_read_deadline(head_timeout_s)
         event = await connection.receive()
         if not isinstance(event, h11.Request):
             return None
-        if _count_head_bytes(event) > self._limits.max_head_bytes:
+        if _count_head_bytes(event) > limits.max_head_bytes:
             raise h11.RemoteProtocolError("the head is too large", error_status_hint=431)
-        connection.set_read_timeout(self._limits.body_timeout_s)
-        exchange = Exchange(connection, event, lambda: self._closing)
+        connection.set_read_timeout(limits.body_timeout_s)
+        exchange = Exchange(connection, event, lambda: self._closing, is_over_limit)
         if not exchange.has_body:
             await connection.receive()
         return exchange
 
-    async def _try_send_error(self, connection: channel.Channel, status: int, detail: str) -> None:
-        try:
-            await self._send_error(connection, status, detail)
-        except (h11.ProtocolError, OSError):
-            connection.abort()
-
-    async def _send_error(self, connection: channel.Channel, status: int, detail: str) -> None:
+    async def _end_with_error(self, connection: channel.Channel, fault: Fault) -> None:
+        """Report a fault and respond with its status, unless a response was begun already."""
         if connection.state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._on_fault(dataclasses.replace(fault, status=None))
             connection.abort()
             return
-        code, headers, body = self._make_error(status, detail)
+        code, headers, body = self._make_error(fault)
+        self._on_fault(dataclasses.replace(fault, status=code))
         head = h11.Response(
             status_code=code,
             headers=[
@@ -282,5 +340,8 @@
                 (b"connection", b"close"),
             ],
         )
-        await connection.send(head, h11.Data(data=body), h11.EndOfMessage())
-        await connection.drain_and_close()
+        try:
+            await connection.send(head, h11.Data(data=body), h11.EndOfMessage())
+            await connection.drain_and_close()
+        except (h11.ProtocolError, OSError):
+            connection.abort()
