The rows of an ended job are deleted together, also for a job under its id

When an ended job is forgotten its two rows, the job and its progress, were queued one by one, so that the limit of a transaction could part them. A holder that takes over between the two finds progress without a job: it shows nothing untrue, as the job is unknown by then, but never deletes the row, and a job handed in under the same id meanwhile is loaded with the progress of the old one: shown as succeeded, and never run.

A second way to a wrong state: handed in again while the deletion waits in the queue, the job shares a transaction with it. The condition that its row doesn't exist fails, the holder takes that for a repeated submission of a stored job and runs it, and then deletes its row: a later holder knows nothing of a job that was accepted and runs.

Cause: the holder forgets a job before its deletion is stored, and the queue knows rows, not what belongs together.

Now the writer stores all writes of one call in one transaction, also when it looks for one that the table refuses; and until the deletion is stored a submission is answered as that of a stored job, which it is.

Both need an id that is used again after the retention period.

--- a/features/retention.feature
+++ b/features/retention.feature
@@ -21,3 +21,21 @@
     Then within 10 s all are shown as succeeded
     When the holder is killed
     Then after 30 s all are still shown as succeeded
+
+  Scenario: A job under the id of a forgotten one is shown as succeeded and never runs
+    Given 2 entries and 4 workers of one service
+    And ended jobs are kept for 20 s
+    When a job of steps "1" is submitted at entry 0
+    Then within 4 s it is shown as succeeded at every entry
+    When its rows are deleted after 97 others, and the holder is killed as its own is deleted
+    And it is submitted again at the entry that is left
+    Then within 10 s its task has started 2 times
+    And within 2 s it is shown as succeeded at every entry
+
+  Scenario: A job runs without its row as its id was handed in again while its rows are deleted
+    Given 2 entries and 4 workers of one service
+    And ended jobs are kept for 20 s
+    When a job of steps "1" is submitted at entry 0
+    Then within 4 s it is shown as succeeded at every entry
+    When transactions take 0.3 s and it is submitted again as its rows are about to be deleted
+    Then it doesn't run, or its row is stored
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -3,8 +3,9 @@
 import asyncio
 
 import behave
+from nutmegshelf import jobs, platform
 
-from features.steps import jobs_steps
+from features.steps import jobs_steps, malformed_row_steps
 
 
 @behave.given("ended jobs are kept for {seconds:g} s")
@@ -64,3 +65,95 @@
 def check_max_jobs(context, count):
     jobs_steps.check_no_violations(context)
     assert 0 < context.max_jobs <= count, context.max_jobs
+
+
+def on_deletion_queued(context, react):
+    """Call `react` with the writer before the deletion of the job's rows is queued."""
+    holder_writer = malformed_row_steps.get_holder(context).writer
+    write, deletion = holder_writer.write, make_deletion(context)
+
+    def react_and_write(*changes):
+        if deletion in changes:
+            react(write)
+        write(*changes)
+
+    holder_writer.write = react_and_write
+
+
+def make_deletion(context):
+    return platform.Write(jobs.job_key("a", context.made.job), None)
+
+
+@behave.when(
+    "its rows are deleted after {count:d} others, and the holder is killed as its own is deleted"
+)
+@jobs_steps.paused
+async def kill_between(context, count):
+    def queue_others(write):
+        for number in range(count):
+            write(platform.Write(jobs.job_key("a", f"e{number:015x}"), None))
+
+    on_deletion_queued(context, queue_others)
+    holder, deleted = context.site.holder_of("a"), asyncio.Event()
+    view = context.site.views[holder]
+    commit = view.commit
+
+    async def commit_and_stop(transaction):
+        committed = await commit(transaction)
+        if make_deletion(context) in transaction.writes:
+            deleted.set()
+            await asyncio.sleep(1.0)
+        return committed
+
+    view.commit = commit_and_stop
+    await deleted.wait()
+    await context.site.kill(holder)
+
+
+@behave.when("it is submitted again at the entry that is left")
+@jobs_steps.paused
+async def submit_again(context):
+    ((service, _),) = context.site.entries.values()
+    await service.job_router.submit(context.made)
+
+
+@behave.then("within {seconds:g} s its task has started {count:d} times")
+@jobs_steps.paused
+async def check_starts(context, seconds, count):
+    async def check():
+        return context.world.starts[f"{context.made.job}.0.0.0"] == count or context.world.starts
+
+    await jobs_steps.wait_until(seconds, check, "the starts")
+
+
+@behave.when(
+    "transactions take {seconds:g} s and it is submitted again as its rows are about to be deleted"
+)
+@jobs_steps.paused
+async def submit_during_deletion(context, seconds):
+    holder = context.site.holder_of("a")
+    service, view = context.site.entries[holder][0], context.site.views[holder]
+    commit, queued, sent = view.commit, asyncio.Event(), asyncio.Event()
+
+    async def commit_slowly(transaction):
+        sent.set()
+        await asyncio.sleep(seconds)
+        return await commit(transaction)
+
+    def delay_until_next(write):
+        view.commit = commit_slowly
+        write(platform.Write("scratch/a/other", b""))
+        queued.set()
+
+    on_deletion_queued(context, delay_until_next)
+    await queued.wait()
+    await service.job_router.submit(context.made)
+    await asyncio.sleep(3.0)
+
+
+@behave.then("it doesn't run, or its row is stored")
+@jobs_steps.paused
+async def check_row(context):
+    starts = context.world.starts[f"{context.made.job}.0.0.0"]
+    row = context.world.table.read(jobs.job_key("a", context.made.job))
+    assert starts == 1 or row.version, (starts, row)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -154,7 +154,9 @@
         return reply
 
     def _is_stored(self, job: ids.JobId) -> bool:
-        return job in self.scheduler.registry.records or job in self._unusable
+        # The row of a forgotten job stays until its deletion is stored.
+        is_deleted = self.writer.is_writing(jobs.job_key(self.pool, job))
+        return job in self.scheduler.registry.records or job in self._unusable or is_deleted
 
     async def _evacuate(self, call: calls.EvacuateHost) -> calls.Reply:
         is_cleared = self.scheduler.evacuate_host(
@@ -564,8 +566,11 @@
     def _delete_ended(self, now_s: float) -> None:
         for record in self.scheduler.evict_ended(now_s - self._ended_retention_s):
             job = record.job.job
-            self.writer.write(platform.Write(jobs.job_key(self.pool, job), None))
-            self.writer.write(platform.Write(jobs.progress_key(self.pool, job), None))
+            # Together: a job under the same id must not find the progress of this one.
+            self.writer.write(
+                platform.Write(jobs.job_key(self.pool, job), None),
+                platform.Write(jobs.progress_key(self.pool, job), None),
+            )
 
 
 def _now_ms() -> int:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import itertools
 
 from nutmegshelf import codecs, exceptions, ids, jobs, leases, platform, registry, submissions
 
@@ -63,6 +64,8 @@
 
 
 PendingJobs = dict[ids.JobId, _PendingJob]
+# Writes that one transaction stores together, by the key of the first.
+QueuedWrites = dict[str, tuple[platform.Write, ...]]
 # By key, the futures that resolve once the row that is queued now, or a newer one, is stored.
 Waiters = dict[str, list[asyncio.Future[None]]]
 
@@ -72,7 +75,7 @@
     """What one transaction stores, besides the lease."""
 
     new_jobs: PendingJobs
-    queued: list[platform.Write]
+    queued: QueuedWrites
     dirty: list[registry.JobRecord]
     waiters: Waiters
 
@@ -92,7 +95,9 @@
         self._lease_set = lease_set
         self._pool = pool
         self._pending: PendingJobs = {}
-        self._queued_writes: dict[str, platform.Write] = {}
+        self._queued_writes: QueuedWrites = {}
+        # Those of the transaction under way.
+        self._writes_in_flight: QueuedWrites = {}
         self._changed = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._lease = lease_set.held[pool].lease
@@ -128,11 +133,15 @@
         """Have the next batch stored, for example after jobs were marked dirty."""
         self._changed.set()
 
-    def write(self, change: platform.Write) -> None:
-        """Queue a write of another row of the service for the next transaction."""
-        self._queued_writes[change.key] = change
+    def write(self, *changes: platform.Write) -> None:
+        """Queue writes of other rows of the service, which one transaction stores together."""
+        self._queued_writes[changes[0].key] = changes
         self._changed.set()
 
+    def is_writing(self, key: str) -> bool:
+        """Return whether writes that begin with this key are not known to be stored yet."""
+        return key in self._queued_writes or key in self._writes_in_flight
+
     async def write_and_wait(self, change: platform.Write) -> None:
         """Queue a write of another row, and wait until it or a newer one of its key is stored.
 
@@ -226,20 +235,24 @@
         budget = _TransactionBudget(self._max_items)
         new_jobs, queued = self._choose_new_jobs(budget), self._pop_queued_writes(budget)
         writes = self._choose_progress(job_registry, budget)
-        waiters = {write.key: self._waiters.pop(write.key, []) for write in queued}
+        self._writes_in_flight = queued
+        waiters = {key: self._waiters.pop(key, []) for key in queued}
         batch = _Batch(new_jobs, queued, job_registry.take_dirty(len(writes)), waiters)
         stored_states = {record.job.job: record.progress.state for record in batch.dirty}
         try:
-            await self._commit([*writes, *batch.queued], batch.new_jobs)
+            queued_writes = itertools.chain.from_iterable(batch.queued.values())
+            await self._commit([*writes, *queued_writes], batch.new_jobs)
         except BaseException as error:
             job_registry.restore_dirty()
-            self._queued_writes = {write.key: write for write in batch.queued} | self._queued_writes
+            self._queued_writes = batch.queued | self._queued_writes
             for key, waiting in batch.waiters.items():
                 self._waiters[key] = waiting + self._waiters.get(key, [])
             if not isinstance(error, exceptions.TableRefused):
                 raise
             self._isolate_refused(job_registry, batch, error)
             return
+        finally:
+            self._writes_in_flight = {}
         self._max_items = min(_MAX_OPERATIONS, 2 * self._max_items)
         for waiting in batch.waiters.values():
             _resolve_waiters(waiting)
@@ -258,12 +271,12 @@
             pending.submission.close()
             pending.settled.set()
             self._forget(pending)
-        for write in batch.queued:
-            _log.error("The table refused a row.", pool=self._pool, key=write.key, why=str(error))
+        for key, writes in batch.queued.items():
+            _log.error("The table refused a row.", pool=self._pool, key=key, why=str(error))
             # A newer row of the key may still be stored, which its waiters wait for.
-            if self._queued_writes.get(write.key) is write:
-                del self._queued_writes[write.key]
-                _resolve_waiters(self._waiters.pop(write.key), error)
+            if self._queued_writes.get(key) is writes:
+                del self._queued_writes[key]
+                _resolve_waiters(self._waiters.pop(key), error)
         for record in batch.dirty:
             job = record.job.job
             _log.error(
@@ -294,12 +307,12 @@
             chosen.append(platform.Write(jobs.progress_key(self._pool, name), packed))
         return chosen
 
-    def _pop_queued_writes(self, budget: "_TransactionBudget") -> list[platform.Write]:
-        chosen: list[platform.Write] = []
-        for key, write in list(self._queued_writes.items()):
-            if not budget.reserve(1, len(write.value or b"")):
+    def _pop_queued_writes(self, budget: "_TransactionBudget") -> QueuedWrites:
+        chosen: QueuedWrites = {}
+        for key, writes in list(self._queued_writes.items()):
+            if not budget.reserve(len(writes), sum(len(write.value or b"") for write in writes)):
                 break
-            chosen.append(self._queued_writes.pop(key))
+            chosen[key] = self._queued_writes.pop(key)
         return chosen
 
     async def _commit(
