A holder that has taken a job in meanwhile says so to those that wait for it

Callers read 503, "never runs", of a job that ran already at the service's holder.

Cause: a submission waits at the holder for its own transaction. Meanwhile another entry, which can't reach the holder, stores the job in the table, and the notice of it has the holder take the job in. As the time limit of the waiting submission ends, the holder replied "not stored" from that submission alone. The entries that submitted the job are asked before the rejection, but the holder doesn't know of the one that stored it.

The holder looks again whether it has the job before it replies anything but success; that also answers with success what was in doubt.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -162,6 +162,35 @@
     assert error.outcome is exceptions.Outcome.UNKNOWN, error.kind
 
 
+@behave.when(
+    "a job waits at its holder, and a try at an entry that can't reach the holder stores it"
+)
+@jobs_steps.paused
+async def store_beside_holder(context):
+    job, site = make_job(context), context.site
+    holder = site.holder_of("a")
+    cut_off, other = (name for name in site.entries if name != holder)
+    deliver = site.net.call
+
+    async def refuse_connection(address, call, timeout_s):
+        if isinstance(call, calls.SubmitJob) and call.submitter.address == f"{cut_off}:3":
+            raise exceptions.PeerUnreachable("cut")
+        return await deliver(address, call, timeout_s)
+
+    site.net.call = refuse_connection
+    for name in (holder, other):
+        replace_commit(site.views[name], job, turn_away)
+    waiting = asyncio.ensure_future(submit(context, other))
+    await asyncio.sleep(0.1)
+    assert await submit(context, cut_off) is None
+    context.error = await waiting
+
+
+@behave.then("the waiting caller is told that the job is stored")
+def check_told_stored(context):
+    assert context.error is None, context.error.kind
+
+
 @behave.when("the job is submitted again at another entry, which the table turns away")
 @jobs_steps.paused
 async def retry(context):
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -37,6 +37,12 @@
     Then the caller is told that the job may run
     And the job runs
 
+  Scenario: A job that waits at its holder is rejected as not run though the holder has taken it in meanwhile
+    Given 3 entries and 4 workers of one service
+    When a job waits at its holder, and a try at an entry that can't reach the holder stores it
+    Then the waiting caller is told that the job is stored
+    And the job runs
+
   Scenario Outline: A job that <where> is said to be unknown to a caller that <asks>, and runs
     Given 3 entries and 4 workers of one service
     When a job <where>, and a caller at another entry <asks>
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -204,8 +204,9 @@
             return calls.Reply(status=calls.Status.DONE)
         self._submitters.add(job, call.submitter)
         status = await self._submit(call.job)
-        if status is calls.Status.DONE:
-            return calls.Reply(status=status)
+        # Another entry may have stored the job in the meantime.
+        if status is calls.Status.DONE or self._is_stored(job):
+            return calls.Reply(status=calls.Status.DONE)
         others = self._submitters.get_others(job, call.submitter)
         return calls.Reply(status=status, other_submitters=others)
 
