The other entries know of a doubt before a caller is told that its time limit has ended

A caller whose time limit ended while its job was written got 504, submitted the job again at once at another entry, read 503, "never runs", and the job ran.

Cause: the entry reports a doubt before it answers 504 only if the submission ends by itself. If the handler's time limit ends it, the cancelled call queued the report and the response went out without waiting for it, 20 ms and a call before any other entry knew. Where the holder knows of both tries the entry is asked before a rejection; refusals before routing ask nobody, here that of an entry that shuts down.

A call that is cancelled now waits for its report too, up to 0.06 s, which fits into the 0.1 s that are reserved for the response.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -1,6 +1,7 @@
 """Steps that run submissions through orders of events."""
 
 import asyncio
+import json
 import types
 
 import behave
@@ -13,6 +14,12 @@
 
 # The fake table's log grows with each order, so that a site serves only so many.
 ORDERS_PER_SITE = 40
+BODY = json.dumps(
+    {"spec": "s", "steps": [{"count": 1, "cpu_millis": 1000, "estimate_ms": 500}]}
+).encode()
+# The holder answers after 0.7 s.
+TIMEOUT_MS = 1_000
+LATE_WRITE_S = 1.0
 
 
 def run(context, orders, gap_turns, entries):
@@ -340,31 +347,75 @@
     assert context.kind is exceptions.ErrorKind.UNKNOWN_JOB, context.kind
 
 
-@behave.when("a job's submission gets no answer, and it is submitted again as the entry shuts down")
-@jobs_steps.paused
-async def submit_at_shutdown(context):
-    await leave_in_doubt(context)
-    service, _ = context.site.entries["e0"]
+async def send_post(context, name, timeout_ms=None, refusal=None):
+    """Have an entry serve a POST of the job; return the status and the headers of the response."""
+    service, _ = context.site.entries[name]
     handler = job_handler.JobHandler(
         service.active_queues,
         job_codec.JobCodec(),
         service.job_router,
         job_metrics.JobMetrics(service.timings),
     )
-    handler.refusal = exceptions.ErrorKind.SHUTTING_DOWN
+    handler.refusal = refusal
+    responses = []
 
     async def respond(status, headers, body):
-        context.response = status, dict(headers)
+        responses.append((status, dict(headers)))
 
+    async def read_body(max_bytes):
+        return BODY
+
+    sent = {b"host": b"x", b"request-id": b"r-1"}
+    if timeout_ms is not None:
+        sent[b"request-timeout-ms"] = str(timeout_ms).encode()
     exchange = types.SimpleNamespace(
         method="POST",
         target=f"/q/{context.made.job}",
         is_over_limit=False,
-        get_header={b"request-id": b"r-1"}.get,
+        get_header=sent.get,
+        connection=types.SimpleNamespace(read_body=read_body),
         respond=respond,
     )
-    explaining_steps.capture_logs(context)
     await handler.handle(exchange)
+    (response,) = responses
+    return response
+
+
+@behave.when("a job's submission gets no answer, and it is submitted again as the entry shuts down")
+@jobs_steps.paused
+async def submit_at_shutdown(context):
+    await leave_in_doubt(context)
+    explaining_steps.capture_logs(context)
+    context.response = await send_post(context, "e0", refusal=exceptions.ErrorKind.SHUTTING_DOWN)
+
+
+@behave.when(
+    "a caller's time limit ends while the job is written, and it is submitted again at once"
+    " at an entry that shuts down"
+)
+@jobs_steps.paused
+async def submit_again_at_shutdown(context):
+    job, site = make_job(context), context.site
+    holder = site.holder_of("a")
+    first, other = (name for name in site.entries if name != holder)
+
+    async def store_late(transaction):
+        asyncio.get_running_loop().call_later(LATE_WRITE_S, site.world.table.apply, transaction)
+        await asyncio.sleep(submission_orders.WATCH_S)
+
+    for view in site.views.values():
+        replace_commit(view, job, turn_away)
+    replace_commit(site.views[first], job, store_late)
+    context.began_s = jobs_steps.get_time_s()
+    status, _ = await send_post(context, first, timeout_ms=TIMEOUT_MS)
+    assert status == 504, status
+    context.took_s = jobs_steps.get_time_s() - context.began_s
+    context.response = await send_post(context, other, refusal=exceptions.ErrorKind.SHUTTING_DOWN)
+
+
+@behave.then("the first response came within the caller's time limit")
+def check_in_time(context):
+    assert context.took_s < TIMEOUT_MS / 1000, context.took_s
 
 
 @behave.then("the response has status {status:d} and says that the job may run")
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -83,6 +83,13 @@
     Then the response has status 504 and says that the job may run
     And the log names the request by its caller's id
 
+  Scenario: A retry is rejected as not run at once after the first try's time limit, which no entry was told of
+    Given 3 entries and 4 workers of one service
+    When a caller's time limit ends while the job is written, and it is submitted again at once at an entry that shuts down
+    Then the response has status 504 and says that the job may run
+    And the first response came within the caller's time limit
+    And the job runs
+
   @soak
   Scenario: A job is rejected though it was stored, in long orders
     When a submission at 3 entries meets 2000 random orders of 5 events, 0 to 3 turns of the loop apart
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_reports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_reports.py
@@ -10,8 +10,6 @@
 # Reports of this time go out in one call for each service.
 _BATCH_DELAY_S = 0.02
 _CALL_TIMEOUT_S = 0.1
-# How long an answer to a caller waits until the other entries know that it is in doubt.
-_MAX_WAIT_S = 0.15
 
 _log = logs.get_logger("desk")
 
@@ -40,10 +38,10 @@
             self._sending = asyncio.ensure_future(self._send_batches())
         return self._batch_sent
 
-    async def wait(self, job: jobs.Job, sent: asyncio.Event) -> None:
+    async def wait(self, job: jobs.Job, sent: asyncio.Event, max_wait_s: float) -> None:
         """Wait a moment until the other entries know of a job."""
         try:
-            async with asyncio.timeout(_MAX_WAIT_S):
+            async with asyncio.timeout(max_wait_s):
                 await sent.wait()
         except TimeoutError:
             _log.info("Other entries may not know of a job in doubt.", job=job.job)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -13,6 +13,10 @@
 # Longer than for reads, as the holder may wait for a slow table before it answers.
 _WRITE_TIMEOUT_S = 0.9
 _CHECK_TIMEOUT_S = 0.1
+# How long an answer to a caller waits until the other entries know that it is in doubt.
+_REPORT_WAIT_S = 0.15
+# The same once the caller's time limit has ended; shorter than the reserve for the response.
+_LATE_REPORT_WAIT_S = 0.06
 # Callers whose call was with a holder that is gone come back within this time.
 _LOST_HOLDER_DOUBT_S = 5.0
 _MAX_KNOWN_JOBS = 4_096
@@ -188,10 +192,13 @@
             self._ledger.end(job.job, result.outcome, self._loop.time())
             if result.outcome is submissions.Outcome.UNKNOWN:
                 reported = self._doubt_reporter.add(job)
+                if result.refusal is None:
+                    # The caller's time limit has ended, and its retry may follow at once.
+                    await self._doubt_reporter.wait(job, reported, _LATE_REPORT_WAIT_S)
         if result.refusal is None or self._ledger.is_stored(job.job):
             return
         if result.outcome is submissions.Outcome.UNKNOWN:
-            await self._doubt_reporter.wait(job, reported)
+            await self._doubt_reporter.wait(job, reported, _REPORT_WAIT_S)
         elif result.is_holder_lost or not await self._do_others_rule_out(
             job, result.other_submitters
         ):
