A report of doubts is one call to each entry, whatever services its jobs are of

Cause: reports were collected by service, as a call names one. The entry that is told keeps doubts by the job alone, so one call carries them all.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_reports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_reports.py
@@ -7,7 +7,7 @@
 
 from nutmegshelf_entry import logs, ports
 
-# Reports of this time go out in one call for each service.
+# Reports of this time go out in one call to each entry.
 _BATCH_DELAY_S = 0.02
 _CALL_TIMEOUT_S = 0.1
 
@@ -24,7 +24,7 @@
     ) -> None:
         self._peers = peers
         self._list_addresses = list_addresses
-        self._waiting: dict[ids.ServiceName, set[ids.JobId]] = {}
+        self._waiting: set[ids.JobId] = set()
         self._sending: asyncio.Task[None] | None = None
         self._batch_sent = asyncio.Event()
         # Entries whose last call failed; batches don't wait for them.
@@ -33,7 +33,7 @@
 
     def add(self, job: jobs.Job) -> asyncio.Event:
         """Have a job reported; the event is set once all entries have been told or have failed."""
-        self._waiting.setdefault(job.service, set()).add(job.job)
+        self._waiting.add(job.job)
         if self._sending is None or self._sending.done():
             self._sending = asyncio.ensure_future(self._send_batches())
         return self._batch_sent
@@ -49,15 +49,12 @@
     async def _send_batches(self) -> None:
         while self._waiting:
             await asyncio.sleep(_BATCH_DELAY_S)
-            batch, self._waiting = self._waiting, {}
+            batch, self._waiting = self._waiting, set()
             sent, self._batch_sent = self._batch_sent, asyncio.Event()
-            calls_by_address = [
-                (address, calls.ReportDoubts(service=service, jobs=tuple(sorted(doubtful))))
-                for address in self._list_addresses()
-                for service, doubtful in batch.items()
-            ]
+            # The jobs may be of any services.
+            call = calls.ReportDoubts(service=ids.ServiceName(""), jobs=tuple(sorted(batch)))
             awaited = []
-            for address, call in calls_by_address:
+            for address in self._list_addresses():
                 task = asyncio.ensure_future(self._send(address, call))
                 if address in self._unresponsive:
                     self._unawaited.add(task)
