Entries that reject a submission first learn the doubts of the others

Callers saw: after a try with 504 or no answer, a retry at another entry got 503, "never runs", and the job ran.

Cause: a doubt is reported once, with a limit of 0.1 s. An entry that stands still, is cut off or starts later doesn't get it, and doesn't know that it lacks something. What an entry had open when its process was killed is reported by nobody.

Now an entry knows whether it knows (`doubt_coverage` in the kernel): each live entry has to have listed its doubts since this one last started or stood still. The first rejection asks for the lists and waits for 0.15 s at most; else it says "unknown". Then, for 5 s after the latest rejection, one call stays open at each other entry for 0.5 s at a time: two calls a second and entry, however many jobs are rejected, no wait, and its end shows at once that the other process has ended. For 5 s after the end of a process without leaving (its own predecessor's too, which the entry's row tells), nothing is ruled out, as for a lost holder.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -1,6 +1,7 @@
 """Steps that run submissions through orders of events."""
 
 import asyncio
+import collections
 import json
 import types
 
@@ -85,6 +86,18 @@
     view.commit = choose
 
 
+def refuse_jobs(view):
+    """Have the table turn away all transactions that store a job."""
+    commit, prefix = view.commit, jobs.job_key("a", "")
+
+    async def choose(transaction):
+        if any(condition.key.startswith(prefix) for condition in transaction.conditions):
+            raise exceptions.TableUnavailable("503")
+        return await commit(transaction)
+
+    view.commit = choose
+
+
 async def power_off(site, name):
     """End an entry so that its open submissions report nothing any more."""
     service, _ = site.entries[name]
@@ -429,3 +442,177 @@
     lines = explaining_steps.get_lines(context)
     named = [line["event"] for line in lines if line.get("request") == "r-1"]
     assert named == ["A request got no success."], lines
+
+
+async def reject(context, name, number):
+    """Have an entry reject a job that nobody submitted before; return the error."""
+    context.made = jobsite.job(number, submission_orders.STEPS)
+    for view in context.site.views.values():
+        replace_commit(view, context.made, turn_away)
+    error = await submit(context, name)
+    assert error is not None, "accepted"
+    return error
+
+
+def list_without_holder(site):
+    return [name for name in site.entries if name != site.holder_of("a")]
+
+
+@behave.when(
+    "a job's first try at an entry is left in doubt, and another entry {missed} the report of it"
+)
+@jobs_steps.paused
+async def miss_report(context, missed):
+    site = context.site
+    first, context.retry_at = list_without_holder(site)
+    deliver = site.net.call
+
+    async def lose_report(address, call, timeout_s):
+        is_submission = isinstance(call, calls.SubmitJob)
+        if is_submission and call.submitter.address == f"{first}:3":
+            raise exceptions.PeerAnswerLost("cut")
+        if address == f"{context.retry_at}:3" and isinstance(call, calls.ReportDoubts):
+            raise exceptions.PeerAnswerLost("stands still")
+        return await deliver(address, call, timeout_s)
+
+    async def lose(transaction):
+        raise exceptions.TableAnswerLost("no answer")
+
+    if missed.startswith("rejected others"):
+        error = await reject(context, context.retry_at, 2)
+        assert error.outcome is exceptions.Outcome.NOT_RUN, error.kind
+    job = make_job(context)
+    if missed.startswith("started anew"):
+        await site.kill(context.retry_at)
+    site.net.call = lose_report
+    replace_commit(site.views[first], job, lose)
+    error = await submit(context, first)
+    assert error.outcome is exceptions.Outcome.UNKNOWN, error.kind
+    if missed.startswith("started anew"):
+        site.start(context.retry_at)
+    if "stood still" in missed:
+        asyncio.get_running_loop().block(1.0)
+
+
+@behave.when("the job is submitted again there after {delay_s:g} s, and the table turns it away")
+@jobs_steps.paused
+async def retry_later(context, delay_s):
+    await asyncio.sleep(delay_s)
+    for view in context.site.views.values():
+        replace_commit(view, context.made, turn_away)
+    context.error = await submit(context, context.retry_at)
+
+
+@behave.when("an entry that reaches no holder sends a job's write, and ends as {gone}")
+@jobs_steps.paused
+async def end_untold(context, gone):
+    site = context.site
+    first, context.retry_at = list_without_holder(site)
+    deliver = site.net.call
+    sent = asyncio.Event()
+
+    async def lose_submission(address, call, timeout_s):
+        is_submission = isinstance(call, calls.SubmitJob)
+        if is_submission and call.submitter.address == f"{first}:3":
+            raise exceptions.PeerAnswerLost("cut")
+        return await deliver(address, call, timeout_s)
+
+    async def carry_out_late(transaction):
+        asyncio.get_running_loop().call_later(2.0, site.world.table.apply, transaction)
+        sent.set()
+        await asyncio.sleep(submission_orders.WATCH_S)
+
+    if "follow" in gone:
+        error = await reject(context, context.retry_at, 2)
+        assert error.outcome is exceptions.Outcome.NOT_RUN, error.kind
+    job = make_job(context)
+    site.net.call = lose_submission
+    for view in site.views.values():
+        replace_commit(view, job, turn_away)
+    replace_commit(site.views[first], job, carry_out_late)
+    attempt = asyncio.ensure_future(submit(context, first))
+    await sent.wait()
+    await power_off(site, first)
+    attempt.cancel()
+    await asyncio.gather(attempt, return_exceptions=True)
+    if "restarted" in gone:
+        site.start(first)
+        await asyncio.sleep(0.1)
+    if "follow" in gone:
+        await asyncio.sleep(0.6)
+
+
+@behave.when("a job is submitted once at an entry that the table turns away")
+@jobs_steps.paused
+async def submit_once(context):
+    context.error = await reject(context, list_without_holder(context.site)[0], 3)
+
+
+@behave.when(
+    "another entry is killed, and a job is submitted once at an entry that the table turns away"
+)
+@jobs_steps.paused
+async def kill_and_submit(context):
+    name, killed = list_without_holder(context.site)
+    await context.site.kill(killed)
+    context.retry_at = name
+    context.error = await reject(context, name, 4)
+
+
+@behave.then("the caller is told that the job doesn't run")
+def check_told_not_run(context):
+    assert context.error.outcome is exceptions.Outcome.NOT_RUN, context.error.kind
+
+
+@behave.then("{seconds:d} s later a job submitted once is rejected as not run")
+@jobs_steps.paused
+async def check_rejected_later(context, seconds):
+    await asyncio.sleep(seconds)
+    error = await reject(context, context.retry_at, 5)
+    assert error.outcome is exceptions.Outcome.NOT_RUN, error.kind
+
+
+@behave.when("{rate:d} jobs a second are rejected at an entry for {duration_s:d} s")
+@jobs_steps.paused
+async def reject_many(context, rate, duration_s):
+    loop, site = asyncio.get_running_loop(), context.site
+    name = list_without_holder(site)[0]
+    context.duration_s, context.rejections = duration_s, []
+    context.asked = collections.Counter()
+    deliver = site.net.call
+
+    async def count(address, call, timeout_s):
+        if isinstance(call, calls.ListDoubts):
+            context.asked[address] += 1
+        return await deliver(address, call, timeout_s)
+
+    async def reject_one(number):
+        began_s = loop.time()
+        try:
+            await service.job_router.submit(jobsite.job(number, submission_orders.STEPS))
+        except exceptions.RequestError as error:
+            context.rejections.append((error, loop.time() - began_s))
+
+    service, _ = site.entries[name]
+    site.net.call = count
+    for view in site.views.values():
+        refuse_jobs(view)
+    async with asyncio.TaskGroup() as group:
+        for number in range(rate * duration_s):
+            group.create_task(reject_one(100 + number))
+            await asyncio.sleep(1 / rate)
+    assert len(context.rejections) == rate * duration_s, len(context.rejections)
+
+
+@behave.then("it asked each other entry at most {rate:d} times a second for its doubts")
+def check_asked(context, rate):
+    assert len(context.asked) == len(context.site.entries) - 1, context.asked
+    assert max(context.asked.values()) <= rate * context.duration_s, context.asked
+
+
+@behave.then("all of them were rejected as not run, within {limit_s:g} s each after the first")
+def check_rejections(context, limit_s):
+    outcomes = collections.Counter(error.outcome for error, _ in context.rejections)
+    assert set(outcomes) == {exceptions.Outcome.NOT_RUN}, outcomes
+    slowest_s = max(took_s for _, took_s in context.rejections[1:])
+    assert slowest_s <= limit_s, slowest_s
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -43,6 +43,47 @@
     Then the waiting caller is told that the job is stored
     And the job runs
 
+  Scenario Outline: A retry is rejected as not run though its first try is in doubt, at an entry that <missed> the report
+    Given 3 entries and 4 workers of one service
+    When a job's first try at an entry is left in doubt, and another entry <missed> the report of it
+    And the job is submitted again there after <delay_s> s, and the table turns it away
+    Then the caller is told that the job may run
+
+    Examples: how a report is missed
+      | missed                                 | delay_s |
+      | did not get                            | 0       |
+      | rejected others and did not get        | 0.6     |
+      | rejected others and stood still during | 0       |
+      | started anew after                     | 0.2     |
+      | started anew after                     | 6       |
+
+  Scenario Outline: A retry is rejected as not run though the <gone> of its first try, which reached no holder, had told nobody
+    Given 3 entries and 4 workers of one service
+    When an entry that reaches no holder sends a job's write, and ends as <gone>
+    And the job is submitted again at another entry, which the table turns away
+    Then the caller is told that the job may run
+    And the job runs
+
+    Examples: ways in which the entry of the first try ends
+      | gone                     |
+      | entry                    |
+      | restarted entry          |
+      | entry that others follow |
+
+  Scenario: Rejections are in doubt for long after a first start, or after the end of an entry
+    Given 3 entries and 4 workers of one service
+    When a job is submitted once at an entry that the table turns away
+    Then the caller is told that the job doesn't run
+    When another entry is killed, and a job is submitted once at an entry that the table turns away
+    Then the caller is told that the job may run
+    But 6 s later a job submitted once is rejected as not run
+
+  Scenario: An entry that rejects many jobs calls the others for each of them
+    Given 3 entries and 4 workers of one service
+    When 200 jobs a second are rejected at an entry for 5 s
+    Then it asked each other entry at most 3 times a second for its doubts
+    And all of them were rejected as not run, within 0.75 s each after the first
+
   Scenario Outline: A job that <where> is said to be unknown to a caller that <asks>, and runs
     Given 3 entries and 4 workers of one service
     When a job <where>, and a caller at another entry <asks>
--- /dev/null
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
@@ -0,0 +1,160 @@
+"""Follow the other entries' doubts while this entry has submissions to reject.
+
+A report of a doubt doesn't reach an entry that stands still, is cut off or has just started. So an
+entry that rejects has the others list their doubts, and then keeps a call open at each of them,
+which ends at once when its process does.
+"""
+
+import asyncio
+import collections.abc
+
+from nutmegshelf import calls, doubt_coverage, exceptions, ids, submissions
+
+from nutmegshelf_entry import logs, ports
+
+# The other entries are followed for this long after the latest rejection.
+_WATCH_S = 5.0
+# How long a rejection waits for lists.
+_MAX_WAIT_S = 0.15
+_LIST_TIMEOUT_S = 0.4
+# How long each further call stays open, and how much later its answer may come.
+_OPEN_CALL_S = 0.5
+_OPEN_CALL_GRACE_S = 0.3
+_MIN_RETRY_DELAY_S = 0.1
+_MAX_RETRY_DELAY_S = 1.0
+_CLOCK_INTERVAL_S = 0.05
+# Reports may be lost to an entry that stands still for longer than this.
+_MAX_STANDSTILL_S = 0.25
+# How old the doubts are at most that a further call returns; their reports may have been lost.
+_RECENT_S = 2.0
+
+_log = logs.get_logger("desk")
+
+
+class DoubtWatch:
+    """The calls of one entry that list the doubts of the others."""
+
+    def __init__(
+        self,
+        peers: ports.PeerClient,
+        list_addresses: collections.abc.Callable[[], list[str]],
+        ledger: submissions.Ledger,
+    ) -> None:
+        self._peers = peers
+        self._list_addresses = list_addresses
+        self._ledger = ledger
+        self._loop = asyncio.get_running_loop()
+        self.coverage = doubt_coverage.DoubtCoverage(self._loop.time())
+        self._ends_s = 0.0
+        self._observed_s = 0.0
+        self._is_watching = False
+        self._begun = asyncio.Event()
+        self._followers: dict[str, asyncio.Task[None]] = {}
+        self._changed = asyncio.Event()
+
+    async def answer(self, call: calls.ListDoubts) -> calls.Reply:
+        """List the doubts of this entry."""
+        await asyncio.sleep(min(call.wait_s, _OPEN_CALL_S))
+        now_s = self._loop.time()
+        if call.is_complete:
+            doubts = self._ledger.list_doubts(submissions.MAX_CARRY_OUT_DELAY_S, now_s)
+            doubts += self._ledger.list_open()
+        else:
+            doubts = self._ledger.list_doubts(_RECENT_S, now_s)
+        return calls.Reply(
+            status=calls.Status.DONE,
+            doubts=doubts,
+            predecessor_doubt_s=self.coverage.get_predecessor_doubt_s(now_s),
+        )
+
+    async def refresh(self) -> bool:
+        """Return whether the doubts of all other entries are known, after a moment's wait."""
+        now_s = self._loop.time()
+        if not self._is_watching:
+            self._is_watching = True
+            self._begun.set()
+            self.coverage.begin(now_s)
+            self._observed_s = now_s
+        self._ends_s = now_s + _WATCH_S
+        self._observe_clock()
+        self._follow_all()
+        if self._is_complete():
+            return True
+        try:
+            async with asyncio.timeout(_MAX_WAIT_S):
+                while not self._is_complete():
+                    await self._changed.wait()
+        except TimeoutError:
+            _log.info("The doubts of other entries are not known.", entries=len(self._followers))
+        return self._is_complete()
+
+    def _is_complete(self) -> bool:
+        return self.coverage.is_complete(self._list_addresses(), self._loop.time())
+
+    async def run(self) -> None:
+        """Notice whether this entry stands still while it follows the others, until cancelled."""
+        try:
+            while True:
+                await self._begun.wait()
+                self._begun.clear()
+                while self._loop.time() < self._ends_s:
+                    await asyncio.sleep(_CLOCK_INTERVAL_S)
+                    self._observe_clock()
+                self._is_watching = False
+                self._stop_following()
+        finally:
+            self._is_watching = False
+            self._stop_following()
+
+    def _observe_clock(self) -> None:
+        """Ask all entries anew if this one stood still."""
+        now_s, observed_s = self._loop.time(), self._observed_s
+        self._observed_s = now_s
+        if now_s - observed_s > _CLOCK_INTERVAL_S + _MAX_STANDSTILL_S:
+            _log.info(
+                "Reports of doubts may have been missed.", late_s=round(now_s - observed_s, 3)
+            )
+            self.coverage.record_gap(now_s)
+            self._stop_following()
+            self._follow_all()
+
+    def _follow_all(self) -> None:
+        for address in self._list_addresses():
+            if address not in self._followers:
+                self._followers[address] = asyncio.ensure_future(self._follow(address))
+
+    def _stop_following(self) -> None:
+        followers, self._followers = self._followers, {}
+        for task in followers.values():
+            task.cancel()
+
+    async def _follow(self, address: str) -> None:
+        delay_s = _MIN_RETRY_DELAY_S
+        while address in self._list_addresses():
+            if await self._list(address):
+                delay_s = _MIN_RETRY_DELAY_S
+            else:
+                await asyncio.sleep(delay_s)
+                delay_s = min(_MAX_RETRY_DELAY_S, 2 * delay_s)
+        del self._followers[address]
+
+    async def _list(self, address: str) -> bool:
+        """Receive one list of an entry; return whether it answered."""
+        requested_s = self._loop.time()
+        is_complete = not self.coverage.has_listed(address)
+        wait_s = 0.0 if is_complete else _OPEN_CALL_S
+        timeout_s = _LIST_TIMEOUT_S if is_complete else _OPEN_CALL_S + _OPEN_CALL_GRACE_S
+        call = calls.ListDoubts(service=ids.ServiceName(""), is_complete=is_complete, wait_s=wait_s)
+        try:
+            reply = await self._peers.call(address, call, timeout_s)
+        except exceptions.PeerError as error:
+            self.coverage.record_silence(address, self._loop.time())
+            _log.info("An entry did not list its doubts.", entry_address=address, why=str(error))
+            return False
+        now_s = self._loop.time()
+        for doubt in reply.doubts:
+            self._ledger.report_doubt(doubt.job, now_s - doubt.age_s)
+        self.coverage.record_list(address, requested_s, now_s, reply.predecessor_doubt_s)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return True
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
@@ -68,7 +68,7 @@
                 body = await self._serve(exchange)
             status, headers = 200, [(b"content-type", b"application/json")]
         except exceptions.RequestError as error:
-            answered = self._qualify_refusal(exchange, error)
+            answered = await self._qualify_refusal(exchange, error)
             status, (headers, body) = answered.response.status, problems.make_problem(
                 answered, None
             )
@@ -92,14 +92,14 @@
             )
             exchange.connection.abort()
 
-    def _qualify_refusal(
+    async def _qualify_refusal(
         self, exchange: server.Exchange, error: exceptions.RequestError
     ) -> exceptions.RequestError:
         if exchange.method != "POST":
             return error
         # Also where the path is unknown here: an earlier submission may have found its queue.
         job = exchange.target.partition("?")[0].rpartition("/")[2]
-        return self._router.qualify_refusal(ids.JobId(job), error)
+        return await self._router.qualify_refusal(ids.JobId(job), error)
 
     def _record_error(self, exchange: server.Exchange, error: exceptions.RequestError) -> None:
         self._metrics.count_refusal(error.kind.value)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -1,12 +1,21 @@
 """Route job requests to the holder of their service, or fall back to the table."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 import msgspec
 from nutmegshelf import calls, exceptions, ids, jobs, outages, queues, submissions
 
-from nutmegshelf_entry import doubt_reports, forwarder, lease_manager, logs, ports, rowcodec
+from nutmegshelf_entry import (
+    doubt_reports,
+    doubt_watch,
+    forwarder,
+    lease_manager,
+    logs,
+    ports,
+    rowcodec,
+)
 
 # After this time without an answer of the holder, the table is read instead.
 _READ_TIMEOUT_S = 0.8
@@ -17,8 +26,6 @@
 _REPORT_WAIT_S = 0.15
 # The same once the caller's time limit has ended; shorter than the reserve for the response.
 _LATE_REPORT_WAIT_S = 0.06
-# Callers whose call was with a holder that is gone come back within this time.
-_LOST_HOLDER_DOUBT_S = 5.0
 _MAX_KNOWN_JOBS = 4_096
 # An entry with a stale configuration usually has the latest one after this time.
 _STALE_RETRY_AFTER_S = 1.0
@@ -77,6 +84,7 @@
         start_forwarder: forwarder.Forwarder,
         *,
         doubt_reporter: doubt_reports.DoubtReporter,
+        list_live_addresses: collections.abc.Callable[[], list[str]],
         submitter: calls.Submitter,
     ) -> None:
         self._active_queues = active_queues
@@ -88,6 +96,8 @@
         self._submitter = submitter
         self._loop = asyncio.get_running_loop()
         self._ledger = submissions.Ledger(_MAX_KNOWN_JOBS)
+        self.doubt_watch = doubt_watch.DoubtWatch(peers, list_live_addresses, self._ledger)
+        lease_manager.on_predecessor_known = self.doubt_watch.coverage.record_predecessor
         self._absences: dict[ids.ServiceName, _Absence] = {}
 
     async def handle_call(self, call: calls.AnyCall) -> calls.Reply:
@@ -115,6 +125,8 @@
                 for job in call.jobs:
                     self._ledger.report_doubt(job, self._loop.time())
                 status = calls.Status.DONE
+            case calls.ListDoubts():
+                return await self.doubt_watch.answer(call)
             case _:
                 holder = self._lease_manager.get_holder(call.service)
                 if holder is not None:
@@ -171,11 +183,11 @@
         if (
             absence is None
             or absence.lease_version != version
-            or now_s - absence.last_noticed_s >= _LOST_HOLDER_DOUBT_S
+            or now_s - absence.last_noticed_s >= submissions.LOST_PROCESS_DOUBT_S
         ):
             absence = self._absences[call.service] = _Absence(now_s, now_s, version)
         absence.last_noticed_s = now_s
-        is_recent = now_s - absence.began_s < _LOST_HOLDER_DOUBT_S
+        is_recent = now_s - absence.began_s < submissions.LOST_PROCESS_DOUBT_S
         return CallResult(None, may_have_taken_effect=False, is_holder_lost=is_recent, why=why)
 
     async def submit(self, job: jobs.Job) -> None:
@@ -204,7 +216,7 @@
         ):
             # Nothing of this submission is under way; others may be.
             self._ledger.report_doubt(job.job, self._loop.time())
-        raise self.qualify_refusal(job.job, result.refusal)
+        raise await self.qualify_refusal(job.job, result.refusal)
 
     async def _do_others_rule_out(
         self, job: jobs.Job, submitters: tuple[calls.Submitter, ...]
@@ -229,14 +241,24 @@
 
         return all(await asyncio.gather(*map(rules_out, submitters)))
 
-    def qualify_refusal(
+    async def qualify_refusal(
         self, job: ids.JobId, refusal: exceptions.RequestError
     ) -> exceptions.RequestError:
         """Return a refusal of a job as it is, or one that says that the job may run."""
-        if refusal.outcome is not exceptions.Outcome.NOT_RUN or not self._ledger.may_be_stored(job):
+        if refusal.outcome is not exceptions.Outcome.NOT_RUN:
             return refusal
         if refusal.response.status not in _RETRYABLE_STATUSES:
-            refusal.mark_sent()
+            if self._ledger.may_be_stored(job):
+                refusal.mark_sent()
+            return refusal
+        # An entry without a configuration says so, unless it was told of a doubt.
+        asks_others = (
+            refusal.kind is not exceptions.ErrorKind.NOT_READY
+            and not self._ledger.may_be_stored(job)
+        )
+        if asks_others and not await self.doubt_watch.refresh():
+            self._ledger.report_doubt(job, self._loop.time())
+        if not self._ledger.may_be_stored(job):
             return refusal
         kind = exceptions.ErrorKind.JOB_UNSETTLED
         return exceptions.RequestError(kind, refusal.detail, refusal.retry_after_s)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -169,6 +169,7 @@
             self.active_queues,
             self._forwarder,
             doubt_reporter=doubt_reports.DoubtReporter(peers, self._members.list_addresses),
+            list_live_addresses=self._list_live_addresses,
             submitter=calls.Submitter(settings.peers.address, self.incarnation),
         )
         self.rejection_reporter = rejection_reports.RejectionReporter(
@@ -190,6 +191,7 @@
             "advice": self._advisor.run,
             "settings": self._watch_settings,
             "leases": self.lease_manager.run,
+            "doubts": self.job_router.doubt_watch.run,
             "load": self._watch_load,
         }
         async with asyncio.TaskGroup() as group:
@@ -281,6 +283,9 @@
     def _list_other_entries(self) -> list[members.EntryRow]:
         return self._members.get_active(asyncio.get_running_loop().time())
 
+    def _list_live_addresses(self) -> list[str]:
+        return [row.peer_address for row in self._list_other_entries()]
+
     def _get_lease_epoch(self, service: ids.ServiceName) -> ids.Epoch | None:
         lease = self._lease_set.holder(ids.PoolName(service))
         return lease.epoch if lease is not None else None
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -88,8 +88,11 @@
         self._failed_pools: set[ids.PoolName] = set()
         self._reacquirable_from_s: dict[ids.PoolName, float] = {}
         self._has_sent_heartbeat = False
+        self._is_predecessor_known = False
         self.pools: list[ids.PoolName] = []
         self.is_watching = False
+        # Told once whether a process of this entry has ended without leaving.
+        self.on_predecessor_known: collections.abc.Callable[[bool], None] = lambda existed: None
 
     def get_holder(self, pool: str) -> LeaseHolder | None:
         """Return the holder of a pool at this entry, or None."""
@@ -163,14 +166,12 @@
             row = self._make_row(beat)
             write = platform.Write(f"entries//{row.entry}", codecs.pack(row))
             try:
+                if not self._is_predecessor_known:
+                    await self._read_entries()
+                    self.on_predecessor_known(self._members.is_listed_as_running(row.entry))
+                    self._is_predecessor_known = True
                 await self._rows.commit(platform.Transaction(writes=(write,)))
-                stored = await self._rows.scan("entries//")
-                entries = [
-                    entry
-                    for stored_row in stored
-                    if (entry := rowcodec.decode(stored_row, members.EntryRow)) is not None
-                ]
-                self._members.apply_rows(entries, self._loop.time())
+                await self._read_entries()
                 self._has_sent_heartbeat = True
             except exceptions.TableError as error:
                 _log.warning("Failed to renew the row of this entry.", why=str(error))
@@ -178,6 +179,14 @@
                 continue
             await asyncio.sleep(HEARTBEAT_INTERVAL_S if beat > 1 else _STARTUP_DELAY_S)
 
+    async def _read_entries(self) -> None:
+        entries = [
+            entry
+            for row in await self._rows.scan("entries//")
+            if (entry := rowcodec.decode(row, members.EntryRow)) is not None
+        ]
+        self._members.apply_rows(entries, self._loop.time())
+
     async def _allocate(self, group: asyncio.TaskGroup) -> None:
         await self._reacquire(group)
         while True:
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -172,6 +172,23 @@
     jobs: tuple[ids.JobId, ...]
 
 
+class ListDoubts(Call, frozen=True, kw_only=True, tag="ListDoubts"):
+    """Return the jobs in doubt at the called entry, or those of the last seconds after a wait.
+
+    The complete list includes the jobs that are being submitted there.
+    """
+
+    is_complete: bool
+    wait_s: float = 0.0
+
+
+class Doubt(msgspec.Struct, frozen=True, array_like=True):
+    """A job that may still be stored, and how long ago its submission ended without proof."""
+
+    job: ids.JobId
+    age_s: float
+
+
 class ForwardedStart(msgspec.Struct, frozen=True, array_like=True):
     """A start to forward to its worker; the call has the job's specification."""
 
@@ -204,6 +221,7 @@
     | CheckTableAccess
     | LeaseRelinquished
     | ReportDoubts
+    | ListDoubts
     | CheckSubmission
     | ForwardStarts
 )
@@ -237,3 +255,6 @@
     outcomes: tuple[orders.Outcome, ...] = ()
     # Other entries that may be storing the submitted job without its holder.
     other_submitters: tuple[Submitter, ...] = ()
+    doubts: tuple[Doubt, ...] = ()
+    # How much longer what the called entry's previous process submitted may be in doubt.
+    predecessor_doubt_s: float = 0.0
--- a/packages/nutmegshelf/src/nutmegshelf/members.py
+++ b/packages/nutmegshelf/src/nutmegshelf/members.py
@@ -72,6 +72,11 @@
     def _is_live(self, member: Member, now_s: float) -> bool:
         return now_s - member.last_heard_s <= self.silence_limit_s
 
+    def is_listed_as_running(self, entry: ids.EntryId) -> bool:
+        """Return whether an entry has a row in which it is not leaving."""
+        member = self.by_entry.get(entry)
+        return member is not None and not member.row.leaving
+
     def list_addresses(self) -> list[str]:
         """Return the peer addresses of all other known entries, live or not."""
         rows = [member.row for member in self.by_entry.values()]
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -11,6 +11,8 @@
 
 # A transaction without an answer is carried out within this time, if at all.
 MAX_CARRY_OUT_DELAY_S = 60.0
+# Callers whose call was with a process that is gone come back within this time.
+LOST_PROCESS_DOUBT_S = 5.0
 
 
 class Outcome(enum.Enum):
@@ -124,13 +126,24 @@
             case Outcome.NOT_STORED:
                 pass
 
-    def report_doubt(self, job: ids.JobId, now_s: float) -> None:
-        """Record that a submission of a job ended without proof."""
-        self._doubtful_s.pop(job, None)
-        self._doubtful_s[job] = now_s
+    def report_doubt(self, job: ids.JobId, doubtful_s: float) -> None:
+        """Record that a submission of a job ended without proof at a time."""
+        self._doubtful_s[job] = max(doubtful_s, self._doubtful_s.pop(job, doubtful_s))
         while len(self._doubtful_s) > self._max_jobs:
             del self._doubtful_s[next(iter(self._doubtful_s))]
 
+    def list_doubts(self, max_age_s: float, now_s: float) -> tuple[calls.Doubt, ...]:
+        """Return the jobs that were in doubt lately."""
+        return tuple(
+            calls.Doubt(job, now_s - doubtful_s)
+            for job, doubtful_s in self._doubtful_s.items()
+            if now_s - doubtful_s < max_age_s
+        )
+
+    def list_open(self) -> tuple[calls.Doubt, ...]:
+        """Return the jobs that are being submitted, as jobs in doubt; the latest ones if many."""
+        return tuple(calls.Doubt(job, 0.0) for job in list(self._open)[-self._max_jobs :])
+
     def is_stored(self, job: ids.JobId) -> bool:
         """Return whether the table has the job for certain."""
         return job in self._stored
