An entry that has just started waits a moment for its configuration

Cause: an entry listens before it has read its configuration, and answers 503 until then, as the protocol says of a node without one. It can't tell whether it knows of a job's doubts, as it doesn't know the other entries yet.

Submissions now wait for the configuration, 0.5 s at most, and go their normal way then. An entry that gets none still answers 503.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -6,7 +6,7 @@
 import types
 
 import behave
-from nutmegshelf import calls, exceptions, fleetview, jobs, leases
+from nutmegshelf import calls, exceptions, fleetview, jobs, leases, queues
 from nutmegshelf_entry import job_codec, job_handler, job_metrics
 from nutmegshelf_standins import clock
 
@@ -616,3 +616,51 @@
     assert set(outcomes) == {exceptions.Outcome.NOT_RUN}, outcomes
     slowest_s = max(took_s for _, took_s in context.rejections[1:])
     assert slowest_s <= limit_s, slowest_s
+
+
+@behave.when("a job is submitted at an entry that gets its configuration {after}")
+@jobs_steps.paused
+async def submit_unconfigured(context, after):
+    loop, job = asyncio.get_running_loop(), make_job(context)
+    service, _ = context.site.entries["e0"]
+    active_queues = queues.ActiveQueues(apply_s=2.0)
+    codec = types.SimpleNamespace(
+        get_timeout_s=lambda exchange: 3.0,
+        get_request_id=lambda exchange: "r-1",
+        decode_job=lambda body, name, queue, now_ms: job,
+        encode_state=lambda state: b"",
+    )
+    handler = job_handler.JobHandler(
+        active_queues, codec, service.job_router, job_metrics.JobMetrics(service.timings)
+    )
+
+    def configure():
+        declared = service.active_queues.routes.declared
+        active_queues.activate(declared, loop.time())
+        active_queues.confirm(queues.VersionConfirmation(loop.time()))
+        handler.record_configuration()
+
+    async def read_body(limit):
+        return b""
+
+    async def respond(status, headers, body):
+        context.response = status, loop.time() - began_s
+
+    if after != "never":
+        loop.call_later(0.2, configure)
+    began_s = loop.time()
+    await handler.handle(
+        types.SimpleNamespace(
+            method="POST",
+            target=f"/q/{job.job}",
+            get_header={b"host": b"x"}.get,
+            connection=types.SimpleNamespace(read_body=read_body),
+            respond=respond,
+        )
+    )
+
+
+@behave.then("the response has status {status:d} within {limit_s:g} s")
+def check_quick_response(context, status, limit_s):
+    shown, took_s = context.response
+    assert (shown, took_s <= limit_s) == (status, True), context.response
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -84,6 +84,16 @@
     Then it asked each other entry at most 3 times a second for its doubts
     And all of them were rejected as not run, within 0.75 s each after the first
 
+  Scenario Outline: A retry at an entry that has just started is rejected as not ready though <known>
+    Given 1 entries and 4 workers of one service
+    When a job is submitted at an entry that gets its configuration <after>
+    Then the response has status <status> within <limit_s> s
+
+    Examples: when the configuration arrives
+      | known                               | after       | status | limit_s |
+      | its configuration is about to come  | 0.2 s later | 200    | 0.3     |
+      | it never gets a configuration       | never       | 503    | 0.6     |
+
   Scenario Outline: A job that <where> is said to be unknown to a caller that <asks>, and runs
     Given 3 entries and 4 workers of one service
     When a job <where>, and a caller at another entry <asks>
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
@@ -16,6 +16,8 @@
 _MIN_TIMEOUT_S = 0.05
 # A stale entry usually has the latest configuration after this time.
 _STALE_RETRY_AFTER_S = 1.0
+# An entry that has just started usually has its configuration after this time.
+_MAX_CONFIGURATION_WAIT_S = 0.5
 
 _log = logs.get_logger("front")
 
@@ -57,6 +59,12 @@
         self._codec = codec
         self._router = router
         self._metrics = metrics
+        # Set once there is a configuration.
+        self._configured = asyncio.Event()
+
+    def record_configuration(self) -> None:
+        """Serve the requests that wait for a configuration."""
+        self._configured.set()
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Serve one exchange and send its final response."""
@@ -125,6 +133,9 @@
     async def _serve(self, exchange: server.Exchange) -> bytes:
         if exchange.is_over_limit:
             raise exceptions.RequestError(exceptions.ErrorKind.OVERLOADED, "too many connections")
+        is_configured = self._active_queues.routes is not None
+        if exchange.method == "POST" and not is_configured and self.refusal is None:
+            await self._wait_for_configuration()
         routes = self._active_queues.routes
         if self.refusal is not None or routes is None:
             raise exceptions.RequestError(self.refusal or exceptions.ErrorKind.NOT_READY)
@@ -149,6 +160,13 @@
             case _:
                 raise exceptions.RequestError(exceptions.ErrorKind.METHOD_NOT_SERVED)
 
+    async def _wait_for_configuration(self) -> None:
+        try:
+            async with asyncio.timeout(_MAX_CONFIGURATION_WAIT_S):
+                await self._configured.wait()
+        except TimeoutError as error:
+            raise exceptions.RequestError(exceptions.ErrorKind.NOT_READY) from error
+
     def _make_unknown_path_error(self) -> exceptions.RequestError:
         # The queue may have been added in a configuration that this entry has not received yet.
         if self._active_queues.is_stale(asyncio.get_running_loop().time()):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/jobs_daemon.py
@@ -117,6 +117,7 @@
         return await self.service.job_router.handle_call(call)
 
     def _set_limits(self, limits: queues.Limits) -> None:
+        self._front.record_configuration()
         self._callers.set_limits(
             server.Limits(
                 head_timeout_s=limits.head_timeout_s,
