The end of an entry leaves rejections of holders that know all submitters

Callers saw: since each rejection in the 5 s after another entry has ended was 504 instead of 503, at every entry, though mostly the holder had proof: an entry stores a job without the holder only once it has called it, so that a holder that was there for longer than callers take to come back knows all that may still have the job under way, and each is asked.

Then an entry that has ended or is silent is no reason for "unknown". What is not covered any more: an entry that is cut off from the holder alone, stores the job without it, and is killed before it can report that.

Evidence: "Rejections are in doubt for long after the end of an entry though their holder knows who submitted the jobs" fails on (ASSERT FAILED: ErrorKind.JOB_UNSETTLED).

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -6,7 +6,7 @@
 import types
 
 import behave
-from nutmegshelf import calls, exceptions, fleetview, jobs, leases, queues
+from nutmegshelf import calls, exceptions, fleetview, jobs, leases, queues, submissions
 from nutmegshelf_entry import job_codec, job_handler, job_metrics
 from nutmegshelf_standins import clock
 
@@ -559,6 +559,16 @@
     context.error = await reject(context, name, 4)
 
 
+@behave.when(
+    "{seconds:d} s later another entry is killed, "
+    "and a job is submitted once at an entry that the table turns away"
+)
+@jobs_steps.paused
+async def kill_later_and_submit(context, seconds):
+    await asyncio.sleep(seconds)
+    await kill_and_submit.__wrapped__(context)
+
+
 @behave.then("the caller is told that the job doesn't run")
 def check_told_not_run(context):
     assert context.error.outcome is exceptions.Outcome.NOT_RUN, context.error.kind
@@ -572,6 +582,25 @@
     assert error.outcome is exceptions.Outcome.NOT_RUN, error.kind
 
 
+@behave.when(
+    "a holder that remembers the submitters of {max_jobs:d} jobs gets submissions of {count:d}, "
+    "{seconds:d} s after it was loaded"
+)
+def forget_submitters(context, max_jobs, count, seconds):
+    index = submissions.SubmitterIndex(max_jobs)
+    context.knows = [index.knows_recent(0.0)]
+    index.begin(0.0)
+    context.knows.append(index.knows_recent(float(seconds)))
+    for number in range(count):
+        index.add(f"{number:016x}", calls.Submitter("e0:3", "i"), float(seconds))
+    context.knows += [index.knows_recent(seconds + later_s) for later_s in (0.0, 4.9, 5.0)]
+
+
+@behave.then("it knows all recent submitters before them, and again {seconds:d} s after them")
+def check_knows_submitters(context, seconds):
+    assert context.knows == [False, True, False, False, True], context.knows
+
+
 @behave.when("{rate:d} jobs a second are rejected at an entry for {duration_s:d} s")
 @jobs_steps.paused
 async def reject_many(context, rate, duration_s):
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -78,6 +78,15 @@
     Then the caller is told that the job may run
     But 6 s later a job submitted once is rejected as not run
 
+  Scenario: Rejections are in doubt for long after the end of an entry though their holder knows who submitted the jobs
+    Given 3 entries and 4 workers of one service
+    When 6 s later another entry is killed, and a job is submitted once at an entry that the table turns away
+    Then the caller is told that the job doesn't run
+
+  Scenario: A holder that has forgotten submitters says that it knows all recent ones
+    When a holder that remembers the submitters of 2 jobs gets submissions of 3, 6 s after it was loaded
+    Then it knows all recent submitters before them, and again 5 s after them
+
   Scenario: An entry that rejects many jobs calls the others for each of them
     Given 3 entries and 4 workers of one service
     When 200 jobs a second are rejected at an entry for 5 s
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
@@ -67,7 +67,7 @@
             predecessor_doubt_s=self.coverage.get_predecessor_doubt_s(now_s),
         )
 
-    async def refresh(self) -> bool:
+    async def refresh(self, *, are_submitters_known: bool) -> bool:
         """Return whether the doubts of all other entries are known, after a moment's wait."""
         now_s = self._loop.time()
         if not self._is_watching:
@@ -78,18 +78,18 @@
         self._ends_s = now_s + _WATCH_S
         self._observe_clock()
         self._follow_all()
-        if self._is_complete():
-            return True
         try:
             async with asyncio.timeout(_MAX_WAIT_S):
-                while not self._is_complete():
+                while not self._is_complete(are_submitters_known):
                     await self._changed.wait()
         except TimeoutError:
             _log.info("The doubts of other entries are not known.", entries=len(self._followers))
-        return self._is_complete()
+        return self._is_complete(are_submitters_known)
 
-    def _is_complete(self) -> bool:
-        return self.coverage.is_complete(self._list_addresses(), self._loop.time())
+    def _is_complete(self, are_submitters_known: bool) -> bool:
+        return self.coverage.is_complete(
+            self._list_addresses(), self._loop.time(), are_submitters_known=are_submitters_known
+        )
 
     async def run(self) -> None:
         """Notice whether this entry stands still while it follows the others, until cancelled."""
@@ -149,12 +149,16 @@
             reply = await self._peers.call(address, call, timeout_s)
         except exceptions.PeerError as error:
             self.coverage.record_silence(address, self._loop.time())
+            self._notify()
             _log.info("An entry did not list its doubts.", entry_address=address, why=str(error))
             return False
         now_s = self._loop.time()
         for doubt in reply.doubts:
             self._ledger.report_doubt(doubt.job, now_s - doubt.age_s)
         self.coverage.record_list(address, requested_s, now_s, reply.predecessor_doubt_s)
+        self._notify()
+        return True
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return True
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -202,13 +202,17 @@
         job = call.job.job
         if self._is_stored(job):
             return calls.Reply(status=calls.Status.DONE)
-        self._submitters.add(job, call.submitter)
+        self._submitters.add(job, call.submitter, self._loop.time())
         status = await self._submit(call.job)
         # Another entry may have stored the job in the meantime.
         if status is calls.Status.DONE or self._is_stored(job):
             return calls.Reply(status=calls.Status.DONE)
         others = self._submitters.get_others(job, call.submitter)
-        return calls.Reply(status=status, other_submitters=others)
+        return calls.Reply(
+            status=status,
+            other_submitters=others,
+            knows_submitters=self._submitters.knows_recent(self._loop.time()),
+        )
 
     async def _submit(self, job: jobs.Job) -> calls.Status:
         if self.is_loaded and self._is_lease_fresh() and not self.writer.is_stalled:
@@ -439,6 +443,7 @@
         for notice in stored.notices:
             self._apply_notice(notice)
         self.is_loaded = True
+        self._submitters.begin(self._loop.time())
         _log.info(
             "A service is held.",
             pool=self.pool,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -69,6 +69,7 @@
     outcome: submissions.Outcome
     refusal: exceptions.RequestError | None = None
     other_submitters: tuple[calls.Submitter, ...] = ()
+    are_submitters_known: bool = False
     is_holder_lost: bool = False
 
 
@@ -216,7 +217,9 @@
         ):
             # Nothing of this submission is under way; others may be.
             self._ledger.report_doubt(job.job, self._loop.time())
-        raise await self.qualify_refusal(job.job, result.refusal)
+        raise await self.qualify_refusal(
+            job.job, result.refusal, are_submitters_known=result.are_submitters_known
+        )
 
     async def _do_others_rule_out(
         self, job: jobs.Job, submitters: tuple[calls.Submitter, ...]
@@ -242,11 +245,16 @@
         return all(await asyncio.gather(*map(rules_out, submitters)))
 
     async def qualify_refusal(
-        self, job: ids.JobId, refusal: exceptions.RequestError
+        self,
+        job: ids.JobId,
+        refusal: exceptions.RequestError,
+        *,
+        are_submitters_known: bool = False,
     ) -> exceptions.RequestError:
         """Return a refusal of a job as it is, or one that says that the job may run."""
-        if refusal.outcome is not exceptions.Outcome.NOT_RUN:
+        if refusal.is_qualified or refusal.outcome is not exceptions.Outcome.NOT_RUN:
             return refusal
+        refusal.is_qualified = True
         if refusal.response.status not in _RETRYABLE_STATUSES:
             if self._ledger.may_be_stored(job):
                 refusal.mark_sent()
@@ -256,7 +264,9 @@
             refusal.kind is not exceptions.ErrorKind.NOT_READY
             and not self._ledger.may_be_stored(job)
         )
-        if asks_others and not await self.doubt_watch.refresh():
+        if asks_others and not await self.doubt_watch.refresh(
+            are_submitters_known=are_submitters_known
+        ):
             self._ledger.report_doubt(job, self._loop.time())
         if not self._ledger.may_be_stored(job):
             return refusal
@@ -377,5 +387,11 @@
         refusal = exceptions.RequestError(
             exceptions.ErrorKind.TABLE_UNAVAILABLE, str(error), retry_after_s
         )
-    others = holder_result.reply.other_submitters if holder_result.reply is not None else ()
-    return _StoreResult(outcome, refusal, others, holder_result.is_holder_lost)
+    reply = holder_result.reply
+    return _StoreResult(
+        outcome,
+        refusal,
+        other_submitters=reply.other_submitters if reply is not None else (),
+        are_submitters_known=reply is not None and reply.knows_submitters,
+        is_holder_lost=holder_result.is_holder_lost,
+    )
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -255,6 +255,8 @@
     outcomes: tuple[orders.Outcome, ...] = ()
     # Other entries that may be storing the submitted job without its holder.
     other_submitters: tuple[Submitter, ...] = ()
+    # Whether the holder has been there for so long that it knows all recent submitters.
+    knows_submitters: bool = False
     doubts: tuple[Doubt, ...] = ()
     # How much longer what the called entry's previous process submitted may be in doubt.
     predecessor_doubt_s: float = 0.0
--- a/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
+++ b/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
@@ -72,16 +72,28 @@
         """Return whether an entry's latest list is complete together with its later reports."""
         return address in self._peers and self._peers[address].has_listed
 
-    def is_complete(self, addresses: collections.abc.Iterable[str], now_s: float) -> bool:
-        """Return whether the doubts of this entry and of those at the addresses are all known."""
-        if self.get_predecessor_doubt_s(now_s) > 0:
+    def is_complete(
+        self,
+        addresses: collections.abc.Iterable[str],
+        now_s: float,
+        *,
+        are_submitters_known: bool,
+    ) -> bool:
+        """Return whether the doubts of this entry and of those at the addresses are all known.
+
+        If a job's submitters are known, each can be asked, so that no other entry matters that
+        has ended or is silent.
+        """
+        if not are_submitters_known and self.get_predecessor_doubt_s(now_s) > 0:
             return False
-        return all(self._is_known(self._peers.get(address), now_s) for address in addresses)
+        peers = [self._peers.get(address) for address in addresses]
+        return all(self._is_known(peer, now_s, are_submitters_known) for peer in peers)
 
     @staticmethod
-    def _is_known(peer: _Peer | None, now_s: float) -> bool:
-        if peer is None or now_s < peer.lost_until_s:
+    def _is_known(peer: _Peer | None, now_s: float, are_submitters_known: bool) -> bool:
+        if peer is None:
             return False
         if peer.silent_since_s is not None:
-            return now_s - peer.silent_since_s >= submissions.LOST_PROCESS_DOUBT_S
-        return peer.has_listed
+            silence_s = now_s - peer.silent_since_s
+            return are_submitters_known or silence_s >= submissions.LOST_PROCESS_DOUBT_S
+        return peer.has_listed and (are_submitters_known or now_s >= peer.lost_until_s)
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -150,6 +150,8 @@
         self.kind = kind
         self.detail = detail
         self.may_have_run = False
+        # Whether earlier requests for the same job are taken into account.
+        self.is_qualified = False
         self.retry_after_s = (
             retry_after_s if retry_after_s is not None else ERROR_RESPONSES[kind].retry_after_s
         )
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -5,7 +5,9 @@
 """
 
 import collections
+import dataclasses
 import enum
+import math
 
 from nutmegshelf import calls, ids, jobs
 
@@ -163,6 +165,14 @@
         return job in self._open or job in self._doubtful_s or job in self._stored
 
 
+@dataclasses.dataclass(slots=True)
+class _Submitters:
+    """The entries that have submitted a job, and when the latest of them did."""
+
+    submitters: set[calls.Submitter]
+    latest_s: float
+
+
 class SubmitterIndex:
     """Which entries have submitted a job to a holder that has not stored it.
 
@@ -171,13 +181,27 @@
 
     def __init__(self, max_jobs: int) -> None:
         self._max_jobs = max_jobs
-        self._by_job: dict[ids.JobId, set[calls.Submitter]] = {}
+        self._by_job: dict[ids.JobId, _Submitters] = {}
+        # Submissions of before may be missing.
+        self._complete_since_s = math.inf
 
-    def add(self, job: ids.JobId, submitter: calls.Submitter) -> None:
+    def begin(self, now_s: float) -> None:
+        """Record that all submissions are added from now on."""
+        self._complete_since_s = now_s
+
+    def add(self, job: ids.JobId, submitter: calls.Submitter, now_s: float) -> None:
         """Record a submission."""
-        self._by_job.setdefault(job, set()).add(submitter)
+        added = self._by_job.pop(job, None) or _Submitters(set(), now_s)
+        added.submitters.add(submitter)
+        added.latest_s = now_s
+        self._by_job[job] = added
         while len(self._by_job) > self._max_jobs:
-            del self._by_job[next(iter(self._by_job))]
+            dropped = self._by_job.pop(next(iter(self._by_job)))
+            self._complete_since_s = max(self._complete_since_s, dropped.latest_s)
+
+    def knows_recent(self, now_s: float) -> bool:
+        """Return whether all submissions are known whose callers may come back."""
+        return now_s - self._complete_since_s >= LOST_PROCESS_DOUBT_S
 
     def discard(self, job: ids.JobId) -> None:
         """Forget a job, as it is stored."""
@@ -185,7 +209,9 @@
 
     def get_others(self, job: ids.JobId, submitter: calls.Submitter) -> tuple[calls.Submitter, ...]:
         """Return the other entries that have submitted a job."""
-        return tuple(sorted(self._by_job.get(job, set()) - {submitter}, key=_get_address))
+        known = self._by_job.get(job)
+        others = known.submitters - {submitter} if known is not None else set()
+        return tuple(sorted(others, key=_get_address))
 
 
 def _get_address(submitter: calls.Submitter) -> str:
