The command publish keeps the unknown outcome of an earlier attempt

The first entry says that a publish may have been accepted (503, unknown) as the table goes down.

Cause: an entry's answer speaks of one request, the command's of all of them, and the command showed the last one.

Now the session notes whether a request may have taken effect: it got no answer, or one that says unknown. The outcome of a publish that ends with 503 is unknown then.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -59,6 +59,11 @@
       | version        | nothing      | 0    | 0.1.0                     |
       | version --json | nothing      | 0    | "version"                 |
 
+  Scenario: A publish that one entry can't settle is said by the next entry not to have run
+    Given the table goes down as it accepts a publish of "e0"
+    When the command "publish dorna --json" is run
+    Then it exits with 5 and its JSON has the outcome "unknown"
+
   Scenario: A publish that waits names the entry that does not confirm it
     When the command "publish dorna" is run
     And the entry "e2" is cut off from the others and the table
--- a/features/entries.py
+++ b/features/entries.py
@@ -58,6 +58,9 @@
         if fault == "partitioned after":
             self.partitioned = frozenset({entry})
             raise exceptions.TableAnswerLost(step)
+        if fault == "down after":
+            self.is_down = True
+            raise exceptions.TableAnswerLost(step)
         if fault == "killed after":
             raise asyncio.CancelledError
         if fault == "lost":
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -142,6 +142,18 @@
     _run_command(context, command, ports, token)
 
 
+@behave.given('the table goes down as it accepts a publish of "{name}"')
+def lose_table(context, name):
+    context.served.site.platform.faults[name, "commit head"] = "down after"
+
+
+@behave.then('it exits with {code:d} and its JSON has the outcome "{outcome}"')
+def check_outcome(context, code, outcome):
+    assert context.result.exit_code == code, context.result.output
+    shown = json.loads(context.result.stdout)
+    assert shown["outcome"] == outcome, shown
+
+
 @behave.when("an invalid set is published")
 def publish_invalid(context):
     with tempfile.TemporaryDirectory() as folder:
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
@@ -100,23 +100,14 @@
     as_json: session.JsonOutput = False,
 ) -> None:
     """Publish a declaration set, retrying under the same id while the entries are unavailable."""
-    publish_request = {
+    publish_request: dict[str, object] = {
         "files": _read_files(directory),
         "publish_id": publish_id or uuid.uuid4().hex,
         "operator": operator or getpass.getuser(),
         "expected": expect,
     }
     operator_session = session.Session(entry, token)
-    response = operator_session.request(
-        "POST", "/publish", publish_request, accept_unavailable=False
-    )
-    for _ in range(_MAX_ATTEMPTS - 1):
-        if response.status != 503:
-            break
-        time.sleep(1.0)
-        response = operator_session.request(
-            "POST", "/publish", publish_request, accept_unavailable=False
-        )
+    response = _send_publish(operator_session, publish_request)
     if response.status != 200:
         _print_refusal_details(response, publish_request["publish_id"])
         output.exit_with_response(response, as_json, output.format_faults(response.body))
@@ -126,6 +117,23 @@
     output.exit_with_response(response, as_json, [f"version {version} is accepted"])
 
 
+def _send_publish(
+    operator_session: session.Session, publish_request: dict[str, object]
+) -> session.Response:
+    for attempt in range(_MAX_ATTEMPTS):
+        if attempt:
+            time.sleep(1.0)
+        response = operator_session.request(
+            "POST", "/publish", publish_request, accept_unavailable=False
+        )
+        if response.status != 503:
+            return response
+    if operator_session.is_outcome_unknown:
+        # The last entry speaks of the last request alone.
+        return response._replace(body=response.body | {"outcome": "unknown"})
+    return response
+
+
 def _print_refusal_details(response: session.Response, publish_id: object) -> None:
     for revision in response.body.get("since", []):
         print(f"accepted meanwhile: {output.format_revision(revision)}", file=sys.stderr)
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/session.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/session.py
@@ -72,6 +72,8 @@
     def __init__(self, entries: list[str], token: str) -> None:
         self._entries = list(entries)
         self._headers = [(b"authorization", f"Bearer {token}".encode())] if token else []
+        # Whether a request so far may have taken effect without an answer that says so.
+        self.is_outcome_unknown = False
 
     def get(self, path: str, **query: str) -> Response:
         """Return the response of the first reachable entry to a GET request."""
@@ -92,7 +94,11 @@
                 response = asyncio.run(self._send(entry, method, target, encoded_body))
             except (OSError, TimeoutError, h11.ProtocolError, ValueError) as error:
                 print(f"no answer from {entry}: {error!r}", file=sys.stderr)
+                if not isinstance(error, ConnectionRefusedError):
+                    self.is_outcome_unknown = True
                 continue
+            if response.body.get("outcome") == "unknown":
+                self.is_outcome_unknown = True
             if accept_unavailable or response.status != 503:
                 return response
             last_response = response
