The id of a publish that got no answer is shown

The entry ends as the table accepts the publish, and no other is asked. The command said only that no entry answered.

Cause: the id was shown after a 503 alone.

Now it is shown, too, where no entry answered and a request may have arrived.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -64,6 +64,11 @@
     When the command "publish dorna --json" is run
     Then it exits with 5 and its JSON has the outcome "unknown"
 
+  Scenario: The id of a publish that got no answer is not shown, and its repetition conflicts with it
+    Given "e0" ends as a publish of it is accepted
+    When the command "publish dorna" is run at "e0"
+    Then it exits with 6 and prints "repeat with --publish-id"
+
   Scenario: A publish that waits names the entry that does not confirm it
     When the command "publish dorna" is run
     And the entry "e2" is cut off from the others and the table
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -147,6 +147,11 @@
     context.served.site.platform.faults[name, "commit head"] = "down after"
 
 
+@behave.given('"{name}" ends as a publish of it is accepted')
+def kill_entry(context, name):
+    context.served.site.platform.faults[name, "commit head"] = "killed after"
+
+
 @behave.then('it exits with {code:d} and its JSON has the outcome "{outcome}"')
 def check_outcome(context, code, outcome):
     assert context.result.exit_code == code, context.result.output
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
@@ -107,9 +107,14 @@
         "expected": expect,
     }
     operator_session = session.Session(entry, token)
-    response = _send_publish(operator_session, publish_request)
+    try:
+        response = _send_publish(operator_session, publish_request)
+    except typer.Exit:
+        if operator_session.is_outcome_unknown:
+            _print_publish_id(publish_request)
+        raise
     if response.status != 200:
-        _print_refusal_details(response, publish_request["publish_id"])
+        _print_refusal_details(response, publish_request)
         output.exit_with_response(response, as_json, output.format_faults(response.body))
     version = response.body["head"]["version"]
     if wait:
@@ -134,11 +139,15 @@
     return response
 
 
-def _print_refusal_details(response: session.Response, publish_id: object) -> None:
+def _print_refusal_details(response: session.Response, publish_request: dict[str, object]) -> None:
     for revision in response.body.get("since", []):
         print(f"accepted meanwhile: {output.format_revision(revision)}", file=sys.stderr)
     if response.status == 503:
-        print(f"repeat with --publish-id {publish_id}", file=sys.stderr)
+        _print_publish_id(publish_request)
+
+
+def _print_publish_id(publish_request: dict[str, object]) -> None:
+    print(f"repeat with --publish-id {publish_request['publish_id']}", file=sys.stderr)
 
 
 def _wait_for_confirmation(operator_session: session.Session, version: int, as_json: bool) -> None:
