Tests: what is known of a submission by itself, and submissions again after a refusal

The orders of events don't reach a second attempt, as it begins 0.1 s after the first one's answer and events are turns apart.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -206,11 +206,6 @@
     context.error = await waiting
 
 
-@behave.then("the waiting caller is told that the job is stored")
-def check_told_stored(context):
-    assert context.error is None, context.error.kind
-
-
 @behave.when("the job is submitted again at another entry, which the table turns away")
 @jobs_steps.paused
 async def retry(context):
@@ -259,6 +254,43 @@
     context.error = await submit(context, "e0")
 
 
+@behave.when("a job's submission is refused by the table with {status}")
+@jobs_steps.paused
+async def refuse_submission(context, status):
+    errors = {"503": exceptions.TableUnavailable, "413": exceptions.TableRefused}
+    context.accepts = False
+
+    async def respond(transaction):
+        if context.accepts and has_lease(transaction):
+            return await commit(transaction)
+        raise errors[status](status)
+
+    job, view = make_job(context), context.site.views["e0"]
+    commit = view.commit
+    replace_commit(view, job, respond)
+    context.error = await submit(context, "e0")
+
+
+@behave.then("the caller is told {kind}, and that the job never runs")
+def check_told_not_run(context, kind):
+    assert context.error.kind.value == kind, context.error.kind
+    assert context.error.outcome is exceptions.Outcome.NOT_RUN, context.error.outcome
+
+
+@behave.when("the holder's transactions are carried out again, and the job is submitted once more")
+@jobs_steps.paused
+async def submit_after_refusal(context):
+    context.accepts = True
+    await asyncio.sleep(0.5)
+    context.error = await submit(context, "e0")
+
+
+@behave.then("the caller is told that the job is stored")
+@behave.then("the waiting caller is told that the job is stored")
+def check_told_stored(context):
+    assert context.error is None, context.error.kind
+
+
 async def ask(context, name="e0"):
     router = context.site.entries[name][0].job_router
     call = router.cancel if context.asks == "cancels the job" else router.get_state
@@ -693,3 +725,42 @@
 def check_quick_response(context, status, limit_s):
     shown, took_s = context.response
     assert (shown, took_s <= limit_s) == (status, True), context.response
+
+
+# --- what is known, by itself
+
+
+@behave.then("a submission is {outcome} after it was {events}")
+def check_submission(context, outcome, events):
+    submission = submissions.Submission(jobsite.job(1, submission_orders.STEPS))
+    apply_by_event = {
+        "joined": submission.join,
+        "left": submission.leave,
+        "sent": submission.begin_attempt,
+        "refused": submission.end_attempt_without_effect,
+        "lost": submission.lose_attempt,
+        "stored": submission.confirm_stored,
+        "closed": submission.close,
+    }
+    for event in events.split(", "):
+        apply_by_event[event]()
+    assert submission.outcome.value == outcome, submission.outcome
+
+
+@behave.then(
+    "after a job was {events}, an entry says that it {stored} be stored,"
+    " and that it {appears} appear"
+)
+def check_ledger(context, events, stored, appears):
+    ledger, job, now_s = submissions.Ledger(max_jobs=10), jobsite.job(1, ()).job, 0.0
+    for event in events.split(", "):
+        if event == "begun":
+            ledger.begin(job)
+        elif event == "reported":
+            ledger.report_doubt(job, now_s)
+        elif event == "kept for long":
+            now_s += submissions.MAX_CARRY_OUT_DELAY_S
+        else:
+            ledger.end(job, submissions.Outcome(event), now_s)
+    told = ledger.may_be_stored(job), ledger.may_appear(job, now_s)
+    assert told == (stored == "may", appears == "may"), told
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -150,6 +150,58 @@
     And the first response came within the caller's time limit
     And the job runs
 
+  Scenario Outline: A job that was refused with <status> is not stored by its holder when it is submitted again
+    Given 1 entries and 4 workers of one service
+    When a job's submission is refused by the table with <status>
+    Then the caller is told <kind>, and that the job never runs
+    When the holder's transactions are carried out again, and the job is submitted once more
+    Then the caller is told that the job is stored
+    And the job runs
+
+    Examples: answers of the table
+      | status | kind              |
+      | 503    | table-unavailable |
+      | 413    | body-too-large    |
+
+  Scenario Outline: What is known of a submission goes beyond the answers to its attempts
+    Then a submission is <outcome> after it was <events>
+
+    Examples: a call waits, and transactions with the job are sent, refused, lost or carried out
+      | events                                  | outcome    |
+      | joined                                  | unknown    |
+      | joined, left                            | not-stored |
+      | joined, joined, left                    | unknown    |
+      | joined, joined, left, left              | not-stored |
+      | joined, sent, left                      | unknown    |
+      | joined, sent, refused                   | unknown    |
+      | joined, sent, refused, left             | not-stored |
+      | joined, sent, left, refused             | unknown    |
+      | joined, sent, left, refused, closed     | not-stored |
+      | joined, sent, lost, left                | unknown    |
+      | joined, sent, lost, closed              | unknown    |
+      | joined, sent, lost, sent, refused, left | unknown    |
+      | joined, sent, closed                    | unknown    |
+      | joined, sent, closed, refused           | not-stored |
+      | joined, sent, stored                    | stored     |
+      | joined, sent, lost, stored, closed      | stored     |
+
+  Scenario Outline: An entry forgets what became of a submission
+    Then after a job was <events>, an entry says that it <stored> be stored, and that it <appears> appear
+
+    Examples: submissions of callers, how they ended, and reports of other entries
+      | events                            | stored | appears |
+      | begun                             | may    | may     |
+      | begun, not-stored                 | can't  | can't   |
+      | begun, stored                     | may    | can't   |
+      | begun, unknown                    | may    | may     |
+      | reported                          | may    | may     |
+      | reported, kept for long           | may    | can't   |
+      | begun, kept for long              | may    | may     |
+      | begun, begun, not-stored          | may    | may     |
+      | begun, unknown, begun, not-stored | may    | may     |
+      | begun, unknown, begun, stored     | may    | can't   |
+      | reported, begun, not-stored       | may    | may     |
+
   @soak
   Scenario: A job is rejected though it was stored, in long orders
     When a submission at 3 entries meets 2000 random orders of 5 events, 0 to 3 turns of the loop apart
