Tests: the request that waits for a configuration is within the limit of connections

Joins, which were written beside each other: the handler asks each exchange whether its connection is beyond the limit, and this step's exchange didn't say.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -713,6 +713,7 @@
     await handler.handle(
         types.SimpleNamespace(
             method="POST",
+            is_over_limit=False,
             target=f"/q/{job.job}",
             get_header={b"host": b"x"}.get,
             connection=types.SimpleNamespace(read_body=read_body),
