A publish that was accepted is found before its set is refused for its faults

A set raises a budget and is accepted. Later its publish is repeated with its id, as after a lost answer, and too few minions are live by then. The operator got 422, "the set has faults", of which the documentation says that nothing changes, in place of the version that was accepted.

Cause: a set is checked against the minions and the version in force of the moment, before anything asks whether the publish id was accepted.

Now a set with faults is refused once the rows show that its publish id was not accepted for it. If they can't be read, the answer is 503, with the faults. A publish without faults costs no more calls.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -69,6 +69,14 @@
     When the command "publish dorna" is run at "e0"
     Then it exits with 6 and prints "repeat with --publish-id"
 
+  Scenario: A publish that was accepted is refused on its repetition, as its budget would be broken by now
+    When the command "publish dorna" is run
+    And a publish "p2" raises the budget of "orders"
+    And the command "publish dorna" is run
+    And all minions of "orders" leave
+    And a publish "p2" raises the budget of "orders"
+    Then it exits with 0 and its JSON has version 2
+
   Scenario: A publish that waits names the entry that does not confirm it
     When the command "publish dorna" is run
     And the entry "e2" is cut off from the others and the table
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -10,7 +10,7 @@
 import threading
 
 import behave
-from nutmegshelf import audit, decisions, ids, members
+from nutmegshelf import audit, decisions, ids, members, platform
 from nutmegshelf_cli import main, publishing
 from nutmegshelf_entry import logs, operator_api, settings, telemetry
 from nutmegshelf_http import server
@@ -29,6 +29,7 @@
         self.token = token
         self.site = entries.Site(rng)
         self.ports = {}
+        self.minions = ()
         self.servers = []
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
@@ -66,7 +67,7 @@
             membership=membership,
             metrics=telemetry.Telemetry(0.0),
             audit_log=entry.decisions,
-            list_minions=lambda: (),
+            list_minions=lambda: self.minions,
             fleet_decisions=[_DRAIN_DECISION],
         )
         listener = server.Server(api.handle)
@@ -142,6 +143,29 @@
     _run_command(context, command, ports, token)
 
 
+@behave.when('a publish "{publish_id}" raises the budget of "{service}"')
+def raise_budget(context, publish_id, service):
+    with tempfile.TemporaryDirectory() as folder:
+        for path in pathlib.Path("examples/dorna").glob("*.toml"):
+            pathlib.Path(folder, path.name).write_text(path.read_text())
+        budgets = pathlib.Path(folder, "budgets.toml")
+        low = f'service = "{service}"\nmin_available_fraction = 0.5'
+        budgets.write_text(budgets.read_text().replace(low, low.replace("0.5", "0.6")))
+        served = context.served
+        command = f"publish {folder} --publish-id {publish_id} --json"
+        _run_command(context, command, [served.ports["e0"]], served.token)
+
+
+@behave.when('all minions of "{service}" leave')
+def remove_minions(context, service):
+    other = "billing" if service != "billing" else "orders"
+    context.served.minions = (
+        platform.MinionRecord(
+            minion="m", service=other, host="h", port=1, zone="z", rack="r", worker="w"
+        ),
+    )
+
+
 @behave.given('the table goes down as it accepts a publish of "{name}"')
 def lose_table(context, name):
     context.served.site.platform.faults[name, "commit head"] = "down after"
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/operator_api.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/operator_api.py
@@ -231,7 +231,13 @@
             return 422, {"error": "the publish id is missing"}
         declared, faults = self._validate(request)
         if faults:
-            return 422, {"error": "the set has faults", "faults": faults}
+            # The set may have been accepted earlier, when it had none.
+            try:
+                is_accepted = await self._publisher.is_accepted(declared, request.publish_id)
+            except exceptions.TableError as error:
+                return 503, {**_make_unavailable(error), "faults": faults}
+            if not is_accepted:
+                return 422, {"error": "the set has faults", "faults": faults}
         return await self._accept(request, declared)
 
     async def _accept(
@@ -247,11 +253,7 @@
         except publisher.PublishIdConflict as error:
             return 422, {"error": str(error)}
         except exceptions.TableError as error:
-            may_have_taken_effect = isinstance(error, exceptions.TableAnswerLost)
-            return 503, {
-                "error": str(error),
-                "outcome": "unknown" if may_have_taken_effect else "not-run",
-            }
+            return 503, _make_unavailable(error)
         accepted = configuration.Configuration(head=revision.head, declarations=declared)
         self._configurator.activate_published(revision, accepted, started_s)
         return 200, {"head": msgspec.to_builtins(revision.head)}
@@ -281,6 +283,11 @@
         await exchange.respond(status, _JSON, json.dumps(body).encode())
 
 
+def _make_unavailable(error: exceptions.TableError) -> dict[str, object]:
+    may_have_taken_effect = isinstance(error, exceptions.TableAnswerLost)
+    return {"error": str(error), "outcome": "unknown" if may_have_taken_effect else "not-run"}
+
+
 def _get_declarations_by_kind(
     accepted: configuration.Configuration,
 ) -> dict[str, dict[str, object]]:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/publisher.py
@@ -47,15 +47,7 @@
         expected: ids.Version | None,
     ) -> configuration.Revision:
         """Publish a checked set; raises VersionConflict, PublishIdConflict or TableError."""
-        data, digest = configuration.encode_set(declaration_set)
-        request = acceptance.PublishRequest(
-            declared=declaration_set,
-            digest=digest,
-            publish_id=publish_id,
-            operator=operator,
-            now_s=self._clock(),
-            expected=expected,
-        )
+        data, request = self._make_request(declaration_set, publish_id, operator, expected)
         head, accepted = await self._find_accepted(request)
         if accepted is not None:
             return accepted
@@ -72,6 +64,36 @@
         commit = acceptance.plan_commit(request, self._active.current, head, intent_row, expired)
         return await self._commit(request, commit, head)
 
+    async def is_accepted(
+        self, declaration_set: declarations.DeclarationSet, publish_id: ids.PublishId
+    ) -> bool:
+        """Return whether a publish id was accepted for a set; raises TableUnavailable."""
+        _, request = self._make_request(declaration_set, publish_id)
+        try:
+            head, accepted = await self._find_accepted(request)
+            if accepted is None:
+                _, accepted = await self._confirm_unaccepted(request, head)
+        except PublishIdConflict:
+            return False
+        return accepted is not None
+
+    def _make_request(
+        self,
+        declaration_set: declarations.DeclarationSet,
+        publish_id: ids.PublishId,
+        operator: str = "",
+        expected: ids.Version | None = None,
+    ) -> tuple[bytes, acceptance.PublishRequest]:
+        data, digest = configuration.encode_set(declaration_set)
+        return data, acceptance.PublishRequest(
+            declared=declaration_set,
+            digest=digest,
+            publish_id=publish_id,
+            operator=operator,
+            now_s=self._clock(),
+            expected=expected,
+        )
+
     async def get_history(self, after: int, limit: int = 100) -> list[configuration.Revision]:
         """Return the revisions after a version, the oldest first; raises TableUnavailable."""
         key = configuration.history_key(after)
