--- a/features/platform.feature
+++ b/features/platform.feature
@@ -186,3 +186,9 @@
     Then the second exits with 0 within 8 s
     And both jobs are shown as succeeded at the first entry
     And no task ran twice
+
+  Scenario: A wave that is done is shown as running by a report whose answer was lost
+    Given the platform's stand-in
+    When the store loses the answer to the report that wave 7 runs, and carries it out 0.5 s later
+    And the next report says that wave 7 is done
+    Then after 1 s wave 7 is shown as "succeeded"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -419,3 +419,45 @@
 
     listed = context.run(serve(lambda: json.dumps(next(pages)).encode(), list_hosts))
     assert listed == outcome, listed
+
+
+async def report_wave(context, wave, is_finished):
+    address = f"127.0.0.1:{context.platform.port}"
+    host_client = cloud.HostClient(address, context.store, "e0")
+    await host_client.report_wave(wave, is_finished=is_finished)
+
+
+@behave.when(
+    "the store loses the answer to the report that wave {wave:d} runs, and carries it out "
+    "{late_s:g} s later"
+)
+def report_late(context, wave, late_s):
+    served = context.platform
+
+    async def lose(data):
+        asyncio.get_running_loop().call_later(late_s, served.commit, data)
+
+    async def report():
+        served.handle_transaction = lose
+        try:
+            await report_wave(context, wave, is_finished=False)
+            raise AssertionError("the answer was not lost")
+        except exceptions.TableAnswerLost:
+            served.handle_transaction = served.handle_commit
+
+    context.run(report())
+
+
+@behave.when("the next report says that wave {wave:d} is done")
+def report_done(context, wave):
+    context.run(report_wave(context, wave, is_finished=True))
+
+
+@behave.then('after {seconds:g} s wave {wave:d} is shown as "{state}"')
+def check_wave_state(context, seconds, wave, state):
+    async def read():
+        await asyncio.sleep(seconds)
+        return await context.store.read(f"status//wave/{wave}")
+
+    shown = json.loads(context.run(read()).value)
+    assert shown == {"state": state}, shown
