A wave is stored as finished once operators can see it

A wave is done while the status rows can't be written, and the fleet's holder ends. The wave was shown as running for ever.

Cause: the holder stored the wave as finished and reported it on its own; the next holder took the stored row as proof that it had been reported.

Now the row is stored after the report. A holder that finds the wave unfinished, with all its hosts done, reports it again. No call is added otherwise.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -110,6 +110,15 @@
     When a job for 2 hosts arrives while the hosts are listed, and one of them moves
     Then the only move brought a host to the service
 
+  Scenario: A wave that is done is never reported, as its holder ends while reports fail
+    Given 2 entries and 4 workers of one service
+    And reports of waves fail
+    When a wave requests the upkeep of all hosts within 40 s, 2 at once
+    And all hosts have had their upkeep within 40 s
+    And the holder of the fleet is killed, and reports of waves succeed again
+    Then within 20 s the wave is reported as done
+    And no bound of the hosts was broken
+
   Scenario: Hosts that move between pools do not delay a wave
     Given a wave of 10 hosts with 3 at once, of which 2 move and 1 is in another wave's upkeep
     Then only 2 hosts go down, though all others idle
--- a/features/jobhosts.py
+++ b/features/jobhosts.py
@@ -93,4 +93,7 @@
         return ports.HostOrderOutcome.DONE
 
     async def report_wave(self, wave, *, is_finished):
+        await asyncio.sleep(jobtable.CALL_DURATION_S)
+        if self.world.reports_fail:
+            raise exceptions.TableUnavailable("reports fail")
         self.world.reported_waves.append((wave, is_finished))
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -205,6 +205,7 @@
         self.ended_workers = []
         self.list_lag_s = 0.0
         self.reported_waves = []
+        self.reports_fail = False
         self.declared = None
         self.waves = []
         self.operations_changed = asyncio.Event()
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -111,6 +111,28 @@
     context.world.request_wave(jobsite.wave(1, context.world.hosts, seconds, at_once))
 
 
+@behave.given("reports of waves fail")
+def fail_reports(context):
+    context.world.reports_fail = True
+
+
+@behave.when("all hosts have had their upkeep within {seconds:g} s")
+@jobs_steps.paused
+async def wait_for_upkeep(context, seconds):
+    async def check():
+        return set(context.world.upkeeps) == set(context.world.hosts) or context.world.upkeeps
+
+    await jobs_steps.wait_until(seconds, check, "upkeeps")
+    await asyncio.sleep(context.world.upkeep_duration_s)
+
+
+@behave.when("the holder of the fleet is killed, and reports of waves succeed again")
+@jobs_steps.paused
+async def kill_fleet(context):
+    await context.site.kill(context.site.holder_of("*fleet"))
+    context.world.reports_fail = False
+
+
 @behave.then("within {seconds:g} s the wave is reported as done")
 @jobs_steps.paused
 async def check_wave(context, seconds):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -205,7 +205,7 @@
                 plan = upkeep.WavePlan(wave, row or upkeep.WaveRow(number=number, began_ms=now_ms))
                 self._wave_plans[number] = plan
                 self._store_wave(plan)
-                self._start_wave_report(number, is_finished=False)
+                self._start_wave_report(plan, is_finished=False)
             if not plan.row.is_finished:
                 self._advance_wave(plan, now_ms, now_s)
 
@@ -220,8 +220,7 @@
             if not plan.clearing_since_s:
                 plan.row.is_finished = True
                 _log.info("A maintenance wave finished.", wave=plan.wave.number)
-                self._store_wave(plan)
-                self._start_wave_report(plan.wave.number, is_finished=True)
+                self._start_wave_report(plan, is_finished=True)
             return
         candidates = [
             self._make_candidate(self._host_list.views[host])
@@ -300,20 +299,24 @@
         key = f"{_WAVES_PREFIX}{plan.wave.number}"
         self.writer.write(platform.Write(key, codecs.pack(plan.row)))
 
-    def _start_wave_report(self, number: int, *, is_finished: bool) -> None:
+    def _start_wave_report(self, plan: upkeep.WavePlan, *, is_finished: bool) -> None:
         assert self._group is not None
-        self._group.create_task(self._report_wave(number, is_finished))
+        self._group.create_task(self._report_wave(plan, is_finished))
 
-    async def _report_wave(self, number: int, is_finished: bool) -> None:
+    async def _report_wave(self, plan: upkeep.WavePlan, is_finished: bool) -> None:
+        number = plan.wave.number
         while True:
             try:
                 await self._hosts.report_wave(number, is_finished=is_finished)
-                return
+                break
             except exceptions.TableError as error:
                 _log.warning(
                     "Reporting the state of a maintenance wave failed.", wave=number, why=str(error)
                 )
                 await asyncio.sleep(_REPORT_RETRY_S)
+        if is_finished:
+            # The next holder doesn't report a wave that is stored as finished.
+            self._store_wave(plan)
 
     # --- moves
 
