A host that may have gone down without an answer is left alone until a list shows it as up

A spare host goes down for its upkeep, the answer is lost, and a slow list shows it as up for some time more. It was ordered down again in each pass, every 0.15 s. Each order was refused, as the host was down, and each refusal took it from the hosts that count towards the wave's bound until the next pass. No play broke the bound, as the host itself was chosen first each time.

Cause: the refusal of an order was read as proof that the host was not down, though an earlier order without an answer may have taken it down.

Now no wave chooses a host that may be down for an order of upkeep until a list that was requested after the upkeep's time shows it as up.

--- a/features/fleet_jobs.feature
+++ b/features/fleet_jobs.feature
@@ -119,6 +119,24 @@
     Then within 20 s the wave is reported as done
     And no bound of the hosts was broken
 
+  Scenario: A host that went down without an answer is ordered down again and again, and doesn't count in between
+    Given 1 entries and 2 workers of one service and 1 spare hosts
+    And every host of the service runs a task
+    And the answer to the first order of upkeep is lost
+    And a list of the hosts arrives 0.9 s late
+    When a wave requests the upkeep of all hosts within 60 s, 2 at once
+    And the tasks end 0.3 s after the first host went down
+    Then within 20 s the wave is reported as done
+    And no order for a host was refused
+    And no bound of the hosts was broken
+
+  Scenario: A wave whose first order of upkeep is lost never ends
+    Given 1 entries and 4 workers of one service
+    And the first order of upkeep is lost
+    When a wave requests the upkeep of all hosts within 40 s, 2 at once
+    Then within 20 s the wave is reported as done
+    And no bound of the hosts was broken
+
   Scenario: Hosts that move between pools do not delay a wave
     Given a wave of 10 hosts with 3 at once, of which 2 move and 1 is in another wave's upkeep
     Then only 2 hosts go down, though all others idle
--- a/features/jobhosts.py
+++ b/features/jobhosts.py
@@ -34,12 +34,14 @@
             for host, fields in self.world.hosts.items()
         )
 
-    def _is_moved(self, move):
-        fields = self.world.hosts[move.host]
-        return fields["pool"] == move.target and fields["state"] is rebalancing.HostState.UP
+    def _is_done(self, host, operation):
+        """Return whether a host is back from an order whose answer was lost."""
+        is_up = self.world.hosts[host]["state"] is rebalancing.HostState.UP
+        return is_up and (host, operation) in self.world.unanswered_orders
 
     def _refuse(self, host):
         if self.world.hosts[host]["state"] is not rebalancing.HostState.UP:
+            self.world.refused_orders.append((asyncio.get_running_loop().time(), host))
             return ports.HostOrderOutcome.BUSY
         running = [
             run.task
@@ -63,7 +65,7 @@
         if self.world.lost_moves:
             self.world.lost_moves -= 1
             raise exceptions.HostsAnswerLost("the connection was reset")
-        if self._is_moved(move):
+        if self._is_done(move.host, move.target):
             return ports.HostOrderOutcome.DONE
         if (refused := self._refuse(move.host)) is not None:
             return refused
@@ -71,11 +73,17 @@
         self.world.replace(move.host, jobworld.MOVE_DURATION_S, move.target)
         if self.world.lost_move_answers:
             self.world.lost_move_answers -= 1
+            self.world.unanswered_orders.add((move.host, move.target))
             raise exceptions.HostsAnswerLost("the connection was reset")
         return ports.HostOrderOutcome.DONE
 
     async def start_upkeep(self, host, wave, fencing_token):
         await asyncio.sleep(jobtable.CALL_DURATION_S)
+        if self.world.lost_upkeeps:
+            self.world.lost_upkeeps -= 1
+            raise exceptions.HostsAnswerLost("the connection was reset")
+        if self._is_done(host, "upkeep"):
+            return ports.HostOrderOutcome.DONE
         if (refused := self._refuse(host)) is not None:
             return refused
         self._record(host, "upkeep")
@@ -90,6 +98,10 @@
             self.world.violations.append(f"over {limit} hosts are down for wave {wave}")
         duration_s = self.world.upkeep_duration_s
         self.world.replace(host, duration_s, state=rebalancing.HostState.UPKEEP)
+        if self.world.lost_upkeep_answers:
+            self.world.lost_upkeep_answers -= 1
+            self.world.unanswered_orders.add((host, "upkeep"))
+            raise exceptions.HostsAnswerLost("the connection was reset")
         return ports.HostOrderOutcome.DONE
 
     async def report_wave(self, wave, *, is_finished):
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -195,9 +195,14 @@
         self.starts_after_third_crash = collections.Counter()
         self.lost_runs = collections.Counter()
         self.moves = []
-        # How many of the next moves are not carried out, or are carried out without an answer.
+        self.refused_orders = []
+        # How many of the next orders are not carried out, or are carried out without an answer.
         self.lost_moves = 0
         self.lost_move_answers = 0
+        self.lost_upkeeps = 0
+        self.lost_upkeep_answers = 0
+        # The orders that were carried out without an answer, by host.
+        self.unanswered_orders = set()
         self.upkeeps = []
         self.upkeep_duration_s = UPKEEP_DURATION_S
         self.down = {}
--- a/features/steps/fleet_jobs_steps.py
+++ b/features/steps/fleet_jobs_steps.py
@@ -111,6 +111,39 @@
     context.world.request_wave(jobsite.wave(1, context.world.hosts, seconds, at_once))
 
 
+@behave.given("the answer to the first order of upkeep is lost")
+def lose_upkeep_answer(context):
+    context.world.lost_upkeep_answers = 1
+
+
+@behave.given("the first order of upkeep is lost")
+def lose_upkeep(context):
+    context.world.lost_upkeeps = 1
+
+
+@behave.given("every host of the service runs a task")
+@jobs_steps.paused
+async def occupy_hosts(context):
+    context.world.default_work = (1000.0, fleetview.RunOutcome.DONE)
+    # More than half of a host, so that each has one, and the pool needs no further host.
+    step = jobs.Step(count=len(context.world.minions), cpu_millis=9000, memory_mb=100)
+    await jobs_steps.submit(context, 1, (step,), "e0")
+    await asyncio.sleep(1.0)
+
+
+@behave.when("the tasks end {later_s:g} s after the first host went down")
+@jobs_steps.paused
+async def end_tasks(context, later_s):
+    async def check():
+        return bool(context.world.upkeeps)
+
+    await jobs_steps.wait_until(5, check, "upkeeps")
+    await asyncio.sleep(later_s)
+    for minion in context.world.minions.values():
+        for run in minion.runs.values():
+            run.ends_s = jobs_steps.get_time_s()
+
+
 @behave.given("reports of waves fail")
 def fail_reports(context):
     context.world.reports_fail = True
@@ -150,6 +183,11 @@
     assert context.most_unavailable <= most, context.most_unavailable
 
 
+@behave.then("no order for a host was refused")
+def check_refused(context):
+    assert not context.world.refused_orders, context.world.refused_orders
+
+
 @behave.then("no bound of the hosts was broken")
 def check_bounds(context):
     jobs_steps.check_no_violations(context)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -222,10 +222,13 @@
                 _log.info("A maintenance wave finished.", wave=plan.wave.number)
                 self._start_wave_report(plan, is_finished=True)
             return
+        # An order without an answer may have taken a host down, though no list shows it yet.
+        maybe_down = self._find_hosts_maybe_down()
         candidates = [
             self._make_candidate(self._host_list.views[host])
             for host in remaining
             if host not in self._active_orders
+            and host not in maybe_down
             and self._host_list.views[host].state is rebalancing.HostState.UP
         ]
         candidates = [
@@ -291,6 +294,10 @@
             await asyncio.sleep(_WAVE_CAPACITY_INTERVAL_S)
         return False
 
+    def _find_hosts_maybe_down(self) -> set[ids.HostId]:
+        """Return the hosts that no list has shown as up again since their order."""
+        return {host for plan in self._wave_plans.values() for host in plan.down_since_s}
+
     def _find_hosts_down(self) -> set[ids.HostId]:
         recently_ordered = {host for host in self._quiet_until_s if self._is_quiet(host)}
         return upkeep.find_hosts_down(self._host_list.views.values(), recently_ordered)
@@ -337,8 +344,7 @@
         }
         self._retry_at_s = {host: at_s for host, at_s in self._retry_at_s.items() if now_s < at_s}
         reserved |= self._retry_at_s.keys()
-        for plan in self._wave_plans.values():
-            reserved |= plan.down_since_s.keys()
+        reserved |= self._find_hosts_maybe_down()
         views = self._project_moves()
         is_complete = all(queue.service in fresh_reports for queue in routes.declared.queues)
         for move in self._planner.plan(
