How long a lost holder is in doubt, and what a failure tells, are decided in the kernel

They stood in the router beside its calls. No change of behaviour: `submissions.HolderAbsences`, `judge_failure` and `make_refusal` are the former `_Absence` and `_make_failure`.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 import msgspec
-from nutmegshelf import calls, exceptions, ids, jobs, outages, queues, submissions
+from nutmegshelf import calls, exceptions, ids, jobs, queues, submissions
 
 from nutmegshelf_entry import (
     doubt_reports,
@@ -53,15 +53,6 @@
         return self.reply.status.value if self.reply is not None else self.why
 
 
-@dataclasses.dataclass(slots=True)
-class _Absence:
-    """A time without a holder that says what it knows, in which the lease's row didn't change."""
-
-    began_s: float
-    last_noticed_s: float
-    lease_version: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StoreResult:
     """What became of one submission, what its caller is told, and who else submitted the job."""
@@ -99,7 +90,7 @@
         self._ledger = submissions.Ledger(_MAX_KNOWN_JOBS)
         self.doubt_watch = doubt_watch.DoubtWatch(peers, list_live_addresses, self._ledger)
         lease_manager.on_predecessor_known = self.doubt_watch.coverage.record_predecessor
-        self._absences: dict[ids.ServiceName, _Absence] = {}
+        self._absences = submissions.HolderAbsences()
 
     async def handle_call(self, call: calls.AnyCall) -> calls.Reply:
         """Handle another entry's call, usually for a service that this entry holds."""
@@ -174,21 +165,13 @@
             raise exceptions.RequestError(kind, detail, _STALE_RETRY_AFTER_S)
         if reply.status is calls.Status.NOT_HOLDER:
             return self._make_missing_holder_result(call, reply.status.value)
-        self._absences.pop(call.service, None)
+        self._absences.end(call.service)
         return CallResult(reply, may_have_taken_effect=reply.status is calls.Status.UNSETTLED)
 
     def _make_missing_holder_result(self, call: calls.AnyCall, why: str) -> CallResult:
         """Return the result of a call that had no effect, as its service has no holder now."""
-        now_s, version = self._loop.time(), self._lease_manager.get_lease_version(call.service)
-        absence = self._absences.get(call.service)
-        if (
-            absence is None
-            or absence.lease_version != version
-            or now_s - absence.last_noticed_s >= submissions.LOST_PROCESS_DOUBT_S
-        ):
-            absence = self._absences[call.service] = _Absence(now_s, now_s, version)
-        absence.last_noticed_s = now_s
-        is_recent = now_s - absence.began_s < submissions.LOST_PROCESS_DOUBT_S
+        lease_version = self._lease_manager.get_lease_version(call.service)
+        is_recent = self._absences.notice(call.service, lease_version, self._loop.time())
         return CallResult(None, may_have_taken_effect=False, is_holder_lost=is_recent, why=why)
 
     async def submit(self, job: jobs.Job) -> None:
@@ -372,25 +355,13 @@
 def _make_failure(
     job: jobs.Job, error: exceptions.TableError, holder_result: CallResult
 ) -> _StoreResult:
-    may_be_stored = holder_result.may_have_taken_effect or isinstance(
-        error, exceptions.TableAnswerLost
+    outcome = submissions.judge_failure(
+        error, may_holder_have_stored=holder_result.may_have_taken_effect
     )
-    outcome = submissions.Outcome.UNKNOWN if may_be_stored else submissions.Outcome.NOT_STORED
-    if isinstance(error, exceptions.TableRefused):
-        refusal = exceptions.RequestError(exceptions.ErrorKind.BODY_TOO_LARGE, str(error))
-        if may_be_stored:
-            refusal.mark_sent()
-    elif may_be_stored:
-        refusal = exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, str(error))
-    else:
-        retry_after_s = outages.get_retry_after_s(job.queue.timeout_ms / 1000)
-        refusal = exceptions.RequestError(
-            exceptions.ErrorKind.TABLE_UNAVAILABLE, str(error), retry_after_s
-        )
     reply = holder_result.reply
     return _StoreResult(
         outcome,
-        refusal,
+        submissions.make_refusal(error, outcome, job.queue.timeout_ms / 1000),
         other_submitters=reply.other_submitters if reply is not None else (),
         are_submitters_known=reply is not None and reply.knows_submitters,
         is_holder_lost=holder_result.is_holder_lost,
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -9,7 +9,7 @@
 import enum
 import math
 
-from nutmegshelf import calls, ids, jobs
+from nutmegshelf import calls, exceptions, ids, jobs, outages
 
 # A transaction without an answer is carried out within this time, if at all.
 MAX_CARRY_OUT_DELAY_S = 60.0
@@ -26,6 +26,28 @@
     UNKNOWN = "unknown"
 
 
+def judge_failure(error: exceptions.TableError, *, may_holder_have_stored: bool) -> Outcome:
+    """Return what became of a job that neither the holder nor the table has confirmed."""
+    is_answer_lost = isinstance(error, exceptions.TableAnswerLost)
+    return Outcome.UNKNOWN if may_holder_have_stored or is_answer_lost else Outcome.NOT_STORED
+
+
+def make_refusal(
+    error: exceptions.TableError, outcome: Outcome, timeout_s: float
+) -> exceptions.RequestError:
+    """Return what a caller is told of a job that the table has not stored."""
+    if isinstance(error, exceptions.TableRefused):
+        refusal = exceptions.RequestError(exceptions.ErrorKind.BODY_TOO_LARGE, str(error))
+        if outcome is Outcome.UNKNOWN:
+            refusal.mark_sent()
+        return refusal
+    if outcome is Outcome.UNKNOWN:
+        return exceptions.RequestError(exceptions.ErrorKind.JOB_UNSETTLED, str(error))
+    retry_after_s = outages.get_retry_after_s(timeout_s)
+    kind = exceptions.ErrorKind.TABLE_UNAVAILABLE
+    return exceptions.RequestError(kind, str(error), retry_after_s)
+
+
 class Submission:
     """A job on its way into the table, for all calls that wait for it.
 
@@ -214,5 +236,41 @@
         return tuple(sorted(others, key=_get_address))
 
 
+@dataclasses.dataclass(slots=True)
+class _Absence:
+    """A time without a holder that says what it knows, in which the lease's row didn't change."""
+
+    began_s: float
+    last_noticed_s: float
+    lease_version: int
+
+
+class HolderAbsences:
+    """The services whose holder is missing at one entry.
+
+    What a holder that is gone had sent is in doubt for a while after its absence was first noticed,
+    or noticed anew, or after the lease changed hands meanwhile.
+    """
+
+    def __init__(self) -> None:
+        self._by_service: dict[ids.ServiceName, _Absence] = {}
+
+    def notice(self, service: ids.ServiceName, lease_version: int, now_s: float) -> bool:
+        """Record that a call found no holder; return whether jobs may be in doubt for that."""
+        absence = self._by_service.get(service)
+        if (
+            absence is None
+            or absence.lease_version != lease_version
+            or now_s - absence.last_noticed_s >= LOST_PROCESS_DOUBT_S
+        ):
+            absence = self._by_service[service] = _Absence(now_s, now_s, lease_version)
+        absence.last_noticed_s = now_s
+        return now_s - absence.began_s < LOST_PROCESS_DOUBT_S
+
+    def end(self, service: ids.ServiceName) -> None:
+        """Record that the holder has answered."""
+        self._by_service.pop(service, None)
+
+
 def _get_address(submitter: calls.Submitter) -> str:
     return submitter.address
