Entries list only doubts of their own, and what they are submitting now

Cause: the list of an entry named its open submissions as jobs in doubt, and with them what it had been told by others. So an entry was told by another one of its own open submission, and took that for proof of a second one.

Now a list has the doubts that the entry's own submissions left, and apart from them the jobs it is submitting, which the next list replaces; they turn into doubts if the entry falls silent. An entry that is asked about a job speaks for itself alone. A rejection no longer waits where only time can help (an entry that is silent or was restarted), and one that lacks a list in time doesn't leave the job in doubt. The log says which entry is the reason, and why.

Evidence: "A rejection is in doubt as another entry was told that the job was under way here" fails before ("NOT_RUN: 498, UNKNOWN: 2").

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -633,11 +633,11 @@
     assert context.knows == [False, True, False, False, True], context.knows
 
 
-@behave.when("{rate:d} jobs a second are rejected at an entry for {duration_s:d} s")
+@behave.when("{rate:d} jobs a second are rejected at {where} for {duration_s:d} s")
 @jobs_steps.paused
-async def reject_many(context, rate, duration_s):
+async def reject_many(context, rate, where, duration_s):
     loop, site = asyncio.get_running_loop(), context.site
-    name = list_without_holder(site)[0]
+    names = list_without_holder(site)[: 1 if where == "an entry" else 2]
     context.duration_s, context.rejections = duration_s, []
     context.asked = collections.Counter()
     deliver = site.net.call
@@ -649,12 +649,12 @@
 
     async def reject_one(number):
         began_s = loop.time()
+        service, _ = site.entries[names[number % len(names)]]
         try:
             await service.job_router.submit(jobsite.job(number, submission_orders.STEPS))
         except exceptions.RequestError as error:
             context.rejections.append((error, loop.time() - began_s))
 
-    service, _ = site.entries[name]
     site.net.call = count
     for view in site.views.values():
         refuse_jobs(view)
@@ -679,6 +679,18 @@
     assert slowest_s <= limit_s, slowest_s
 
 
+@behave.then(
+    "a job that one of them rejected is rejected as not run by the other one too, "
+    "{seconds:g} s later"
+)
+@jobs_steps.paused
+async def check_rejected_elsewhere(context, seconds):
+    await asyncio.sleep(seconds)
+    context.made = jobsite.job(100 + len(context.rejections) - 1, submission_orders.STEPS)
+    error = await submit(context, list_without_holder(context.site)[0])
+    assert error.outcome is exceptions.Outcome.NOT_RUN, error.kind
+
+
 @behave.when("a job is submitted at an entry that gets its configuration {after}")
 @jobs_steps.paused
 async def submit_unconfigured(context, after):
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -93,6 +93,12 @@
     Then it asked each other entry at most 3 times a second for its doubts
     And all of them were rejected as not run, within 0.75 s each after the first
 
+  Scenario: A rejection is in doubt as another entry was told that the job was under way here
+    Given 3 entries and 4 workers of one service
+    When 100 jobs a second are rejected at two entries for 5 s
+    Then all of them were rejected as not run, within 0.75 s each after the first
+    And a job that one of them rejected is rejected as not run by the other one too, 0.6 s later
+
   Scenario Outline: A retry at an entry that has just started is rejected as not ready though <known>
     Given 1 entries and 4 workers of one service
     When a job is submitted at an entry that gets its configuration <after>
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
@@ -16,10 +16,9 @@
 _WATCH_S = 5.0
 # How long a rejection waits for lists.
 _MAX_WAIT_S = 0.15
-_LIST_TIMEOUT_S = 0.4
-# How long each further call stays open, and how much later its answer may come.
+# How long each further call stays open at the called entry.
 _OPEN_CALL_S = 0.5
-_OPEN_CALL_GRACE_S = 0.3
+_CALL_TIMEOUT_S = 0.4
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 1.0
 _CLOCK_INTERVAL_S = 0.05
@@ -56,19 +55,15 @@
         """List the doubts of this entry."""
         await asyncio.sleep(min(call.wait_s, _OPEN_CALL_S))
         now_s = self._loop.time()
-        if call.is_complete:
-            doubts = self._ledger.list_doubts(submissions.MAX_CARRY_OUT_DELAY_S, now_s)
-            doubts += self._ledger.list_open()
-        else:
-            doubts = self._ledger.list_doubts(_RECENT_S, now_s)
         return calls.Reply(
             status=calls.Status.DONE,
-            doubts=doubts,
+            doubts=self._ledger.list_doubts(call.max_age_s, now_s),
+            open_jobs=self._ledger.list_open(),
             predecessor_doubt_s=self.coverage.get_predecessor_doubt_s(now_s),
         )
 
-    async def refresh(self, *, are_submitters_known: bool) -> bool:
-        """Return whether the doubts of all other entries are known, after a moment's wait."""
+    async def refresh(self, *, are_submitters_known: bool) -> frozenset[doubt_coverage.Gap]:
+        """Return why the doubts of other entries are not all known after a moment's wait."""
         now_s = self._loop.time()
         if not self._is_watching:
             self._is_watching = True
@@ -78,16 +73,21 @@
         self._ends_s = now_s + _WATCH_S
         self._observe_clock()
         self._follow_all()
+        gaps = self._find_gaps(are_submitters_known)
         try:
             async with asyncio.timeout(_MAX_WAIT_S):
-                while not self._is_complete(are_submitters_known):
+                while doubt_coverage.Gap.UNLISTED in gaps.values():
                     await self._changed.wait()
+                    gaps = self._find_gaps(are_submitters_known)
         except TimeoutError:
-            _log.info("The doubts of other entries are not known.", entries=len(self._followers))
-        return self._is_complete(are_submitters_known)
-
-    def _is_complete(self, are_submitters_known: bool) -> bool:
-        return self.coverage.is_complete(
+            gaps = self._find_gaps(are_submitters_known)
+        if gaps:
+            named = {address or "here": gap.value for address, gap in gaps.items()}
+            _log.info("Not all doubts of other entries are known.", gaps=named)
+        return frozenset(gaps.values())
+
+    def _find_gaps(self, are_submitters_known: bool) -> dict[str, doubt_coverage.Gap]:
+        return self.coverage.find_gaps(
             self._list_addresses(), self._loop.time(), are_submitters_known=are_submitters_known
         )
 
@@ -102,6 +102,7 @@
                     self._observe_clock()
                 self._is_watching = False
                 self._stop_following()
+                self._ledger.forget_open_elsewhere()
         finally:
             self._is_watching = False
             self._stop_following()
@@ -141,20 +142,22 @@
     async def _list(self, address: str) -> bool:
         """Receive one list of an entry; return whether it answered."""
         requested_s = self._loop.time()
-        is_complete = not self.coverage.has_listed(address)
-        wait_s = 0.0 if is_complete else _OPEN_CALL_S
-        timeout_s = _LIST_TIMEOUT_S if is_complete else _OPEN_CALL_S + _OPEN_CALL_GRACE_S
-        call = calls.ListDoubts(service=ids.ServiceName(""), is_complete=is_complete, wait_s=wait_s)
+        has_listed = self.coverage.has_listed(address)
+        max_age_s = _RECENT_S if has_listed else submissions.MAX_CARRY_OUT_DELAY_S
+        wait_s = _OPEN_CALL_S if has_listed else 0.0
+        call = calls.ListDoubts(service=ids.ServiceName(""), max_age_s=max_age_s, wait_s=wait_s)
         try:
-            reply = await self._peers.call(address, call, timeout_s)
+            reply = await self._peers.call(address, call, wait_s + _CALL_TIMEOUT_S)
         except exceptions.PeerError as error:
             self.coverage.record_silence(address, self._loop.time())
+            self._ledger.lose_open_elsewhere(address, self._loop.time())
             self._notify()
             _log.info("An entry did not list its doubts.", entry_address=address, why=str(error))
             return False
         now_s = self._loop.time()
         for doubt in reply.doubts:
             self._ledger.report_doubt(doubt.job, now_s - doubt.age_s)
+        self._ledger.record_open_elsewhere(address, reply.open_jobs)
         self.coverage.record_list(address, requested_s, now_s, reply.predecessor_doubt_s)
         self._notify()
         return True
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 import msgspec
-from nutmegshelf import calls, exceptions, ids, jobs, queues, submissions
+from nutmegshelf import calls, doubt_coverage, exceptions, ids, jobs, queues, submissions
 
 from nutmegshelf_entry import (
     doubt_reports,
@@ -242,16 +242,15 @@
             if self._ledger.may_be_stored(job):
                 refusal.mark_sent()
             return refusal
+        gaps = frozenset[doubt_coverage.Gap]()
         # An entry without a configuration says so, unless it was told of a doubt.
-        asks_others = (
-            refusal.kind is not exceptions.ErrorKind.NOT_READY
-            and not self._ledger.may_be_stored(job)
-        )
-        if asks_others and not await self.doubt_watch.refresh(
-            are_submitters_known=are_submitters_known
-        ):
-            self._ledger.report_doubt(job, self._loop.time())
-        if not self._ledger.may_be_stored(job):
+        is_ready = refusal.kind is not exceptions.ErrorKind.NOT_READY
+        if is_ready and not self._ledger.may_be_stored(job):
+            gaps = await self.doubt_watch.refresh(are_submitters_known=are_submitters_known)
+            if gaps - {doubt_coverage.Gap.UNLISTED}:
+                self._ledger.report_doubt(job, self._loop.time())
+        may_be_stored = self._ledger.may_be_stored(job) or self._ledger.is_open_elsewhere(job)
+        if not gaps and not may_be_stored:
             return refusal
         kind = exceptions.ErrorKind.JOB_UNSETTLED
         return exceptions.RequestError(kind, refusal.detail, refusal.retry_after_s)
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -173,13 +173,13 @@
 
 
 class ListDoubts(Call, frozen=True, kw_only=True, tag="ListDoubts"):
-    """Return the jobs in doubt at the called entry, or those of the last seconds after a wait.
+    """Return, after a wait, the jobs being submitted at an entry and those left in doubt there.
 
-    The complete list includes the jobs that are being submitted there.
+    Doubts that the entry was told of by others are not listed.
     """
 
-    is_complete: bool
-    wait_s: float = 0.0
+    max_age_s: float
+    wait_s: float
 
 
 class Doubt(msgspec.Struct, frozen=True, array_like=True):
@@ -258,5 +258,6 @@
     # Whether the holder has been there for so long that it knows all recent submitters.
     knows_submitters: bool = False
     doubts: tuple[Doubt, ...] = ()
+    open_jobs: tuple[ids.JobId, ...] = ()
     # How much longer what the called entry's previous process submitted may be in doubt.
     predecessor_doubt_s: float = 0.0
--- a/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
+++ b/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
@@ -6,11 +6,21 @@
 
 import collections.abc
 import dataclasses
+import enum
 import math
 
 from nutmegshelf import submissions
 
 
+class Gap(enum.Enum):
+    """Why the doubts of an entry are not all known."""
+
+    UNLISTED = "unlisted"
+    SILENT = "silent"
+    # What its earlier process submitted is not known.
+    RESTARTED = "restarted"
+
+
 @dataclasses.dataclass(slots=True)
 class _Peer:
     """What another entry has said of its doubts."""
@@ -72,28 +82,34 @@
         """Return whether an entry's latest list is complete together with its later reports."""
         return address in self._peers and self._peers[address].has_listed
 
-    def is_complete(
+    def find_gaps(
         self,
         addresses: collections.abc.Iterable[str],
         now_s: float,
         *,
         are_submitters_known: bool,
-    ) -> bool:
-        """Return whether the doubts of this entry and of those at the addresses are all known.
+    ) -> dict[str, Gap]:
+        """Return the entries whose doubts are not all known, this one under an empty address.
 
         If a job's submitters are known, each can be asked, so that no other entry matters that
         has ended or is silent.
         """
-        if not are_submitters_known and self.get_predecessor_doubt_s(now_s) > 0:
-            return False
-        peers = [self._peers.get(address) for address in addresses]
-        return all(self._is_known(peer, now_s, are_submitters_known) for peer in peers)
+        gaps = {address: self._find_gap(self._peers.get(address), now_s) for address in addresses}
+        if self.get_predecessor_doubt_s(now_s) > 0:
+            gaps[""] = Gap.RESTARTED
+        return {
+            address: gap
+            for address, gap in gaps.items()
+            if gap is Gap.UNLISTED or (gap is not None and not are_submitters_known)
+        }
 
     @staticmethod
-    def _is_known(peer: _Peer | None, now_s: float, are_submitters_known: bool) -> bool:
+    def _find_gap(peer: _Peer | None, now_s: float) -> Gap | None:
         if peer is None:
-            return False
+            return Gap.UNLISTED
         if peer.silent_since_s is not None:
-            silence_s = now_s - peer.silent_since_s
-            return are_submitters_known or silence_s >= submissions.LOST_PROCESS_DOUBT_S
-        return peer.has_listed and (are_submitters_known or now_s >= peer.lost_until_s)
+            is_recent = now_s - peer.silent_since_s < submissions.LOST_PROCESS_DOUBT_S
+            return Gap.SILENT if is_recent else None
+        if not peer.has_listed:
+            return Gap.UNLISTED
+        return Gap.RESTARTED if now_s < peer.lost_until_s else None
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import math
 
 from nutmegshelf import calls, exceptions, ids, jobs, outages
@@ -128,6 +129,10 @@
         # When each job was last in doubt, and the stored jobs; the oldest first.
         self._doubtful_s: dict[ids.JobId, float] = {}
         self._stored: dict[ids.JobId, None] = {}
+        # When submissions at this entry ended without proof; the oldest first.
+        self._own_doubtful_s: dict[ids.JobId, float] = {}
+        # The jobs that other entries are submitting, by their addresses.
+        self._open_elsewhere: dict[str, frozenset[ids.JobId]] = {}
 
     def begin(self, job: ids.JobId) -> None:
         """Record that a submission begins."""
@@ -147,6 +152,10 @@
                     del self._stored[next(iter(self._stored))]
             case Outcome.UNKNOWN:
                 self.report_doubt(job, now_s)
+                self._own_doubtful_s.pop(job, None)
+                self._own_doubtful_s[job] = now_s
+                while len(self._own_doubtful_s) > self._max_jobs:
+                    del self._own_doubtful_s[next(iter(self._own_doubtful_s))]
             case Outcome.NOT_STORED:
                 pass
 
@@ -157,16 +166,32 @@
             del self._doubtful_s[next(iter(self._doubtful_s))]
 
     def list_doubts(self, max_age_s: float, now_s: float) -> tuple[calls.Doubt, ...]:
-        """Return the jobs that were in doubt lately."""
-        return tuple(
-            calls.Doubt(job, now_s - doubtful_s)
-            for job, doubtful_s in self._doubtful_s.items()
-            if now_s - doubtful_s < max_age_s
+        """Return the jobs that submissions at this entry left in doubt lately."""
+        recent = itertools.takewhile(
+            lambda item: now_s - item[1] < max_age_s, reversed(self._own_doubtful_s.items())
         )
+        return tuple(calls.Doubt(job, now_s - doubtful_s) for job, doubtful_s in recent)
 
-    def list_open(self) -> tuple[calls.Doubt, ...]:
-        """Return the jobs that are being submitted, as jobs in doubt; the latest ones if many."""
-        return tuple(calls.Doubt(job, 0.0) for job in list(self._open)[-self._max_jobs :])
+    def list_open(self) -> tuple[ids.JobId, ...]:
+        """Return the jobs that are being submitted at this entry; the latest ones if many."""
+        return tuple(itertools.islice(reversed(self._open), self._max_jobs))
+
+    def record_open_elsewhere(self, address: str, open_jobs: tuple[ids.JobId, ...]) -> None:
+        """Record the jobs that another entry is submitting now."""
+        self._open_elsewhere[address] = frozenset(open_jobs)
+
+    def is_open_elsewhere(self, job: ids.JobId) -> bool:
+        """Return whether another entry is submitting a job, as far as is known."""
+        return any(job in open_jobs for open_jobs in self._open_elsewhere.values())
+
+    def lose_open_elsewhere(self, address: str, now_s: float) -> None:
+        """Record that another entry is silent, so that what it was submitting is in doubt."""
+        for job in self._open_elsewhere.pop(address, ()):
+            self.report_doubt(job, now_s)
+
+    def forget_open_elsewhere(self) -> None:
+        """Forget what other entries are submitting, as it is not followed any more."""
+        self._open_elsewhere.clear()
 
     def is_stored(self, job: ids.JobId) -> bool:
         """Return whether the table has the job for certain."""
@@ -183,7 +208,7 @@
         return job in self._open or is_recent
 
     def may_be_stored(self, job: ids.JobId) -> bool:
-        """Return whether any submission has stored the job, or may have done so."""
+        """Return whether any submission that ended, or is open here, may have stored the job."""
         return job in self._open or job in self._doubtful_s or job in self._stored
 
 
