A holder that stood still doesn't say that it knows all submitters

Cause: the holder said that it knew all submitters in the turn in which it went on, while the calls of that entry were still waiting to be read.

After a standstill of 0.3 s a holder knows all recent submitters only 5 s later, as after its start.

Evidence: "A holder that stood still says that it knows the submitters whose calls wait to be handled" fails before ("[False, True, True, True, True]", with a stand-in for the missing `observe_clock`).

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -619,15 +619,39 @@
     "{seconds:d} s after it was loaded"
 )
 def forget_submitters(context, max_jobs, count, seconds):
-    index = submissions.SubmitterIndex(max_jobs)
-    context.knows = [index.knows_recent(0.0)]
-    index.begin(0.0)
-    context.knows.append(index.knows_recent(float(seconds)))
+    index = start_index(max_jobs)
+    context.knows = [index.knows_recent(0.0), run_index(index, 0.0, seconds)]
     for number in range(count):
         index.add(f"{number:016x}", calls.Submitter("e0:3", "i"), float(seconds))
-    context.knows += [index.knows_recent(seconds + later_s) for later_s in (0.0, 4.9, 5.0)]
+    context.knows.append(index.knows_recent(float(seconds)))
+    context.knows.append(run_index(index, seconds, seconds + 4.9))
+    context.knows.append(run_index(index, seconds + 4.9, seconds + 5.0))
+
+
+@behave.when("a holder stands still for {still_s:d} s, {seconds:d} s after it was loaded")
+def stand_still(context, still_s, seconds):
+    index = start_index(2)
+    context.knows = [index.knows_recent(0.0), run_index(index, 0.0, seconds)]
+    index.add(f"{1:016x}", calls.Submitter("e0:3", "i"), float(seconds + still_s))
+    context.knows.append(index.knows_recent(float(seconds + still_s)))
+    context.knows.append(run_index(index, seconds + still_s, seconds + still_s + 4.9))
+    context.knows.append(run_index(index, seconds + still_s + 4.9, seconds + still_s + 5.0))
+
+
+def start_index(max_jobs):
+    index = submissions.SubmitterIndex(max_jobs)
+    index.begin(0.0)
+    return index
+
+
+def run_index(index, from_s, until_s):
+    """Let time pass for a holder that runs; return whether it knows all submitters then."""
+    for tenths in range(round((until_s - from_s) * 10) + 1):
+        index.observe_clock(from_s + tenths / 10)
+    return index.knows_recent(until_s)
 
 
+@behave.then("it knows all recent submitters before that, and again {seconds:d} s after that")
 @behave.then("it knows all recent submitters before them, and again {seconds:d} s after them")
 def check_knows_submitters(context, seconds):
     assert context.knows == [False, True, False, False, True], context.knows
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -87,6 +87,10 @@
     When a holder that remembers the submitters of 2 jobs gets submissions of 3, 6 s after it was loaded
     Then it knows all recent submitters before them, and again 5 s after them
 
+  Scenario: A holder that stood still says that it knows the submitters whose calls wait to be handled
+    When a holder stands still for 1 s, 6 s after it was loaded
+    Then it knows all recent submitters before that, and again 5 s after that
+
   Scenario: An entry that rejects many jobs calls the others for each of them
     Given 3 entries and 4 workers of one service
     When 200 jobs a second are rejected at an entry for 5 s
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
@@ -22,8 +22,6 @@
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 1.0
 _CLOCK_INTERVAL_S = 0.05
-# Reports may be lost to an entry that stands still for longer than this.
-_MAX_STANDSTILL_S = 0.25
 # How old the doubts are at most that a further call returns; their reports may have been lost.
 _RECENT_S = 2.0
 
@@ -111,7 +109,7 @@
         """Ask all entries anew if this one stood still."""
         now_s, observed_s = self._loop.time(), self._observed_s
         self._observed_s = now_s
-        if now_s - observed_s > _CLOCK_INTERVAL_S + _MAX_STANDSTILL_S:
+        if now_s - observed_s > submissions.MAX_STANDSTILL_S:
             _log.info(
                 "Reports of doubts may have been missed.", late_s=round(now_s - observed_s, 3)
             )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -530,6 +530,7 @@
             if not is_fresh and self._orders_allowed.is_set():
                 _log.warning("Orders wait, as the lease can't be renewed.", pool=self.pool)
                 self._orders_allowed.clear()
+            self._submitters.observe_clock(self._loop.time())
             await asyncio.sleep(_TICK_S)
 
     async def _run_passes(self) -> None:
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -16,6 +16,8 @@
 MAX_CARRY_OUT_DELAY_S = 60.0
 # Callers whose call was with a process that is gone come back within this time.
 LOST_PROCESS_DOUBT_S = 5.0
+# An entry that did not run for longer than this may have missed calls, or has yet to handle them.
+MAX_STANDSTILL_S = 0.3
 
 
 class Outcome(enum.Enum):
@@ -231,13 +233,21 @@
         self._by_job: dict[ids.JobId, _Submitters] = {}
         # Submissions of before may be missing.
         self._complete_since_s = math.inf
+        self._observed_s = math.inf
 
     def begin(self, now_s: float) -> None:
         """Record that all submissions are added from now on."""
-        self._complete_since_s = now_s
+        self._complete_since_s = self._observed_s = now_s
+
+    def observe_clock(self, now_s: float) -> None:
+        """Record that the process runs; after a standstill, calls may wait to be handled."""
+        if now_s - self._observed_s > MAX_STANDSTILL_S:
+            self._complete_since_s = max(self._complete_since_s, now_s)
+        self._observed_s = now_s
 
     def add(self, job: ids.JobId, submitter: calls.Submitter, now_s: float) -> None:
         """Record a submission."""
+        self.observe_clock(now_s)
         added = self._by_job.pop(job, None) or _Submitters(set(), now_s)
         added.submitters.add(submitter)
         added.latest_s = now_s
