Rejected submissions: callers in a hurry while the store's answers are lost

The scenarios so far need kills or pauses of entries to leave a try in doubt. Here nothing is killed or stopped: callers send short time limits or leave early and submit again at another entry, while the store loses answers, is slow for jobs stored by their holder and refuses half of the others.

--- a/features/rejected_submissions.py
+++ b/features/rejected_submissions.py
@@ -16,6 +16,7 @@
 from features import jobsite
 
 DEADLINE_S = 3.0
+SHORT_S = (0.05, 0.9)
 MAX_RETRY_AFTER_S = 1.0
 REJECTIONS = (429, 503)
 BODY = json.dumps({"spec": "s", "steps": [{"count": 1, "cpu": 1000}]}).encode()
@@ -63,11 +64,12 @@
 class Load:
     """Callers that submit one job each, with tries at different entries."""
 
-    def __init__(self, rng, world, processes, max_tries):
+    def __init__(self, rng, world, processes, max_tries, *, is_hurried=False):
         self.rng = rng
         self.world = world
         self.processes = processes
         self.max_tries = max_tries
+        self.is_hurried = is_hurried
         self.clients = {
             process.name: client.Client("127.0.0.1", process.callers_port) for process in processes
         }
@@ -88,19 +90,30 @@
     async def submit(self, submission):
         tries = self.rng.randint(1, self.max_tries)
         for process in self.rng.sample(self.processes, tries):
-            one, retry_after_s = await self.post(process.name, submission.job)
+            is_last = len(submission.tries) == tries - 1
+            deadline_s, leaves_after_s = self.choose_times(is_last)
+            one, retry_after_s = await self.post(
+                process.name, submission.job, deadline_s, leaves_after_s
+            )
             submission.tries.append(one)
             if one.status == 200:
                 return
             if one.status in REJECTIONS:
                 await asyncio.sleep(min(retry_after_s, MAX_RETRY_AFTER_S))
 
-    async def post(self, entry, job):
+    def choose_times(self, is_last):
+        """Return the time limit that a caller sends with a try, and when it leaves."""
+        if not self.is_hurried or is_last:
+            return DEADLINE_S, DEADLINE_S
+        short_s = self.rng.uniform(*SHORT_S)
+        return self.rng.choice(((short_s, DEADLINE_S), (DEADLINE_S, short_s)))
+
+    async def post(self, entry, job, deadline_s, leaves_after_s):
         sent_at, sent_s = time.strftime("%H:%M:%S", time.gmtime()), time.monotonic()
         status, answer, retry_after_s = 0, "", 0.0
-        headers = [(b"x-deadline-ms", b"%d" % (DEADLINE_S * 1000))]
+        headers = [(b"x-deadline-ms", b"%d" % (deadline_s * 1000))]
         try:
-            async with asyncio.timeout(DEADLINE_S):
+            async with asyncio.timeout(leaves_after_s):
                 response = await self.clients[entry].request("POST", f"/jobs/{job}", BODY, headers)
             status, answer = response.status, response.body.decode()
             retry_after_s = float(response.get_header(b"retry-after") or 0)
--- a/features/steps/rejected_submission_steps.py
+++ b/features/steps/rejected_submission_steps.py
@@ -52,8 +52,7 @@
     rng = random.Random(context.rng.random())
 
     async def run():
-        context.store_faults = submission_faults.FaultyStore(context.platform, rng, duration_s)
-        context.platform.handle_transaction = context.store_faults.handle
+        make_store_fail(context, rng, submission_faults.make_series(rng, duration_s))
         entry_faults = submission_faults.EntryFaults(context.world, context.processes, rng)
         async with asyncio.TaskGroup() as group:
             group.create_task(submit_jobs(context, rate, duration_s, max_tries))
@@ -62,11 +61,32 @@
     context.run(run())
 
 
-async def submit_jobs(context, rate, duration_s, max_tries):
+@behave.when(
+    "{rate:d} jobs a second are submitted over HTTP for {duration_s:d} s, with up to"
+    " {max_tries:d} tries each, by callers in a hurry while the store's answers are lost"
+)
+def submit_in_hurry(context, rate, duration_s, max_tries):
+    rng = random.Random(context.rng.random())
+
+    async def run():
+        make_store_fail(context, rng, submission_faults.make_lost_answers(duration_s))
+        await submit_jobs(context, rate, duration_s, max_tries, is_hurried=True)
+
+    context.run(run())
+
+
+def make_store_fail(context, rng, series):
+    context.store_faults = submission_faults.FaultyStore(context.platform, rng, series)
+    context.platform.handle_transaction = context.store_faults.handle
+
+
+async def submit_jobs(context, rate, duration_s, max_tries, *, is_hurried=False):
     context.world.default_work = (WORK_S, fleetview.RunOutcome.DONE)
     context.platform.page_rows = PAGE_ROWS
     rng = random.Random(context.rng.random())
-    load = rejected_submissions.Load(rng, context.world, context.processes, max_tries)
+    load = rejected_submissions.Load(
+        rng, context.world, context.processes, max_tries, is_hurried=is_hurried
+    )
     await load.run(rate, duration_s)
     context.submissions = load.submissions
 
--- a/features/submission_faults.py
+++ b/features/submission_faults.py
@@ -79,14 +79,26 @@
     return series
 
 
+def make_lost_answers(duration_s):
+    """Return faults that leave submissions in doubt, while others are refused."""
+    shares = (
+        (Fault.SLOW, Subject.STORED_BY_HOLDER, 1.0),
+        (Fault.UNAVAILABLE, Subject.STORED_WITHOUT_HOLDER, 0.5),
+        (Fault.LOST, Subject.SERVICE, 0.15),
+        (Fault.LATE, Subject.SERVICE, 0.05),
+        (Fault.RESET, Subject.SERVICE, 0.15),
+    )
+    return [Series(fault, subject, QUIET_S, duration_s, share) for fault, subject, share in shares]
+
+
 class FaultyStore:
     """Handle the transactions of a platform's stand-in with faults, and record those of jobs."""
 
-    def __init__(self, platform, rng, duration_s):
+    def __init__(self, platform, rng, series):
         self.platform = platform
         self.rng = rng
         self.loop = asyncio.get_running_loop()
-        self.series = make_series(rng, duration_s)
+        self.series = series
         self.began_s = self.loop.time()
         self.lines_by_job = collections.defaultdict(list)
 
