--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -154,6 +154,58 @@
     context.retry_at = next(name for name in others if name != first)
 
 
+@behave.when(
+    "a job is submitted at {place}, whose holder stores it but answers after the time limit"
+)
+@jobs_steps.paused
+async def answer_late(context, place):
+    job, site = make_job(context), context.site
+    name = site.holder_of("a")
+    holder = site.entries[name][0].lease_manager.get_holder("a")
+    handle_call = holder.handle_call
+    submissions_begun = []
+
+    async def answer(call):
+        if not isinstance(call, calls.SubmitJob):
+            return await handle_call(call)
+        submissions_begun.append(asyncio.ensure_future(handle_call(call)))
+        await asyncio.sleep(submission_orders.WATCH_S)
+        return await submissions_begun[-1]
+
+    async def refuse_others(transaction):
+        if not has_lease(transaction):
+            raise exceptions.TableUnavailable("503")
+        return await commit(transaction)
+
+    holder.handle_call = answer
+    commit = site.views[name].commit
+    replace_commit(site.views[name], job, refuse_others)
+    for other in site.entries.keys() - {name}:
+        replace_commit(site.views[other], job, turn_away)
+    place_name = name if place == "the holder" else next(e for e in site.entries if e != name)
+    context.error = await submit(context, place_name)
+    assert len(submissions_begun) == 1, submissions_begun
+
+
+@behave.when("a job is stored, and submitted again at an entry that reaches nothing any more")
+@jobs_steps.paused
+async def submit_cut_off(context):
+    make_job(context)
+    site = context.site
+    name = next(name for name in site.entries if name != site.holder_of("a"))
+    assert await submit(context, name) is None
+    deliver = site.net.call
+
+    async def refuse_connection(address, call, timeout_s):
+        if isinstance(call, calls.SubmitJob):
+            raise exceptions.PeerUnreachable("cut")
+        return await deliver(address, call, timeout_s)
+
+    site.net.call = refuse_connection
+    site.views[name].is_unavailable = True
+    context.error = await submit(context, name)
+
+
 @behave.when(
     "a job's first try reaches no holder, "
     "and the entry's own write is carried out {delay_s:d} s late"
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -37,6 +37,22 @@
     Then the caller is told that the job may run
     And the job runs
 
+  Scenario Outline: A job that was submitted at <place> is rejected as not run though its holder stores it late
+    Given 2 entries and 4 workers of one service
+    When a job is submitted at <place>, whose holder stores it but answers after the time limit
+    Then the caller is told that the job may run
+    And the job runs
+
+    Examples: entries
+      | place         |
+      | the holder    |
+      | another entry |
+
+  Scenario: A job that its entry knows to be stored is in doubt again
+    Given 2 entries and 4 workers of one service
+    When a job is stored, and submitted again at an entry that reaches nothing any more
+    Then the caller is told that the job is stored
+
   Scenario: A job that waits at its holder is rejected as not run though the holder has taken it in meanwhile
     Given 3 entries and 4 workers of one service
     When a job waits at its holder, and a try at an entry that can't reach the holder stores it
