--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -7,7 +7,7 @@
 
 import behave
 from nutmegshelf import calls, exceptions, fleetview, jobs, leases, queues, submissions
-from nutmegshelf_entry import job_codec, job_handler, job_metrics
+from nutmegshelf_entry import job_codec, job_handler, job_metrics, job_service
 from nutmegshelf_standins import clock
 
 from features import jobsite, submission_orders
@@ -343,6 +343,39 @@
     assert context.error is None, context.error.kind
 
 
+async def call_holder(context, job):
+    service, _ = context.site.entries["e0"]
+    call = calls.SubmitJob(
+        service="a", queue="q", job=job, submitter=calls.Submitter("elsewhere:3", "x")
+    )
+    return (await service.lease_manager.get_holder("a").handle_call(call)).status.value
+
+
+@behave.when("a job is sent by its holder, which then {state}")
+@jobs_steps.paused
+async def stall_holder(context, state):
+    job, view = make_job(context), context.site.views["e0"]
+    if state == "is stalled":
+        view.silent_partitions.add("a")
+        silent_s = 1.5
+    else:
+        view.is_partitioned = True
+        silent_s = job_service.MAX_LEASE_AGE_S + 0.2
+    waiting = asyncio.ensure_future(call_holder(context, job))
+    await asyncio.sleep(silent_s)
+    assert await waiting == "unsettled"
+
+
+@behave.then("the holder says that the job is {sent}, and of another one that it is {other}")
+@jobs_steps.paused
+async def check_holder_says(context, sent, other):
+    told = [
+        await call_holder(context, job)
+        for job in (context.made, jobsite.job(2, submission_orders.STEPS))
+    ]
+    assert told == [sent, other], told
+
+
 async def ask(context, name="e0"):
     router = context.site.entries[name][0].job_router
     call = router.cancel if context.asks == "cancels the job" else router.get_state
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -48,6 +48,16 @@
       | the holder    |
       | another entry |
 
+  Scenario Outline: A holder that <state> says of a job that it has sent what it says of any other
+    Given 1 entries and 4 workers of one service
+    When a job is sent by its holder, which then <state>
+    Then the holder says that the job is unsettled, and of another one that it is <other>
+
+    Examples: holders that take no submission
+      | state             | other        |
+      | is stalled        | table-silent |
+      | has a stale lease | not-stored   |
+
   Scenario: A job that its entry knows to be stored is in doubt again
     Given 2 entries and 4 workers of one service
     When a job is stored, and submitted again at an entry that reaches nothing any more
