A holder forgets the arrival of a job whose last caller left before it was sent

The holder kept an entry for each job whose call was cancelled, for as long as it held the service.

Cause: the arrival of a submitted job is kept until the job is stored, or until the call is told that it is not. A caller at the holder's own entry whose time limit ends below 0.7 s cancels the call, which withdraws the job from the writer, but leaves the arrival. In a store's outage of minutes that is each such caller; a submission of the same job later would also count as waiting since then.

The arrival goes once the writer can't store the job any more, however the call ends.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -351,6 +351,36 @@
     return (await service.lease_manager.get_holder("a").handle_call(call)).status.value
 
 
+@behave.when(
+    "{count:d} callers leave while their jobs wait at a holder whose table turns them away"
+)
+@jobs_steps.paused
+async def leave_holder(context, count):
+    async def refuse_jobs(transaction):
+        if any(write.key.startswith(f"{jobs.JOBS}/") for write in transaction.writes):
+            raise exceptions.TableUnavailable("503")
+        return await commit(transaction)
+
+    view = context.site.views["e0"]
+    commit, view.commit = view.commit, refuse_jobs
+    waiting = [
+        asyncio.ensure_future(call_holder(context, jobsite.job(number, submission_orders.STEPS)))
+        for number in range(count)
+    ]
+    await asyncio.sleep(0.1)
+    for call in waiting:
+        call.cancel()
+    outcomes = await asyncio.gather(*waiting, return_exceptions=True)
+    assert all(isinstance(outcome, asyncio.CancelledError) for outcome in outcomes), outcomes
+
+
+@behave.then("the holder keeps none of these jobs")
+def check_none_kept(context):
+    holder = context.site.entries["e0"][0].lease_manager.get_holder("a")
+    kept = len(holder.writer._pending), len(holder._arrived_s)
+    assert kept == (0, 0), kept
+
+
 @behave.when("a job is sent by its holder, which then {state}")
 @jobs_steps.paused
 async def stall_holder(context, state):
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -199,6 +199,11 @@
       | 503    | table-unavailable |
       | 413    | body-too-large    |
 
+  Scenario: Jobs whose callers have left fill the memory of their holder
+    Given 1 entries and 4 workers of one service
+    When 50 callers leave while their jobs wait at a holder whose table turns them away
+    Then the holder keeps none of these jobs
+
   Scenario Outline: What is known of a submission goes beyond the answers to its attempts
     Then a submission is <outcome> after it was <events>
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -217,14 +217,17 @@
     async def _submit(self, job: jobs.Job) -> calls.Status:
         if self.is_loaded and self._is_lease_fresh() and not self.writer.is_stalled:
             self._arrived_s.setdefault(job.job, self._loop.time())
-            outcome = await self.writer.accept(job, _ACCEPT_TIMEOUT_S)
+            try:
+                outcome = await self.writer.accept(job, _ACCEPT_TIMEOUT_S)
+            finally:
+                if not self.writer.may_store(job.job):
+                    self._arrived_s.pop(job.job, None)
             match outcome:
                 case submissions.Outcome.STORED:
                     return calls.Status.DONE
                 case submissions.Outcome.UNKNOWN:
                     return calls.Status.UNSETTLED
                 case submissions.Outcome.NOT_STORED:
-                    self._arrived_s.pop(job.job, None)
                     return calls.Status.NOT_STORED
         if self.writer.may_store(job.job):
             return calls.Status.UNSETTLED
