Tests: a report waits for an entry that answers again

The scenario passed with an entry that stays unresponsive for ever, as all entries took equally long to answer.

--- a/features/steps/doubt_report_steps.py
+++ b/features/steps/doubt_report_steps.py
@@ -32,7 +32,8 @@
             await asyncio.sleep(timeout_s)
             self.confirmed[address].update(call.jobs)
             raise exceptions.PeerAnswerLost(address)
-        await asyncio.sleep(CALL_S)
+        # The first one answers last.
+        await asyncio.sleep(2 * CALL_S if address == self.addresses[0] else CALL_S)
         self.confirmed[address].update(call.jobs)
 
 
