A job that another entry may be storing is not said to be unknown

Callers at another entry read 410, "no such job", for the state and for the cancel of a job whose first try was being written without its holder, and the job ran, cancelled or not.

Cause: a missing row and a holder that doesn't know a job were read as proof that there is none. The holder knows which entries have submitted the job to it and may write it themselves, but named them to submissions only; their doubts are reported once they have ended.

The holder now names them in its answer to a state or a cancel of a job that it doesn't know, for as long as a write may be carried out, and the entry asks them once it has found no row. It costs nothing for jobs that are known or that nobody submitted lately. A job that the holder takes in by a notice is forgotten in its index of submitters, as one that it stored itself.

"A job that its entry writes without the holder is said to be unknown" failed before, both rows: "ASSERT FAILED: ErrorKind.UNKNOWN_JOB".

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -21,6 +21,7 @@
 # The holder answers after 0.7 s.
 TIMEOUT_MS = 1_000
 LATE_WRITE_S = 1.0
+SLOW_WRITE_S = 0.5
 
 
 def run(context, orders, gap_turns, entries):
@@ -573,6 +574,45 @@
     context.response = await send_post(context, other, refusal=exceptions.ErrorKind.SHUTTING_DOWN)
 
 
+async def begin_slow_write(context):
+    """Have an entry write a job without its holder; return another entry while the write is open.
+
+    The caller of the first try has left, which its entry doesn't notice.
+    """
+    job, site = make_job(context), context.site
+    first, other = (name for name in site.entries if name != site.holder_of("a"))
+    sent = asyncio.Event()
+
+    async def store_slowly(transaction):
+        sent.set()
+        await asyncio.sleep(SLOW_WRITE_S)
+        return site.world.table.apply(transaction)
+
+    for view in site.views.values():
+        replace_commit(view, job, turn_away)
+    replace_commit(site.views[first], job, store_slowly)
+    context.first = asyncio.ensure_future(submit(context, first))
+    await sent.wait()
+    return other
+
+
+@behave.when(
+    "an entry writes a job whose caller has left, and it is submitted again at an entry"
+    " that shuts down"
+)
+@jobs_steps.paused
+async def submit_beside_write(context):
+    other = await begin_slow_write(context)
+    context.response = await send_post(context, other, refusal=exceptions.ErrorKind.SHUTTING_DOWN)
+
+
+@behave.when("an entry writes a job whose caller has left, and a caller at another entry {asks}")
+@jobs_steps.paused
+async def ask_beside_write(context, asks):
+    context.asks = asks
+    context.kind = await ask(context, await begin_slow_write(context))
+
+
 @behave.then("the first response came within the caller's time limit")
 def check_in_time(context):
     assert context.took_s < TIMEOUT_MS / 1000, context.took_s
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -243,6 +243,23 @@
       | begun, unknown, begun, stored     | may    | can't   |
       | reported, begun, not-stored       | may    | may     |
 
+  Scenario: A retry is rejected as not run while the entry of the first try, whose caller has left, writes the job
+    Given 3 entries and 4 workers of one service
+    When an entry writes a job whose caller has left, and it is submitted again at an entry that shuts down
+    Then the response has status 504 and says that the job may run
+    And the job runs
+
+  Scenario Outline: A job that its entry writes without the holder is said to be unknown to a caller that <asks>
+    Given 3 entries and 4 workers of one service
+    When an entry writes a job whose caller has left, and a caller at another entry <asks>
+    Then the caller is not told that there is no such job
+    And the job runs
+
+    Examples: calls
+      | asks               |
+      | asks for its state |
+      | cancels the job    |
+
   @soak
   Scenario: A job is rejected though it was stored, in long orders
     When a submission at 3 entries meets 2000 random orders of 5 events, 0 to 3 turns of the loop apart
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -238,25 +238,27 @@
 
     def _handle_accepted(self, job: jobs.Job, version: int) -> None:
         arrived_s = self._arrived_s.pop(job.job, self._loop.time())
-        self._submitters.discard(job.job)
         self._add(job, arrived_s, version)
         self.wake()
 
     def _get_state(self, job: ids.JobId) -> calls.Reply:
         record = self.scheduler.registry.records.get(job)
         if record is None:
-            return calls.Reply(status=self._get_status_of_unknown(job))
+            return self._make_unknown_reply(job)
         return calls.Reply(status=calls.Status.DONE, state=record.published_state)
 
-    def _get_status_of_unknown(self, job: ids.JobId) -> calls.Status:
+    def _make_unknown_reply(self, job: ids.JobId) -> calls.Reply:
         may_appear = self.writer.may_store(job)
-        return calls.Status.UNSETTLED if may_appear else calls.Status.UNKNOWN_JOB
+        return calls.Reply(
+            status=calls.Status.UNSETTLED if may_appear else calls.Status.UNKNOWN_JOB,
+            other_submitters=self._submitters.get_recent(job, self._loop.time()),
+        )
 
     async def _cancel(self, job: ids.JobId) -> calls.Reply:
         job_registry = self.scheduler.registry
         record = job_registry.records.get(job)
         if record is None:
-            return calls.Reply(status=self._get_status_of_unknown(job))
+            return self._make_unknown_reply(job)
         if record.is_live:
             job_registry.end_job(
                 record, jobs.JobState.CANCELLED, "its caller cancelled it", self._loop.time()
@@ -289,6 +291,7 @@
 
     def _add(self, job: jobs.Job, arrived_s: float, version: int = 0) -> None:
         """Add a job whose row was stored, with this version, in this epoch."""
+        self._submitters.discard(job.job)
         if job.job in self._unusable or job.job in self.scheduler.registry.records:
             return
         with self._leave_out_unusable(job):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -196,7 +196,7 @@
         if result.outcome is submissions.Outcome.UNKNOWN:
             await self._doubt_reporter.wait(job, reported, _REPORT_WAIT_S)
         elif result.is_holder_lost or not await self._do_others_rule_out(
-            job, result.other_submitters
+            job.service, job.job, result.other_submitters
         ):
             # Nothing of this submission is under way; others may be.
             self._ledger.report_doubt(job.job, self._loop.time())
@@ -205,27 +205,28 @@
         )
 
     async def _do_others_rule_out(
-        self, job: jobs.Job, submitters: tuple[calls.Submitter, ...]
+        self, service: ids.ServiceName, job: ids.JobId, submitters: tuple[calls.Submitter, ...]
     ) -> bool:
         """Return whether all other entries that submitted a job rule out that they stored it."""
 
         async def rules_out(submitter: calls.Submitter) -> bool:
             call = calls.CheckSubmission(
-                service=job.service, job=job.job, incarnation=submitter.incarnation
+                service=service, job=job, incarnation=submitter.incarnation
             )
             try:
                 reply = await self._peers.call(submitter.address, call, _CHECK_TIMEOUT_S)
             except exceptions.PeerError as error:
                 _log.info(
                     "An entry did not say what became of a submission.",
-                    job=job.job,
+                    job=job,
                     entry_address=submitter.address,
                     why=str(error),
                 )
                 return False
             return reply.status is calls.Status.NOT_STORED
 
-        return all(await asyncio.gather(*map(rules_out, submitters)))
+        others = [submitter for submitter in submitters if submitter != self._submitter]
+        return all(await asyncio.gather(*map(rules_out, others)))
 
     async def qualify_refusal(
         self,
@@ -300,7 +301,7 @@
         try:
             job_row = await self._rows.read(jobs.job_key(queue.service, job))
             if not job_row.version:
-                if self._may_appear(job, result):
+                if await self._may_appear(queue, job, result):
                     kind = exceptions.ErrorKind.JOB_UNREADABLE
                     raise exceptions.RequestError(kind, "its submission is in doubt")
                 raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
@@ -325,7 +326,7 @@
             row = await self._rows.read(jobs.job_key(queue.service, job))
             stored_job = rowcodec.decode(row, jobs.Job) if row.version else None
             if stored_job is None:
-                if self._may_appear(job, result):
+                if await self._may_appear(queue, job, result):
                     kind = exceptions.ErrorKind.JOB_UNSETTLED
                     raise exceptions.RequestError(kind, "its submission is in doubt")
                 raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
@@ -335,11 +336,18 @@
             raise exceptions.RequestError(kind, str(error)) from error
         _log.info("A job's cancellation is stored for its holder.", job=job)
 
-    def _may_appear(self, job: ids.JobId, result: CallResult) -> bool:
+    async def _may_appear(
+        self, queue: queues.Queue, job: ids.JobId, holder_result: CallResult
+    ) -> bool:
         """Return whether a job that is not in the table may still be stored."""
-        is_under_way = result.reply is not None and result.reply.status is calls.Status.UNSETTLED
-        return (
-            is_under_way or result.is_holder_lost or self._ledger.may_appear(job, self._loop.time())
+        if holder_result.is_holder_lost or self._ledger.may_appear(job, self._loop.time()):
+            return True
+        reply = holder_result.reply
+        if reply is None:
+            return False
+        is_under_way = reply.status is calls.Status.UNSETTLED
+        return is_under_way or not await self._do_others_rule_out(
+            queue.service, job, reply.other_submitters
         )
 
     async def count_pending(self, queue: queues.Queue) -> int:
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -264,6 +264,13 @@
         """Forget a job, as it is stored."""
         self._by_job.pop(job, None)
 
+    def get_recent(self, job: ids.JobId, now_s: float) -> tuple[calls.Submitter, ...]:
+        """Return the entries by whose submissions a job that is not in the table may appear."""
+        known = self._by_job.get(job)
+        if known is None or now_s - known.latest_s >= MAX_CARRY_OUT_DELAY_S:
+            return ()
+        return tuple(sorted(known.submitters, key=_get_address))
+
     def get_others(self, job: ids.JobId, submitter: calls.Submitter) -> tuple[calls.Submitter, ...]:
         """Return the other entries that have submitted a job."""
         known = self._by_job.get(job)
