--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -324,6 +324,15 @@
     context.error = await submit(context, "e0")
 
 
+@behave.when("a job is submitted after the table has been silent for {seconds:g} s")
+@jobs_steps.paused
+async def submit_in_outage(context, seconds):
+    make_job(context)
+    context.site.views["e0"].is_partitioned = True
+    await asyncio.sleep(seconds)
+    context.error = await submit(context, "e0")
+
+
 @behave.then("the caller is told {kind}, and that the job never runs")
 def check_told_not_run(context, kind):
     assert context.error.kind.value == kind, context.error.kind
@@ -344,6 +353,41 @@
     assert context.error is None, context.error.kind
 
 
+@behave.when("the holder's entry was {events}")
+@jobs_steps.paused
+async def lose_holder(context, events):
+    service, _ = context.site.entries["e0"]
+    manager, version, is_gone = service.lease_manager, 1, True
+
+    async def call(address, call, timeout_s):
+        if is_gone:
+            raise exceptions.PeerUnreachable(address)
+        return calls.Reply(status=calls.Status.UNKNOWN_JOB)
+
+    context.site.net.call = call
+    manager.get_holder = lambda pool: None
+    manager.get_holder_address = lambda pool: "h:3"
+    manager.get_lease_version = lambda pool: version
+    context.asks, context.made = "asks for its state", jobsite.job(1, ())
+    for event in events.split(", "):
+        if event == "asked for 6 s":
+            for _ in range(7):
+                await asyncio.sleep(1)
+                context.kind = await ask(context)
+        elif event == "left alone for 6 s":
+            await asyncio.sleep(6)
+        elif event == "replaced":
+            version += 1
+        else:
+            is_gone = event == "gone"
+            context.kind = await ask(context)
+
+
+@behave.then("a job that is not in the table is {kind}")
+def check_kind(context, kind):
+    assert context.kind.value == kind, context.kind
+
+
 async def call_holder(context, job):
     service, _ = context.site.entries["e0"]
     call = calls.SubmitJob(
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -152,6 +152,21 @@
       | is in a transaction of a holder that died | asks for its state |
       | is in a transaction of a holder that died | cancels the job    |
 
+  Scenario Outline: A lost holder's jobs are said to be unknown as another one was lost before
+    Given 1 entries and 4 workers of one service
+    When the holder's entry was <events>
+    Then a job that is not in the table is <kind>
+
+    Examples: nothing is ruled out for 5 s after a holder was lost
+      | events                                              | kind           |
+      | gone                                                | job-unreadable |
+      | gone, asked for 6 s                                 | unknown-job    |
+      | gone, left alone for 6 s, gone                      | job-unreadable |
+      | gone, asked for 6 s, replaced, gone                 | job-unreadable |
+      | gone, asked for 6 s, replaced, gone, asked for 6 s  | unknown-job    |
+      | gone, asked for 6 s, there, gone                    | job-unreadable |
+      | gone, asked for 6 s, there                          | unknown-job    |
+
   Scenario: A cancel that waits for its holder never ends as the holder has ended
     Given 1 entries and 4 workers of one service
     When a running job is cancelled at its holder while the table is silent, and the holder ends
@@ -199,6 +214,11 @@
       | 503    | table-unavailable |
       | 413    | body-too-large    |
 
+  Scenario: A job is in doubt though the table was known to be silent before it was submitted
+    Given 1 entries and 4 workers of one service
+    When a job is submitted after the table has been silent for 1.6 s
+    Then the caller is told table-unavailable, and that the job never runs
+
   Scenario: Jobs whose callers have left fill the memory of their holder
     Given 1 entries and 4 workers of one service
     When 50 callers leave while their jobs wait at a holder whose table turns them away
