Rejected submissions: a store that fails for one entry at a time

A store may turn some entries away while it serves the others; the holder then gives its leases up, and a try in doubt at one entry meets another holder at the next. Nothing is killed or stopped.

--- a/features/steps/platform_processes_steps.py
+++ b/features/steps/platform_processes_steps.py
@@ -55,16 +55,20 @@
 @behave.given(
     "the platform's stand-in with {workers:d} workers and {entries:d} entries as processes"
 )
-def start_processes(context, workers, entries):
+def start_processes(context, workers, entries, listen_for_entry=None):
+    """Start entries, which reach the platform at its port or at ports of their own."""
+
     async def start():
         await platform_steps.make_platform(context, workers)
+        ports = [context.platform.port] * entries
+        if listen_for_entry is not None:
+            ports = [await listen_for_entry(f"e{number}") for number in range(entries)]
         # Callers here use an entry's address as host name, so that the queue's host must match it.
         config = json.loads(json.dumps(platformsite.CONFIG))
         config["routes"][0]["host"] = "127.0.0.1"
         context.platform.write("op//config", json.dumps(config).encode())
         context.processes = [
-            platformsite.EntryProcess(f"e{number}", context.platform.port)
-            for number in range(entries)
+            platformsite.EntryProcess(f"e{number}", port) for number, port in enumerate(ports)
         ]
         for process in context.processes:
             context.cleanup.append(process.stop)
--- a/features/steps/rejected_submission_steps.py
+++ b/features/steps/rejected_submission_steps.py
@@ -25,6 +25,23 @@
 }
 
 
+@behave.given(
+    "the platform's stand-in with {workers:d} workers and {entries:d} entries as processes,"
+    " each with its own link to the store"
+)
+def start_linked_processes(context, workers, entries):
+    context.links = {}
+
+    async def listen(name):
+        link = context.links[name] = submission_faults.StoreLink(
+            context.platform, random.Random(context.rng.random())
+        )
+        context.cleanup.append(link.server.close)
+        return await link.server.start("127.0.0.1", 0)
+
+    platform_processes_steps.start_processes(context, workers, entries, listen)
+
+
 @behave.given("a store that is slow for jobs stored by their holder and refuses other jobs")
 def slow_down_holder(context):
     rng = random.Random(context.rng.random())
@@ -75,6 +92,24 @@
     context.run(run())
 
 
+@behave.when(
+    "{rate:d} jobs a second are submitted over HTTP for {duration_s:d} s, with up to"
+    " {max_tries:d} tries each, while the slow store fails for one entry at a time"
+)
+def submit_during_failures_of_entries(context, rate, duration_s, max_tries):
+    rng = random.Random(context.rng.random())
+
+    async def run():
+        make_store_fail(context, rng, submission_faults.make_refusals(duration_s))
+        async with asyncio.TaskGroup() as group:
+            group.create_task(submit_jobs(context, rate, duration_s, max_tries))
+            group.create_task(
+                submission_faults.fail_for_entries(context.world, context.links, rng, duration_s)
+            )
+
+    context.run(run())
+
+
 def make_store_fail(context, rng, series):
     context.store_faults = submission_faults.FaultyStore(context.platform, rng, series)
     context.platform.handle_transaction = context.store_faults.handle
--- a/features/submission_faults.py
+++ b/features/submission_faults.py
@@ -5,9 +5,11 @@
 import dataclasses
 import datetime
 import enum
+import json
 import signal
 
 from nutmegshelf import codecs, leases
+from nutmegshelf_http import server
 
 SERVICE = "a"
 SILENCE_S = 3.0
@@ -20,6 +22,8 @@
 PAUSE_S = (0.8, 3.0)
 STOPPED_S = (0.3, 2.5)
 DOWN_S = (0.1, 1.5)
+FAILING_S = (0.3, 2.5)
+SERVED_S = (0.1, 1.0)
 
 
 def writes_jobs(data):
@@ -91,6 +95,13 @@
     return [Series(fault, subject, QUIET_S, duration_s, share) for fault, subject, share in shares]
 
 
+def make_refusals(duration_s):
+    """Return faults that delay jobs stored by their holder and refuse some of the others."""
+    slow = Series(Fault.SLOW, Subject.STORED_BY_HOLDER, QUIET_S, duration_s, 0.5)
+    refused = Series(Fault.UNAVAILABLE, Subject.STORED_WITHOUT_HOLDER, QUIET_S, duration_s, 0.5)
+    return [slow, refused]
+
+
 class FaultyStore:
     """Handle the transactions of a platform's stand-in with faults, and record those of jobs."""
 
@@ -144,6 +155,48 @@
                 self.lines_by_job[write["key"]].append(line)
 
 
+class StoreLink:
+    """The platform as one entry reaches it; the store may fail for that entry alone."""
+
+    def __init__(self, platform, rng):
+        self.platform = platform
+        self.rng = rng
+        self.is_failing = False
+        self.server = server.Server(self.handle)
+
+    async def handle(self, exchange):
+        if not self.is_failing or not exchange.target.startswith("/v1/rows-"):
+            await self.platform.handle(exchange)
+            return
+        body = await self.platform.link.receive(exchange)
+        match self.rng.choice((Fault.UNAVAILABLE, Fault.RESET, Fault.LOST)):
+            case Fault.UNAVAILABLE:
+                await self.platform.link.send(exchange, 503, b"{}")
+                return
+            case Fault.LOST if exchange.target == "/v1/rows-tx":
+                self.platform.commit(json.loads(body))
+        exchange.connection.reset()
+
+
+def find_holder(world):
+    row = world.table.read(leases.key(SERVICE))
+    return codecs.unpack(row.value, leases.LeaseRow).holder if row.version else None
+
+
+async def fail_for_entries(world, links, rng, duration_s):
+    """Have the store fail for one entry at a time, half of the time the holder of the service."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + duration_s
+    while loop.time() < until_s:
+        await asyncio.sleep(rng.uniform(*SERVED_S))
+        holder = links.get(find_holder(world))
+        is_holder = holder is not None and rng.random() < 0.5
+        link = holder if is_holder else rng.choice(list(links.values()))
+        link.is_failing = True
+        await asyncio.sleep(rng.uniform(*FAILING_S))
+        link.is_failing = False
+
+
 class EntryFaults:
     """Kill and restart, or stop and continue, entries, mostly the holder of the service."""
 
@@ -154,8 +207,7 @@
         self.disturbed = set()
 
     def choose(self):
-        row = self.world.table.read(leases.key(SERVICE))
-        holder = codecs.unpack(row.value, leases.LeaseRow).holder if row.version else None
+        holder = find_holder(self.world)
         free = [process for process in self.processes if process.name not in self.disturbed]
         holders = [process for process in free if process.name == holder]
         chosen = holders if holders and self.rng.random() < 0.7 else free
