Orders of events: the caller's own time limit ends with the holder's

The orders went through the router, not through the handler, whose limit cancels a submission. Now all orders of two events, and random ones of four at three entries, also run with callers whose limit ends in the turn in which the holder's does.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -24,12 +24,14 @@
 SLOW_WRITE_S = 0.5
 
 
-def run(context, orders, gap_turns, entries):
+def run(context, orders, gap_turns, entries, caller_limit_s=None):
     for start in range(0, len(orders), ORDERS_PER_SITE):
         batch = orders[start : start + ORDERS_PER_SITE]
         context.contradictions += [
             f"{gap_turns} turns apart: {contradiction}"
-            for contradiction in clock.run(submission_orders.run_orders(batch, gap_turns, entries))
+            for contradiction in clock.run(
+                submission_orders.run_orders(batch, gap_turns, entries, caller_limit_s)
+            )
         ]
 
 
@@ -55,6 +57,29 @@
         run(context, orders, gap_turns, entries)
 
 
+@behave.when(
+    "a submission whose caller's time limit ends with the holder's meets all orders of "
+    "{length:d} events, {low:d} to {high:d} turns of the loop apart"
+)
+def run_all_with_limit(context, length, low, high):
+    context.contradictions = []
+    for gap_turns in range(low, high + 1):
+        orders = submission_orders.list_orders(length)
+        run(context, orders, gap_turns, 1, submission_orders.ACCEPT_LIMIT_S)
+
+
+@behave.when(
+    "a submission at {entries:d} entries whose callers' time limits end with the holder's meets "
+    "{count:d} random orders of {length:d} events, {low:d} to {high:d} turns of the loop apart"
+)
+def run_random_with_limit(context, entries, count, length, low, high):
+    context.contradictions = []
+    gaps = range(low, high + 1)
+    for gap_turns in gaps:
+        orders = submission_orders.draw_orders(context.rng, count // len(gaps), length)
+        run(context, orders, gap_turns, entries, submission_orders.ACCEPT_LIMIT_S)
+
+
 @behave.then("no caller's answer is contradicted")
 def check_answers(context):
     assert not context.contradictions, "\n".join(context.contradictions)
--- a/features/submission_orders.py
+++ b/features/submission_orders.py
@@ -5,8 +5,10 @@
 import enum
 import functools
 import itertools
+import types
 
 from nutmegshelf import exceptions, jobs, leases
+from nutmegshelf_entry import job_handler, job_metrics
 
 from features import jobsite, jobworld
 
@@ -79,8 +81,9 @@
     The table turns away whatever tries to store the job without its holder.
     """
 
-    def __init__(self, site, number):
+    def __init__(self, site, number, caller_limit_s=None):
         self._site = site
+        self._caller_limit_s = caller_limit_s
         self._job = jobsite.job(number, STEPS)
         self._commits = {name: view.commit for name, view in site.views.items()}
         holder = site.holder_of("a")
@@ -140,6 +143,9 @@
     async def _submit(self, attempt, name):
         service, _ = self._site.entries[name]
         try:
+            if self._caller_limit_s is not None:
+                attempt.outcome = await post(service, self._job, self._caller_limit_s)
+                return
             await service.job_router.submit(self._job)
             attempt.outcome = "accepted"
         except exceptions.RequestError as error:
@@ -217,7 +223,39 @@
         return None
 
 
-async def run_orders(orders, gap_turns, entries=1):
+async def post(service, job, limit_s):
+    """Submit a job as a caller that waits for so long; return the outcome that it is told."""
+    outcomes = []
+    codec = types.SimpleNamespace(
+        # The handler answers a little earlier than its caller gives up.
+        get_timeout_s=lambda exchange: limit_s + job_handler._RESPONSE_RESERVE_S,
+        get_request_id=lambda exchange: None,
+        decode_job=lambda body, name, queue, now_ms: job,
+        encode_state=lambda state: b"",
+    )
+
+    async def read_body(limit):
+        return b""
+
+    async def respond(status, headers, body):
+        told = dict(headers).get(b"nutmegshelf-outcome", b"accepted")
+        outcomes.append(told.decode())
+
+    metrics = job_metrics.JobMetrics(service.timings)
+    handler = job_handler.JobHandler(service.active_queues, codec, service.job_router, metrics)
+    await handler.handle(
+        types.SimpleNamespace(
+            method="POST",
+            target=f"/q/{job.job}",
+            get_header={b"host": b"x"}.get,
+            connection=types.SimpleNamespace(read_body=read_body),
+            respond=respond,
+        )
+    )
+    return outcomes[0]
+
+
+async def run_orders(orders, gap_turns, entries=1, caller_limit_s=None):
     """Return the orders of events after which an answer was contradicted, with the answers."""
     world = jobworld.World({"a": 4})
     world.default_work = (0.1, world.default_work[1])
@@ -228,7 +266,7 @@
     await asyncio.sleep(START_S)
     contradictions = []
     for number, order in enumerate(orders):
-        contradiction = await Trial(site, number + 1).run(order, gap_turns)
+        contradiction = await Trial(site, number + 1, caller_limit_s).run(order, gap_turns)
         if contradiction is not None:
             names = " > ".join(event.name for event in order)
             contradictions.append(f"{names}: {contradiction}")
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -17,6 +17,14 @@
     When a submission at 3 entries meets 80 random orders of 4 events, 0 to 3 turns of the loop apart
     Then no caller's answer is contradicted
 
+  Scenario: A job is rejected though it was stored as its caller's own time limit ended
+    When a submission whose caller's time limit ends with the holder's meets all orders of 2 events, 0 to 1 turns of the loop apart
+    Then no caller's answer is contradicted
+
+  Scenario: A job is rejected though another try of it, whose caller's own time limit ended, is stored
+    When a submission at 3 entries whose callers' time limits end with the holder's meets 80 random orders of 4 events, 0 to 3 turns of the loop apart
+    Then no caller's answer is contradicted
+
   Scenario Outline: A retry is rejected as not run though the <gone> of the first try stored the job late
     Given 3 entries and 4 workers of one service
     When a job's write by the <gone> of its first try is carried out 2 s after that entry's end
