An entry whose doubts can't be followed for a fault here is followed anew

The task that follows an entry left its place in the table of tasks when it failed, so that no other one began, and each later rejection at this entry would be in doubt.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
@@ -129,13 +129,17 @@
 
     async def _follow(self, address: str) -> None:
         delay_s = _MIN_RETRY_DELAY_S
-        while address in self._list_addresses():
-            if await self._list(address):
-                delay_s = _MIN_RETRY_DELAY_S
-            else:
-                await asyncio.sleep(delay_s)
-                delay_s = min(_MAX_RETRY_DELAY_S, 2 * delay_s)
-        del self._followers[address]
+        try:
+            while address in self._list_addresses():
+                if await self._list(address):
+                    delay_s = _MIN_RETRY_DELAY_S
+                else:
+                    await asyncio.sleep(delay_s)
+                    delay_s = min(_MAX_RETRY_DELAY_S, 2 * delay_s)
+        finally:
+            # After a standstill, another task follows the entry.
+            if self._followers.get(address) is asyncio.current_task():
+                del self._followers[address]
 
     async def _list(self, address: str) -> bool:
         """Receive one list of an entry; return whether it answered."""
