A planned move whose transaction got no answer is tried in the next pass

The policy plans a move of a worker to a pool that lacks one, and the table is unavailable as the drain is to be stored. The worker stayed, though its pool's holder went on 12 s later.

Cause: a move counted as carried out once it was handed over to the holder.

Now the holder keeps such a move for up to a minute. The next pass reads the rows anew and tries it again if the worker still serves there and the receiver's row is unchanged: that row changes with every worker sent, also by a transaction that took effect without an answer. A newer plan for the same pool replaces it.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -57,6 +57,17 @@
       | 5      |
       | 10     |
 
+  Scenario Outline: A planned move is given up, as its transaction met the fault "<fault>"
+    Given two pools of 4 workers held by an entry, and a move of one worker to pool c is planned once
+    When the fault "<fault>" occurs in the transaction of the move
+    Then pool c got exactly one worker and each of 8 workers is in one pool
+
+    Examples:
+      | fault        |
+      | outage       |
+      | lost answer  |
+      | doubled call |
+
   Scenario: An extension's policy registers like the built-in ones
     Given a policy that an extension registers
     Then it is created by its name like the built-in ones
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -184,11 +184,64 @@
     clock.run(work())
 
 
+class OneFaultInjector:
+    """Injector of a fault at the next call after it was set."""
+
+    def __init__(self):
+        self.fault = None
+        self.calls = 0
+
+    def next_fault(self):
+        self.calls += 1
+        fault, self.fault = self.fault, None
+        return fault
+
+
+@behave.given(
+    "two pools of 4 workers held by an entry, and a move of one worker to pool c is planned once"
+)
+def make_two(context):
+    records = fleet.make_records(["a", "c"], 4)
+    declared = fleet.declare(["a", "c"], 4, 0.0)
+    context.injector = OneFaultInjector()
+    planned = [moves.WorkerMove(ids.WorkerId("a-w0"), "c")]
+
+    def plan_once(snapshot, pool):
+        if pool != "a" or not planned:
+            return []
+        context.injector.fault = context.fault
+        return [planned.pop()]
+
+    fleet_list = fleet.make_fleet_list(records)
+    context.site = fleet.Site(declared, records, fleet_list, plan_once)
+    for record in records:
+        row = hosts.enroll(record, 0.0)
+        context.site.store.commit(platform.Transaction(writes=(hosts.encode(row),)))
+
+
+@behave.when('the fault "{fault}" occurs in the transaction of the move')
+def run_with_fault(context, fault):
+    context.fault = fault
+    context.site.add("entry-0", ["entry-0"], context.injector)
+
+    async def work():
+        context.site.start()
+        await asyncio.sleep(60.0)
+        await context.site.stop()
+
+    clock.run(work())
+
+
 @behave.then("pool c got exactly one worker and each worker is in one pool")
 def check_three(context):
+    check_assigned(context, 12)
+
+
+@behave.then("pool c got exactly one worker and each of {count:d} workers is in one pool")
+def check_assigned(context, count):
     rows = context.site.rows()
     assert sum(row.pool == "c" for row in rows.values()) == 5, rows
-    assert len(rows) == 12 and not context.site.violations, context.site.violations[:1]
+    assert len(rows) == count and not context.site.violations, context.site.violations[:1]
 
 
 @behave.given("a policy that an extension registers")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/pools.py
@@ -90,6 +90,7 @@
         self._workers: dict[ids.WorkerId, workers.WorkerRecord] = {}
         self._workers_revision = -1
         self._minions: tuple[platform.MinionRecord, ...] = ()
+        self._unsettled_moves: dict[ids.PoolName, list[moves.PlannedMove]] = {}
 
     async def run(self) -> None:
         """Run a pass in every interval, until cancelled."""
@@ -319,10 +320,31 @@
         await self.commit(pool, snapshot, transaction)
 
     async def _move_workers(self, pool: ids.PoolName, snapshot: drains.Snapshot) -> None:
-        for worker_move in self._plan_moves(snapshot, pool) if self._plan_moves else []:
-            await self.drain(
-                pool, snapshot, worker_move.worker, hosts.Purpose.MOVE, to_pool=worker_move.to_pool
+        now_s, move_rows = asyncio.get_running_loop().time(), snapshot.move_rows_by_pool
+        rows_by_worker = {row.worker: row for row in snapshot.get_host_rows(pool)}
+        due = [
+            moves.PlannedMove(move, moves.get_row(move_rows, move.to_pool).version, now_s)
+            for move in (self._plan_moves(snapshot, pool) if self._plan_moves else [])
+        ]
+        receivers = {planned.move.to_pool for planned in due}
+        due += [
+            planned
+            for planned in self._unsettled_moves.pop(pool, [])
+            if planned.move.to_pool not in receivers
+            and planned.is_due(
+                rows_by_worker.get(planned.move.worker),
+                moves.get_row(move_rows, planned.move.to_pool),
+                now_s,
             )
+        ]
+        for index, planned in enumerate(due):
+            worker, to_pool = planned.move.worker, planned.move.to_pool
+            try:
+                await self.drain(pool, snapshot, worker, hosts.Purpose.MOVE, to_pool=to_pool)
+            except exceptions.TableError:
+                # The next pass reads whether the transaction took effect.
+                self._unsettled_moves[pool] = due[index:]
+                raise
 
     async def _start_maintenance(self, pool: ids.PoolName, snapshot: drains.Snapshot) -> None:
         rows = snapshot.get_host_rows(pool)
--- a/packages/nutmegshelf/src/nutmegshelf/drains.py
+++ b/packages/nutmegshelf/src/nutmegshelf/drains.py
@@ -147,9 +147,8 @@
     writes = [hosts.encode(row), *(budget.add_worker(worker) for budget in charged)]
     if to_pool is not None:
         # Several pools may send to the same pool concurrently; its row serializes them.
-        absent = platform.Row(moves.key(to_pool), 0)
         condition, write = moves.prepare_send(
-            snapshot.move_rows_by_pool.get(to_pool, absent), to_pool
+            moves.get_row(snapshot.move_rows_by_pool, to_pool), to_pool
         )
         conditions.append(condition)
         writes.append(write)
--- a/packages/nutmegshelf/src/nutmegshelf/moves.py
+++ b/packages/nutmegshelf/src/nutmegshelf/moves.py
@@ -32,6 +32,24 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedMove:
+    """Move planned at a time, with the version of the receiver's row then."""
+
+    move: WorkerMove
+    row_version: int
+    planned_s: float
+
+    def is_due(self, host: hosts.HostRow | None, row: platform.Row, now_s: float) -> bool:
+        """Return whether to send the worker after a transaction without an answer.
+
+        Whoever sends a worker to the pool changes its row, and the move may not be needed then.
+        """
+        is_serving = host is not None and host.step is hosts.HostStep.SERVING
+        is_recent = now_s - self.planned_s < _MAX_PLAN_AGE_S
+        return is_serving and is_recent and row.version == self.row_version
+
+
 class MoveRow(msgspec.Struct, frozen=True, kw_only=True):
     """Count of the workers ever sent to a pool; concurrent senders conflict on this row."""
 
@@ -122,6 +140,11 @@
     return PREFIX + pool
 
 
+def get_row(rows_by_pool: dict[ids.PoolName, platform.Row], pool: ids.PoolName) -> platform.Row:
+    """Return the row that counts the workers sent to a pool, with version 0 if there is none."""
+    return rows_by_pool.get(pool, platform.Row(key(pool), 0))
+
+
 def prepare_send(
     row: platform.Row, pool: ids.PoolName
 ) -> tuple[platform.Condition, platform.Write]:
@@ -344,3 +367,4 @@
 _HIGH_UTILIZATION = 0.9
 _LOW_UTILIZATION = 0.5
 _COOLDOWN_S = 30.0
+_MAX_PLAN_AGE_S = 60.0
