A publish that waits says that it was accepted, also where no entry answers any more

It exited with 6, "no entry answered", which an operator reads as a publish that was not accepted.

Cause: a call for the status without an answer ended the command as if the publish had got none.

Now it exits with 7, accepted but not confirmed, and says why.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -83,6 +83,11 @@
     And the command "publish costa_viva --wait" is run
     Then it exits with 7 and prints "is not confirmed by e2"
 
+  Scenario: An accepted publish is said to have reached no entry, as none is left to confirm it
+    Given "e0" ends 0.5 s after it accepts a publish, and "e2" is cut off
+    When the command "publish dorna --wait" is run at "e0"
+    Then it exits with 7 and prints "version 1 is not confirmed"
+
   Scenario: Read commands work during a table outage and show the age of their data
     When the command "publish dorna --operator ana --wait" is run
     And the table is down for the commands
--- a/features/entries.py
+++ b/features/entries.py
@@ -10,6 +10,7 @@
 SLOW_READ_S = 2.0
 # How long after its answer was lost a transaction takes effect.
 LATE_S = 1.0
+END_S = 0.5
 _CALL_DURATION_S = 0.01
 _TIMEOUT_S = 2.0
 
@@ -31,6 +32,8 @@
         self.delay_s = 0.0
         self.faults = {}
         self.steps = []
+        # Ends an entry after the fault "ended after".
+        self.end_entry = lambda entry: None
 
     async def call(self, entry, step, effect):
         """Execute a step of an entry, with the fault that is set for the step or its number."""
@@ -58,6 +61,8 @@
         if fault == "partitioned after":
             self.partitioned = frozenset({entry})
             raise exceptions.TableAnswerLost(step)
+        if fault == "ended after":
+            asyncio.get_running_loop().call_later(END_S, self.end_entry, entry)
         if fault == "down after":
             self.is_down = True
             raise exceptions.TableAnswerLost(step)
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -171,6 +171,19 @@
     context.served.site.platform.faults[name, "commit head"] = "down after"
 
 
+@behave.given('"{name}" ends 0.5 s after it accepts a publish, and "{other}" is cut off')
+def end_entry(context, name, other):
+    served = context.served
+
+    def end(entry):
+        listener = served.servers[list(served.site.entries).index(entry)]
+        served.closing = asyncio.ensure_future(listener.close())
+
+    served.site.platform.end_entry = end
+    served.site.platform.faults[name, "commit head"] = "ended after"
+    cut_off(context, other)
+
+
 @behave.given('"{name}" ends as a publish of it is accepted')
 def kill_entry(context, name):
     context.served.site.platform.faults[name, "commit head"] = "killed after"
--- a/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
+++ b/packages/nutmegshelf-cli/src/nutmegshelf_cli/publishing.py
@@ -154,7 +154,11 @@
     started_s = time.monotonic()
     shown_count = -1
     while True:
-        entries = operator_session.get("/status").body["entries"]
+        try:
+            entries = operator_session.get("/status").body["entries"]
+        except typer.Exit:
+            print(f"version {version} is not confirmed, as no entry answers", file=sys.stderr)
+            raise typer.Exit(session.ExitCode.UNCONFIRMED) from None
         live_entries = [row for row in entries if row["is_live"]]
         unconfirmed = sorted(row["entry"] for row in live_entries if row["version"] < version)
         if len(unconfirmed) != shown_count and not as_json:
