Known red: a job whose queue moves to another service is unknown, and runs twice if submitted again

A job's row lies in the partition of the service to which its queue was sent when it was submitted; a state, a cancel or a repeated submission looks in the partition of the service of now, finds no row, and takes that for proof.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -10,11 +10,12 @@
 from nutmegshelf_entry import job_codec, job_handler, job_metrics, job_service
 from nutmegshelf_standins import clock
 
-from features import jobsite, submission_orders
+from features import jobsite, jobworld, submission_orders
 from features.steps import explaining_steps, jobs_steps
 
 # The fake table's log grows with each order, so that a site serves only so many.
 ORDERS_PER_SITE = 40
+START_S = 6.0
 BODY = json.dumps(
     {"spec": "s", "steps": [{"count": 1, "cpu_millis": 1000, "estimate_ms": 500}]}
 ).encode()
@@ -986,6 +987,60 @@
 def check_quick_response(context, status, limit_s):
     shown, took_s = context.response
     assert (shown, took_s <= limit_s) == (status, True), context.response
+# --- a queue whose service changes
+
+
+@behave.given("{entries:d} entries and two services")
+@jobs_steps.paused
+async def make_two_services(context, entries):
+    context.world = jobworld.World({"a": 2, "b": 2})
+    context.world.default_work = (3.0, fleetview.RunOutcome.DONE)
+    context.site = jobsite.Site(context.world)
+    declare_services(context, "a", version=1)
+    for number in range(entries):
+        context.site.start(f"e{number}")
+    await asyncio.sleep(START_S)
+
+
+def declare_services(context, service, version):
+    other = "b" if service == "a" else "a"
+    queues = jobsite.queue(service=service), jobsite.queue(name="other", service=other)
+    context.world.declare(jobsite.declare(*queues, version=version))
+
+
+@behave.when("a job is accepted, and its queue moves to the other service")
+@jobs_steps.paused
+async def accept_and_move(context):
+    make_job(context)
+    assert await submit(context, "e0") is None
+    declare_services(context, "b", version=2)
+    await asyncio.sleep(0.5)
+    context.made = jobsite.job(1, submission_orders.STEPS, queue=jobsite.queue(service="b"))
+
+
+@behave.when("a caller {asks}")
+@jobs_steps.paused
+async def ask_after_move(context, asks):
+    context.asks = asks
+    context.kind = await ask(context)
+
+
+@behave.then("the caller is told of the job")
+def check_told(context):
+    assert context.kind is None, context.kind
+
+
+@behave.when("the same submission arrives once more")
+@jobs_steps.paused
+async def submit_once_more(context):
+    assert await submit(context, "e0") is None
+
+
+@behave.then("it remains one job")
+@jobs_steps.paused
+async def check_one_job(context):
+    await asyncio.sleep(submission_orders.WATCH_S)
+    jobs_steps.check_no_violations(context)
 
 
 # --- what is known, by itself
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -232,6 +232,18 @@
     When 50 callers leave while their jobs wait at a holder whose table turns them away
     Then the holder keeps none of these jobs
 
+  Scenario: An accepted job whose queue moves to another service is said to be unknown
+    Given 3 entries and two services
+    When a job is accepted, and its queue moves to the other service
+    And a caller asks for its state
+    Then the caller is told of the job
+
+  Scenario: An accepted job whose queue moves to another service runs twice
+    Given 3 entries and two services
+    When a job is accepted, and its queue moves to the other service
+    And the same submission arrives once more
+    Then it remains one job
+
   Scenario Outline: What is known of a submission goes beyond the answers to its attempts
     Then a submission is <outcome> after it was <events>
 
