Doubts that an entry drops, as there are many, leave all rejections in doubt for a while

Callers whose job was in doubt could read 503, "never runs", and the job could run, once 4,096 later jobs were in doubt, of any service and entry.

Cause: an entry keeps the latest doubts, and a doubt that was dropped reads like none, without a word.

The ledger now keeps when the dropped ones were in doubt, and says of any job that it may be stored until 60 s after, as long as a write may be carried out; the log says why. It keeps 16,384 doubts, so that this takes 273 a second for a minute.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -987,6 +987,8 @@
 def check_quick_response(context, status, limit_s):
     shown, took_s = context.response
     assert (shown, took_s <= limit_s) == (status, True), context.response
+
+
 # --- a queue whose service changes
 
 
@@ -1069,14 +1071,18 @@
 )
 def check_ledger(context, events, stored, appears):
     ledger, job, now_s = submissions.Ledger(max_jobs=10), jobsite.job(1, ()).job, 0.0
+    others = [jobsite.job(number, ()).job for number in range(2, 12)]
     for event in events.split(", "):
         if event == "begun":
             ledger.begin(job)
         elif event == "reported":
             ledger.report_doubt(job, now_s)
+        elif event == "10 others reported":
+            for other in others:
+                ledger.report_doubt(other, now_s)
         elif event == "kept for long":
             now_s += submissions.MAX_CARRY_OUT_DELAY_S
         else:
             ledger.end(job, submissions.Outcome(event), now_s)
-    told = ledger.may_be_stored(job), ledger.may_appear(job, now_s)
+    told = ledger.may_be_stored(job, now_s), ledger.may_appear(job, now_s)
     assert told == (stored == "may", appears == "may"), told
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -270,18 +270,20 @@
     Then after a job was <events>, an entry says that it <stored> be stored, and that it <appears> appear
 
     Examples: submissions of callers, how they ended, and reports of other entries
-      | events                            | stored | appears |
-      | begun                             | may    | may     |
-      | begun, not-stored                 | can't  | can't   |
-      | begun, stored                     | may    | can't   |
-      | begun, unknown                    | may    | may     |
-      | reported                          | may    | may     |
-      | reported, kept for long           | may    | can't   |
-      | begun, kept for long              | may    | may     |
-      | begun, begun, not-stored          | may    | may     |
-      | begun, unknown, begun, not-stored | may    | may     |
-      | begun, unknown, begun, stored     | may    | can't   |
-      | reported, begun, not-stored       | may    | may     |
+      | events                                      | stored | appears |
+      | begun                                       | may    | may     |
+      | begun, not-stored                           | can't  | can't   |
+      | begun, stored                               | may    | can't   |
+      | begun, unknown                              | may    | may     |
+      | reported                                    | may    | may     |
+      | reported, kept for long                     | may    | can't   |
+      | begun, kept for long                        | may    | may     |
+      | begun, begun, not-stored                    | may    | may     |
+      | begun, unknown, begun, not-stored           | may    | may     |
+      | begun, unknown, begun, stored               | may    | can't   |
+      | reported, begun, not-stored                 | may    | may     |
+      | reported, 10 others reported                | may    | may     |
+      | reported, 10 others reported, kept for long | can't  | can't   |
 
   Scenario: A retry is rejected as not run while the entry of the first try, whose caller has left, writes the job
     Given 3 entries and 4 workers of one service
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -26,7 +26,7 @@
 _REPORT_WAIT_S = 0.15
 # The same once the caller's time limit has ended; shorter than the reserve for the response.
 _LATE_REPORT_WAIT_S = 0.06
-_MAX_KNOWN_JOBS = 4_096
+_MAX_KNOWN_JOBS = 16_384
 # An entry with a stale configuration usually has the latest one after this time.
 _STALE_RETRY_AFTER_S = 1.0
 
@@ -128,7 +128,7 @@
 
     def _can_rule_out(self, call: calls.CheckSubmission) -> bool:
         is_same_process = call.incarnation == self._submitter.incarnation
-        return is_same_process and not self._ledger.may_be_stored(call.job)
+        return is_same_process and not self._ledger.may_be_stored(call.job, self._loop.time())
 
     def _is_routed(self, call: calls.QueueCall) -> bool:
         routes = self._active_queues.routes
@@ -239,18 +239,22 @@
         if refusal.is_qualified or refusal.outcome is not exceptions.Outcome.NOT_RUN:
             return refusal
         refusal.is_qualified = True
+        now_s = self._loop.time()
+        if self._ledger.has_dropped_recent(now_s):
+            _log.info("Too many jobs are in doubt to know each.", job=job)
         if refusal.response.status not in _RETRYABLE_STATUSES:
-            if self._ledger.may_be_stored(job):
+            if self._ledger.may_be_stored(job, now_s):
                 refusal.mark_sent()
             return refusal
         gaps = frozenset[doubt_coverage.Gap]()
         # An entry without a configuration says so, unless it was told of a doubt.
         is_ready = refusal.kind is not exceptions.ErrorKind.NOT_READY
-        if is_ready and not self._ledger.may_be_stored(job):
+        if is_ready and not self._ledger.may_be_stored(job, now_s):
             gaps = await self.doubt_watch.refresh(are_submitters_known=are_submitters_known)
             if gaps - {doubt_coverage.Gap.UNLISTED}:
                 self._ledger.report_doubt(job, self._loop.time())
-        may_be_stored = self._ledger.may_be_stored(job) or self._ledger.is_open_elsewhere(job)
+        may_be_stored = self._ledger.may_be_stored(job, self._loop.time())
+        may_be_stored = may_be_stored or self._ledger.is_open_elsewhere(job)
         if not gaps and not may_be_stored:
             return refusal
         kind = exceptions.ErrorKind.JOB_UNSETTLED
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -130,6 +130,8 @@
         self._open: collections.Counter[ids.JobId] = collections.Counter()
         # When each job was last in doubt, and the stored jobs; the oldest first.
         self._doubtful_s: dict[ids.JobId, float] = {}
+        # When the jobs were last in doubt that were dropped as there were too many.
+        self._dropped_s = -math.inf
         self._stored: dict[ids.JobId, None] = {}
         # When submissions at this entry ended without proof; the oldest first.
         self._own_doubtful_s: dict[ids.JobId, float] = {}
@@ -165,7 +167,8 @@
         """Record that a submission of a job ended without proof at a time."""
         self._doubtful_s[job] = max(doubtful_s, self._doubtful_s.pop(job, doubtful_s))
         while len(self._doubtful_s) > self._max_jobs:
-            del self._doubtful_s[next(iter(self._doubtful_s))]
+            dropped_s = self._doubtful_s.pop(next(iter(self._doubtful_s)))
+            self._dropped_s = max(self._dropped_s, dropped_s)
 
     def list_doubts(self, max_age_s: float, now_s: float) -> tuple[calls.Doubt, ...]:
         """Return the jobs that submissions at this entry left in doubt lately."""
@@ -207,11 +210,16 @@
         """Return whether a job that is not in the table now may be stored later."""
         doubtful_s = self._doubtful_s.get(job)
         is_recent = doubtful_s is not None and now_s - doubtful_s < MAX_CARRY_OUT_DELAY_S
-        return job in self._open or is_recent
+        return job in self._open or is_recent or self.has_dropped_recent(now_s)
 
-    def may_be_stored(self, job: ids.JobId) -> bool:
+    def may_be_stored(self, job: ids.JobId, now_s: float) -> bool:
         """Return whether any submission that ended, or is open here, may have stored the job."""
-        return job in self._open or job in self._doubtful_s or job in self._stored
+        is_known = job in self._open or job in self._doubtful_s or job in self._stored
+        return is_known or self.has_dropped_recent(now_s)
+
+    def has_dropped_recent(self, now_s: float) -> bool:
+        """Return whether any job may have been in doubt lately without being known as such."""
+        return now_s - self._dropped_s < MAX_CARRY_OUT_DELAY_S
 
 
 @dataclasses.dataclass(slots=True)
