An entry that stood still for long takes no other entry for dead

Cause: it asked the live entries for their doubts, and none was: an entry is live for 5 s after the table's rows last showed its heartbeat, and this one had not read them meanwhile. (Its log shows no list that failed, though the third entry was down then.)

The entries asked are now those that were active when the rows were last read, however long ago.

Evidence: "... at an entry that could not read heartbeats for 6 s and did not get the report" fails before (ASSERT FAILED: ErrorKind.TABLE_UNAVAILABLE).

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -113,6 +113,10 @@
     view.commit = choose
 
 
+async def refuse_scan(prefix):
+    raise exceptions.TableUnavailable(prefix)
+
+
 def refuse_jobs(view):
     """Have the table turn away all transactions that store a job."""
     commit, prefix = view.commit, jobs.job_key("a", "")
@@ -738,6 +742,9 @@
     if missed.startswith("rejected others"):
         error = await reject(context, context.retry_at, 2)
         assert error.outcome is exceptions.Outcome.NOT_RUN, error.kind
+    if missed.startswith("could not read heartbeats for 6 s"):
+        site.views[context.retry_at].scan = refuse_scan
+        await asyncio.sleep(6.0)
     job = make_job(context)
     if missed.startswith("started anew"):
         await site.kill(context.retry_at)
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -84,12 +84,13 @@
     Then the caller is told that the job may run
 
     Examples: how a report is missed
-      | missed                                 | delay_s |
-      | did not get                            | 0       |
-      | rejected others and did not get        | 0.6     |
-      | rejected others and stood still during | 0       |
-      | started anew after                     | 0.2     |
-      | started anew after                     | 6       |
+      | missed                                            | delay_s |
+      | did not get                                       | 0       |
+      | rejected others and did not get                   | 0.6     |
+      | rejected others and stood still during            | 0       |
+      | could not read heartbeats for 6 s and did not get | 0       |
+      | started anew after                                | 0.2     |
+      | started anew after                                | 6       |
 
   Scenario Outline: A retry is rejected as not run though the <gone> of its first try, which reached no holder, had told nobody
     Given 3 entries and 4 workers of one service
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -76,7 +76,7 @@
         start_forwarder: forwarder.Forwarder,
         *,
         doubt_reporter: doubt_reports.DoubtReporter,
-        list_live_addresses: collections.abc.Callable[[], list[str]],
+        list_active_addresses: collections.abc.Callable[[], list[str]],
         submitter: calls.Submitter,
     ) -> None:
         self._active_queues = active_queues
@@ -88,7 +88,7 @@
         self._submitter = submitter
         self._loop = asyncio.get_running_loop()
         self._ledger = submissions.Ledger(_MAX_KNOWN_JOBS)
-        self.doubt_watch = doubt_watch.DoubtWatch(peers, list_live_addresses, self._ledger)
+        self.doubt_watch = doubt_watch.DoubtWatch(peers, list_active_addresses, self._ledger)
         lease_manager.on_predecessor_known = self.doubt_watch.coverage.record_predecessor
         self._absences = submissions.HolderAbsences()
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -169,7 +169,7 @@
             self.active_queues,
             self._forwarder,
             doubt_reporter=doubt_reports.DoubtReporter(peers, self._members.list_addresses),
-            list_live_addresses=self._list_live_addresses,
+            list_active_addresses=self._list_active_addresses,
             submitter=calls.Submitter(settings.peers.address, self.incarnation),
         )
         self.rejection_reporter = rejection_reports.RejectionReporter(
@@ -283,8 +283,8 @@
     def _list_other_entries(self) -> list[members.EntryRow]:
         return self._members.get_active(asyncio.get_running_loop().time())
 
-    def _list_live_addresses(self) -> list[str]:
-        return [row.peer_address for row in self._list_other_entries()]
+    def _list_active_addresses(self) -> list[str]:
+        return [row.peer_address for row in self._members.get_last_active()]
 
     def _get_lease_epoch(self, service: ids.ServiceName) -> ids.Epoch | None:
         lease = self._lease_set.holder(ids.PoolName(service))
--- a/packages/nutmegshelf/src/nutmegshelf/members.py
+++ b/packages/nutmegshelf/src/nutmegshelf/members.py
@@ -1,6 +1,7 @@
 """Track which of the other entries are live."""
 
 import dataclasses
+import math
 
 import msgspec
 
@@ -39,9 +40,11 @@
     entry: ids.EntryId
     silence_limit_s: float
     by_entry: dict[ids.EntryId, Member] = dataclasses.field(default_factory=dict)
+    applied_s: float = -math.inf
 
     def apply_rows(self, rows: list[EntryRow], now_s: float) -> None:
         """Apply the rows of the table; only a changed beat shows that an entry lives."""
+        self.applied_s = now_s
         for row in rows:
             member = self.by_entry.get(row.entry)
             if member is None or row.beat != member.row.beat:
@@ -90,6 +93,13 @@
             if member.row.entry != self.entry and self._is_live(member, now_s)
         ]
 
+    def get_last_active(self) -> list[EntryRow]:
+        """Return the other entries that were active when the table's rows were last read.
+
+        None is left out because this entry stood still, or has not reached the table since.
+        """
+        return [row for row in self.get_live(self.applied_s) if not row.leaving]
+
     def get_active(self, now_s: float) -> list[EntryRow]:
         """Return the other live entries that are not shutting down."""
         return [row for row in self.get_live(now_s) if not row.leaving]
