An entry that rejects follows many others with a bounded number of calls

With 96 other entries an entry that had jobs to reject made 182 calls a second for their doubts (features/doubt_reports.feature on the simulated clock), and each of them the same: two a second and entry, whatever their number, while processors are scarce.

A call now stays open for longer the more entries there are, so that there are 32 a second in all, and returns the doubts of as much longer. The price: a lost report, or the loss of a host that doesn't close its connections, is noticed as much later.

"An entry that rejects calls 96 others twice a second each" failed before: "ASSERT FAILED: 182.4".

--- a/features/doubt_reports.feature
+++ b/features/doubt_reports.feature
@@ -23,3 +23,14 @@
     Given an entry that reports its doubts to 3 others
     When a job is in doubt while the report of another one is under way
     Then each report ended after all entries had confirmed its job
+
+  Scenario Outline: An entry that rejects calls <count> others twice a second each
+    Given an entry that follows the doubts of <count> others
+    When it rejects a job every second for 10 s
+    Then it made at most <most> calls a second after the first lists
+    And it knew all doubts at each rejection
+
+    Examples: numbers of other entries
+      | count | most |
+      | 6     | 12   |
+      | 96    | 32   |
--- a/features/steps/doubt_report_steps.py
+++ b/features/steps/doubt_report_steps.py
@@ -4,8 +4,8 @@
 import collections
 
 import behave
-from nutmegshelf import exceptions
-from nutmegshelf_entry import doubt_reports
+from nutmegshelf import calls, exceptions, submissions
+from nutmegshelf_entry import doubt_reports, doubt_watch
 
 from features import jobsite
 from features.steps import jobs_steps
@@ -124,3 +124,49 @@
 @behave.then("each report ended after all entries had confirmed its job")
 def check_all_told(context):
     assert all(context.told), context.told
+
+
+class Listing:
+    """The other entries, which have no doubts to list."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def call(self, address, call, timeout_s):
+        self.calls += 1
+        await asyncio.sleep(CALL_S + call.wait_s)
+        return calls.Reply(status=calls.Status.DONE)
+
+
+@behave.given("an entry that follows the doubts of {count:d} others")
+@jobs_steps.paused
+async def make_watch(context, count):
+    addresses = [f"e{number}:3" for number in range(count)]
+    context.listing, ledger = Listing(), submissions.Ledger(max_jobs=10)
+    context.watch = doubt_watch.DoubtWatch(context.listing, lambda: addresses, ledger)
+    context.watch.coverage.record_predecessor(False)
+
+
+@behave.when("it rejects a job every second for {seconds:d} s")
+@jobs_steps.paused
+async def reject_regularly(context, seconds):
+    running = asyncio.ensure_future(context.watch.run())
+    context.gaps = [await context.watch.refresh(are_submitters_known=False)]
+    context.listing.calls = 0
+    context.seconds = seconds
+    for _ in range(seconds):
+        await asyncio.sleep(1.0)
+        context.gaps.append(await context.watch.refresh(are_submitters_known=False))
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+
+
+@behave.then("it made at most {most:d} calls a second after the first lists")
+def check_call_rate(context, most):
+    rate = context.listing.calls / context.seconds
+    assert rate <= most, rate
+
+
+@behave.then("it knew all doubts at each rejection")
+def check_no_gaps(context):
+    assert not any(context.gaps), context.gaps
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
@@ -16,14 +16,16 @@
 _WATCH_S = 5.0
 # How long a rejection waits for lists.
 _MAX_WAIT_S = 0.15
-# How long each further call stays open at the called entry.
-_OPEN_CALL_S = 0.5
+# Each further call stays open at the called entry for this long, or longer with many entries.
+_MIN_OPEN_CALL_S = 0.5
+_MAX_OPEN_CALL_S = 5.0
+_MAX_CALLS_PER_S = 32
 _CALL_TIMEOUT_S = 0.4
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 1.0
 _CLOCK_INTERVAL_S = 0.05
-# How old the doubts are at most that a further call returns; their reports may have been lost.
-_RECENT_S = 2.0
+# A further call returns the doubts since it began and for this long before, as reports may be lost.
+_OVERLAP_S = 1.5
 
 _log = logs.get_logger("desk")
 
@@ -51,7 +53,7 @@
 
     async def answer(self, call: calls.ListDoubts) -> calls.Reply:
         """List the doubts of this entry."""
-        await asyncio.sleep(min(call.wait_s, _OPEN_CALL_S))
+        await asyncio.sleep(min(call.wait_s, _MAX_OPEN_CALL_S))
         now_s = self._loop.time()
         return calls.Reply(
             status=calls.Status.DONE,
@@ -144,9 +146,11 @@
     async def _list(self, address: str) -> bool:
         """Receive one list of an entry; return whether it answered."""
         requested_s = self._loop.time()
-        has_listed = self.coverage.has_listed(address)
-        max_age_s = _RECENT_S if has_listed else submissions.MAX_CARRY_OUT_DELAY_S
-        wait_s = _OPEN_CALL_S if has_listed else 0.0
+        wait_s, max_age_s = 0.0, submissions.MAX_CARRY_OUT_DELAY_S
+        if self.coverage.has_listed(address):
+            wait_s = len(self._followers) / _MAX_CALLS_PER_S
+            wait_s = min(_MAX_OPEN_CALL_S, max(_MIN_OPEN_CALL_S, wait_s))
+            max_age_s = wait_s + _OVERLAP_S
         call = calls.ListDoubts(service=ids.ServiceName(""), max_age_s=max_age_s, wait_s=wait_s)
         try:
             reply = await self._peers.call(address, call, wait_s + _CALL_TIMEOUT_S)
