How old a configuration may be counts from when the store made its answer

An entry says 404 for a path that it doesn't know while its configuration was known to be the newest at most `apply_s` ago. That age was counted from when the head of the store's answer was read. An answer that waits in the socket while the process stands still, or on its way, is older, by 1.6 s at most, as the time limit of the call ends then (after a longer standstill the call fails, and the path gets 503). If the next answer doesn't come either, a path that was added 2 to 3.6 s ago is said not to exist.

Cause: the time of reading was taken for the time of the answer.

Counting from the sending of the request is safe, but a watch without changes lasts 1 s, so that quiet entries would refuse unknown paths for a moment in each second watch (1 s old as it arrives, 2 s before the next). Now it is counted by the store's clock in the answer, which is compared with the local one on every answer: not before the request was sent, not after the answer was read. A clock of the store that is slower than the local one or starts anew moves the comparison too; before, the estimate of the store's clock ran ahead in that case, which decides when hosts may get orders again after a takeover.

features/late_answers.feature, on the code before: both scenarios of late answers failed with "ASSERT FAILED: (404, 'unknown-queue')". The six of quiet and slow stores and clocks that are slow, fast or start anew, in which no unknown path may be refused, passed before and pass now.

--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 import tempfile
+import time
 import urllib.parse
 
 import yaml
@@ -26,6 +27,14 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
+def get_now_ms():
+    return time.monotonic() * 1000
+
+
+def encode_text(text):
+    return base64.b64encode(text.encode()).decode()
+
+
 def encode_row(row):
     table, part, key = (*row.key.split("/", 2), "-")[:3]
     encoded = {"table": table, "part": part, "key": key, "ver": row.version}
@@ -180,7 +189,7 @@
         )
         result = self.world.table.apply(transaction)
         if result.ok:
-            return 200, {"ver": self.world.table.version, "nowMs": 1}
+            return 200, {"ver": self.world.table.version, "nowMs": get_now_ms()}
         return 412, {"rows": [encode_row(row) for row in result.rows if row.version]}
 
     def get_rows(self, parameters):
@@ -197,7 +206,7 @@
         ]
         limit = min(int(parameters.get("limit", 500)), self.page_rows)
         page = {"rows": rows[:limit], "hasMore": len(rows) > limit}
-        return {**page, "ver": len(self.world.table.log), "nowMs": 1}
+        return {**page, "ver": len(self.world.table.log), "nowMs": get_now_ms()}
 
     async def wait_for_changes(self, parameters):
         if self.drops_history:
@@ -212,7 +221,8 @@
         else:
             changes = []
         # Changes are counted by row, so that "ver" is the log's length, not the latest version.
-        return 200, {"rows": [encode_row(row) for row in changes], "ver": len(self.world.table.log)}
+        page = {"rows": [encode_row(row) for row in changes], "nowMs": get_now_ms()}
+        return 200, {**page, "ver": len(self.world.table.log)}
 
     async def list_machines(self):
         return [
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -19,11 +19,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """A complete response, with the event loop time at which its head arrived."""
+    """A complete response, with the event loop times of its request and of its head's arrival."""
 
     status: int
     headers: channel.Headers
     body: bytes
+    sent_s: float = 0.0
     head_received_s: float = 0.0
 
     def get_header(self, name: bytes) -> bytes | None:
@@ -131,6 +132,7 @@
         progress: ResponseProgress,
     ) -> Response:
         connection = await self._checkout()
+        sent_s = asyncio.get_running_loop().time()
         try:
             head = h11.Request(
                 method=method,
@@ -161,6 +163,7 @@
             response_head.status_code,
             list(response_head.headers),
             data,
+            sent_s,
             progress.head_received_s or 0.0,
         )
 
