An entry that could not read the table since its start doesn't say that it knows all doubts

A retry at an entry that had started over 5 s before, and could not read the table's rows since, could read 503, "never runs", of a job that is in doubt elsewhere.

Cause: an entry learns from the rows who the others are, and whether an earlier process of its own ended without leaving. Without rows it knew of no other entry, and so of no gap; only the 5 s after a start counted.

It now counts as a gap until the rows have been read. "An entry that knows no others, as it could not read the table since its start, takes that for all doubts" failed before: "ASSERT FAILED: [frozenset(), frozenset(), frozenset()]".

--- a/features/doubt_reports.feature
+++ b/features/doubt_reports.feature
@@ -37,3 +37,9 @@
       | with a    | 96    | 32   | 0.05   |
       | without a | 6     | 112  | 0.2    |
       | without a | 96    | 352  | 0.7    |
+
+  Scenario: An entry that knows no others, as it could not read the table since its start, takes that for all doubts
+    Given an entry that follows the doubts of 0 others
+    And it could not read the table's rows since its start 10 s ago
+    When it rejects 1 jobs a second for 2 s, without a holder
+    Then it didn't know all doubts at any rejection
--- a/features/steps/doubt_report_steps.py
+++ b/features/steps/doubt_report_steps.py
@@ -4,7 +4,7 @@
 import collections
 
 import behave
-from nutmegshelf import calls, exceptions, submissions
+from nutmegshelf import calls, doubt_coverage, exceptions, submissions
 from nutmegshelf_entry import doubt_reports, doubt_watch
 
 from features import jobsite
@@ -179,3 +179,14 @@
 @behave.then("it knew all doubts at each rejection")
 def check_no_gaps(context):
     assert not any(context.gaps), context.gaps
+
+
+@behave.given("it could not read the table's rows since its start {age_s:d} s ago")
+@jobs_steps.paused
+async def start_without_rows(context, age_s):
+    context.watch.coverage = doubt_coverage.DoubtCoverage(jobs_steps.get_time_s() - age_s)
+
+
+@behave.then("it didn't know all doubts at any rejection")
+def check_gaps(context):
+    assert all(context.gaps), context.gaps
--- a/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
+++ b/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
@@ -47,8 +47,12 @@
 
     def get_predecessor_doubt_s(self, now_s: float) -> float:
         """Return how much longer submissions to an earlier process of this entry are in doubt."""
-        if self._has_predecessor is False:
-            return 0.0
+        match self._has_predecessor:
+            case None:
+                # The other entries aren't known either until the table's rows are read.
+                return submissions.LOST_PROCESS_DOUBT_S
+            case False:
+                return 0.0
         return max(0.0, self._started_s + submissions.LOST_PROCESS_DOUBT_S - now_s)
 
     def begin(self, now_s: float) -> None:
