Entry processes of tests get ports that no connection takes before they listen

The entry's log: "OSError: [Errno 98] error while attempting to bind on address ('127.0.0.1', 50507): address already in use".

Cause: the ports that are tried out for an entry were those that the system also gives to outgoing connections (32768 to 60999 here), and were released until the entry listened; with many connections on the machine one of them took such a port. They are now chosen below that range. The check itself is as it was.

--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -8,6 +8,7 @@
 import math
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -24,6 +25,7 @@
 JSON = [(b"content-type", b"application/json")]
 STALL_S = 3.0
 CHUNK_BYTES = 16 * 1024
+LISTENER_PORTS = (12_000, 32_000)
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -328,12 +330,19 @@
 
 
 def find_free_ports(count):
-    """Return ports that were free when this was called."""
+    """Return ports that were free when this was called.
+
+    They are below those that the system gives to connections, which would take them meanwhile.
+    """
+    ports = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for listener in sockets:
-            listener.bind(("127.0.0.1", 0))
-        return [listener.getsockname()[1] for listener in sockets]
+        while len(ports) < count:
+            port = random.SystemRandom().randrange(*LISTENER_PORTS)
+            listener = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                listener.bind(("127.0.0.1", port))
+                ports.append(port)
+    return ports
 
 
 # All entries share the loopback address, so that each one gets its own port for metrics.
