Read-through: pacing of lists and what a rejection is are decided once, in the kernel

How long calls for doubts stay open and how long rejections share a round stood beside the calls; the statuses that promise that a job never runs stood in the router and in rejections. No behaviour changes.

--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/doubt_watch.py
@@ -17,14 +17,6 @@
 # How long a rejection waits for the first lists, and how long for lists that are requested anew.
 _MAX_WAIT_S = 0.15
 _MAX_ROUND_WAIT_S = 0.5
-# Rejections of this time share a round of lists; with many entries it is longer.
-_MIN_ROUND_DELAY_S = 0.02
-_MAX_ROUND_DELAY_S = 0.3
-_MAX_ROUND_CALLS_PER_S = 100
-# Each further call stays open at the called entry for this long, or longer with many entries.
-_MIN_OPEN_CALL_S = 0.5
-_MAX_OPEN_CALL_S = 5.0
-_MAX_CALLS_PER_S = 32
 _CALL_TIMEOUT_S = 0.4
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 1.0
@@ -60,7 +52,7 @@
 
     async def answer(self, call: calls.ListDoubts) -> calls.Reply:
         """List the doubts of this entry."""
-        await asyncio.sleep(min(call.wait_s, _MAX_OPEN_CALL_S))
+        await asyncio.sleep(min(call.wait_s, doubt_coverage.MAX_OPEN_CALL_S))
         now_s = self._loop.time()
         return calls.Reply(
             status=calls.Status.DONE,
@@ -114,8 +106,7 @@
             return False
 
     async def _run_round(self, previous: asyncio.Task[bool] | None) -> bool:
-        delay_s = len(self._followers) / _MAX_ROUND_CALLS_PER_S
-        await asyncio.sleep(min(_MAX_ROUND_DELAY_S, max(_MIN_ROUND_DELAY_S, delay_s)))
+        await asyncio.sleep(doubt_coverage.get_round_delay_s(len(self._followers)))
         if previous is not None:
             await asyncio.wait([previous])
         self._round, self._next_round = self._next_round, None
@@ -197,8 +188,7 @@
         requested_s = self._loop.time()
         wait_s, max_age_s = 0.0, submissions.MAX_CARRY_OUT_DELAY_S
         if self.coverage.has_listed(address):
-            wait_s = len(self._followers) / _MAX_CALLS_PER_S
-            wait_s = min(_MAX_OPEN_CALL_S, max(_MIN_OPEN_CALL_S, wait_s))
+            wait_s = doubt_coverage.get_open_call_s(len(self._followers))
             max_age_s = wait_s + _OVERLAP_S
         call = calls.ListDoubts(service=ids.ServiceName(""), max_age_s=max_age_s, wait_s=wait_s)
         try:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -5,7 +5,16 @@
 import dataclasses
 
 import msgspec
-from nutmegshelf import calls, doubt_coverage, exceptions, ids, jobs, queues, submissions
+from nutmegshelf import (
+    calls,
+    doubt_coverage,
+    exceptions,
+    ids,
+    jobs,
+    queues,
+    rejections,
+    submissions,
+)
 
 from nutmegshelf_entry import (
     doubt_reports,
@@ -30,9 +39,6 @@
 # An entry with a stale configuration usually has the latest one after this time.
 _STALE_RETRY_AFTER_S = 1.0
 
-# Rejections after which callers submit a job again, under the same id.
-_RETRYABLE_STATUSES = (429, 503)
-
 _log = logs.get_logger("desk")
 
 
@@ -248,7 +254,7 @@
         now_s = self._loop.time()
         if self._ledger.has_dropped_recent(now_s):
             _log.info("Too many jobs are in doubt to know each.", job=job)
-        if refusal.response.status not in _RETRYABLE_STATUSES:
+        if not rejections.is_rejection(refusal):
             if self._ledger.may_be_stored(job, now_s):
                 refusal.mark_sent()
             return refusal
--- a/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
+++ b/packages/nutmegshelf/src/nutmegshelf/doubt_coverage.py
@@ -11,6 +11,25 @@
 
 from nutmegshelf import submissions
 
+# With more entries, calls stay open for longer, so that an entry makes at most so many.
+_MAX_OPEN_CALLS_PER_S = 32
+_MIN_OPEN_CALL_S = 0.5
+MAX_OPEN_CALL_S = 5.0
+# Rejections of this time share a round of lists; it is longer with many entries.
+_MAX_ROUND_CALLS_PER_S = 100
+_MIN_ROUND_DELAY_S = 0.02
+_MAX_ROUND_DELAY_S = 0.3
+
+
+def get_open_call_s(entries: int) -> float:
+    """Return how long a call stays open at each of some other entries."""
+    return min(MAX_OPEN_CALL_S, max(_MIN_OPEN_CALL_S, entries / _MAX_OPEN_CALLS_PER_S))
+
+
+def get_round_delay_s(entries: int) -> float:
+    """Return how long rejections are collected before some other entries are asked anew."""
+    return min(_MAX_ROUND_DELAY_S, max(_MIN_ROUND_DELAY_S, entries / _MAX_ROUND_CALLS_PER_S))
+
 
 class Gap(enum.Enum):
     """Why the doubts of an entry are not all known."""
--- a/packages/nutmegshelf/src/nutmegshelf/moves.py
+++ b/packages/nutmegshelf/src/nutmegshelf/moves.py
@@ -11,6 +11,8 @@
 from nutmegshelf import codecs, declarations, demand, hosts, ids, platform
 
 PREFIX = "moves/"
+# A planned move whose transaction got no answer is tried again for this long.
+_MAX_PLAN_AGE_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -367,4 +369,3 @@
 _HIGH_UTILIZATION = 0.9
 _LOW_UTILIZATION = 0.5
 _COOLDOWN_S = 30.0
-_MAX_PLAN_AGE_S = 60.0
