--- a/review/standins_3/site_3.py
+++ b/review/standins_3/site_3.py
@@ -251,7 +251,8 @@
         self.life = 0
         self.is_dark = False
         self.registers_after_s = 0.0
-        self.held_s = 0.0
+        # Set by each call of /v1/hold.
+        self.held = asyncio.Event()
         self.begin_life()
 
     def begin_life(self):
@@ -453,7 +454,7 @@
         life = self.life
         if "deadlineMs" in data:
             self._extend(data["deadlineMs"])
-        self.held_s = time.monotonic()
+        self.held.set()
         seen = data.get("lastSeen", 0)
         for number, task, run, how, _ in self.ends:
             if number <= seen:
@@ -830,7 +831,8 @@
         broken = asyncio.run(run())
     except Exception:
         traceback.print_exc()
-        sys.exit(2)
+        sys.stderr.flush()
+        os._exit(2)
     with (pathlib.Path(folder) / "record.txt").open("a") as record:
         record.write(f"{broken or 'the rule held'}\n")
     print(broken or "the rule held", flush=True)
