--- a/review/standins_3/site_3.py
+++ b/review/standins_3/site_3.py
@@ -251,8 +251,10 @@
         self.life = 0
         self.is_dark = False
         self.registers_after_s = 0.0
-        # Set by each call of /v1/hold.
-        self.held = asyncio.Event()
+        # Its kind, which is its first label.
+        self.label = "a"
+        # Set by each call of /v1/hold, and once the minion is without power.
+        self.held, self.darkened = asyncio.Event(), asyncio.Event()
         self.begin_life()
 
     def begin_life(self):
@@ -291,6 +293,7 @@
     def lose_all(self):
         """End everything that runs, and answer nothing."""
         self.is_dark = True
+        self.darkened.set()
         for run in list(self.runs.values()):
             self.world.end(self, run, "lost")
         self.runs = {}
@@ -332,7 +335,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "capacity": {"cpu": self.cpu, "memMb": self.memory_mb, "gpu": 0},
-            "labels": ["a", self.rack],
+            "labels": [self.label, self.rack],
             "machine": self.machine,
             "born": self.born,
             "clockMs": self.clock_ms,
@@ -747,7 +750,7 @@
                 "pool": minion.service,
                 "state": "down" if minion.is_dark else "up",
                 "zone": "z",
-                "labels": ["a", minion.rack],
+                "labels": [minion.label, minion.rack],
                 "capacity": {"cpu": minion.cpu, "memMb": minion.memory_mb, "gpu": 0},
                 "id": minion.name,
             }
