--- a/review/standins_3/site_3.py
+++ b/review/standins_3/site_3.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -790,6 +791,7 @@
         for entry in self.entries:
             entry.send_signal(signal.SIGCONT)
             await entry.end(signal.SIGKILL)
+            shutil.rmtree(entry.folder, ignore_errors=True)
         for task in self.tasks:
             task.cancel()
         self.record_file.close()
