--- a/review/standins_3/site_3.py
+++ b/review/standins_3/site_3.py
@@ -823,6 +823,10 @@
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        # A script that is stopped from outside ends what it started, and counts as not run.
+        stopped = asyncio.current_task().cancel
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stopped)
         world = World(folder)
         try:
             async with asyncio.timeout(115.0):
@@ -834,7 +838,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception:
+    except BaseException:
         traceback.print_exc()
         sys.stderr.flush()
         os._exit(2)
