Fence each incarnation of a worker, and keep unconfirmed starts with it

Cause: the later incarnation accepts what was meant for the former one (same id, no token seen, a deadline far ahead), and the holder took the end of an incarnation for the end of all that it had sent there. It released tasks that the later one had just accepted, and started them elsewhere before the first report.

Now only what an incarnation confirmed, by a report or by its clock in the answer to a start, is lost with it. A start that was sent and not confirmed stays with the later incarnation until its first report, which answers a call with a higher fencing token and so is final. Tokens rise within an epoch with each incarnation and each silence. A worker that doesn't answer gets no starts.

--- a/features/jobhistories.py
+++ b/features/jobhistories.py
@@ -97,6 +97,7 @@
     def __init__(self, rng):
         self._rng = rng
         self._world = jobworld.World({"a": 4, "b": 3}, spare_count=rng.choice([0, 2]))
+        self._world.keeps_ids = rng.random() < 0.5
         self._site = jobsite.Site(self._world)
         self._numbers = itertools.count(1)
         self._accepted = {}
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -74,10 +74,14 @@
         self.former_capacities = []
         # How late the answers to polls are.
         self.poll_delay_s = 0.0
+        # The entry of its former incarnation, until the worker has written its own.
+        self.former_facts = None
         self.ended = asyncio.Event()
+        # The clock of a later incarnation starts anew.
+        self.began_s = asyncio.get_event_loop().time() if world.has_begun else 0.0
 
     def clock_ms(self):
-        return int(asyncio.get_running_loop().time() * 1000) + 5_000
+        return int((asyncio.get_running_loop().time() - self.began_s) * 1000) + 5_000
 
     def check(self, fence):
         if fence < self.fence:
@@ -209,25 +213,30 @@
         # Ended workers stay in the fleet list for list_lag_s.
         self.ended_workers = []
         self.list_lag_s = 0.0
+        # Whether a worker that crashed is back under the id that it had.
+        self.keeps_ids = False
         self.reported_waves = []
         self.reports_fail = False
         self.declared = None
         self.waves = []
         self.operations_changed = asyncio.Event()
         self.advice = PolicyService(self)
+        # Whether workers that begin now begin after the others.
+        self.has_begun = False
         for pool, count in {**pools, spare: spare_count}.items():
             for index in range(count):
                 self.add_host(pool, f"h{next(self.numbers)}", f"r{index % 3}")
+        self.has_begun = True
 
     def add_host(self, pool, host, rack):
         self.hosts[host] = {"pool": pool, "state": rebalancing.HostState.UP, "rack": rack}
         if pool != self.spare:
             self.add_minion(host)
 
-    def add_minion(self, host):
+    def add_minion(self, host, worker=None):
         number = next(self.numbers)
         facts = fleetview.WorkerFacts(
-            incarnation=fleetview.Incarnation(ids.WorkerId(f"w{number}"), number),
+            incarnation=fleetview.Incarnation(worker or ids.WorkerId(f"w{number}"), number),
             service=self.hosts[host]["pool"],
             host=host,
             address=f"{host}:{number}",
@@ -241,6 +250,13 @@
         self.minions[facts.incarnation] = Minion(self, facts)
         return self.minions[facts.incarnation]
 
+    def find_minion(self, worker):
+        """Return the present incarnation of a worker, or None if it is down or gone."""
+        for incarnation, minion in self.minions.items():
+            if incarnation.worker == worker:
+                return minion
+        return None
+
     def get_minions(self, pool):
         return [minion for minion in self.minions.values() if minion.facts.service == pool]
 
@@ -301,9 +317,11 @@
         minion.end_life()
         del self.minions[minion.facts.incarnation]
 
+        worker = minion.facts.incarnation.worker if self.keeps_ids else None
+
         def come_back():
             if self.hosts[host]["pool"] == pool and not self.has_minion(host):
-                self.add_minion(host)
+                self.add_minion(host, worker)
 
         asyncio.get_running_loop().call_later(self.crash_downtime_s, come_back)
 
@@ -314,7 +332,8 @@
         """Restart a worker at its host, which ends its runs."""
         minion.end_life()
         del self.minions[minion.facts.incarnation]
-        return self.add_minion(minion.facts.host)
+        worker = minion.facts.incarnation.worker if self.keeps_ids else None
+        return self.add_minion(minion.facts.host, worker)
 
     def replace(self, host, after_s, pool=None, state=rebalancing.HostState.MOVING):
         for minion in [other for other in self.minions.values() if other.facts.host == host]:
@@ -357,7 +376,8 @@
         while True:
             now_s = asyncio.get_running_loop().time()
             ended = [facts for facts, at_s in self.ended_workers if now_s - at_s < self.list_lag_s]
-            yield (*(minion.facts for minion in self.minions.values()), *ended)
+            listed = (minion.former_facts or minion.facts for minion in self.minions.values())
+            yield (*listed, *ended)
             await asyncio.sleep(0.15)
 
 
@@ -407,7 +427,7 @@
     async def _reach(self, facts, size_bytes=CALL_BYTES):
         await self._send(size_bytes)
         await asyncio.sleep(jobtable.CALL_DURATION_S)
-        minion = self.world.minions.get(facts.incarnation)
+        minion = self.world.find_minion(facts.incarnation.worker)
         if minion is None:
             raise exceptions.OrderNotDone("connection refused")
         if minion.is_unresponsive or self.is_partitioned:
@@ -447,7 +467,7 @@
         await asyncio.sleep(minion.poll_delay_s)
         ends = tuple(minion.ends[:MAX_LISTED_ENDS])
         return orders.PollResult(
-            facts.incarnation.born_ms,
+            minion.facts.incarnation.born_ms,
             minion.clock_ms(),
             listed,
             ends,
@@ -486,15 +506,18 @@
         if minion.delayed_starts:
             minion.delayed_starts -= 1
             asyncio.get_running_loop().call_later(
-                1.5, self._start_late, minion, order, fencing_token, valid_until_ms
+                1.5, self._start_late, facts.incarnation, order, fencing_token, valid_until_ms
             )
             await asyncio.sleep(0.8)
             raise exceptions.OrderAnswerLost("no answer")
         minion.check(fencing_token)
-        return minion.start(order, valid_until_ms)
+        return orders.StartAnswer(minion.clock_ms(), minion.start(order, valid_until_ms))
 
-    def _start_late(self, minion, order, fencing_token, valid_until_ms):
-        if fencing_token >= minion.fence and not minion.has_ended:
+    def _start_late(self, incarnation, order, fencing_token, valid_until_ms):
+        """Execute a start, at a later incarnation of its worker if the former one has ended."""
+        minion = self.world.find_minion(incarnation.worker)
+        if minion is not None and fencing_token >= minion.fence:
+            minion.fence = fencing_token
             minion.start(order, valid_until_ms)
 
     async def stop(self, facts, order, *, fencing_token):
--- /dev/null
+++ b/features/restarted_workers.feature
@@ -0,0 +1,55 @@
+Feature: A worker that starts again under its id runs no task twice
+  What was sent to the former incarnation may reach the later one, which knows nothing of before.
+
+  Scenario Outline: Starts queued for a former incarnation run at the later one and elsewhere
+    Given 1 entries and 8 workers of one service
+    And its tasks take 8 s
+    And a worker that crashed is back under its id
+    When 10 jobs of 6 tasks come and the busiest worker is cut off after <starts> starts
+    And it starts again behind the cut after <down> s and is reachable after <cut> s
+    Then within 60 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
+    Examples:
+      | starts | down | cut |
+      | 1      | 0.3  | 1.5 |
+      | 6      | 0.3  | 1.5 |
+      | 12     | 0.6  | 2.1 |
+      | 24     | 0.0  | 3.0 |
+
+  Scenario Outline: A start that may be at a later incarnation counts as lost with the former one
+    Given a worker got the start of a task, <confirmed>, and starts again under its id
+    When the holder learns of it by <source>
+    Then a run in phase <phase> belongs to the later incarnation, with a higher fencing token
+    And a late list that still has the former incarnation changes nothing
+    When the first report of the later incarnation <lists> the run
+    Then its run is <result>
+    And its job counts <crashes> crashes
+
+    Examples:
+      | confirmed       | source | phase   | lists       | result  | crashes |
+      | without answer  | list   | unsure  | has         | running | 0       |
+      | without answer  | list   | unsure  | doesn't have| waiting | 0       |
+      | without answer  | poll   | unsure  | has         | running | 0       |
+      | without answer  | poll   | unsure  | doesn't have| waiting | 0       |
+      | with an answer  | list   | waiting | doesn't have| waiting | 1       |
+      | with an answer  | poll   | waiting | doesn't have| waiting | 1       |
+      | with a report   | poll   | waiting | doesn't have| waiting | 1       |
+
+  Scenario: A run at a later incarnation that never answers is waited for without an end
+    Given a worker got the start of a task, without answer, and starts again under its id
+    When the holder learns of it by poll
+    And the later incarnation doesn't answer for 10 s
+    Then its run is waiting
+
+  Scenario Outline: An answer of a later incarnation counts as one of the former
+    Given a worker whose clock is read as <offset> s ahead
+    Then an answer to a start <after> s later with a clock of <clock> s <is> its own
+
+    Examples:
+      | offset | after | clock  | is     |
+      | 30     | 10    | 40     | is     |
+      | 30     | 10    | 39.9   | is     |
+      | 30     | 10    | 39.7   | is not |
+      | 30     | 10    | 2      | is not |
+      | 30     | 0     | 29.9   | is not |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -219,8 +219,8 @@
     order = orders.StartRun(facts.incarnation, key, 1, "s", "")
     call = minions.WorkerClient().start(facts, order, fencing_token=1, valid_until_ms=10**9)
     try:
-        refusal = context.run(call)
-        result = refusal.name if isinstance(refusal, orders.Refusal) else "started"
+        answer = context.run(call)
+        result = answer.refusal.name if answer.refusal is not None else "started"
     except exceptions.WorkerError as worker_error:
         result = type(worker_error).__name__
     assert result == outcome, result
--- a/features/steps/repeated_end_steps.py
+++ b/features/steps/repeated_end_steps.py
@@ -39,7 +39,7 @@
     context.runs = []
     for task, worker in zip(tasks, workers, strict=False):
         registry.assign(context.record, task, worker, registry.get_next_run(task), NOW_S)
-        task.phase = fleetview.Phase.RUNNING
+        task.phase, task.is_confirmed = fleetview.Phase.RUNNING, True
         context.runs.append((task.key.name, task.run, worker.facts.incarnation))
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/forwarder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import typing
 
 from nutmegshelf import calls, exceptions, fleetview, ids, jobs, orders, window
 
@@ -17,6 +18,11 @@
 _log = logs.get_logger("carrier")
 
 
+class _Answer(typing.NamedTuple):
+    outcome: orders.Outcome
+    worker_clock_ms: int | None = None
+
+
 class Forwarder:
     """The starts that this entry sends over its link for other entries."""
 
@@ -40,8 +46,12 @@
     async def forward(self, call: calls.ForwardStarts) -> calls.Reply:
         """Send starts to their workers, and reply with the outcome of each."""
         self._cache_specs(call.specs)
-        outcomes = await asyncio.gather(*(self._start(call, start) for start in call.starts))
-        return calls.Reply(status=calls.Status.DONE, outcomes=tuple(outcomes))
+        answers = await asyncio.gather(*(self._start(call, start) for start in call.starts))
+        return calls.Reply(
+            status=calls.Status.DONE,
+            outcomes=tuple(answer.outcome for answer in answers),
+            worker_clocks_ms=tuple(answer.worker_clock_ms for answer in answers),
+        )
 
     def _cache_specs(self, specs: dict[ids.JobId, str]) -> None:
         for job, spec in specs.items():
@@ -50,28 +60,28 @@
         while len(self._specs_by_job) > window.MAX_CACHED_SPECS:
             del self._specs_by_job[next(iter(self._specs_by_job))]
 
-    async def _start(
-        self, call: calls.ForwardStarts, start: calls.ForwardedStart
-    ) -> orders.Outcome:
+    async def _start(self, call: calls.ForwardStarts, start: calls.ForwardedStart) -> _Answer:
         facts = self._facts.get(fleetview.Incarnation(start.worker, start.born_ms))
         key = jobs.parse_task_name(start.task)
         spec = self._specs_by_job.get(key.job) if key is not None else None
         if facts is None:
-            return orders.Outcome.UNKNOWN_WORKER
+            return _Answer(orders.Outcome.UNKNOWN_WORKER)
         if key is None or spec is None:
             # The call that includes the specification may arrive after this one.
-            return orders.Outcome.UNKNOWN_SPEC
+            return _Answer(orders.Outcome.UNKNOWN_SPEC)
         size_bytes = orders.CALL_BYTES + len(spec) + len(start.checkpoint)
         now_s = asyncio.get_running_loop().time()
         if not self._window.has_capacity(now_s, _MAX_WINDOW_SHARE):
-            return orders.Outcome.FULL
+            return _Answer(orders.Outcome.FULL)
         order = orders.StartRun(
             facts.incarnation, key, start.run, spec, start.checkpoint, ticket=start.ticket
         )
         self._window.reserve(size_bytes, now_s)
         try:
             async with self._slots[facts.incarnation]:
-                return await self._send(facts, order, call.epoch, start.valid_until_ms)
+                # An entry of an earlier version sends no token for each start.
+                fencing_token = start.fencing_token or call.epoch
+                return await self._send(facts, order, fencing_token, start.valid_until_ms)
         finally:
             self._window.release()
 
@@ -81,15 +91,17 @@
         order: orders.StartRun,
         fencing_token: int,
         until_ms: int,
-    ) -> orders.Outcome:
+    ) -> _Answer:
         try:
-            refusal = await self._workers.start(
+            answer = await self._workers.start(
                 facts, order, fencing_token=fencing_token, valid_until_ms=until_ms
             )
         except (exceptions.OrderNotDone, exceptions.WrongWorker, exceptions.Fenced) as error:
             _log.info("A forwarded start was not executed.", task=order.key.name, why=str(error))
-            return orders.Outcome.NOT_DONE
+            return _Answer(orders.Outcome.NOT_DONE)
         except exceptions.WorkerError as error:
             _log.info("A carried start got no answer.", task=order.key.name, why=str(error))
-            return orders.Outcome.LOST
-        return orders.Outcome.TAKEN if refusal is None else orders.Outcome(refusal.value)
+            return _Answer(orders.Outcome.LOST)
+        if answer.refusal is None:
+            return _Answer(orders.Outcome.TAKEN, answer.clock_ms)
+        return _Answer(orders.Outcome(answer.refusal.value), answer.clock_ms)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -396,7 +396,6 @@
             self.scheduler,
             incarnation,
             self._workers,
-            fencing_token=self.epoch,
             lease_s=self._lease_s,
             wake=self.wake,
             orders_allowed=self._orders_allowed,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/ports.py
@@ -82,8 +82,8 @@
         *,
         fencing_token: int,
         valid_until_ms: int,
-    ) -> orders.Refusal | None:
-        """Start a run; return the reason if the worker refuses it; raises WorkerError."""
+    ) -> orders.StartAnswer:
+        """Start a run; raises WorkerError."""
 
     async def stop(
         self, facts: fleetview.WorkerFacts, order: orders.StopRun, *, fencing_token: int
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/sender.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/sender.py
@@ -121,6 +121,7 @@
                     validity.valid_until_ms,
                     order.checkpoint,
                     order.ticket,
+                    validity.fencing_token,
                 )
                 for order, _, validity in prepared
             ),
@@ -160,23 +161,39 @@
             for order, link, validity in prepared:
                 link.record_answer_lost(order, validity, why)
             return
-        for (order, link, validity), outcome in zip(prepared, reply.outcomes, strict=True):
-            match outcome:
-                case orders.Outcome.TAKEN:
-                    link.record_answer(order, validity, None)
-                case orders.Outcome.LOST:
-                    router.avoid_for_worker(entry, order.incarnation.worker, now_s)
-                    link.record_answer_lost(order, validity, f"carried by {entry}")
-                case orders.Outcome.NOT_DONE:
-                    link.record_not_done(order, f"carried by {entry}")
-                case orders.Outcome.UNKNOWN_WORKER:
-                    router.avoid_for_worker(entry, order.incarnation.worker, now_s)
-                    self._scheduler.record_refused(order, outcome.value, now_s)
-                case orders.Outcome.UNKNOWN_SPEC:
-                    router.forget_spec(entry, order.key.job)
-                    self._scheduler.record_refused(order, outcome.value, now_s)
-                case orders.Outcome.FULL:
-                    router.pause(entry, now_s)
-                    self._scheduler.record_refused(order, outcome.value, now_s)
-                case _:
-                    link.record_answer(order, validity, orders.Refusal(outcome.value))
+        # An entry of an earlier version returns no clocks.
+        clocks_ms = reply.worker_clocks_ms or (None,) * len(prepared)
+        for start, outcome, clock_ms in zip(prepared, reply.outcomes, clocks_ms, strict=True):
+            self._apply_outcome(entry, start, outcome, clock_ms)
+
+    def _apply_outcome(
+        self,
+        entry: ids.EntryId,
+        start: PreparedStart,
+        outcome: orders.Outcome,
+        clock_ms: int | None,
+    ) -> None:
+        router, now_s = self._transport.router, self._loop.time()
+        order, link, validity = start
+        match outcome:
+            case orders.Outcome.LOST:
+                router.avoid_for_worker(entry, order.incarnation.worker, now_s)
+                link.record_answer_lost(order, validity, f"carried by {entry}")
+            case orders.Outcome.NOT_DONE:
+                link.record_not_done(order, f"carried by {entry}")
+            case orders.Outcome.UNKNOWN_WORKER:
+                router.avoid_for_worker(entry, order.incarnation.worker, now_s)
+                self._scheduler.record_refused(order, outcome.value, now_s)
+            case orders.Outcome.UNKNOWN_SPEC:
+                router.forget_spec(entry, order.key.job)
+                self._scheduler.record_refused(order, outcome.value, now_s)
+            case orders.Outcome.FULL:
+                router.pause(entry, now_s)
+                self._scheduler.record_refused(order, outcome.value, now_s)
+            case _ if clock_ms is None:
+                link.record_answer_lost(order, validity, f"{entry} returned no clock")
+            case orders.Outcome.TAKEN:
+                link.record_answer(order, validity, orders.StartAnswer(clock_ms))
+            case _:
+                refusal = orders.Refusal(outcome.value)
+                link.record_answer(order, validity, orders.StartAnswer(clock_ms, refusal))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -39,11 +39,12 @@
 
 
 class StartValidity(typing.NamedTuple):
-    """Until when a start is valid, by the worker's clock and by this entry's."""
+    """Until when a start is valid, by the worker's clock and by this entry's, and its token."""
 
     valid_until_ms: int
     may_start_until_s: float
     sent_s: float
+    fencing_token: int
 
 
 class WorkerLink:
@@ -55,7 +56,6 @@
         incarnation: fleetview.Incarnation,
         client: ports.WorkerClient,
         *,
-        fencing_token: int,
         lease_s: float,
         wake: ports.Wake,
         orders_allowed: asyncio.Event,
@@ -66,7 +66,6 @@
         self._scheduler = service_scheduler
         self._incarnation = incarnation
         self._client = client
-        self._fencing_token = fencing_token
         self._lease_s = lease_s
         self._wake = wake
         self._orders_allowed = orders_allowed
@@ -97,8 +96,7 @@
             except TimeoutError:
                 continue  # An immediate poll was requested.
             except exceptions.WorkerError as error:
-                if worker.unresponsive_since_s is None:
-                    worker.unresponsive_since_s = self._loop.time()
+                if self._scheduler.record_silence(self._incarnation, self._loop.time()):
                     _log.warning(
                         "A worker doesn't answer.", worker=self._incarnation.worker, why=str(error)
                     )
@@ -134,9 +132,10 @@
             worker.extend_lease(sent_s, self._lease_s)
         wait_s = _get_poll_wait_s(worker) if until_ms is not None else 0.0
         margin_s = _POLL_MARGIN_S if is_responsive else _UNRESPONSIVE_POLL_MARGIN_S
+        fencing_token = worker.fencing_token
         result = await self._client.poll(
             worker.facts,
-            fencing_token=self._fencing_token,
+            fencing_token=fencing_token,
             last_seen=self._acknowledged,
             lease_until_ms=until_ms,
             wait_s=wait_s,
@@ -147,7 +146,7 @@
             self._scheduler.record_restart(self._incarnation, result.born_ms, received_s)
             self._wake()
             return
-        self._update_clock_offset(worker, result.clock_ms, received_s)
+        self._update_clock_offset(worker, result.clock_ms, sent_s, received_s)
         if worker.unresponsive_since_s is not None:
             _log.info("A worker answers again.", worker=self._incarnation.worker)
         self._scheduler.apply_report(
@@ -159,17 +158,18 @@
                 result.running,
                 result.ends,
                 result.is_complete,
+                fencing_token,
             )
         )
         self._wake()
 
     def _update_clock_offset(
-        self, worker: fleetview.Worker, clock_ms: int, received_s: float
+        self, worker: fleetview.Worker, clock_ms: int, sent_s: float, received_s: float
     ) -> None:
         # A slow answer makes the worker's clock seem behind, so the largest offset counts, lowered
-        # over time by the greatest possible drift.
+        # over time by the greatest possible drift. A clock that stood still starts a new count.
         offset_ms = clock_ms - received_s * 1000
-        if worker.clock_offset_ms is not None:
+        if worker.clock_offset_ms is not None and worker.is_clock_plausible(clock_ms, sent_s):
             drift_ms = (received_s - worker.clock_read_s) * 1000 * fleetview.SLOW_CLOCK_FRACTION
             offset_ms = max(offset_ms, worker.clock_offset_ms - drift_ms)
         worker.clock_offset_ms, worker.clock_read_s = offset_ms, received_s
@@ -222,29 +222,52 @@
         if worker is None or until_ms is None or not self._may_send():
             self._scheduler.record_refused(order, "not ordered", self._loop.time())
             return None
+        if worker.unresponsive_since_s is not None:
+            self._scheduler.record_refused(order, "its worker doesn't answer", self._loop.time())
+            return None
         sent_s = self._loop.time()
         self._scheduler.record_sent(order)
-        return StartValidity(until_ms, worker.extend_lease(sent_s, valid_s), sent_s)
+        # A later incarnation, whose clock starts anew, cuts any lease to the full term only.
+        worker.extend_lease(sent_s, max(valid_s, self._lease_s))
+        may_start_until_s = fleetview.get_lease_end_s(sent_s, valid_s)
+        return StartValidity(until_ms, may_start_until_s, sent_s, worker.fencing_token)
 
     def record_answer(
-        self, order: orders.StartRun, validity: StartValidity, refusal: orders.Refusal | None
+        self, order: orders.StartRun, validity: StartValidity, answer: orders.StartAnswer
     ) -> None:
         """Record the worker's answer to a start."""
         self._stages.observe("start", self._loop.time() - validity.sent_s)
-        if refusal is None:
+        worker, refusal = self._scheduler.workers.get(self._incarnation), answer.refusal
+        if worker is not None and not worker.is_clock_plausible(answer.clock_ms, validity.sent_s):
+            self._record_other_clock(order, validity, answer)
+        elif refusal is None:
             self._scheduler.record_started(order, self._loop.time())
-            worker = self._scheduler.workers.get(self._incarnation)
             if worker is not None and worker.is_in_trial:
                 self._poll_now()
         else:
             self._scheduler.record_refused(order, refusal.value, self._loop.time())
 
+    def _record_other_clock(
+        self, order: orders.StartRun, validity: StartValidity, answer: orders.StartAnswer
+    ) -> None:
+        """Record an answer that seems to come from a later incarnation, and poll at once."""
+        _log.warning(
+            "A worker's clock is behind, as after a restart.",
+            worker=self._incarnation.worker,
+            task=order.key.name,
+            clock_ms=answer.clock_ms,
+        )
+        if answer.refusal is not None:
+            self._scheduler.record_refused(order, answer.refusal.value, self._loop.time())
+        else:
+            self.record_answer_lost(order, validity, "another incarnation may have answered")
+        self._scheduler.record_silence(self._incarnation, self._loop.time())
+        self._poll_now()
+
     def record_not_done(self, order: orders.StartRun, why: str) -> None:
         """Record a start that did not reach the worker, or was for another incarnation or epoch."""
-        worker = self._scheduler.workers.get(self._incarnation)
         self._scheduler.record_refused(order, why, self._loop.time())
-        if worker is not None and worker.unresponsive_since_s is None:
-            worker.unresponsive_since_s = self._loop.time()
+        self._scheduler.record_silence(self._incarnation, self._loop.time())
 
     def record_answer_lost(self, order: orders.StartRun, validity: StartValidity, why: str) -> None:
         """Record a start without an answer, and poll to learn whether it was executed."""
@@ -258,10 +281,10 @@
         if validity is None:
             return
         try:
-            refusal = await self._client.start(
+            answer = await self._client.start(
                 worker.facts,
                 order,
-                fencing_token=self._fencing_token,
+                fencing_token=validity.fencing_token,
                 valid_until_ms=validity.valid_until_ms,
             )
         except (exceptions.OrderNotDone, exceptions.WrongWorker, exceptions.Fenced) as error:
@@ -269,11 +292,11 @@
         except exceptions.WorkerError as error:
             self.record_answer_lost(order, validity, str(error))
         else:
-            self.record_answer(order, validity, refusal)
+            self.record_answer(order, validity, answer)
 
     async def _stop(self, worker: fleetview.Worker, order: orders.StopRun) -> None:
         try:
-            await self._client.stop(worker.facts, order, fencing_token=self._fencing_token)
+            await self._client.stop(worker.facts, order, fencing_token=worker.fencing_token)
         except exceptions.WorkerError as error:
             _log.info("A stop order got no answer.", task=order.task, run=order.run, why=str(error))
             self._scheduler.record_stop_unanswered(order)
@@ -289,7 +312,7 @@
 
     async def _set_pace(self, worker: fleetview.Worker, order: orders.SetPace) -> None:
         try:
-            await self._client.set_pace(worker.facts, order, fencing_token=self._fencing_token)
+            await self._client.set_pace(worker.facts, order, fencing_token=worker.fencing_token)
         except exceptions.WorkerError as error:
             _log.info("A pace order got no answer.", task=order.task, run=order.run, why=str(error))
 
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -199,6 +199,7 @@
     valid_until_ms: int = msgspec.field(name="until_ms")
     checkpoint: str = msgspec.field(default="", name="saved")
     ticket: str | None = None
+    fencing_token: int = msgspec.field(default=0, name="token")
 
 
 class ForwardStarts(Call, frozen=True, kw_only=True, tag="Carry"):
@@ -253,6 +254,8 @@
     count: int = 0
     payload: bytes = msgspec.field(default=b"", name="shown")
     outcomes: tuple[orders.Outcome, ...] = ()
+    # The worker's clock in its answer to each forwarded start, or None without an answer.
+    worker_clocks_ms: tuple[int | None, ...] = msgspec.field(default=(), name="clocks_ms")
     # Other entries that may be storing the submitted job without its holder.
     other_submitters: tuple[Submitter, ...] = ()
     # Whether the holder has been there for so long that it knows all recent submitters.
--- a/packages/nutmegshelf/src/nutmegshelf/crashes.py
+++ b/packages/nutmegshelf/src/nutmegshelf/crashes.py
@@ -22,9 +22,7 @@
     A start just before explains a crash better than a long-running task that was at work.
     """
     tasks = [
-        task
-        for task in worker.tasks.values()
-        if _may_have_run(task) and not is_cleared(task, worker)
+        task for task in worker.tasks.values() if _has_run(task) and not is_cleared(task, worker)
     ]
     early = {task for task in tasks if get_seen_running_s(task, worker) < TRIAL_S}
     groups = {_get_group(task) for task in worker.tasks.values()}
@@ -39,14 +37,8 @@
     ]
 
 
-def _may_have_run(task: fleetview.Task) -> bool:
-    match task.phase:
-        case fleetview.Phase.DONE:
-            return False
-        case fleetview.Phase.STARTING:
-            return task.is_sent
-        case _:
-            return not task.is_end_unread
+def _has_run(task: fleetview.Task) -> bool:
+    return task.phase is not fleetview.Phase.DONE and task.is_confirmed and not task.is_end_unread
 
 
 def make_unresolved(
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -11,6 +11,8 @@
 # A worker's clock may run slow by this fraction, so its lease may last longer than requested.
 SLOW_CLOCK_FRACTION = 0.02
 _LEASE_MARGIN_S = 0.1
+# A clock is read in whole milliseconds, and loop times are taken a little before and after a call.
+_CLOCK_TOLERANCE_MS = 20.0
 # A worker that refused a start for lack of resources gets no starts for this time, in which it
 # reports again.
 _REFUSAL_PAUSE_S = 0.3
@@ -99,8 +101,11 @@
     stop_acked_s: float | None = None
     # A worker does not carry out an unanswered start after this time.
     may_start_until_s: float = 0.0
-    # Whether the start of the run has left for its worker.
+    # Whether the start of the run has left for its worker, and the fencing token that it carries.
     is_sent: bool = False
+    fencing_token: int = 0
+    # Whether this incarnation of the worker has reported the run, or accepted its start.
+    is_confirmed: bool = False
     # A worker report sent after the run began did not list it.
     is_missing: bool = False
     # The run has ended, but how is not among the ends that its worker has listed so far.
@@ -160,6 +165,8 @@
     ends: tuple[RunEnd, ...]
     # Whether no end was left out; the rest is listed once these ends are acknowledged.
     is_complete: bool = True
+    # The token of the poll: a start with a lower one that is not listed is never carried out.
+    fencing_token: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -206,6 +213,8 @@
     """One incarnation of a worker, with its tasks, free resources and lease."""
 
     facts: WorkerFacts
+    # The token of all calls to the worker from now on.
+    fencing_token: int = 0
     is_listed: bool = True
     is_closed: bool = False
     is_polled: bool = False
@@ -320,10 +329,26 @@
 
     def extend_lease(self, sent_s: float, lease_s: float) -> float:
         """Record a lease requested at a time; return the latest time that it may last until."""
-        until_s = sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
+        until_s = get_lease_end_s(sent_s, lease_s)
         self.leased_until_s = max(self.leased_until_s, until_s)
         return until_s
 
+    def is_clock_plausible(self, clock_ms: int, sent_s: float) -> bool:
+        """Return whether a clock in the answer to a call can be that of this incarnation.
+
+        The clock of a later incarnation starts anew, so it is behind.
+        """
+        if self.clock_offset_ms is None:
+            return True
+        drift_ms = max(0.0, sent_s - self.clock_read_s) * 1000 * SLOW_CLOCK_FRACTION
+        expected_ms = sent_s * 1000 + self.clock_offset_ms
+        return clock_ms >= expected_ms - drift_ms - _CLOCK_TOLERANCE_MS
+
+
+def get_lease_end_s(sent_s: float, lease_s: float) -> float:
+    """Return the latest time that a lease requested at a time may last until."""
+    return sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
+
 
 def get_newest_by_host(
     listed: collections.abc.Iterable[WorkerFacts],
--- a/packages/nutmegshelf/src/nutmegshelf/orders.py
+++ b/packages/nutmegshelf/src/nutmegshelf/orders.py
@@ -36,6 +36,13 @@
     is_complete: bool
 
 
+class StartAnswer(typing.NamedTuple):
+    """A worker's answer to a start: its clock, and the reason if it refused."""
+
+    clock_ms: int
+    refusal: Refusal | None = None
+
+
 class TicketGrant(typing.NamedTuple):
     """The tickets of the workers that may run a step, and their period of validity."""
 
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -340,7 +340,8 @@
         task.stop_sent_s = task.stop_acked_s = None
         task.stops_sent = 0
         task.may_start_until_s = 0.0
-        task.is_sent = task.is_missing = task.is_end_unread = False
+        task.fencing_token = 0
+        task.is_sent = task.is_confirmed = task.is_missing = task.is_end_unread = False
         task.percent, task.tail_latency_ms, task.pace_percent = 0, 0.0, 100
         worker.add_task(task)
         if record.progress.state is jobs.JobState.QUEUED:
@@ -372,6 +373,22 @@
         if task.phase is not fleetview.Phase.DONE:
             self._requeue(record, task)
 
+    def transfer(
+        self,
+        task: fleetview.Task,
+        worker: fleetview.Worker,
+        later: fleetview.Worker,
+        now_s: float,
+    ) -> None:
+        """Move a run to a later incarnation of its worker, which may have got its start."""
+        worker.remove_task(task, now_s)
+        task.incarnation, task.since_s = later.facts.incarnation, now_s
+        task.stop_sent_s = task.stop_acked_s = None
+        task.stops_sent, task.is_missing = 0, False
+        if task.phase is not fleetview.Phase.DONE:
+            task.phase = fleetview.Phase.UNCONFIRMED
+        later.add_task(task)
+
     def add_speculative_run(self, task: fleetview.Task) -> fleetview.Task:
         """Create a second run of a running task; the first of the two to succeed completes it."""
         duplicate = fleetview.Task(
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -89,6 +89,7 @@
             task.phase is fleetview.Phase.UNCONFIRMED and task.stop_sent_s is None
         ):
             task.phase, task.since_s = fleetview.Phase.RUNNING, now_s
+        task.is_confirmed = True
         task.percent, task.tail_latency_ms = reported.percent, reported.tail_latency_ms
         self._registry.save_checkpoint(record, task, reported.checkpoint)
 
@@ -151,7 +152,8 @@
             case fleetview.Phase.UNCONFIRMED:
                 is_gone = task.stop_acked_s is not None and report.sent_s >= task.stop_acked_s
                 is_expired = task.step.long_running and report.sent_s >= task.may_start_until_s
-                is_gone = is_gone or is_expired
+                is_fenced = task.fencing_token < report.fencing_token
+                is_gone = is_gone or is_expired or is_fenced
                 task.is_missing = task.is_missing or report.sent_s >= task.since_s
             case _:
                 is_gone = False
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -1,6 +1,7 @@
 """Schedule the tasks of one service: track what runs where, and choose what starts and stops."""
 
 import collections.abc
+import dataclasses
 
 from nutmegshelf import (
     calls,
@@ -30,6 +31,8 @@
     window,
 )
 
+# An epoch's fencing tokens are above those of all earlier epochs, and rise within the epoch.
+_TOKENS_PER_EPOCH = 1 << 24
 # Workers that take new tasks now or are expected to within moments.
 _SOON_OPEN = (
     None,
@@ -62,6 +65,11 @@
         self.closed_hosts = evacuation.ClosedHosts()
         self.estimates = estimates.Estimates()
         self.advice = policy.Advice()
+        self._fencing_token = epoch * _TOKENS_PER_EPOCH
+        # Until then after now, a lease that was granted by now may last.
+        self._lease_expiry_s = lease_expiry_s
+        # Of each worker that is listed or in use, when its latest known incarnation was born.
+        self._newest_born_ms: dict[ids.WorkerId, int] = {}
         self._starter = starts.Starter(
             self.registry,
             self.advice,
@@ -129,18 +137,15 @@
     ) -> list[fleetview.Worker]:
         """Apply the fleet's list of this service's workers, and return those that are new."""
         listed_by_incarnation = fleetview.get_newest_by_host(listed)
+        self._forget_unlisted_births(listed_by_incarnation)
         added: list[fleetview.Worker] = []
         for incarnation, facts in listed_by_incarnation.items():
-            if self._takeover.has_ended(incarnation):
+            if self._takeover.has_ended(incarnation) or self._is_superseded(incarnation):
                 continue
             worker = self.workers.get(incarnation)
             if worker is None:
-                worker = self.workers[incarnation] = fleetview.Worker(facts, idle_since_s=now_s)
-                # Leases that an earlier holder granted there have expired by then.
-                if now_s < self._takeover.leases_expire_s:
-                    worker.leased_until_s = self._takeover.leases_expire_s
+                worker = self._add_worker(facts, now_s)
                 added.append(worker)
-                self.closed_hosts.reopen_if_restarted(incarnation, facts.host)
             if facts.is_draining and (
                 worker.drain_notified_s is None or worker.facts.left_ms != facts.left_ms
             ):
@@ -158,10 +163,37 @@
                 continue
             worker.is_listed, worker.is_closed = False, True
             if newest.get(worker.facts.host, -1) > incarnation.born_ms:
-                self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
+                self._drop_restarted(worker, now_s)
         self.losses.count_crashes(newest, now_s)
         return added
 
+    def _add_worker(self, facts: fleetview.WorkerFacts, now_s: float) -> fleetview.Worker:
+        incarnation = facts.incarnation
+        worker = fleetview.Worker(facts, self._take_fencing_token(), idle_since_s=now_s)
+        # Leases that an earlier holder granted there have expired by then.
+        if now_s < self._takeover.leases_expire_s:
+            worker.leased_until_s = self._takeover.leases_expire_s
+        self.workers[incarnation] = worker
+        self._newest_born_ms[incarnation.worker] = incarnation.born_ms
+        self.closed_hosts.reopen_if_restarted(incarnation, facts.host)
+        return worker
+
+    def _take_fencing_token(self) -> int:
+        self._fencing_token += 1
+        return self._fencing_token
+
+    def _is_superseded(self, incarnation: fleetview.Incarnation) -> bool:
+        """Return whether a worker is known to have started again under its id."""
+        return self._newest_born_ms.get(incarnation.worker, -1) > incarnation.born_ms
+
+    def _forget_unlisted_births(
+        self, listed: collections.abc.Iterable[fleetview.Incarnation]
+    ) -> None:
+        names = {incarnation.worker for incarnation in (*listed, *self.workers)}
+        self._newest_born_ms = {
+            name: born_ms for name, born_ms in self._newest_born_ms.items() if name in names
+        }
+
     def _update_capacity(
         self, worker: fleetview.Worker, facts: fleetview.WorkerFacts, now_s: float
     ) -> None:
@@ -233,11 +265,57 @@
     def record_restart(
         self, incarnation: fleetview.Incarnation, born_ms: int, now_s: float
     ) -> None:
-        """Release the runs of a worker that answered as a later incarnation."""
+        """Replace a worker that answered as a later incarnation, which is not listed yet."""
         worker = self.workers.get(incarnation)
-        if worker is not None and born_ms > incarnation.born_ms:
-            self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
-            self.losses.count_crash(incarnation, now_s)
+        if worker is None or born_ms <= incarnation.born_ms:
+            return
+        later = fleetview.Incarnation(incarnation.worker, born_ms)
+        if later not in self.workers:
+            replacement = self._add_worker(
+                dataclasses.replace(worker.facts, incarnation=later), now_s
+            )
+            # It may be of another kind, so it gets no new tasks before it is listed.
+            replacement.is_listed, replacement.is_closed = False, True
+        self._drop_restarted(worker, now_s)
+        self.losses.count_crash(incarnation, now_s)
+
+    def _drop_restarted(self, worker: fleetview.Worker, now_s: float) -> None:
+        """Drop a worker whose host runs a later one.
+
+        A later incarnation under the same id may have got a start that the former one did not
+        confirm, or may get it yet. Such a run goes over to the later incarnation, whose first
+        report, to a poll with a higher fencing token, tells whether it is there.
+        """
+        born_ms = self._newest_born_ms.get(worker.facts.incarnation.worker, -1)
+        later = self.workers.get(fleetview.Incarnation(worker.facts.incarnation.worker, born_ms))
+        if later is not None and later is not worker:
+            for task in list(worker.tasks.values()):
+                if not task.is_sent or task.is_confirmed:
+                    continue
+                self.notes.note_task(
+                    "run may be at a later incarnation",
+                    task,
+                    worker=worker.facts.incarnation.worker,
+                    born_ms=born_ms,
+                    phase=task.phase.value,
+                )
+                self.registry.transfer(task, worker, later, now_s)
+                later.leased_until_s = max(
+                    later.leased_until_s, worker.leased_until_s, now_s + self._lease_expiry_s
+                )
+        self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
+
+    def record_silence(self, incarnation: fleetview.Incarnation, now_s: float) -> bool:
+        """Record that a call to a worker failed; return whether the worker answered before.
+
+        The worker may have started again, so what was sent before is barred from the next call on.
+        """
+        worker = self.workers.get(incarnation)
+        if worker is None or worker.unresponsive_since_s is not None:
+            return False
+        worker.unresponsive_since_s = now_s
+        worker.fencing_token = self._take_fencing_token()
+        return True
 
     def tick(self, now_s: float, now_ms: int) -> None:
         """Expire leases, open the occurrences that are due and look for stalled tasks."""
@@ -412,13 +490,17 @@
     def record_sent(self, order: orders.StartRun) -> None:
         """Record that a start leaves for its worker, which may carry it out from now on."""
         task = self._get_task(order)
-        if task is not None:
-            task.is_sent = True
+        worker = self.workers.get(order.incarnation)
+        if task is not None and worker is not None:
+            task.is_sent, task.fencing_token = True, worker.fencing_token
 
     def record_started(self, order: orders.StartRun, now_s: float) -> None:
         """Record that a worker accepted a start."""
         task = self._get_task(order)
-        if task is not None and task.phase is fleetview.Phase.STARTING:
+        if task is None:
+            return
+        task.is_confirmed = True
+        if task.phase is fleetview.Phase.STARTING:
             task.phase, task.since_s = fleetview.Phase.RUNNING, now_s
 
     def record_refused(self, order: orders.StartRun, reason: str, now_s: float) -> None:
