--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_codec.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_codec.py
@@ -1,7 +1,7 @@
 """Codec of the native job interface: JSON whose fields are those of the types of `jobs`."""
 
 import msgspec
-from nutmegshelf import exceptions, ids, jobs, queues
+from nutmegshelf import codecs, exceptions, ids, jobs, queues
 from nutmegshelf_http import server
 
 _TIMEOUT_HEADER = b"request-timeout-ms"
@@ -40,7 +40,7 @@
     ) -> jobs.Job:
         """Decode a submitted job; raises RequestError."""
         try:
-            submission = msgspec.json.decode(body, type=_Submission)
+            submission = codecs.decode_json(body, _Submission)
             steps = tuple(_decode_step(index, step) for index, step in enumerate(submission.steps))
         except (msgspec.DecodeError, ValueError) as error:
             raise exceptions.RequestError(exceptions.ErrorKind.BAD_REQUEST, str(error)) from error
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/rpc.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/rpc.py
@@ -64,7 +64,7 @@
         body = await exchange.connection.read_body(_MAX_CALL_BYTES)
         try:
             call = msgspec.msgpack.decode(body, type=calls.AnyCall)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             _log.warning("Rejected an undecodable call from a peer.", why=str(error))
             await exchange.respond(400, [])
             return
--- a/packages/nutmegshelf/src/nutmegshelf/codecs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/codecs.py
@@ -19,16 +19,25 @@
     decode: collections.abc.Callable[[bytes, typing.Any], typing.Any]
 
 
+def _decode(
+    decode: collections.abc.Callable[..., typing.Any], data: bytes, kind: typing.Any
+) -> typing.Any:
+    try:
+        return decode(data, type=kind)
+    except RecursionError as error:
+        raise msgspec.DecodeError("it is nested too deeply") from error
+
+
 CODECS: dict[str, Codec] = {
     "msgpack": Codec(
         "application/msgpack",
         msgspec.msgpack.Encoder(order="deterministic").encode,
-        lambda data, kind: msgspec.msgpack.decode(data, type=kind),
+        lambda data, kind: _decode(msgspec.msgpack.decode, data, kind),
     ),
     "json": Codec(
         "application/json",
         msgspec.json.Encoder(order="deterministic").encode,
-        lambda data, kind: msgspec.json.decode(data, type=kind),
+        lambda data, kind: _decode(msgspec.json.decode, data, kind),
     ),
 }
 _UNORDERED = msgspec.msgpack.Encoder()
@@ -49,6 +58,11 @@
     return typing.cast(T, CODECS["msgpack"].decode(data, kind))
 
 
+def decode_json(data: bytes, kind: type[T]) -> T:
+    """Decode JSON; raises msgspec.DecodeError where the data does not match the type."""
+    return typing.cast(T, CODECS["json"].decode(data, kind))
+
+
 def digest(data: bytes) -> str:
     """Return a hexadecimal digest that identifies the data."""
     return hashlib.blake2b(data, digest_size=16).hexdigest()
