Store a job's progress in as many rows as it needs

Cause: all progress was one row of at most rowBytes. Notes on tasks at silent workers, checkpoints, or scattered finished occurrences outgrew it, the table refused the row, and the writer ended the job as failed.

Now larger progress is a head and a group of rows for each block of 128 tasks; only changed groups are written, in an order in which a reader of any part finds no end of a task undone. A refused change is tried again in smaller rows, and its job runs on.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -215,6 +215,8 @@
         self.list_lag_s = 0.0
         # Whether a worker that crashed is back under the id that it had.
         self.keeps_ids = False
+        # Whether reports have the checkpoints of the tasks that run.
+        self.reports_checkpoints = False
         self.reported_waves = []
         self.reports_fail = False
         self.declared = None
@@ -461,7 +463,13 @@
                 raise exceptions.OrderAnswerLost("connection closed")
         now_s = asyncio.get_running_loop().time()
         listed = tuple(
-            fleetview.ReportedRun(run.task, run.number, "", self._percent(run, now_s), 0.0)
+            fleetview.ReportedRun(
+                run.task,
+                run.number,
+                run.get_checkpoint(now_s) if self.world.reports_checkpoints else "",
+                self._percent(run, now_s),
+                0.0,
+            )
             for run in minion.runs.values()
         )
         await asyncio.sleep(minion.poll_delay_s)
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -385,7 +385,9 @@
         worker.is_polled = True
     for now_s in (20.1, 20.2):
         assert not scheduler.choose_starts(now_s), "it starts before its plan is stored"
-    (stored,) = registry.take_dirty(10)
+    (job,) = registry.dirty
+    registry.take_dirty([job])
+    stored = registry.records[job]
     history = stored.progress.steps[0][0].crashes[0]
     assert len(history.runs) == 1 and len(history.unresolved) == 1, history
     assert not scheduler.choose_starts(20.3), "it starts while the write is under way"
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -16,6 +16,7 @@
     orders,
     platform,
     policy,
+    progressrows,
     scheduler,
     submissions,
     views,
@@ -67,6 +68,7 @@
         lease_s: float,
         max_lease_age_s: float,
         ended_retention_s: float,
+        max_row_bytes: int,
         acquired_s: float,
         timings: histograms.Histograms,
         transport: sender.Transport,
@@ -92,7 +94,7 @@
             records_incarnations=True,
             router=transport.router,
         )
-        self.writer = writer.Writer(rows, lease_set, pool, acquired_s)
+        self.writer = writer.Writer(rows, lease_set, pool, acquired_s, max_row_bytes=max_row_bytes)
         self.writer.on_stored = self.wake
         self.writer.on_accepted = self._handle_accepted
         self._arrived_s: dict[ids.JobId, float] = {}
@@ -443,7 +445,9 @@
             age_s = max(0, now_ms - job.accepted_ms) / 1000
             progress = stored.progress.get(job.job)
             with self._leave_out_unusable(job):
-                self.scheduler.load_job(job, progress, now_s - age_s, now_s, now_ms)
+                record = self.scheduler.load_job(job, progress, now_s - age_s, now_s, now_ms)
+                if (rows := stored.progress_rows.get(job.job)) is not None:
+                    record.stored_rows = rows
         # A cancelled job must not start, so notices are applied before the first order.
         for notice in stored.notices:
             self._apply_notice(notice)
@@ -578,10 +582,14 @@
     def _delete_ended(self, now_s: float) -> None:
         for record in self.scheduler.evict_ended(now_s - self._ended_retention_s):
             job = record.job.job
+            names = [
+                progressrows.RowName(job, group, number)
+                for group, number in record.stored_rows.names
+            ]
             # Together: a job under the same id must not find the progress of this one.
             self.writer.write(
                 platform.Write(jobs.job_key(self.pool, job), None),
-                platform.Write(jobs.progress_key(self.pool, job), None),
+                *(platform.Write(jobs.progress_key(self.pool, each.text), None) for each in names),
             )
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -11,6 +11,7 @@
     exceptions,
     ids,
     jobs,
+    progressrows,
     queues,
     rejections,
     submissions,
@@ -329,10 +330,10 @@
             raise exceptions.RequestError(kind, str(error)) from error
         if not progress_row.version:
             return jobs.JobState.QUEUED
-        progress = rowcodec.decode(progress_row, jobs.Progress)
-        if progress is None:
+        state = rowcodec.decode_with(progress_row, progressrows.decode_state)
+        if state is None:
             raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNREADABLE, progress_row.key)
-        return progress.state
+        return state
 
     async def cancel(self, queue: queues.Queue, job: ids.JobId) -> None:
         """Cancel a job, or store the request for its next holder; raises RequestError."""
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -37,6 +37,7 @@
     rowcodec,
     sender,
     supervision,
+    writer,
 )
 
 # Other entries may acquire a lease that was not renewed for this long.
@@ -95,6 +96,8 @@
     quiet_s: float = 3.0
     task_lease_s: float = TASK_LEASE_S
     ended_kept_s: float = ENDED_JOB_RETENTION_S
+    # The size of a value that the table takes.
+    max_row_bytes: int = writer.MAX_ROW_BYTES
     # An accepted configuration has to be active within this time.
     apply_s: float = 2.0
     # None if unknown.
@@ -329,6 +332,7 @@
             lease_s=self._settings.task_lease_s,
             max_lease_age_s=MAX_LEASE_AGE_S,
             ended_retention_s=self._settings.ended_kept_s,
+            max_row_bytes=self._settings.max_row_bytes,
             acquired_s=acquired_s,
             timings=self.timings,
             transport=self._transport,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/loading.py
@@ -5,7 +5,8 @@
 import dataclasses
 import typing
 
-from nutmegshelf import exceptions, fleetview, ids, jobs, platform, rebalancing
+import msgspec
+from nutmegshelf import exceptions, fleetview, ids, jobs, platform, progressrows, rebalancing
 
 from nutmegshelf_entry import logs, ports, rowcodec
 
@@ -31,6 +32,7 @@
 
     submitted: list[jobs.Job]
     progress: dict[ids.JobId, jobs.Progress]
+    progress_rows: dict[ids.JobId, progressrows.StoredRows]
     # Jobs with a malformed progress row; started anew they would run twice.
     unreadable: set[ids.JobId]
     notices: list[jobs.Notice]
@@ -59,13 +61,21 @@
     progress_rows = await rows.scan(f"{jobs.PROGRESS}/{pool}/")
     incarnation_rows = await rows.scan(f"{INCARNATIONS}/{pool}/")
     progress: dict[ids.JobId, jobs.Progress] = {}
+    stored_rows: dict[ids.JobId, progressrows.StoredRows] = {}
     unreadable: set[ids.JobId] = set()
-    for row in progress_rows:
-        decoded = rowcodec.decode(row, jobs.Progress)
-        if decoded is None:
-            unreadable.add(ids.JobId(row.key.rpartition("/")[2]))
-        else:
-            progress[decoded.job] = decoded
+    for name, values in _group_by_job(progress_rows).items():
+        stored_rows[name] = progressrows.StoredRows()
+        try:
+            decoded = progressrows.decode(values)
+            head = values.get(progressrows.RowName(name))
+            is_split = head is not None and progressrows.is_split(head)
+        except msgspec.DecodeError as error:
+            _log.error("A job's progress can't be decoded.", job=name, why=str(error))
+            unreadable.add(name)
+            continue
+        stored_rows[name].load(values, is_split=is_split)
+        if decoded is not None:
+            progress[name] = decoded
     return StoredService(
         submitted=[
             job
@@ -73,6 +83,7 @@
             if (job := rowcodec.decode(row, jobs.Job)) is not None and job.job not in unreadable
         ],
         progress=progress,
+        progress_rows=stored_rows,
         unreadable=unreadable,
         notices=[
             notice
@@ -84,6 +95,20 @@
     )
 
 
+def _group_by_job(
+    rows: list[platform.Row],
+) -> dict[ids.JobId, dict[progressrows.RowName, bytes]]:
+    by_job: dict[ids.JobId, dict[progressrows.RowName, bytes]] = {}
+    for row in rows:
+        try:
+            name = progressrows.parse_row_name(row.key.rpartition("/")[2])
+        except ValueError:
+            _log.error("A row of progress has no valid name.", key=row.key)
+            continue
+        by_job.setdefault(name.job, {})[name] = row.value
+    return by_job
+
+
 def _decode_incarnations(rows: list[platform.Row]) -> IncarnationHosts | None:
     incarnations: IncarnationHosts = []
     for row in rows:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -4,8 +4,19 @@
 import collections.abc
 import dataclasses
 import itertools
-
-from nutmegshelf import codecs, exceptions, ids, jobs, leases, platform, registry, submissions
+import typing
+
+from nutmegshelf import (
+    codecs,
+    exceptions,
+    ids,
+    jobs,
+    leases,
+    platform,
+    progressrows,
+    registry,
+    submissions,
+)
 
 from nutmegshelf_entry import histograms, logs, ports
 
@@ -15,11 +26,16 @@
 # lease itself.
 _MAX_OPERATIONS = 100
 _LEASE_OPERATIONS = 2
+# The default size of a row's value.
+MAX_ROW_BYTES = 65_536
 _MAX_BYTES = 400_000
 _RETRY_DELAY_S = 0.1
 _RENEWAL_FRACTION = 0.25
 # Longer than the interruption by a single lost answer.
 _STALLED_AFTER_S = 0.7
+# A change of a job that the table refuses is tried again after this time, with smaller rows.
+_REFUSED_DELAY_S = 2.0
+_MIN_ROW_BYTES = 1_024
 
 _log = logs.get_logger("writer")
 
@@ -70,26 +86,47 @@
 Waiters = dict[str, list[asyncio.Future[None]]]
 
 
+class _ProgressChange(typing.NamedTuple):
+    """The change of one group of a job's progress."""
+
+    record: registry.JobRecord
+    change: progressrows.Change
+
+
+@dataclasses.dataclass(slots=True)
+class _RefusedJob:
+    """A job with a change that the table refused."""
+
+    max_row_bytes: int
+    retry_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Batch:
     """What one transaction stores, besides the lease."""
 
     new_jobs: PendingJobs
     queued: QueuedWrites
-    dirty: list[registry.JobRecord]
+    progress: list[_ProgressChange]
     waiters: Waiters
 
     @property
     def size(self) -> int:
         """Return the number of items, each of which could be stored alone."""
-        return len(self.new_jobs) + len(self.queued) + len(self.dirty)
+        return len(self.new_jobs) + len(self.queued) + len(self.progress)
 
 
 class Writer:
     """The transactions of one held lease, which are sent one at a time."""
 
     def __init__(
-        self, rows: ports.RowStore, lease_set: leases.Leases, pool: ids.PoolName, acquired_s: float
+        self,
+        rows: ports.RowStore,
+        lease_set: leases.Leases,
+        pool: ids.PoolName,
+        acquired_s: float,
+        *,
+        max_row_bytes: int = MAX_ROW_BYTES,
     ) -> None:
         self._rows = rows
         self._lease_set = lease_set
@@ -111,6 +148,8 @@
         self._waiters: Waiters = {}
         # Smaller after the table refused a batch, until the item that it refuses is found.
         self._max_items = _MAX_OPERATIONS
+        self._max_row_bytes = max_row_bytes
+        self._refused_jobs: dict[ids.JobId, _RefusedJob] = {}
         self._is_ended = False
         self._failing_since_s: float | None = None
         # Duration of the last transaction, including the batch delay.
@@ -229,19 +268,29 @@
             await self._store(job_registry)
 
     def _has_pending_changes(self, job_registry: registry.JobRegistry) -> bool:
-        return bool(job_registry.dirty or self._pending or self._queued_writes)
+        return bool(
+            self._pending
+            or self._queued_writes
+            or any(not self._is_refused(job) for job in job_registry.dirty)
+        )
+
+    def _is_refused(self, job: ids.JobId) -> bool:
+        """Return whether the table refused a change of a job a moment ago."""
+        refused = self._refused_jobs.get(job)
+        return refused is not None and self._loop.time() < refused.retry_s
 
     async def _store(self, job_registry: registry.JobRegistry) -> None:
         budget = _TransactionBudget(self._max_items)
         new_jobs, queued = self._choose_new_jobs(budget), self._pop_queued_writes(budget)
-        writes = self._choose_progress(job_registry, budget)
+        progress, complete = self._choose_progress(job_registry, budget)
         self._writes_in_flight = queued
         waiters = {key: self._waiters.pop(key, []) for key in queued}
-        batch = _Batch(new_jobs, queued, job_registry.take_dirty(len(writes)), waiters)
-        stored_states = {record.job.job: record.progress.state for record in batch.dirty}
+        batch = _Batch(new_jobs, queued, progress, waiters)
+        stored_states = {job: job_registry.records[job].progress.state for job in complete}
+        job_registry.take_dirty(complete)
         try:
             queued_writes = itertools.chain.from_iterable(batch.queued.values())
-            await self._commit([*writes, *queued_writes], batch.new_jobs)
+            await self._commit([*self._make_writes(progress), *queued_writes], batch.new_jobs)
         except BaseException as error:
             job_registry.restore_dirty()
             self._queued_writes = batch.queued | self._queued_writes
@@ -249,20 +298,22 @@
                 self._waiters[key] = waiting + self._waiters.get(key, [])
             if not isinstance(error, exceptions.TableRefused):
                 raise
-            self._isolate_refused(job_registry, batch, error)
+            self._isolate_refused(batch, error)
             return
         finally:
             self._writes_in_flight = {}
         self._max_items = min(_MAX_OPERATIONS, 2 * self._max_items)
         for waiting in batch.waiters.values():
             _resolve_waiters(waiting)
+        for record, change in batch.progress:
+            record.stored_rows.confirm(change)
+        for job in complete:
+            self._refused_jobs.pop(job, None)
         job_registry.confirm_stored(stored_states)
         self.on_stored()
 
-    def _isolate_refused(
-        self, job_registry: registry.JobRegistry, batch: _Batch, error: exceptions.TableRefused
-    ) -> None:
-        """Have a refused batch sent in halves, or drop the one item in it."""
+    def _isolate_refused(self, batch: _Batch, error: exceptions.TableRefused) -> None:
+        """Have a refused batch sent in halves, or drop or delay the one item in it."""
         if batch.size > 1:
             self._max_items = batch.size // 2
             return
@@ -277,14 +328,25 @@
             if self._queued_writes.get(key) is writes:
                 del self._queued_writes[key]
                 _resolve_waiters(self._waiters.pop(key), error)
-        for record in batch.dirty:
-            job = record.job.job
-            _log.error(
-                "The table refused a job's progress.", pool=self._pool, job=job, why=str(error)
-            )
-            job_registry.drop_unstorable(
-                record, f"the table refused its progress: {error}", self._loop.time()
-            )
+        for record, change in batch.progress:
+            self._delay_refused(record.job.job, change, error)
+
+    def _delay_refused(
+        self, job: ids.JobId, change: progressrows.Change, error: exceptions.TableRefused
+    ) -> None:
+        """Have a job's progress stored later in smaller rows; the job itself runs on."""
+        refused = self._refused_jobs.setdefault(job, _RefusedJob(self._max_row_bytes, 0.0))
+        refused.max_row_bytes = max(_MIN_ROW_BYTES, refused.max_row_bytes // 2)
+        refused.retry_s = self._loop.time() + _REFUSED_DELAY_S
+        _log.error(
+            "The table refused a job's progress.",
+            pool=self._pool,
+            job=job,
+            group=change.group.name,
+            size_bytes=change.group.size_bytes,
+            max_row_bytes=refused.max_row_bytes,
+            why=str(error),
+        )
 
     def _choose_new_jobs(self, budget: "_TransactionBudget") -> PendingJobs:
         chosen: PendingJobs = {}
@@ -297,15 +359,41 @@
 
     def _choose_progress(
         self, job_registry: registry.JobRegistry, budget: "_TransactionBudget"
-    ) -> list[platform.Write]:
-        """Return the writes of the dirty jobs with the oldest changes, as many as fit."""
-        chosen: list[platform.Write] = []
+    ) -> tuple[list[_ProgressChange], list[ids.JobId]]:
+        """Return the changes of the dirty jobs with the oldest ones, as many as fit.
+
+        Of these jobs, also return those of which no change is left out.
+        """
+        chosen: list[_ProgressChange] = []
+        complete: list[ids.JobId] = []
         for name in job_registry.dirty:
-            packed = codecs.pack_unordered(job_registry.records[name].progress)
-            if not budget.reserve(1, len(packed)):
-                break
-            chosen.append(platform.Write(jobs.progress_key(self._pool, name), packed))
-        return chosen
+            if self._is_refused(name):
+                continue
+            record = job_registry.records[name]
+            for change in record.stored_rows.list_changes(self._encode(record)):
+                operations = len(change.group.values) + change.surplus
+                if not budget.reserve(operations, change.group.size_bytes):
+                    return chosen, complete
+                chosen.append(_ProgressChange(record, change))
+            complete.append(name)
+        return chosen, complete
+
+    def _encode(self, record: registry.JobRecord) -> list[progressrows.Group]:
+        refused = self._refused_jobs.get(record.job.job)
+        max_row_bytes = refused.max_row_bytes if refused is not None else self._max_row_bytes
+        groups = progressrows.encode(record.job, record.progress, max_row_bytes)
+        if any(group.lacks_checkpoints for group in groups):
+            _log.error(
+                "Checkpoints are too large to be stored.", pool=self._pool, job=record.job.job
+            )
+        return groups
+
+    def _make_writes(self, progress: list[_ProgressChange]) -> list[platform.Write]:
+        return [
+            platform.Write(jobs.progress_key(self._pool, name.text), value)
+            for record, change in progress
+            for name, value in change.make_writes(record.job.job)
+        ]
 
     def _pop_queued_writes(self, budget: "_TransactionBudget") -> QueuedWrites:
         chosen: QueuedWrites = {}
--- a/packages/nutmegshelf/src/nutmegshelf/jobs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/jobs.py
@@ -207,9 +207,9 @@
     return f"{JOBS}/{service}/{job}"
 
 
-def progress_key(service: str, job: str) -> str:
-    """Return the key of the row with a job's progress."""
-    return f"{PROGRESS}/{service}/{job}"
+def progress_key(service: str, name: str) -> str:
+    """Return the key of a row with progress; the job's id names the first one of a job."""
+    return f"{PROGRESS}/{service}/{name}"
 
 
 def notice_key(notice: Notice) -> str:
--- a/packages/nutmegshelf/src/nutmegshelf/registry.py
+++ b/packages/nutmegshelf/src/nutmegshelf/registry.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-from nutmegshelf import crashes, fleetview, ids, jobs
+from nutmegshelf import crashes, fleetview, ids, jobs, progressrows
 
 # Run numbers of an epoch are above those of all earlier epochs, so the newer run always wins.
 RUNS_PER_EPOCH = 1 << 16
@@ -37,6 +37,9 @@
     # Whether tasks may still run at workers that an earlier holder used.
     has_recovering: bool = False
     is_rejection_counted: bool = False
+    stored_rows: progressrows.StoredRows = dataclasses.field(
+        default_factory=progressrows.StoredRows
+    )
     _remaining_path_s: float | None = None
 
     @property
@@ -293,12 +296,10 @@
         unstored = [*self.dirty.values(), *self.in_flight.values()]
         return min(unstored) - 1 if unstored else self.last_change
 
-    def take_dirty(self, limit: int) -> list[JobRecord]:
-        """Move up to `limit` jobs, the oldest changes first, to those in flight and return them."""
-        taken = list(self.dirty)[:limit]
+    def take_dirty(self, taken: collections.abc.Iterable[ids.JobId]) -> None:
+        """Move jobs whose changes are all being stored to those in flight."""
         for job in taken:
             self.in_flight[job] = self.dirty.pop(job)
-        return [self.records[job] for job in taken]
 
     def confirm_stored(self, states: dict[ids.JobId, jobs.JobState]) -> None:
         """Record that the rows in flight are stored, and publish the job states in them."""
@@ -596,15 +597,6 @@
         record.progress.steps.clear()
         self.mark_dirty(record)
 
-    def drop_unstorable(self, record: JobRecord, reason: str, now_s: float) -> None:
-        """End a job whose progress the table refuses, and keep no more of it than its state."""
-        if not record.is_live and not record.progress.finished:
-            self.dirty.pop(record.job.job, None)
-            return
-        record.progress.finished.clear()
-        if record.is_live:
-            self.end_job(record, jobs.JobState.FAILED, reason, now_s)
-
     def get_next_run(self, task: fleetview.Task) -> int:
         """Return a run number above all earlier ones of the task."""
         return max(task.run, task.highest_run, self._first_run) + 1
