Plan trials only for workers that can come to hold them

Cause: the worker for the trial of a suspected task was chosen by what it holds when empty, and the plan waited for room there. Long-running tasks don't end, so the room never came, and a planned task is held. The same held for gangs, for workers that shrink after the plan, and for workers whose other tasks never end.

Now a place counts by the room beside its long-running tasks, when it is chosen and as long as the plan waits, and a plan without room for 10 s is made anew.

--- a/packages/nutmegshelf/src/nutmegshelf/trials.py
+++ b/packages/nutmegshelf/src/nutmegshelf/trials.py
@@ -1,8 +1,9 @@
 """Start tasks that may crash their workers where nothing else runs.
 
 A worker is reserved for each trial: what runs there may end, and nothing else starts there until
-the suspected task has been seen running for a while, or has ended. The plan of a trial is stored
-before the start, so that a later holder of the service can tell which task crashed the worker.
+the suspected task has been seen running for a while, or has ended. Long-running tasks don't end, so
+only the room beside them counts. The plan of a trial is stored before the start, so that a later
+holder of the service can tell which task crashed the worker.
 """
 
 import collections
@@ -15,11 +16,14 @@
 _MAX_VACATE_S = 3.0
 # The same for a task that crashed more than one worker.
 _MAX_REPEATED_VACATE_S = 8.0
+# A trial whose workers have no room for it after this time is planned anew.
+_MAX_PLANNED_S = 10.0
 # A task that crashed one worker waits no longer than this for a trial.
 _MAX_WAIT_S = 10.0
 # The same for a long-running task, whose users wait for it, after any number of crashes.
 _MAX_LONG_RUNNING_WAIT_S = 1.5
 
+GetRoom = collections.abc.Callable[[fleetview.Worker], fleetview.Resources]
 GetAllowed = collections.abc.Callable[
     [registry.JobRecord, registry.TaskSet, list[fleetview.Worker]], list[fleetview.Worker]
 ]
@@ -37,6 +41,7 @@
     run: int
     # It starts only once this change of its job is stored.
     stored_change: int
+    planned_s: float
     is_started: bool = False
 
     @property
@@ -65,7 +70,8 @@
             return
         incarnations = {worker.facts.incarnation for worker in open_workers}
         for key, trial in list(self._trials.items()):
-            if not (_is_under_way(trial) if trial.is_started else _is_valid(trial, incarnations)):
+            is_valid = _is_valid(trial, incarnations) and not _has_expired(trial, now_s)
+            if not (_is_under_way(trial) if trial.is_started else is_valid):
                 self._end(key, trial)
         suspects = sorted(
             self._registry.get_waiting_suspects(),
@@ -173,7 +179,7 @@
         self._reserved.update(worker.facts.incarnation for worker in workers)
         key = _get_trial_key(task)
         self._trials[key] = Trial(
-            record, task_set, list(tasks), workers, run, self._registry.last_change
+            record, task_set, list(tasks), workers, run, self._registry.last_change, now_s
         )
         return True
 
@@ -204,16 +210,28 @@
 
 
 def _is_valid(trial: Trial, open_incarnations: set[fleetview.Incarnation]) -> bool:
-    """Return whether the tasks of a planned trial still wait, and its workers are still open."""
-    return all(task.key in trial.record.ready for task in trial.tasks) and all(
-        worker.facts.incarnation in open_incarnations for worker in trial.workers
+    """Return whether the tasks of a planned trial wait, for open workers that can hold them."""
+    return (
+        all(task.key in trial.record.ready for task in trial.tasks)
+        and all(worker.facts.incarnation in open_incarnations for worker in trial.workers)
+        and _has_room(trial, fleetview.Worker.get_room_beside_long_running)
     )
 
 
-def _has_room(trial: Trial) -> bool:
+def _has_expired(trial: Trial, now_s: float) -> bool:
+    """Return whether a planned trial has waited for its workers' other tasks for too long."""
+    return now_s - trial.planned_s > _MAX_PLANNED_S and not _has_room(trial)
+
+
+def _get_free(worker: fleetview.Worker) -> fleetview.Resources:
+    return worker.free
+
+
+def _has_room(trial: Trial, get_room: GetRoom = _get_free) -> bool:
     counts = collections.Counter(worker.facts.incarnation for worker in trial.workers)
     return all(
-        fitting.count_fitting(trial.task_set.step, worker.free) >= counts[worker.facts.incarnation]
+        fitting.count_fitting(trial.task_set.step, get_room(worker))
+        >= counts[worker.facts.incarnation]
         for worker in trial.workers
     )
 
@@ -225,8 +243,10 @@
     step = task_set.step
     if step.gang:
         empty = [worker for worker in workers if not worker.is_occupied]
-        chosen = fitting.choose_gang_workers(step, len(tasks), empty)
-        return chosen or _choose_vacated(step, len(tasks), workers)
+        for suitable in (empty, workers):
+            if chosen := fitting.choose_gang_workers(step, len(tasks), suitable):
+                return chosen
+        return _choose_vacated(step, len(tasks), workers)
     run_counts = registry.count_runs_by_worker(task_set)
     # Crashes of one host only may be the fault of the host.
     crashed_hosts = {host for task in tasks if task.crashes for host in task.crashes.hosts}
@@ -234,12 +254,14 @@
         worker
         for worker in workers
         if worker.fits_when_empty(step)
+        and worker.get_room_beside_long_running().fits(step)
         and not 0 < step.max_per_worker <= run_counts[worker.facts.incarnation]
     ]
     best = min(
         suitable,
         key=lambda worker: (
             worker.is_occupied,
+            not worker.fits(step),
             worker.facts.host in crashed_hosts,
             bool(step.data_rack) and worker.facts.rack != step.data_rack,
             worker.consecutive_failures,
@@ -255,8 +277,10 @@
 def _choose_vacated(
     step: jobs.Step, count: int, workers: list[fleetview.Worker]
 ) -> list[fleetview.Worker] | None:
-    """Return workers that hold a gang once they are empty."""
+    """Return workers that hold a gang once only long-running tasks are left there."""
     by_incarnation = {worker.facts.incarnation: worker for worker in workers}
     vacated = [fleetview.Worker(worker.facts) for worker in workers]
+    for worker, emptied in zip(workers, vacated, strict=True):
+        emptied.free = worker.get_room_beside_long_running()
     chosen = fitting.choose_gang_workers(step, count, vacated)
     return [by_incarnation[each.facts.incarnation] for each in chosen] if chosen else None
