Wait for starts without an answer while workers start again

Cause, beside the release of unconfirmed starts: a start without an answer was stopped at its minion and its task started elsewhere. A minion that starts again knows of no stop, and carries the start out up to 12 s late. And a poll after a silence repeated the acknowledgement of the former incarnation's ends, which makes the later one forget its own.

Now, for 30 s after a worker of a service has started again under its id, the task of such a start waits until a report tells, or for 12 s. Polls after a silence acknowledge nothing.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -65,6 +65,7 @@
         self.is_unresponsive = False
         self.has_ended = False
         self.delayed_starts = 0
+        self.start_delay_s = 1.5
         self.dropped_stops = 0
         # Starts that are executed at once and not answered, and starts that never arrive.
         self.unanswered_starts = 0
@@ -514,7 +515,12 @@
         if minion.delayed_starts:
             minion.delayed_starts -= 1
             asyncio.get_running_loop().call_later(
-                1.5, self._start_late, facts.incarnation, order, fencing_token, valid_until_ms
+                minion.start_delay_s,
+                self._start_late,
+                facts.incarnation,
+                order,
+                fencing_token,
+                valid_until_ms,
             )
             await asyncio.sleep(0.8)
             raise exceptions.OrderAnswerLost("no answer")
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -40,8 +40,54 @@
     Given a worker got the start of a task, without answer, and starts again under its id
     When the holder learns of it by poll
     And the later incarnation doesn't answer for 10 s
+    Then its run is unsure
+    When the later incarnation doesn't answer for 2 s
     Then its run is waiting
 
+  Scenario: An end at a later incarnation is forgotten by an acknowledgement of the former one's ends
+    Given 1 entries and 1 workers of one service
+    When 5 tasks end at its worker, which falls silent for 3 s
+    Then no poll after the silence began acknowledges an end before one is answered
+    And all ends are acknowledged after it
+
+  Scenario Outline: Late starts run at later incarnations beside the same tasks elsewhere
+    Given 1 entries and 6 workers of one service
+    And its tasks take <work> s
+    And a worker that crashed is back under its id
+    When a worker starts again, and 4 jobs of 6 tasks come whose first <late> starts at each worker are 3 s late
+    And <count> of the workers start again <after> s later and can't be reached for 5 s
+    Then within 60 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
+    Examples:
+      | work | late | count | after |
+      | 4    | 2    | 2     | 1.5   |
+      | 4    | 3    | 6     | 1.5   |
+      | 0.6  | 2    | 2     | 2.5   |
+      | 0.6  | 3    | 6     | 2.0   |
+
+  Scenario Outline: A task starts elsewhere though its start may run at a worker that starts again
+    Given 2 workers, of which the other one started again under its id 2 s before
+    When a <shape> task is started without an answer, and is not reported after that
+    Then it waits for <limit> s
+    And then it may start elsewhere
+
+    Examples:
+      | shape        | limit |
+      | plain        | 12    |
+      | long-running | 6.5   |
+
+  Scenario Outline: A task waits for a start without an answer though that may do no harm
+    Given 2 workers, of which the other one started again under its id <ago> s before
+    When a <shape> task is started without an answer, and is not reported after that
+    Then it is stopped after 1 s
+    And then it may start elsewhere
+
+    Examples:
+      | ago | shape       |
+      | 2   | speculative |
+      | 31  | plain       |
+
   Scenario Outline: An answer of a later incarnation counts as one of the former
     Given a worker whose clock is read as <offset> s ahead
     Then an answer to a start <after> s later with a clock of <clock> s <is> its own
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -74,6 +74,135 @@
     context.later = fleetview.Incarnation(incarnation.worker, incarnation.born_ms + 1)
 
 
+@behave.when("{count:d} tasks end at its worker, which falls silent for {silent_s:g} s")
+@jobs_steps.paused
+async def end_then_silence(context, count, silent_s):
+    (minion,) = context.world.minions.values()
+    (workers,) = context.site.workers.values()
+    context.polls, poll = [], workers.poll
+
+    async def record_poll(facts, **fields):
+        sent_s = jobs_steps.get_time_s()
+        result = None
+        try:
+            result = await poll(facts, **fields)
+            return result
+        finally:
+            context.polls.append((sent_s, fields["last_seen"], result is not None))
+
+    workers.poll = record_poll
+    steps = (jobs.Step(count=count, cpu_millis=250, memory_mb=100, estimate_ms=500),)
+    await jobs_steps.submit(context, FIRST_JOB, steps, "e0")
+    await asyncio.sleep(2.0)
+    context.silent_from_s = jobs_steps.get_time_s()
+    minion.is_unresponsive = True
+    await asyncio.sleep(silent_s)
+    minion.is_unresponsive = False
+    await asyncio.sleep(4.0)
+
+
+@behave.then("no poll after the silence began acknowledges an end before one is answered")
+def check_not_acknowledged(context):
+    silent = [each for each in context.polls if each[0] > context.silent_from_s]
+    answered = next(index for index, each in enumerate(silent) if each[2])
+    assert answered > 0 and not any(last_seen for _, last_seen, _ in silent[: answered + 1]), silent
+
+
+@behave.then("all ends are acknowledged after it")
+def check_acknowledged(context):
+    assert context.polls[-1][1] == 5, context.polls
+
+
+@behave.when(
+    "a worker starts again, and {count:d} jobs of {tasks:d} tasks come whose first {late:d} "
+    "starts at each worker are {delay_s:g} s late"
+)
+@jobs_steps.paused
+async def start_late(context, count, tasks, late, delay_s):
+    world = context.world
+    world.restart(next(iter(world.minions.values())))
+    await asyncio.sleep(2.0)
+    for minion in world.minions.values():
+        minion.delayed_starts, minion.start_delay_s = late, delay_s
+    steps = (jobs.Step(count=tasks, cpu_millis=3500, memory_mb=100, estimate_ms=4000),)
+    context.submitted = [
+        await jobs_steps.submit(context, number, steps, "e0")
+        for number in range(FIRST_JOB, FIRST_JOB + count)
+    ]
+
+
+@behave.when(
+    "{count:d} of the workers start again {after_s:g} s later and can't be reached for "
+    "{cut_s:g} s"
+)
+@jobs_steps.paused
+async def restart_unreachable(context, count, after_s, cut_s):
+    await asyncio.sleep(after_s)
+    laters = []
+    for minion in list(context.world.minions.values())[:count]:
+        later = context.world.restart(minion)
+        later.is_unresponsive, later.former_facts = True, minion.facts
+        laters.append(later)
+    await asyncio.sleep(cut_s)
+    for later in laters:
+        later.is_unresponsive, later.former_facts = False, None
+
+
+@behave.given(
+    "{count:d} workers, of which the other one started again under its id {ago_s:g} s before"
+)
+def restart_other(context, count, ago_s):
+    context.service = jobsite.scheduler_with_workers(count, cpu_millis=4000, memory_mb=1000)
+    other = list(context.service.workers)[1]
+    context.service.record_restart(other, other.born_ms + 1, START_S - ago_s)
+
+
+@behave.when("a {shape} task is started without an answer, and is not reported after that")
+def start_unanswered(context, shape):
+    step = jobs.Step(
+        count=1,
+        cpu_millis=1000,
+        estimate_ms=500,
+        long_running=shape == "long-running",
+        speculative=shape == "speculative",
+    )
+    service = context.service
+    record = service.registry.add(jobsite.job(1, (step,)), None, START_S, 1, may_run=False)
+    (order,) = service.choose_starts(START_S)
+    (context.task,) = record.iterate_tasks()
+    service.record_sent(order)
+    service.record_unanswered(order, START_S + 0.4, may_start_until_s=START_S + 2.0, why="")
+    context.worker = service.workers[order.incarnation]
+
+
+@behave.then("it waits for {seconds:g} s")
+def check_waits(context, seconds):
+    for tenth in range(5, int(seconds * 10)):
+        now_s = START_S + tenth / 10
+        report(context.service, context.worker, [], now_s)
+        assert context.task.phase is fleetview.Phase.UNCONFIRMED, (now_s, context.task)
+        assert not context.service.choose_stops(now_s), now_s
+    context.now_s = START_S + seconds
+
+
+@behave.then("it is stopped after {seconds:g} s")
+def check_stopped(context, seconds):
+    context.now_s = START_S + seconds
+    report(context.service, context.worker, [], context.now_s)
+    (order,) = context.service.choose_stops(context.now_s)
+    context.service.record_stop_acknowledged(order, context.now_s)
+
+
+@behave.then("then it may start elsewhere")
+def check_free(context):
+    for tenth in range(1, 5):
+        now_s = context.now_s + tenth / 10
+        report(context.service, context.worker, [], now_s)
+        for order in context.service.choose_stops(now_s):
+            context.service.record_stop_acknowledged(order, now_s)
+    assert context.task.phase is fleetview.Phase.WAITING, context.task
+
+
 def report(service, worker, tasks, now_s):
     running = [fleetview.ReportedRun(task.key.name, task.run, "", 5, 0.0) for task in tasks]
     service.apply_report(
@@ -143,9 +272,11 @@
 
 @behave.when("the later incarnation doesn't answer for {seconds:g} s")
 def stay_silent(context, seconds):
+    context.silent_s = getattr(context, "silent_s", 0.0)
     context.service.record_silence(context.later, LEARNED_S)
-    for tenth in range(int(seconds * 10)):
-        context.service.tick(LEARNED_S + tenth / 10, 1)
+    for _ in range(int(seconds * 10)):
+        context.silent_s += 0.1
+        context.service.tick(LEARNED_S + context.silent_s, 1)
 
 
 @behave.given("a worker whose clock is read as {offset_s:g} s ahead")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -17,7 +17,7 @@
 _BUSY_POLL_WAIT_S = 1.0
 # Poll wait while the effect of an acknowledged stop is outstanding.
 _STOPPING_POLL_WAIT_S = 0.05
-# Poll wait while it is unknown whether a start without an answer was executed.
+# Poll wait until it is known whether a start without an answer was executed at once.
 _UNCONFIRMED_POLL_WAIT_S = 0.2
 # Poll wait during the trial of a task that may crash its worker.
 _TRIAL_POLL_WAIT_S = 0.2
@@ -133,10 +133,12 @@
         wait_s = _get_poll_wait_s(worker) if until_ms is not None else 0.0
         margin_s = _POLL_MARGIN_S if is_responsive else _UNRESPONSIVE_POLL_MARGIN_S
         fencing_token = worker.fencing_token
+        # A later incarnation numbers its ends anew, and would forget those that were not read yet.
+        last_seen = self._acknowledged if is_responsive else 0
         result = await self._client.poll(
             worker.facts,
             fencing_token=fencing_token,
-            last_seen=self._acknowledged,
+            last_seen=last_seen,
             lease_until_ms=until_ms,
             wait_s=wait_s,
             timeout_s=wait_s + margin_s,
@@ -227,9 +229,7 @@
             return None
         sent_s = self._loop.time()
         self._scheduler.record_sent(order)
-        # A later incarnation, whose clock starts anew, cuts any lease to the full term only.
-        worker.extend_lease(sent_s, max(valid_s, self._lease_s))
-        may_start_until_s = fleetview.get_lease_end_s(sent_s, valid_s)
+        may_start_until_s = worker.extend_lease(sent_s, valid_s)
         return StartValidity(until_ms, may_start_until_s, sent_s, worker.fencing_token)
 
     def record_answer(
@@ -325,7 +325,10 @@
     if any(task.stop_acked_s is not None for task in worker.tasks.values()):
         # A run that never began reports no end, so only an answered poll frees its task.
         return _STOPPING_POLL_WAIT_S
-    if any(task.phase is fleetview.Phase.UNCONFIRMED for task in worker.tasks.values()):
+    if any(
+        task.phase is fleetview.Phase.UNCONFIRMED and not task.is_missing
+        for task in worker.tasks.values()
+    ):
         return _UNCONFIRMED_POLL_WAIT_S
     if worker.is_in_trial:
         return _TRIAL_POLL_WAIT_S
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -329,7 +329,7 @@
 
     def extend_lease(self, sent_s: float, lease_s: float) -> float:
         """Record a lease requested at a time; return the latest time that it may last until."""
-        until_s = get_lease_end_s(sent_s, lease_s)
+        until_s = sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
         self.leased_until_s = max(self.leased_until_s, until_s)
         return until_s
 
@@ -345,11 +345,6 @@
         return clock_ms >= expected_ms - drift_ms - _CLOCK_TOLERANCE_MS
 
 
-def get_lease_end_s(sent_s: float, lease_s: float) -> float:
-    """Return the latest time that a lease requested at a time may last until."""
-    return sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
-
-
 def get_newest_by_host(
     listed: collections.abc.Iterable[WorkerFacts],
 ) -> dict[Incarnation, WorkerFacts]:
--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -9,7 +9,7 @@
 import collections.abc
 import dataclasses
 
-from nutmegshelf import crashes, fleetview, ids, jobs, notes, registry
+from nutmegshelf import crashes, fleetview, ids, jobs, latestarts, notes, registry
 
 # This many crashes of workers of one service within the period make a storm.
 _STORM_CRASHES = 4
@@ -99,13 +99,22 @@
 class LossTracker:
     """The losses of workers of one service, and the crashes counted for its tasks."""
 
-    def __init__(self, job_registry: registry.JobRegistry, decision_notes: notes.Notes) -> None:
+    def __init__(
+        self,
+        job_registry: registry.JobRegistry,
+        decision_notes: notes.Notes,
+        late_starts: latestarts.LateStarts,
+    ) -> None:
         self._registry = job_registry
         self._notes = decision_notes
+        self._late_starts = late_starts
         self._lost_workers = _LostWorkers()
 
     def release(self, worker: fleetview.Worker, now_s: float, cause: fleetview.LossCause) -> None:
-        """Release the runs of a worker that are lost, and record why."""
+        """Release the runs of a worker that are lost, and record why.
+
+        After the end of its lease, starts that may still be carried out stay.
+        """
         facts = worker.facts
         for task in worker.tasks.values():
             record = self._registry.records[task.key.job]
@@ -125,7 +134,10 @@
                 is_draining=facts.is_draining,
                 is_listed=worker.is_listed,
             )
+        is_expired = cause is fleetview.LossCause.LEASE_EXPIRED
         for task in list(worker.tasks.values()):
+            if is_expired and self._late_starts.may_arrive(task, now_s):
+                continue
             self._notes.note_task(
                 _LOSS_EVENTS[cause],
                 task,
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -1,6 +1,16 @@
 """Apply workers' reports of their running and ended runs."""
 
-from nutmegshelf import containment, estimates, fleetview, ids, jobs, notes, orders, registry
+from nutmegshelf import (
+    containment,
+    estimates,
+    fleetview,
+    ids,
+    jobs,
+    latestarts,
+    notes,
+    orders,
+    registry,
+)
 
 # Initial time of the last stop of an unknown run, so that it is stopped as soon as it is reported.
 _NEVER_STOPPED_S = -1.0
@@ -19,10 +29,12 @@
         job_registry: registry.JobRegistry,
         task_estimates: estimates.Estimates,
         decision_notes: notes.Notes,
+        late_starts: latestarts.LateStarts,
     ) -> None:
         self._registry = job_registry
         self._estimates = task_estimates
         self._notes = decision_notes
+        self._late_starts = late_starts
         self._containment = containment.ErrorContainment(job_registry, decision_notes)
 
     def apply(self, worker: fleetview.Worker, report: fleetview.WorkerReport) -> None:
@@ -152,6 +164,9 @@
             case fleetview.Phase.UNCONFIRMED:
                 is_gone = task.stop_acked_s is not None and report.sent_s >= task.stop_acked_s
                 is_expired = task.step.long_running and report.sent_s >= task.may_start_until_s
+                is_live = self._registry.records[task.key.job].is_live
+                if is_live and self._late_starts.may_arrive(task, report.sent_s):
+                    is_gone = is_expired = False
                 is_fenced = task.fencing_token < report.fencing_token
                 is_gone = is_gone or is_expired or is_fenced
                 task.is_missing = task.is_missing or report.sent_s >= task.since_s
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -11,6 +11,7 @@
     fleetview,
     ids,
     jobs,
+    latestarts,
     losses,
     needs,
     notes,
@@ -77,14 +78,17 @@
             router or window.StartRouter(),
             self.estimates,
         )
-        self._stopper = stops.Stopper(self.registry, self.notes)
+        self._late_starts = latestarts.LateStarts()
+        self._stopper = stops.Stopper(self.registry, self.notes, self._late_starts)
         self._arrived_core_ms = 0.0
         self._takeover = takeover.Takeover(
             began_s=now_s, lease_expiry_s=lease_expiry_s, is_needed=is_takeover
         )
         self._containment = containment.ErrorContainment(self.registry, self.notes)
-        self._report_handler = reports.ReportHandler(self.registry, self.estimates, self.notes)
-        self.losses = losses.LossTracker(self.registry, self.notes)
+        self._report_handler = reports.ReportHandler(
+            self.registry, self.estimates, self.notes, self._late_starts
+        )
+        self.losses = losses.LossTracker(self.registry, self.notes, self._late_starts)
         self.rejections = rejections.RejectionTracker(self.registry, self.notes)
         self._stall_detector = stalls.StallDetector(self.registry, self.notes)
 
@@ -289,6 +293,7 @@
         born_ms = self._newest_born_ms.get(worker.facts.incarnation.worker, -1)
         later = self.workers.get(fleetview.Incarnation(worker.facts.incarnation.worker, born_ms))
         if later is not None and later is not worker:
+            self._late_starts.record_restart(now_s)
             for task in list(worker.tasks.values()):
                 if not task.is_sent or task.is_confirmed:
                     continue
@@ -324,7 +329,10 @@
                 self.losses.store_silent(worker, now_s)
             if worker.leased_until_s and now_s > worker.leased_until_s:
                 self.losses.release(worker, now_s, fleetview.LossCause.LEASE_EXPIRED)
-                worker.is_polled, worker.leased_until_s = False, 0.0
+                worker.is_polled = False
+                # Starts that may still be carried out are left.
+                limits_s = map(self._late_starts.get_limit_s, worker.tasks.values())
+                worker.leased_until_s = max(limits_s, default=0.0)
                 worker.is_report_complete = True
                 worker.unknown_runs.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
--- a/packages/nutmegshelf/src/nutmegshelf/stops.py
+++ b/packages/nutmegshelf/src/nutmegshelf/stops.py
@@ -6,7 +6,7 @@
 
 import collections.abc
 
-from nutmegshelf import evacuation, fleetview, notes, orders, registry
+from nutmegshelf import evacuation, fleetview, latestarts, notes, orders, registry
 
 # A stop without an answer is retried after this time, times the number of stops sent up to a bound.
 _STOP_RETRY_S = 0.15
@@ -23,9 +23,15 @@
 class Stopper:
     """Selects the runs of one service to stop."""
 
-    def __init__(self, job_registry: registry.JobRegistry, decision_notes: notes.Notes) -> None:
+    def __init__(
+        self,
+        job_registry: registry.JobRegistry,
+        decision_notes: notes.Notes,
+        late_starts: latestarts.LateStarts,
+    ) -> None:
         self._registry = job_registry
         self._notes = decision_notes
+        self._late_starts = late_starts
 
     def choose(self, workers: Workers, now_s: float) -> list[orders.Order]:
         """Return the stops to send now, and mark them as pending."""
@@ -34,12 +40,12 @@
         for worker in workers.values():
             chosen += _stop_unknown_runs(worker, now_s)
             for task in worker.tasks.values():
-                reason = self._get_stop_reason(task)
+                reason = self._get_stop_reason(task, now_s)
                 if reason is not None and self._is_due(worker, task, workers, now_s):
                     chosen.append(self._stop(worker, task, reason, workers, now_s))
         return chosen
 
-    def _get_stop_reason(self, task: fleetview.Task) -> str | None:
+    def _get_stop_reason(self, task: fleetview.Task, now_s: float) -> str | None:
         record = self._registry.records[task.key.job]
         if not record.is_live or task.key.occurrence in record.progress.finished:
             return "its job ended"
@@ -48,7 +54,8 @@
         # A long-running task is waited for, as a stop could end it after it has become productive.
         is_unconfirmed = task.phase is fleetview.Phase.UNCONFIRMED and task.is_missing
         if is_unconfirmed and not task.step.long_running:
-            return "its start got no answer"
+            may_arrive = self._late_starts.may_arrive(task, now_s)
+            return None if may_arrive else "its start got no answer"
         if task.phase is fleetview.Phase.STOPPING:
             return "asked to leave"
         return None
