Use a worker that starts again by a clock that was set back

An incarnation that is listed as born before the former one of its id, as after a step of its host's clock, was left out for good since the list's late entries of former incarnations are. Incarnations are now left out only if they are known to be superseded.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -88,6 +88,11 @@
       | 2   | speculative |
       | 31  | plain       |
 
+  Scenario: A worker that starts again by a clock that was set back is never used again
+    Given a worker got the start of a task, without answer, and starts again under its id
+    When the list has it as born before the former incarnation
+    Then the list's incarnation is used, with a higher fencing token
+
   Scenario Outline: An answer of a later incarnation counts as one of the former
     Given a worker whose clock is read as <offset> s ahead
     Then an answer to a start <after> s later with a clock of <clock> s <is> its own
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -232,6 +232,21 @@
         )
 
 
+@behave.when("the list has it as born before the former incarnation")
+def set_clock_back(context):
+    former = context.former.facts.incarnation
+    context.later = fleetview.Incarnation(former.worker, former.born_ms - 1)
+    context.service.update_workers([get_later_facts(context)], LEARNED_S)
+
+
+@behave.then("the list's incarnation is used, with a higher fencing token")
+def check_used(context):
+    later = context.service.workers[context.later]
+    later.is_polled = True
+    assert later.fencing_token > context.former.fencing_token, later
+    assert context.service.get_open_workers(LEARNED_S) == [later]
+
+
 @behave.then("its run is {phase}")
 def check_phase(context, phase):
     assert context.task.phase.value == phase, context.task
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -162,13 +162,7 @@
                 # A run that is being stopped was reported before, so it is gone like any other.
                 is_gone = report.sent_s >= task.since_s
             case fleetview.Phase.UNCONFIRMED:
-                is_gone = task.stop_acked_s is not None and report.sent_s >= task.stop_acked_s
-                is_expired = task.step.long_running and report.sent_s >= task.may_start_until_s
-                is_live = self._registry.records[task.key.job].is_live
-                if is_live and self._late_starts.may_arrive(task, report.sent_s):
-                    is_gone = is_expired = False
-                is_fenced = task.fencing_token < report.fencing_token
-                is_gone = is_gone or is_expired or is_fenced
+                is_gone = self._is_start_barred(task, report)
                 task.is_missing = task.is_missing or report.sent_s >= task.since_s
             case _:
                 is_gone = False
@@ -177,6 +171,17 @@
                 self._registry.records[task.key.job], task, worker, report.received_s
             )
 
+    def _is_start_barred(self, task: fleetview.Task, report: fleetview.WorkerReport) -> bool:
+        """Return whether a start without an answer that is not reported is never carried out."""
+        if task.fencing_token < report.fencing_token:
+            return True
+        is_live = self._registry.records[task.key.job].is_live
+        if is_live and self._late_starts.may_arrive(task, report.sent_s):
+            return False
+        is_stopped = task.stop_acked_s is not None and report.sent_s >= task.stop_acked_s
+        is_expired = task.step.long_running and report.sent_s >= task.may_start_until_s
+        return is_stopped or is_expired
+
 
 def _get_job(name: str) -> ids.JobId | None:
     """Return the job of a reported task, or None if its name is not that of a task."""
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -69,8 +69,11 @@
         self._fencing_token = epoch * _TOKENS_PER_EPOCH
         # Until then after now, a lease that was granted by now may last.
         self._lease_expiry_s = lease_expiry_s
-        # Of each worker that is listed or in use, when its latest known incarnation was born.
-        self._newest_born_ms: dict[ids.WorkerId, int] = {}
+        # The latest known incarnation of each worker that is listed or in use. By its host's clock,
+        # which may be set back, it need not be the one that was born last.
+        self._latest: dict[ids.WorkerId, fleetview.Incarnation] = {}
+        # Those followed by later ones under their ids, though the list may still contain them.
+        self._superseded: set[fleetview.Incarnation] = set()
         self._starter = starts.Starter(
             self.registry,
             self.advice,
@@ -141,10 +144,10 @@
     ) -> list[fleetview.Worker]:
         """Apply the fleet's list of this service's workers, and return those that are new."""
         listed_by_incarnation = fleetview.get_newest_by_host(listed)
-        self._forget_unlisted_births(listed_by_incarnation)
+        self._forget_unlisted(listed_by_incarnation)
         added: list[fleetview.Worker] = []
         for incarnation, facts in listed_by_incarnation.items():
-            if self._takeover.has_ended(incarnation) or self._is_superseded(incarnation):
+            if self._takeover.has_ended(incarnation) or incarnation in self._superseded:
                 continue
             worker = self.workers.get(incarnation)
             if worker is None:
@@ -178,7 +181,7 @@
         if now_s < self._takeover.leases_expire_s:
             worker.leased_until_s = self._takeover.leases_expire_s
         self.workers[incarnation] = worker
-        self._newest_born_ms[incarnation.worker] = incarnation.born_ms
+        self._latest[incarnation.worker] = incarnation
         self.closed_hosts.reopen_if_restarted(incarnation, facts.host)
         return worker
 
@@ -186,17 +189,10 @@
         self._fencing_token += 1
         return self._fencing_token
 
-    def _is_superseded(self, incarnation: fleetview.Incarnation) -> bool:
-        """Return whether a worker is known to have started again under its id."""
-        return self._newest_born_ms.get(incarnation.worker, -1) > incarnation.born_ms
-
-    def _forget_unlisted_births(
-        self, listed: collections.abc.Iterable[fleetview.Incarnation]
-    ) -> None:
+    def _forget_unlisted(self, listed: collections.abc.Collection[fleetview.Incarnation]) -> None:
         names = {incarnation.worker for incarnation in (*listed, *self.workers)}
-        self._newest_born_ms = {
-            name: born_ms for name, born_ms in self._newest_born_ms.items() if name in names
-        }
+        self._latest = {name: latest for name, latest in self._latest.items() if name in names}
+        self._superseded.intersection_update(listed)
 
     def _update_capacity(
         self, worker: fleetview.Worker, facts: fleetview.WorkerFacts, now_s: float
@@ -290,9 +286,10 @@
         confirm, or may get it yet. Such a run goes over to the later incarnation, whose first
         report, to a poll with a higher fencing token, tells whether it is there.
         """
-        born_ms = self._newest_born_ms.get(worker.facts.incarnation.worker, -1)
-        later = self.workers.get(fleetview.Incarnation(worker.facts.incarnation.worker, born_ms))
+        incarnation = worker.facts.incarnation
+        later = self.workers.get(self._latest.get(incarnation.worker, incarnation))
         if later is not None and later is not worker:
+            self._superseded.add(incarnation)
             self._late_starts.record_restart(now_s)
             for task in list(worker.tasks.values()):
                 if not task.is_sent or task.is_confirmed:
@@ -300,8 +297,8 @@
                 self.notes.note_task(
                     "run may be at a later incarnation",
                     task,
-                    worker=worker.facts.incarnation.worker,
-                    born_ms=born_ms,
+                    worker=incarnation.worker,
+                    born_ms=later.facts.incarnation.born_ms,
                     phase=task.phase.value,
                 )
                 self.registry.transfer(task, worker, later, now_s)
