Keep rows large enough for a group to fit into one transaction

After several refusals a group of 300,000 bytes would have been cut into more rows than a transaction takes, and its job would never have been stored.

--- a/features/steps/refused_row_steps.py
+++ b/features/steps/refused_row_steps.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies
 from nutmegshelf import exceptions, jobs, progressrows
 from nutmegshelf import registry as job_registry
+from nutmegshelf_entry import writer
 
-from features import jobsite
+from features import jobsite, jobtable
 from features.steps import jobs_steps, malformed_row_steps
 
 LARGE_JOB = 90
@@ -253,6 +254,8 @@
         job, progress = made
         groups = progressrows.encode(job, progress, max_row_bytes)
         assert max(len(value) for group in groups for value in group.values) <= max_row_bytes
+        most = max(len(group.values) for group in groups)
+        assert most < jobtable.MAX_TRANSACTION_ENTRIES or max_row_bytes < writer.MIN_ROW_BYTES
         table, stored = {}, progressrows.StoredRows()
         apply(table, job, stored.list_changes(groups))
         assert progressrows.decode(table) == drop_empty(progress)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -33,9 +33,10 @@
 _RENEWAL_FRACTION = 0.25
 # Longer than the interruption by a single lost answer.
 _STALLED_AFTER_S = 0.7
-# A change of a job that the table refuses is tried again after this time, with smaller rows.
+# A change of a job that the table refuses is tried again after this time, with smaller rows. Those
+# of the largest group still fit into one transaction.
 _REFUSED_DELAY_S = 2.0
-_MIN_ROW_BYTES = 1_024
+MIN_ROW_BYTES = 8_192
 
 _log = logs.get_logger("writer")
 
@@ -336,7 +337,7 @@
     ) -> None:
         """Have a job's progress stored later in smaller rows; the job itself runs on."""
         refused = self._refused_jobs.setdefault(job, _RefusedJob(self._max_row_bytes, 0.0))
-        refused.max_row_bytes = max(_MIN_ROW_BYTES, refused.max_row_bytes // 2)
+        refused.max_row_bytes = max(MIN_ROW_BYTES, refused.max_row_bytes // 2)
         refused.retry_s = self._loop.time() + _REFUSED_DELAY_S
         _log.error(
             "The table refused a job's progress.",
