Count a worker as ended only once answers prove it

Now a row says only whom to call. succession.Succession is the one judge: of two workers that claim one host or id, one has ended if it is silent and the other answered a poll sent after its last sign; or if its own poll is answered by another incarnation. This is sound as a host runs one worker at a time: whoever answered last is the later one. Until then the former one keeps its tasks and is polled on, and the newcomer gets no starts. An incarnation under the same id and address isn't polled beside the former one, whose polls tell; two tokens would fence each other. The first answer settles a worker's host and address. Crashes, reopened hosts, the room of the pool, the row of used incarnations and a takeover's wait count only workers that have answered. Workers that never answered share a rate of polls, and a worker's connections are closed only if no other one has the address.

Tests of the former rule: a listed later worker now has to answer in features/restarted_workers and features/crashing_tasks, with two more cases of a later incarnation at another address. The simulation of features/standstill now answers, or refuses, polls to workers that have ended, as minions do, and describes a waiting task again. Random histories have rows of another writer as one more fault.

--- a/features/jobhistories.py
+++ b/features/jobhistories.py
@@ -63,6 +63,7 @@
     WORKER_RESTART = "a worker starts anew"
     STARTS_DROPPED = "starts never arrive"
     STARTS_DELAYED = "starts are carried out late"
+    FOREIGN_ENTRIES = "another program writes entries of workers"
 
 
 @dataclasses.dataclass
@@ -298,6 +299,27 @@
                 minion.dropped_starts += 2
             case Fault.STARTS_DELAYED:
                 minion.delayed_starts += 2
+            case Fault.FOREIGN_ENTRIES:
+                await self._write_foreign_entries(minion)
+
+    async def _write_foreign_entries(self, minion):
+        """Write entries with the host of a worker at which nothing listens."""
+        own_id, entries = minion.facts.incarnation.worker, self._world.foreign_entries
+        name = self._rng.choice([own_id, "agent"])
+        others = list(self._world.minions.values())
+        address = self._rng.choice([jobworld.DEAD_ADDRESS, self._rng.choice(others).facts.address])
+        until_s = self._now_s() + self._rng.choice([0.1, 1.0, 6.0])
+        while self._now_s() < until_s:
+            born_ms = minion.facts.incarnation.born_ms + self._rng.choice([-1, 0, 10_000])
+            entries[name] = dataclasses.replace(
+                minion.facts,
+                incarnation=fleetview.Incarnation(name, max(0, born_ms)),
+                address=jobworld.DEAD_ADDRESS if name == own_id else address,
+            )
+            await asyncio.sleep(self._rng.choice([0.15, 0.5]))
+            if self._rng.random() < 0.3:
+                entries.pop(name, None)
+        entries.pop(name, None)
 
     def _end_faults(self):
         for name in self._site.entries:
--- a/features/jobsite.py
+++ b/features/jobsite.py
@@ -162,6 +162,6 @@
     """Return a scheduler with idle workers that have answered, each at a host of its own."""
     service = scheduler.Scheduler(1, lease_expiry_s=5.0, now_s=0.0, is_takeover=False)
     service.update_workers([worker_facts(number, **size) for number in range(count)], 10.0)
-    for worker in service.workers.values():
-        worker.is_polled = True
+    for incarnation in list(service.workers):
+        service.apply_report(fleetview.WorkerReport(incarnation, 0, 10.0, 10.0, (), ()))
     return service
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -91,6 +91,8 @@
         self.handle_transaction = self.handle_commit
         self.page_rows = 3
         self.calls = []
+        # The keys of workers' rows that another program writes.
+        self.foreign_keys = set()
         self.drops_history = False
         self.link = SlowLink()
         self.workers = jobworld.Workers(world)
@@ -165,9 +167,11 @@
                 "sequence": 1,
             }
         for key in [key for key in self.world.table.rows if key.startswith("servers//")]:
-            if key not in workers:
+            if key not in workers and key not in self.foreign_keys:
                 self.write(key, None)
         for key, worker in workers.items():
+            if key in self.foreign_keys:
+                continue
             value = json.dumps(worker).encode()
             if self.world.table.read(key).value != value:
                 self.write(key, value)
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -35,6 +35,8 @@
       | with an answer  | list   | waiting | doesn't have| waiting | 1       |
       | with an answer  | poll   | waiting | doesn't have| waiting | 1       |
       | with a report   | poll   | waiting | doesn't have| waiting | 1       |
+      | without answer  | list of another address | unsure  | has | running | 0 |
+      | with an answer  | list of another address | waiting | doesn't have | waiting | 1 |
 
   Scenario: A run at a later incarnation that never answers is waited for without an end
     Given a worker got the start of a task, without answer, and starts again under its id
--- a/features/standstill.py
+++ b/features/standstill.py
@@ -212,6 +212,7 @@
             self.scheduler.update_workers(listed, self.now_s)
         for worker in list(self.workers.values()):
             self._poll(worker)
+        self._poll_ended()
         for host, until_s in list(self.evacuations.items()):
             if self.now_s > until_s:
                 del self.evacuations[host]
@@ -255,7 +256,11 @@
         for incarnation, worker in self.scheduler.workers.items():
             constraint = self.scheduler._get_unavailability(worker, self.now_s)
             constraint = constraint or fitting.find_unmet_constraint(
-                task.step, worker, run_counts[incarnation]
+                task.step,
+                worker.free,
+                worker.facts.labels,
+                run_counts[incarnation],
+                fitting.get_max_per_worker(task.step),
             )
             constraints[worker.facts.host] = (
                 constraint.value if constraint is not None else "has room"
@@ -309,6 +314,18 @@
         stored_end = self.scheduler.take_stored_end(incarnation) or 0
         simulated.ends = [each for each in simulated.ends if each.number > stored_end]
 
+    def _poll_ended(self):
+        """Poll the workers that have ended: the next one under the id answers, or nobody."""
+        present = {worker.facts.incarnation: worker for worker in self.workers.values()}
+        by_id = {incarnation.worker: worker for incarnation, worker in present.items()}
+        for incarnation in self.scheduler.workers.keys() - present.keys():
+            other = by_id.get(incarnation.worker)
+            if other is None or other.is_unresponsive:
+                self.scheduler.record_silence(incarnation, self.now_s)
+            else:
+                born_ms = other.facts.incarnation.born_ms
+                self.scheduler.record_restart(incarnation, born_ms, self.now_s)
+
     def _percent(self, run):
         return 100 if self.now_s - run.began_s >= READY_S else 0
 
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -321,8 +321,8 @@
     assert holder.notes.totals["worker crashed"] == 0, holder.notes.totals
 
 
-def list_later(context, host=None, born_ms=2):
-    """List a later worker, at the host of the first one or at another host, and the other ones."""
+def follow(context, host=None, born_ms=2):
+    """Let a later worker answer, at the host of the first one or at another host."""
     first = context.worker.facts
     later = dataclasses.replace(
         first, incarnation=fleetview.Incarnation("later", born_ms), host=host or first.host
@@ -330,6 +330,9 @@
     workers = context.scheduler.workers.values()
     others = [worker.facts for worker in workers if worker is not context.worker]
     context.scheduler.update_workers([*others, later], 20.0)
+    context.scheduler.record_silence(context.worker.facts.incarnation, 20.0)
+    report = fleetview.WorkerReport(later.incarnation, 0, 20.01, 20.02, (), ())
+    context.scheduler.apply_report(report)
 
 
 def fall_silent(context, now_s):
@@ -346,27 +349,27 @@
         case "answers as a later incarnation":
             scheduler.record_restart(incarnation, incarnation.born_ms + 1, 20.0)
         case "is followed by a later one at its host":
-            list_later(context)
+            follow(context)
         case "is followed by one at another host":
-            list_later(context, host="other")
+            follow(context, host="other")
         case "falls silent and answers again":
             fall_silent(context, 12.0)
             report = fleetview.WorkerReport(incarnation, 0, 13.0, 13.1, (), ())
             scheduler.apply_report(report)
-            list_later(context)
+            follow(context)
         case "falls silent and restarts after its lease":
             fall_silent(context, 12.0)
             fall_silent(context, 16.0)
-            list_later(context)
+            follow(context)
         case "drains and is followed by a later one":
             draining = dataclasses.replace(context.worker.facts, is_draining=True, left_ms=1000)
             scheduler.update_workers([draining], 12.0)
-            list_later(context)
+            follow(context)
         case "falls silent, and its host is cleared after":
             fall_silent(context, 12.0)
             fall_silent(context, 16.0)
             assert scheduler.evacuate_host(context.worker.facts.host, 17.0)
-            list_later(context)
+            follow(context)
 
 
 @behave.then("{count:d} crashes are counted for each of its tasks")
@@ -381,8 +384,6 @@
 @behave.then("its task starts only after the crash and the plan of its trial are stored")
 def check_stored_first(context):
     scheduler, registry = context.scheduler, context.scheduler.registry
-    for worker in scheduler.workers.values():
-        worker.is_polled = True
     for now_s in (20.1, 20.2):
         assert not scheduler.choose_starts(now_s), "it starts before its plan is stored"
     (job,) = registry.dirty
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -109,8 +109,8 @@
         self._stored_incarnations: loading.IncarnationHosts | None = None
         self._latest_incarnations: loading.IncarnationHosts | None = None
         self._storing_incarnations: asyncio.Task[None] | None = None
-        # Set when workers appeared that are not stored as used yet.
-        self._workers_added = asyncio.Event()
+        # Set when workers answered that are not stored as used yet.
+        self._workers_unrecorded = asyncio.Event()
         self._inbox = inbox.Inbox()
         # Their notices tell a later holder of them until the ends of their jobs are stored.
         self._applied_cancellations: dict[ids.JobId, jobs.Notice] = {}
@@ -380,8 +380,7 @@
         self._listed = list(listed)
         if not self.is_loaded or self._group is None:
             return
-        if self.scheduler.update_workers(self._listed, self._loop.time()):
-            self._workers_added.set()
+        self.scheduler.update_workers(self._listed, self._loop.time())
         self._update_links()
         self.wake()
 
@@ -407,12 +406,13 @@
         )
         self._links[incarnation] = link
         task = self._group.create_task(link.run())
-        facts = worker.facts
-        task.add_done_callback(lambda _: self._remove_link(facts))
+        task.add_done_callback(lambda _: self._remove_link(worker.facts))
 
     def _remove_link(self, facts: fleetview.WorkerFacts) -> None:
         del self._links[facts.incarnation]
-        self._workers.disconnect(facts)
+        # Entries of other incarnations, or false ones, may give the same address.
+        if all(each.facts.address != facts.address for each in self.scheduler.workers.values()):
+            self._workers.disconnect(facts)
 
     # --- the run of the holder
 
@@ -509,11 +509,11 @@
 
     async def _track_incarnations(self) -> None:
         while True:
-            self._workers_added.clear()
+            self._workers_unrecorded.clear()
             await self._store_incarnations()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_TICK_S):
-                    await self._workers_added.wait()
+                    await self._workers_unrecorded.wait()
 
     async def _drop_ended_incarnations(self) -> None:
         """Drop the unreported incarnations whose host was moved, until none is left unreported."""
@@ -569,6 +569,8 @@
         if self.scheduler.is_reconciled and not self._was_reconciled:
             self._was_reconciled = True
             self.stages.observe("takeover", now_s - self._acquired_s)
+        if self.scheduler.has_unrecorded():
+            self._workers_unrecorded.set()
         if self._may_send_orders():
             self._transport.router.update_entries(self._transport.list_entries())
             if self._group is not None:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import random
 import typing
 
 from nutmegshelf import exceptions, fleetview, orders, scheduler, window
@@ -31,6 +32,8 @@
 _UNRESPONSIVE_POLL_MARGIN_S = 2.4
 _MIN_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.5
+# Workers that have never answered together get one poll in this time on average.
+_UNIDENTIFIED_INTERVAL_S = 0.05
 _MAX_CONCURRENT_ORDERS = 6
 # Orders carry the job's specification, which may be long.
 _MAX_LOGGED = 300
@@ -74,9 +77,11 @@
         self._stages = stages
         self._window = send_window
         self._acknowledged = 0
+        self._failures = 0
         self._poll_timeout: asyncio.Timeout | None = None
         self._slots = asyncio.Semaphore(_MAX_CONCURRENT_ORDERS)
         self._loop = asyncio.get_running_loop()
+        self._random = random.Random(str(incarnation))
 
     async def run(self) -> None:
         """Poll until the scheduler has dropped the worker."""
@@ -101,8 +106,10 @@
                         "A worker doesn't answer.", worker=self._incarnation.worker, why=str(error)
                     )
                 # The delay counts from the poll, so that one that timed out is repeated at once.
+                self._failures += 1
                 elapsed_s = self._loop.time() - sent_s
-                await asyncio.sleep(max(_MIN_BACKOFF_S, backoff_s - elapsed_s))
+                delay_s = max(backoff_s, self._get_unidentified_delay_s(worker))
+                await asyncio.sleep(max(_MIN_BACKOFF_S, delay_s - elapsed_s))
                 backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
             except Exception as error:
                 # A report that can't be applied must not cost the service its holder.
@@ -113,6 +120,13 @@
                 await asyncio.sleep(_MAX_BACKOFF_S)
         _log.info("Polling of a dropped worker ended.", worker=self._incarnation.worker)
 
+    def _get_unidentified_delay_s(self, worker: fleetview.Worker) -> float:
+        """Return how long a worker that never answered waits, where there are many of them."""
+        delay_s = _UNIDENTIFIED_INTERVAL_S * self._scheduler.count_unidentified()
+        if worker.identified_s is not None or delay_s <= _MAX_BACKOFF_S:
+            return 0.0
+        return delay_s * self._random.uniform(0.5, 1.5)
+
     async def _poll_interruptibly(self, worker: fleetview.Worker) -> None:
         try:
             async with asyncio.timeout(None) as self._poll_timeout:
@@ -133,10 +147,13 @@
         wait_s = _get_poll_wait_s(worker) if until_ms is not None else 0.0
         margin_s = _POLL_MARGIN_S if is_responsive else _UNRESPONSIVE_POLL_MARGIN_S
         fencing_token = worker.fencing_token
+        if worker.identified_s is None and worker.other_address and self._failures % 2:
+            worker.set_address(worker.other_address)
+        facts = worker.facts
         # A later incarnation numbers its ends anew, and would forget those that were not read yet.
         last_seen = self._acknowledged if is_responsive else 0
         result = await self._client.poll(
-            worker.facts,
+            facts,
             fencing_token=fencing_token,
             last_seen=last_seen,
             lease_until_ms=until_ms,
@@ -144,8 +161,13 @@
             timeout_s=wait_s + margin_s,
         )
         received_s = self._loop.time()
+        if worker.identified_s is None:
+            # Another entry may have come meanwhile.
+            worker.set_address(facts.address)
         if result.born_ms != self._incarnation.born_ms:
             self._scheduler.record_restart(self._incarnation, result.born_ms, received_s)
+            if self._incarnation in self._scheduler.workers:
+                raise exceptions.OrderAnswerLost("the answer is that of an ended incarnation")
             self._wake()
             return
         self._update_clock_offset(worker, result.clock_ms, sent_s, received_s)
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -1,7 +1,6 @@
 """Model the scheduler's view of workers: their resources, their tasks and their reports."""
 
 import collections
-import collections.abc
 import dataclasses
 import enum
 import typing
@@ -67,12 +66,13 @@
     FULL = "refused a start for want of room"
     UNKNOWN_RUNS = "runs what it has been told to stop"
     REPORT_INCOMPLETE = "has ends that are not read yet"
+    HOST_TAKEN = "its host or id has another worker"
 
 
 class LossCause(enum.Enum):
     """The reason that the runs of a worker were released before they reported an end."""
 
-    RESTARTED = "its host runs a later worker"
+    RESTARTED = "another worker answers at its host or under its id"
     LEASE_EXPIRED = "its lease expired"
     HOST_LEFT = "its host left the pool or runs another worker"
 
@@ -223,7 +223,15 @@
     tasks: dict[jobs.TaskKey, Task] = dataclasses.field(default_factory=dict)
     free: Resources = dataclasses.field(init=False)
     leased_until_s: float = 0.0
+    known_s: float = 0.0
     heard_s: float = 0.0
+    # When the last poll with an answer was sent.
+    asked_s: float = 0.0
+    # When the worker first answered as the incarnation that its entry names. Its host and its
+    # address are settled by that.
+    identified_s: float | None = None
+    # The address of an earlier entry, in case that the present one is false.
+    other_address: str = ""
     unresponsive_since_s: float | None = None
     last_end: int = 0
     unpersisted_ends: collections.deque[tuple[int, int]] = dataclasses.field(
@@ -253,6 +261,8 @@
         What is free may become negative, as the tasks on the worker stay.
         """
         previous, self.facts = self.facts, facts
+        if facts.address != previous.address:
+            self.other_address = previous.address
         changes = (
             facts.cpu_millis - previous.cpu_millis,
             facts.memory_mb - previous.memory_mb,
@@ -263,6 +273,19 @@
         self.free.accelerators += changes[2]
         return min(changes) < 0
 
+    def set_address(self, address: str) -> None:
+        """Call the worker at another address."""
+        if address != self.facts.address:
+            self.other_address = self.facts.address
+            self.facts = dataclasses.replace(self.facts, address=address)
+
+    def is_contradicted_by(self, facts: WorkerFacts) -> bool:
+        """Return whether an entry gives another place for a worker than its answers proved."""
+        return self.identified_s is not None and (facts.host, facts.address) != (
+            self.facts.host,
+            self.facts.address,
+        )
+
     def add_task(self, task: Task) -> None:
         """Add a task and allocate its resources."""
         if task.key in self.tasks:
@@ -343,24 +366,3 @@
         drift_ms = max(0.0, sent_s - self.clock_read_s) * 1000 * SLOW_CLOCK_FRACTION
         expected_ms = sent_s * 1000 + self.clock_offset_ms
         return clock_ms >= expected_ms - drift_ms - _CLOCK_TOLERANCE_MS
-
-
-def get_newest_by_host(
-    listed: collections.abc.Iterable[WorkerFacts],
-) -> dict[Incarnation, WorkerFacts]:
-    """Return the listed workers without those whose host runs a later one.
-
-    A host runs one worker at a time, so the later one proves that the others have ended, though
-    their entries may stay listed for a while.
-    """
-    facts_by_incarnation = {facts.incarnation: facts for facts in listed}
-    newest_born_ms: dict[ids.HostId, int] = {}
-    for incarnation, facts in facts_by_incarnation.items():
-        newest_born_ms[facts.host] = max(
-            incarnation.born_ms, newest_born_ms.get(facts.host, incarnation.born_ms)
-        )
-    return {
-        incarnation: facts
-        for incarnation, facts in facts_by_incarnation.items()
-        if not facts.host or incarnation.born_ms == newest_born_ms[facts.host]
-    }
--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -1,8 +1,8 @@
 """Release the runs of lost workers, and find out which of these workers have crashed.
 
-A worker has crashed if its host runs a later one, unless it drained or its host was cleared for a
-move or for maintenance. Silence proves nothing: the runs of a silent worker are kept and stored
-until it answers again or turns out to have crashed, also after their lease has expired.
+A worker has crashed if another one answers at its host later, unless it drained or its host was
+cleared for a move or for maintenance. Silence proves nothing: the runs of a silent worker are kept
+and stored until it answers again or turns out to have crashed, also after their lease has expired.
 """
 
 import collections
@@ -73,15 +73,9 @@
             if now_s - lost.lost_s > _RETENTION_S
         ]
 
-    def get_restarted(
-        self, newest_born_ms: collections.abc.Mapping[ids.HostId, int]
-    ) -> list[fleetview.Incarnation]:
-        """Return the workers whose hosts run later ones."""
-        return [
-            incarnation
-            for incarnation, lost in list(self._lost.items())
-            if newest_born_ms.get(lost.host, -1) > incarnation.born_ms
-        ]
+    def get_before(self, host: ids.HostId, born_ms: int) -> list[fleetview.Incarnation]:
+        """Return the workers of a host that started before a time."""
+        return [each for each in self.get_at_host(host) if each.born_ms < born_ms]
 
     def take_crashed(self, incarnation: fleetview.Incarnation, now_s: float) -> crashes.LostRuns:
         """Remove and return the runs of a worker that turned out to have crashed."""
@@ -178,11 +172,9 @@
         for incarnation in self._lost_workers.get_expired(now_s):
             self.clear(incarnation)
 
-    def count_crashes(
-        self, newest_born_ms: collections.abc.Mapping[ids.HostId, int], now_s: float
-    ) -> None:
-        """Count the crashes of the workers whose hosts run later ones."""
-        for incarnation in self._lost_workers.get_restarted(newest_born_ms):
+    def count_crashes(self, host: ids.HostId, born_ms: int, now_s: float) -> None:
+        """Count the crashes of the workers that ran at a host before one that answers there."""
+        for incarnation in self._lost_workers.get_before(host, born_ms):
             self.count_crash(incarnation, now_s)
 
     def count_crash(self, incarnation: fleetview.Incarnation, now_s: float) -> None:
--- a/packages/nutmegshelf/src/nutmegshelf/needs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/needs.py
@@ -73,11 +73,12 @@
             idle_s=max(0.0, now_s - worker.idle_since_s) if is_idle else None,
             is_unusable=unavailability in _UNUSABLE,
         )
-    labels = [worker.facts.labels for worker, _ in workers]
+    # The entry of a worker that has not answered may be false.
+    identified = [worker.facts for worker, _ in workers if worker.identified_s is not None]
+    kinds = identified or [worker.facts for worker, _ in workers]
+    labels = [facts.labels for facts in kinds]
     shared_labels = frozenset.intersection(*labels) if labels else frozenset()
-    largest = max(
-        (worker.facts for worker, _ in workers), key=lambda facts: facts.cpu_millis, default=None
-    )
+    largest = max(kinds, key=lambda facts: facts.cpu_millis, default=None)
     waiting, overdue, min_hosts, weighted_ms = 0.0, 0.0, 0, 0.0
     for record, task_sets in waiting_task_sets:
         ratio = workload.estimates.get_ratio(record.job.queue.name)
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -28,6 +28,7 @@
     stalls,
     starts,
     stops,
+    succession,
     takeover,
     window,
 )
@@ -69,11 +70,9 @@
         self._fencing_token = epoch * _TOKENS_PER_EPOCH
         # Until then after now, a lease that was granted by now may last.
         self._lease_expiry_s = lease_expiry_s
-        # The latest known incarnation of each worker that is listed or in use. By its host's clock,
-        # which may be set back, it need not be the one that was born last.
-        self._latest: dict[ids.WorkerId, fleetview.Incarnation] = {}
-        # Those followed by later ones under their ids, though the list may still contain them.
-        self._superseded: set[fleetview.Incarnation] = set()
+        # The entries of this service's workers, which other programs may have written.
+        self._listed: dict[fleetview.Incarnation, fleetview.WorkerFacts] = {}
+        self._succession = succession.Succession()
         self._starter = starts.Starter(
             self.registry,
             self.advice,
@@ -143,57 +142,72 @@
         self, listed: collections.abc.Iterable[fleetview.WorkerFacts], now_s: float
     ) -> list[fleetview.Worker]:
         """Apply the fleet's list of this service's workers, and return those that are new."""
-        listed_by_incarnation = fleetview.get_newest_by_host(listed)
-        self._forget_unlisted(listed_by_incarnation)
+        self._listed = {facts.incarnation: self._takeover.correct_host(facts) for facts in listed}
+        self._succession.forget_unlisted(self._listed)
         added: list[fleetview.Worker] = []
-        for incarnation, facts in listed_by_incarnation.items():
-            if self._takeover.has_ended(incarnation) or incarnation in self._superseded:
+        for incarnation, facts in self._listed.items():
+            if self._has_ended(incarnation):
                 continue
             worker = self.workers.get(incarnation)
             if worker is None:
+                if self._is_polled_as_other(facts):
+                    continue
                 worker = self._add_worker(facts, now_s)
                 added.append(worker)
-            if facts.is_draining and (
-                worker.drain_notified_s is None or worker.facts.left_ms != facts.left_ms
-            ):
-                worker.drain_notified_s = now_s
-            self._update_capacity(worker, facts, now_s)
-            worker.is_listed = True
-            worker.is_closed = facts.is_draining
-        newest = {
-            facts.host: incarnation.born_ms
-            for incarnation, facts in listed_by_incarnation.items()
-            if facts.host
-        }
-        for incarnation, worker in list(self.workers.items()):
-            if incarnation in listed_by_incarnation:
-                continue
-            worker.is_listed, worker.is_closed = False, True
-            if newest.get(worker.facts.host, -1) > incarnation.born_ms:
-                self._drop_restarted(worker, now_s)
-        self.losses.count_crashes(newest, now_s)
+            self._apply_entry(worker, facts, now_s)
+        claimed = {each.worker for each in self._listed if not self._has_ended(each)}
+        for incarnation, worker in self.workers.items():
+            # An entry under the same id may be false, and hides that of this incarnation.
+            if incarnation not in self._listed and incarnation.worker not in claimed:
+                worker.is_listed, worker.is_closed = False, True
+        self._succession.update(self.workers)
         return added
 
+    def _has_ended(self, incarnation: fleetview.Incarnation) -> bool:
+        return self._takeover.has_ended(incarnation) or self._succession.has_ended(incarnation)
+
+    def _is_polled_as_other(self, facts: fleetview.WorkerFacts) -> bool:
+        """Return whether polls of another incarnation tell if the listed one has replaced it."""
+        return any(
+            incarnation.worker == facts.incarnation.worker and worker.facts.address == facts.address
+            for incarnation, worker in self.workers.items()
+        )
+
+    def _apply_entry(
+        self, worker: fleetview.Worker, facts: fleetview.WorkerFacts, now_s: float
+    ) -> None:
+        if worker.is_contradicted_by(facts):
+            self.notes.note(
+                "worker entry ignored",
+                worker=facts.incarnation.worker,
+                host=facts.host,
+                address=facts.address,
+                known_host=worker.facts.host,
+                known_address=worker.facts.address,
+            )
+            return
+        if facts.is_draining and (
+            worker.drain_notified_s is None or worker.facts.left_ms != facts.left_ms
+        ):
+            worker.drain_notified_s = now_s
+        self._update_capacity(worker, facts, now_s)
+        worker.is_listed = True
+        worker.is_closed = facts.is_draining
+
     def _add_worker(self, facts: fleetview.WorkerFacts, now_s: float) -> fleetview.Worker:
-        incarnation = facts.incarnation
-        worker = fleetview.Worker(facts, self._take_fencing_token(), idle_since_s=now_s)
+        worker = fleetview.Worker(
+            facts, self._take_fencing_token(), known_s=now_s, idle_since_s=now_s
+        )
         # Leases that an earlier holder granted there have expired by then.
         if now_s < self._takeover.leases_expire_s:
             worker.leased_until_s = self._takeover.leases_expire_s
-        self.workers[incarnation] = worker
-        self._latest[incarnation.worker] = incarnation
-        self.closed_hosts.reopen_if_restarted(incarnation, facts.host)
+        self.workers[facts.incarnation] = worker
         return worker
 
     def _take_fencing_token(self) -> int:
         self._fencing_token += 1
         return self._fencing_token
 
-    def _forget_unlisted(self, listed: collections.abc.Collection[fleetview.Incarnation]) -> None:
-        names = {incarnation.worker for incarnation in (*listed, *self.workers)}
-        self._latest = {name: latest for name, latest in self._latest.items() if name in names}
-        self._superseded.intersection_update(listed)
-
     def _update_capacity(
         self, worker: fleetview.Worker, facts: fleetview.WorkerFacts, now_s: float
     ) -> None:
@@ -260,37 +274,62 @@
     ) -> None:
         self.losses.release(worker, now_s, cause)
         worker.is_polled = False
-        self.workers.pop(worker.facts.incarnation, None)
+        self._remove_worker(worker.facts.incarnation)
+
+    def _remove_worker(self, incarnation: fleetview.Incarnation) -> None:
+        if self.workers.pop(incarnation, None) is not None:
+            self._succession.update(self.workers)
 
     def record_restart(
         self, incarnation: fleetview.Incarnation, born_ms: int, now_s: float
     ) -> None:
-        """Replace a worker that answered as a later incarnation, which is not listed yet."""
+        """Replace a worker whose poll was answered by another incarnation that has not ended."""
         worker = self.workers.get(incarnation)
-        if worker is None or born_ms <= incarnation.born_ms:
+        if worker is None:
             return
-        later = fleetview.Incarnation(incarnation.worker, born_ms)
-        if later not in self.workers:
+        other = fleetview.Incarnation(incarnation.worker, born_ms)
+        if self._has_ended(other):
+            return
+        replacement = self.workers.get(other)
+        if replacement is None:
+            facts = self._listed.get(other)
             replacement = self._add_worker(
-                dataclasses.replace(worker.facts, incarnation=later), now_s
+                facts or dataclasses.replace(worker.facts, incarnation=other), now_s
             )
-            # It may be of another kind, so it gets no new tasks before it is listed.
-            replacement.is_listed, replacement.is_closed = False, True
-        self._drop_restarted(worker, now_s)
-        self.losses.count_crash(incarnation, now_s)
-
-    def _drop_restarted(self, worker: fleetview.Worker, now_s: float) -> None:
-        """Drop a worker whose host runs a later one.
+            if facts is not None:
+                self._apply_entry(replacement, facts, now_s)
+            else:
+                # It may be of another kind, so it gets no new tasks before it is listed.
+                replacement.is_listed, replacement.is_closed = False, True
+        self._drop_replaced(worker, replacement, now_s)
+
+    def _drop_replaced(
+        self, worker: fleetview.Worker, replacement: fleetview.Worker, now_s: float
+    ) -> None:
+        """Drop a worker that has ended, as the answers of another one prove.
 
         A later incarnation under the same id may have got a start that the former one did not
         confirm, or may get it yet. Such a run goes over to the later incarnation, whose first
         report, to a poll with a higher fencing token, tells whether it is there.
         """
         incarnation = worker.facts.incarnation
-        later = self.workers.get(self._latest.get(incarnation.worker, incarnation))
-        if later is not None and later is not worker:
-            self._superseded.add(incarnation)
+        self.notes.note(
+            "worker replaced",
+            worker=incarnation.worker,
+            born_ms=incarnation.born_ms,
+            host=worker.facts.host,
+            by=replacement.facts.incarnation.worker,
+            by_born_ms=replacement.facts.incarnation.born_ms,
+            was_identified=worker.identified_s is not None,
+            unheard_s=round(now_s - succession.get_last_sign_s(worker), 3),
+            tasks=len(worker.tasks),
+        )
+        self._succession.record_ended(incarnation)
+        self._takeover.record_ended(incarnation)
+        was_claim = worker.identified_s is None and replacement.identified_s is not None
+        if replacement.facts.incarnation.worker == incarnation.worker and not was_claim:
             self._late_starts.record_restart(now_s)
+            replacement.fencing_token = self._take_fencing_token()
             for task in list(worker.tasks.values()):
                 if not task.is_sent or task.is_confirmed:
                     continue
@@ -298,14 +337,20 @@
                     "run may be at a later incarnation",
                     task,
                     worker=incarnation.worker,
-                    born_ms=later.facts.incarnation.born_ms,
+                    born_ms=replacement.facts.incarnation.born_ms,
                     phase=task.phase.value,
                 )
-                self.registry.transfer(task, worker, later, now_s)
-                later.leased_until_s = max(
-                    later.leased_until_s, worker.leased_until_s, now_s + self._lease_expiry_s
+                self.registry.transfer(task, worker, replacement, now_s)
+                replacement.leased_until_s = max(
+                    replacement.leased_until_s, worker.leased_until_s, now_s + self._lease_expiry_s
                 )
         self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
+        self.losses.count_crash(incarnation, now_s)
+
+    def _drop_rivals(self, incarnation: fleetview.Incarnation, now_s: float) -> None:
+        """Drop the workers that are proven to have ended by what is known of one of them now."""
+        for worker, replacement in self._succession.find_replaced(incarnation):
+            self._drop_replaced(worker, replacement, now_s)
 
     def record_silence(self, incarnation: fleetview.Incarnation, now_s: float) -> bool:
         """Record that a call to a worker failed; return whether the worker answered before.
@@ -317,6 +362,7 @@
             return False
         worker.unresponsive_since_s = now_s
         worker.fencing_token = self._take_fencing_token()
+        self._drop_rivals(incarnation, now_s)
         return True
 
     def tick(self, now_s: float, now_ms: int) -> None:
@@ -333,7 +379,7 @@
                 worker.is_report_complete = True
                 worker.unknown_runs.clear()
             if not worker.is_listed and self._is_empty(worker, now_s):
-                del self.workers[worker.facts.incarnation]
+                self._remove_worker(worker.facts.incarnation)
         for job, record in list(self.registry.live.items()):
             if record.job.occurrences:
                 with self._containment.confine(job, now_s, "its due occurrences"):
@@ -367,7 +413,11 @@
             for incarnation, worker in self.workers.items()
             if worker.tasks
             or not worker.is_report_complete
-            or (worker.is_listed and not self.closed_hosts.is_closed(worker.facts.host, now_s))
+            or (
+                worker.is_listed
+                and worker.identified_s is not None
+                and not self.closed_hosts.is_closed(worker.facts.host, now_s)
+            )
         }
         if not self.is_reconciled:
             expected = self._takeover.get_expected()
@@ -376,6 +426,13 @@
             in_use = {**expected, **in_use}
         return sorted(in_use.items())
 
+    def has_unrecorded(self) -> bool:
+        """Return whether a worker that could be used has to be stored first."""
+        return any(
+            worker.is_listed and worker.identified_s is not None and not self._is_recorded(each)
+            for each, worker in self.workers.items()
+        )
+
     def set_recorded(
         self, incarnations: collections.abc.Iterable[fleetview.Incarnation], *, is_stored: bool
     ) -> None:
@@ -413,8 +470,25 @@
         if worker is not None:
             self.losses.clear(report.incarnation)
             self._report_handler.apply(worker, report)
+            worker.asked_s = report.sent_s
+            if worker.identified_s is None and report.incarnation in self._listed:
+                self._identify(worker, report.received_s)
+            self._drop_rivals(report.incarnation, report.received_s)
             self._reconcile(report.received_s)
 
+    def _identify(self, worker: fleetview.Worker, now_s: float) -> None:
+        """Record that a worker answered as the incarnation that its entry names."""
+        facts = worker.facts
+        worker.identified_s = now_s
+        self._succession.update(self.workers)
+        self.closed_hosts.reopen_if_restarted(facts.incarnation, facts.host)
+        if facts.host:
+            self.losses.count_crashes(facts.host, facts.incarnation.born_ms, now_s)
+        if self._succession.is_rival(worker.facts.incarnation):
+            self.notes.note(
+                "worker waits for another", worker=facts.incarnation.worker, host=facts.host
+            )
+
     def take_stored_end(self, incarnation: fleetview.Incarnation) -> int | None:
         """Return the number up to which a worker's run ends are stored, or None if unchanged."""
         worker = self.workers.get(incarnation)
@@ -435,7 +509,8 @@
             is_busy or not self._takeover.is_host_reconciled(host, workers)
         ):
             return False
-        born_ms = max((worker.facts.incarnation.born_ms for worker in workers), default=0)
+        identified = [worker for worker in workers if worker.identified_s is not None]
+        born_ms = max((worker.facts.incarnation.born_ms for worker in identified), default=0)
         self.closed_hosts.close(host, now_s, born_ms)
         if not is_busy:
             self.losses.clear_host(host)
@@ -459,7 +534,7 @@
         """Return how many hosts the service needs now, and how loaded its present ones are."""
         records = self.registry.live.values()
         availability = [
-            (each, self._get_unavailability(each, now_s)) for each in self.workers.values()
+            (each, self._get_unavailability(each, now_s)) for each in self.get_known_workers()
         ]
         placements = simulation.PlacementSimulation(
             [each for each, reason in availability if reason in _SOON_OPEN], self.advice
@@ -611,12 +686,31 @@
             if self._get_unavailability(worker, now_s) is None
         ]
 
+    def get_known_workers(self) -> list[fleetview.Worker]:
+        """Return the workers without those that only claim the host or the id of another one."""
+        return [
+            worker
+            for incarnation, worker in self.workers.items()
+            if not self._succession.is_rival(incarnation)
+        ]
+
+    def count_unidentified(self) -> int:
+        """Return the number of workers that have not answered yet."""
+        return sum(each.identified_s is None for each in self.workers.values())
+
     def _get_unavailability(
         self, worker: fleetview.Worker, now_s: float
     ) -> fleetview.Unavailability | None:
         """Return why a worker gets no new tasks, or None if it may get some."""
+        if self._succession.is_rival(worker.facts.incarnation):
+            return fleetview.Unavailability.HOST_TAKEN
         if not worker.is_polled:
-            return fleetview.Unavailability.NOT_POLLED
+            is_silent = worker.unresponsive_since_s is not None
+            return (
+                fleetview.Unavailability.UNRESPONSIVE
+                if is_silent
+                else fleetview.Unavailability.NOT_POLLED
+            )
         if not self._is_recorded(worker.facts.incarnation):
             return fleetview.Unavailability.NOT_RECORDED
         if worker.is_closed:
--- a/packages/nutmegshelf/src/nutmegshelf/takeover.py
+++ b/packages/nutmegshelf/src/nutmegshelf/takeover.py
@@ -1,10 +1,12 @@
 """Account for the runs that an earlier holder of a service may have started.
 
 They run at incarnations of workers that it used. Each incarnation has to report its runs or to have
-ended: its host runs a later one or another worker, or left the pool, or its lease has expired.
+ended: a later one answers at its host, or its host runs another worker or left the pool, or its
+lease has expired.
 """
 
 import collections.abc
+import dataclasses
 
 from nutmegshelf import fleetview, ids, rebalancing
 
@@ -20,6 +22,10 @@
         # Runs under leases of an earlier holder may go on until then.
         self.leases_expire_s = began_s + lease_expiry_s if is_needed else 0.0
         self._expected: Incarnations = {}
+        # All of them, also once they have ended.
+        self._used: Incarnations = {}
+        # A start sent to one incarnation may be carried out by a later one under the same id.
+        self._used_ids: frozenset[ids.WorkerId] = frozenset()
         # Whether incarnations beyond the expected ones may run tasks.
         self._is_incomplete = False
         # Incarnations that ended, though the fleet's list may still contain them.
@@ -30,6 +36,8 @@
     ) -> None:
         """Set the incarnations an earlier holder used; unlisted ones may still run tasks."""
         self._expected = dict(incarnations)
+        self._used = dict(self._expected)
+        self._used_ids = frozenset(incarnation.worker for incarnation in self._used)
 
     def expect_unknown(self) -> None:
         """Set that any incarnation may run tasks of an earlier holder until its leases expire."""
@@ -44,6 +52,20 @@
         """Return the incarnations that an earlier holder used, or None if they are unknown."""
         return None if self._is_incomplete else self._expected
 
+    def record_ended(self, incarnation: fleetview.Incarnation) -> None:
+        """Record that an incarnation is proven to have ended."""
+        self._expected.pop(incarnation, None)
+
+    def _is_unaccounted_for(self, worker: fleetview.Worker) -> bool:
+        """Return whether a worker may run tasks of an earlier holder that it has not reported."""
+        is_expected = self._is_incomplete or worker.facts.incarnation.worker in self._used_ids
+        return is_expected and not worker.is_accounted_for
+
+    def correct_host(self, facts: fleetview.WorkerFacts) -> fleetview.WorkerFacts:
+        """Return an entry with the host that an earlier holder knew, which the answers proved."""
+        host = self._used.get(facts.incarnation, facts.host)
+        return facts if host == facts.host else dataclasses.replace(facts, host=host)
+
     def has_ended(self, incarnation: fleetview.Incarnation) -> bool:
         """Return whether an incarnation is proven to have ended."""
         return incarnation in self._ended
@@ -58,7 +80,7 @@
             if incarnation not in workers
         }
         for incarnation, worker in workers.items():
-            if not worker.is_accounted_for:
+            if self._is_unaccounted_for(worker):
                 incarnations[incarnation] = worker.facts.host
         return incarnations
 
@@ -85,7 +107,8 @@
 
         A worker that answered this holder rejects orders of an earlier one from then on.
         """
-        present = {worker.facts.incarnation for worker in at_host}
+        identified = [worker for worker in at_host if worker.identified_s is not None]
+        present = {worker.facts.incarnation for worker in identified}
         missing = {
             incarnation
             for incarnation, expected_host in self._expected.items()
@@ -94,8 +117,8 @@
         newest = max((incarnation.born_ms for incarnation in present), default=-1)
         return (
             not self._is_incomplete
-            and bool(at_host)
-            and all(worker.is_accounted_for for worker in at_host)
+            and bool(identified)
+            and not any(self._is_unaccounted_for(worker) for worker in at_host)
             and all(incarnation.born_ms < newest for incarnation in missing)
         )
 
@@ -112,10 +135,12 @@
         if self._is_incomplete:
             return False
         newest_born_ms = {
-            worker.facts.host: incarnation.born_ms for incarnation, worker in workers.items()
+            worker.facts.host: incarnation.born_ms
+            for incarnation, worker in workers.items()
+            if worker.identified_s is not None
         }
         for incarnation, host in self._expected.items():
-            # A later incarnation at the same host proves that this one ended.
+            # A later incarnation that answers at the same host proves that this one ended.
             if incarnation not in workers and newest_born_ms.get(host, -1) <= incarnation.born_ms:
                 return False
-        return all(worker.is_accounted_for for worker in workers.values())
+        return not any(self._is_unaccounted_for(worker) for worker in workers.values())
--- a/packages/nutmegshelf/src/nutmegshelf/views.py
+++ b/packages/nutmegshelf/src/nutmegshelf/views.py
@@ -212,7 +212,7 @@
     job_scheduler: scheduler.Scheduler, name: ids.ServiceName, now_s: float
 ) -> PoolView:
     """Return the view of a service's workers."""
-    listed = [worker for worker in job_scheduler.workers.values() if worker.is_listed]
+    listed = [worker for worker in job_scheduler.get_known_workers() if worker.is_listed]
     report = job_scheduler.get_demand(now_s)
     return PoolView(
         pool=name,
