Keep the service and the host of a worker during its life

Callers saw runs stopped and done again: one row of another writer, under the id and with the start time of a live minion but with another service, made the holder of that service call the minion.

Cause: an entry handed each row to the holder of the service that the row names, though the minion had been listed in another one. A minion's service and host never change during its life.

Now an entry keeps both as first listed for each incarnation, and uses the last true row in the place of one that contradicts it. The first and not the latest row counts, as any program may write the latest. Where the false row is the first one that an entry sees, the true ones are ignored until the minion starts again; operators see a warning.

--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -81,6 +81,18 @@
 # --- entries on a paused clock
 
 
+@behave.given("{entries:d} entries and {workers:d} workers of each of two services")
+@jobs_steps.paused
+async def make_site_of_two(context, entries, workers):
+    context.world = jobworld.World({"a": workers, "b": workers})
+    context.site = jobsite.Site(context.world)
+    queues = jobsite.queue(), jobsite.queue(name="q2", service="b")
+    context.world.declare(jobsite.declare(*queues))
+    for number in range(entries):
+        context.site.start(f"e{number}")
+    await asyncio.sleep(jobs_steps.START_S)
+
+
 def make_foreign(world, minion, row, number):
     """Return an entry of another writer beside a worker."""
     facts = minion.facts
@@ -94,6 +106,9 @@
             name, later_ms = own_id, born_ms
         case "under their ids at their address":
             name, address = own_id, facts.address
+        case "under their ids in another service":
+            service = next(each for each in ("a", "b") if each != facts.service)
+            return dataclasses.replace(facts, service=service)
         case "under their ids at another host":
             name = own_id
             host = next(each for each in world.hosts if each != facts.host)
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -39,6 +39,20 @@
       | under a new id each time         | 6    |
       | that come and go                 | 6    |
 
+  # A row of a live worker in another service made the holder of that service stop its runs.
+  Scenario Outline: Runs are stopped as a row lists their live worker in another service
+    Given 2 entries and 4 workers of each of two services
+    And its tasks take 8 s
+    When 4 jobs of 6 tasks come and another writer lists all busy workers <row> for <for> s
+    Then within 30 s all of them are shown as succeeded
+    And every task ran once
+    And no task was counted as crashed
+
+    Examples:
+      | row                                | for |
+      | under their ids in another service | 0.1 |
+      | under their ids in another service | 6   |
+
   # A holder that takes over sees the rows before it has heard from any worker.
   Scenario Outline: Tasks run twice as the holder ends beside rows of another writer
     Given 3 entries and 4 workers of one service
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -17,6 +17,7 @@
     members,
     platform,
     queues,
+    roster,
     upkeep,
     window,
 )
@@ -140,6 +141,7 @@
         self._adapters = adapters
         self._waves: dict[int, upkeep.Wave] = {}
         self._fleet: tuple[fleetview.WorkerFacts, ...] = ()
+        self._roster = roster.Roster()
         has_slow_link = settings.link_mbps is not None and settings.link_mbps < _MIN_FAST_LINK_MBPS
         self._lease_set = leases.Leases(
             settings.entry,
@@ -393,8 +395,15 @@
                     await self.job_router.call_holder(call, _DEMAND_TIMEOUT_S)
 
     async def _watch_fleet(self) -> None:
-        async for fleet in self._adapters.watch_fleet():
-            self._fleet = fleet
+        async for listed in self._adapters.watch_fleet():
+            fleet = self._fleet = self._roster.apply(listed)
+            for facts in self._roster.take_contradictions():
+                _log.warning(
+                    "Ignored a worker's entry with another service or host than before.",
+                    worker=facts.incarnation.worker,
+                    service=facts.service,
+                    host=facts.host,
+                )
             self._forwarder.update_workers(fleet)
             for pool, running_holder in self.lease_manager.get_holders().items():
                 if isinstance(running_holder, holder.Holder):
