--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -34,6 +34,7 @@
       | labels          | missing |
       | machine         | missing |
       | born            | missing |
+      | clockMs         | missing |
 
     Examples: values that can't be used
       | field       | value                       |
@@ -42,10 +43,14 @@
       | born        | 5.5                         |
       | born        | true                        |
       | born        | "5"                         |
-      | capacity    | {"cpu": 1e30, "memMb": 1}   |
-      | capacity    | {"cpu": 9223372036854775808, "memMb": 1} |
-      | capacity    | {"cpu": -1, "memMb": 1}     |
+      | capacity    | {"cpu": 1e30, "memMb": 1, "gpu": 0} |
+      | capacity    | {"cpu": 9223372036854775808, "memMb": 1, "gpu": 0} |
+      | capacity    | {"cpu": -1, "memMb": 1, "gpu": 0} |
       | capacity    | {"cpu": 1}                  |
+      | capacity    | {"cpu": 1, "memMb": 1}      |
+      | capacity    | {"cpu": 1, "memMb": 1, "gpu": "0"} |
+      | clockMs     | "1000"                      |
+      | clockMs     | null                        |
       | capacity    | 7                           |
       | address     | ""                          |
       | address     | "x"                         |
--- a/features/platformsite.py
+++ b/features/platformsite.py
@@ -164,6 +164,7 @@
                 "labels": ["a", facts.rack],
                 "machine": facts.host,
                 "born": facts.incarnation.born_ms,
+                "clockMs": 1000,
                 "sequence": 1,
             }
         for key in [key for key in self.world.table.rows if key.startswith("servers//")]:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -258,10 +258,11 @@
         "coldRemainingMs": 0,
         "sequence": 4,
         "state": "ready",
-        "capacity": {"cpu": 1, "memMb": 1},
+        "capacity": {"cpu": 1, "memMb": 1, "gpu": 0},
         "labels": ["a", "r"],
         "machine": "m",
         "born": 5,
+        "clockMs": 1000,
     }
     valid_row = platform.Row("servers//w", 1, json.dumps(worker).encode())
     assert fleet.decode_worker(valid_row).incarnation == fleetview.Incarnation("w", 5)
