--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -471,9 +471,16 @@
             self.losses.clear(report.incarnation)
             self._report_handler.apply(worker, report)
             worker.asked_s = report.sent_s
-            if worker.identified_s is None and report.incarnation in self._listed:
+            is_new = worker.identified_s is None and report.incarnation in self._listed
+            if is_new:
                 self._identify(worker, report.received_s)
             self._drop_rivals(report.incarnation, report.received_s)
+            if is_new and self._succession.is_rival(report.incarnation):
+                self.notes.note(
+                    "worker waits for another",
+                    worker=report.incarnation.worker,
+                    host=worker.facts.host,
+                )
             self._reconcile(report.received_s)
 
     def _identify(self, worker: fleetview.Worker, now_s: float) -> None:
@@ -484,10 +491,6 @@
         self.closed_hosts.reopen_if_restarted(facts.incarnation, facts.host)
         if facts.host:
             self.losses.count_crashes(facts.host, facts.incarnation.born_ms, now_s)
-        if self._succession.is_rival(worker.facts.incarnation):
-            self.notes.note(
-                "worker waits for another", worker=facts.incarnation.worker, host=facts.host
-            )
 
     def take_stored_end(self, incarnation: fleetview.Incarnation) -> int | None:
         """Return the number up to which a worker's run ends are stored, or None if unchanged."""
