Remember a bounded number of hidden incarnations

An entry kept the facts of each incarnation under a listed id, so that rows of another writer with a new start time each would have grown its memory for as long as they came (seen in reading; no run showed it). The thousand listed last stay; a live worker writes its own row every heartbeat, and so is among them.

--- a/packages/nutmegshelf/src/nutmegshelf/roster.py
+++ b/packages/nutmegshelf/src/nutmegshelf/roster.py
@@ -8,6 +8,9 @@
 
 from nutmegshelf import fleetview, ids
 
+# So many incarnations are remembered while others under their ids hide them.
+_MAX_HIDDEN = 1_000
+
 
 class Roster:
     """The first services and hosts of the listed incarnations of all workers."""
@@ -22,17 +25,22 @@
         """Return the entries, the last true one in the place of each that is false."""
         kept: list[fleetview.WorkerFacts] = []
         for facts in listed:
-            known = self._known.setdefault(facts.incarnation, facts)
-            if (known.service, known.host) == (facts.service, facts.host):
-                self._known[facts.incarnation] = facts
-                kept.append(facts)
-            else:
+            # The incarnations listed last are the last ones of the mapping.
+            known = self._known.pop(facts.incarnation, facts)
+            is_true = (known.service, known.host) == (facts.service, facts.host)
+            if not is_true:
                 self._contradictions.append(facts)
-                kept.append(known)
+            self._known[facts.incarnation] = facts if is_true else known
+            kept.append(self._known[facts.incarnation])
+        self._forget_ended(kept)
+        return tuple(kept)
+
+    def _forget_ended(self, kept: list[fleetview.WorkerFacts]) -> None:
         # Another incarnation may hide one under the same id for a while.
         names: set[ids.WorkerId] = {facts.incarnation.worker for facts in kept}
-        self._known = {each: known for each, known in self._known.items() if each.worker in names}
-        return tuple(kept)
+        remembered = [each for each in self._known if each.worker in names]
+        excess = max(0, len(remembered) - len(kept) - _MAX_HIDDEN)
+        self._known = {each: self._known[each] for each in remembered[excess:]}
 
     def take_contradictions(self) -> list[fleetview.WorkerFacts]:
         """Return the false entries since the last call."""
