--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -15,6 +15,21 @@
       | has 4,000 digits             |
       | is empty                     |
 
+  # A new holder never learned the address of a worker whose row was replaced at once.
+  Scenario Outline: A row is passed over as one of another writer follows it
+    Given a table whose next changes are rows of one worker at <rows>
+    When the workers are watched for 1 s
+    Then the addresses yielded were <addresses>
+
+    Examples:
+      | rows          | addresses       |
+      | a, false      | x, a, false     |
+      | false, a      | x, false, a     |
+      | a, false, a   | x, a, false, a  |
+      | a, a          | x, a            |
+      | x, false      | x, false        |
+      | a, x          | x, a, x         |
+
   Scenario Outline: An entry with a fault in one field names a worker
     Given the entry of a worker
     When the entry has <value> as its <field>
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -80,6 +80,37 @@
     asyncio.run(run_for())
 
 
+class Changes(Rows):
+    """A table whose rows change once, in one answer."""
+
+    def __init__(self, rows, changes):
+        super().__init__(rows)
+        self.changes = changes
+
+    async def wait_for_changes(self, kind, after, wait_s):
+        if after == 1:
+            return ports.RowChanges(tuple(self.changes), 2, 0.0)
+        return await super().wait_for_changes(kind, after, wait_s)
+
+
+ADDRESSES = {"x": "10.0.0.1:80", "a": "10.0.0.2:80", "false": "10.0.0.3:80"}
+
+
+@behave.given("a table whose next changes are rows of one worker at {names}")
+def make_changing_table(context, names):
+    rows = [
+        platform.Row(KEY, 2, encode({**ENTRY, "address": ADDRESSES[name]}))
+        for name in names.split(", ")
+    ]
+    context.rows = Changes([platform.Row(KEY, 1, encode(ENTRY))], rows)
+
+
+@behave.then("the addresses yielded were {names}")
+def check_addresses(context, names):
+    yielded = [facts.address for (facts,) in context.lists]
+    assert yielded == [ADDRESSES[name] for name in names.split(", ")], yielded
+
+
 @behave.then("the {count:d} workers are known, and the watch has not ended")
 def check_known(context, count):
     (workers,) = context.lists
