Count the crash of a worker once

The counts of tasks held, as a run counts once; but four crashes in ten seconds make a storm, in which a task is given up one crash later, and two crashes were enough for it.

Now the silent worker is dropped first, and the first answer counts only crashes of workers that aren't known any more. The first example of "The crash of a worker counts twice" failed before.

--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -295,6 +295,10 @@
         match event:
             case "it is silent":
                 service.record_silence(own, context.now_s)
+            case "it is silent for long":
+                context.worker.leased_until_s = context.now_s
+                service.record_silence(own, context.now_s)
+                context.now_s += 1.0
             case "it answers":
                 answer(context, own, [context.task])
             case "it answers as the other one":
@@ -312,6 +316,12 @@
         service.tick(context.now_s, 1)
 
 
+@behave.then("one crash of a worker is noted")
+def check_one_crash(context):
+    events = [note.event for note in context.service.notes.take()]
+    assert events.count("worker crashed") == 1, events
+
+
 @behave.then("its worker counts as {state}")
 def check_worker(context, state):
     own = context.worker.facts.incarnation
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -115,6 +115,18 @@
       | of its id at its address  | it answers as the other one                               | ended | 1 |
       | of its host born before   | it is silent, the other one answers                       | ended | 1 |
 
+  # Two crashes that each counted twice made a storm, in which a crashing task gets one more start.
+  Scenario Outline: The crash of a worker counts twice
+    Given a worker that runs a task, and a row of its host
+    When after the row appears "<events>"
+    Then one crash of a worker is noted
+
+    Examples:
+      | events                                       |
+      | it is silent, the other one answers          |
+      | the other one answers, it is silent          |
+      | it is silent for long, the other one answers |
+
   Scenario Outline: Hosts of another writer count as room, or hide the load of a host
     Given a worker that runs a task, and a row <row>
     When after the row appears "<events>"
--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -172,10 +172,17 @@
         for incarnation in self._lost_workers.get_expired(now_s):
             self.clear(incarnation)
 
-    def count_crashes(self, host: ids.HostId, born_ms: int, now_s: float) -> None:
+    def count_crashes(
+        self,
+        host: ids.HostId,
+        born_ms: int,
+        excluded: collections.abc.Container[fleetview.Incarnation],
+        now_s: float,
+    ) -> None:
         """Count the crashes of the workers that ran at a host before one that answers there."""
         for incarnation in self._lost_workers.get_before(host, born_ms):
-            self.count_crash(incarnation, now_s)
+            if incarnation not in excluded:
+                self.count_crash(incarnation, now_s)
 
     def count_crash(self, incarnation: fleetview.Incarnation, now_s: float) -> None:
         """Count the crash of a worker for its tasks, and give up those with too many crashes."""
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -474,12 +474,8 @@
             if is_new:
                 self._identify(worker, report.received_s)
             self._drop_rivals(report.incarnation, report.received_s)
-            if is_new and self._succession.is_rival(report.incarnation):
-                self.notes.note(
-                    "worker waits for another",
-                    worker=report.incarnation.worker,
-                    host=worker.facts.host,
-                )
+            if is_new:
+                self._count_earlier_crashes(worker, report.received_s)
             self._reconcile(report.received_s)
 
     def _identify(self, worker: fleetview.Worker, now_s: float) -> None:
@@ -489,8 +485,15 @@
         self._has_newly_identified = True
         self._succession.update(self.workers)
         self.closed_hosts.reopen_if_restarted(facts.incarnation, facts.host)
-        if facts.host:
-            self.losses.count_crashes(facts.host, facts.incarnation.born_ms, now_s)
+
+    def _count_earlier_crashes(self, worker: fleetview.Worker, now_s: float) -> None:
+        """Count the crashes of workers that were lost before one that answers at their host."""
+        incarnation, host = worker.facts.incarnation, worker.facts.host
+        if self._succession.is_rival(incarnation):
+            self.notes.note("worker waits for another", worker=incarnation.worker, host=host)
+        elif host:
+            # A worker that is still known is judged by its own calls.
+            self.losses.count_crashes(host, incarnation.born_ms, self.workers.keys(), now_s)
 
     def take_stored_end(self, incarnation: fleetview.Incarnation) -> int | None:
         """Return the number up to which a worker's run ends are stored, or None if unchanged."""
