--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -238,6 +238,7 @@
 @behave.when("the holder learns of it by {source}")
 def learn(context, source):
     service, former = context.service, context.former.facts.incarnation
+    context.has_reported = source == "list of another address"
     if source in ("list", "list of another address"):
         is_moved = source == "list of another address"
         service.update_workers(
@@ -282,7 +283,9 @@
     assert later.fencing_token > context.former.fencing_token, later
     context.is_there = phase == "unsure"
     assert list(later.tasks.values()) == [context.task] * context.is_there, later
-    if not later.is_polled:
+    # Only an answer at another address came with the list; it is a report.
+    assert later.is_polled == context.has_reported, later
+    if not context.has_reported:
         assert not context.service.choose_starts(LEARNED_S), "it starts before a report"
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -223,10 +223,11 @@
     tasks: dict[jobs.TaskKey, Task] = dataclasses.field(default_factory=dict)
     free: Resources = dataclasses.field(init=False)
     leased_until_s: float = 0.0
-    known_s: float = 0.0
+    # When the worker was first listed.
+    added_s: float = 0.0
     heard_s: float = 0.0
     # When the last poll with an answer was sent.
-    asked_s: float = 0.0
+    poll_sent_s: float = 0.0
     # When the worker first answered as the incarnation that its entry names. Its host and its
     # address are settled by that.
     identified_s: float | None = None
--- a/packages/nutmegshelf/src/nutmegshelf/roster.py
+++ b/packages/nutmegshelf/src/nutmegshelf/roster.py
@@ -8,7 +8,7 @@
 
 from nutmegshelf import fleetview, ids
 
-# So many incarnations are remembered while others under their ids hide them.
+# Incarnations that are remembered beyond the listed ones, as others under their ids hide them.
 _MAX_HIDDEN = 1_000
 
 
@@ -22,15 +22,15 @@
     def apply(
         self, listed: collections.abc.Iterable[fleetview.WorkerFacts]
     ) -> tuple[fleetview.WorkerFacts, ...]:
-        """Return the entries, the last true one in the place of each that is false."""
+        """Return the entries, the last consistent one in the place of each that is false."""
         kept: list[fleetview.WorkerFacts] = []
         for facts in listed:
             # The incarnations listed last are the last ones of the mapping.
             known = self._known.pop(facts.incarnation, facts)
-            is_true = (known.service, known.host) == (facts.service, facts.host)
-            if not is_true:
+            is_consistent = (known.service, known.host) == (facts.service, facts.host)
+            if not is_consistent:
                 self._contradictions.append(facts)
-            self._known[facts.incarnation] = facts if is_true else known
+            self._known[facts.incarnation] = facts if is_consistent else known
             kept.append(self._known[facts.incarnation])
         self._forget_ended(kept)
         return tuple(kept)
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -197,7 +197,7 @@
 
     def _add_worker(self, facts: fleetview.WorkerFacts, now_s: float) -> fleetview.Worker:
         worker = fleetview.Worker(
-            facts, self._take_fencing_token(), known_s=now_s, idle_since_s=now_s
+            facts, self._take_fencing_token(), added_s=now_s, idle_since_s=now_s
         )
         # Leases that an earlier holder granted there have expired by then.
         if now_s < self._takeover.leases_expire_s:
@@ -322,7 +322,7 @@
             by=replacement.facts.incarnation.worker,
             by_born_ms=replacement.facts.incarnation.born_ms,
             was_identified=worker.identified_s is not None,
-            unheard_s=round(now_s - succession.get_last_sign_s(worker), 3),
+            unheard_s=round(now_s - succession.get_last_contact_s(worker), 3),
             tasks=len(worker.tasks),
         )
         self._succession.record_ended(incarnation)
@@ -469,7 +469,7 @@
         if worker is not None:
             self.losses.clear(report.incarnation)
             self._report_handler.apply(worker, report)
-            worker.asked_s = report.sent_s
+            worker.poll_sent_s = report.sent_s
             is_new = worker.identified_s is None and report.incarnation in self._listed
             if is_new:
                 self._identify(worker, report.received_s)
--- a/packages/nutmegshelf/src/nutmegshelf/succession.py
+++ b/packages/nutmegshelf/src/nutmegshelf/succession.py
@@ -2,8 +2,8 @@
 
 An entry of the fleet's list says whom to call. It proves nothing of another worker, as any program
 may write one. A worker under the same id or at the same host has ended once another one answers
-and it doesn't: a worker that answered a call sent after the last sign of the other one is the later
-of the two.
+and it doesn't: a worker that answered a call sent after the last contact with the other one is the
+later of the two.
 """
 
 import collections
@@ -68,18 +68,18 @@
         replaced: dict[fleetview.Incarnation, tuple[fleetview.Worker, fleetview.Worker]] = {}
         for claimants in self._claimants.get(incarnation, ()):
             identified = [each for each in claimants if each.identified_s is not None]
-            latest = max(identified, key=lambda each: each.asked_s, default=None)
+            latest = max(identified, key=lambda each: each.poll_sent_s, default=None)
             for worker in claimants:
                 if latest is not None and _has_replaced(latest, worker):
                     replaced[worker.facts.incarnation] = worker, latest
         return list(replaced.values())
 
 
-def get_last_sign_s(worker: fleetview.Worker) -> float:
+def get_last_contact_s(worker: fleetview.Worker) -> float:
     """Return when a worker answered or, if it never did, when it was first listed."""
-    return max(worker.known_s, worker.heard_s)
+    return max(worker.added_s, worker.heard_s)
 
 
 def _has_replaced(worker: fleetview.Worker, other: fleetview.Worker) -> bool:
-    """Return whether a worker answered a call sent after the last sign of a silent one."""
-    return other.unresponsive_since_s is not None and worker.asked_s > get_last_sign_s(other)
+    """Return whether a worker answered a call sent after the last contact with a silent one."""
+    return other.unresponsive_since_s is not None and worker.poll_sent_s > get_last_contact_s(other)
