Say in the logs by which call a lost worker's lease was asked for, and notice runs that outlast it

'worker lost' now says which call last asked for the worker's lease, how long ago, and for how long that lease is over by the holder's account; 'lease lapsed' says whether the worker had confirmed the run; 'worker replaced' counts the starts that it had not. A run released at the end of a lease that goes on beside another run of its task is a fault with a counter of its own, 'run outlasted its lease', which must stay 0; 'released run had begun' tells that a start without an answer was carried out. The time from the sending of a lost task to its release is the new stage 'lapse' of the histograms.

No decision changes.

--- a/features/standstill.py
+++ b/features/standstill.py
@@ -298,7 +298,7 @@
                 worker.unresponsive_since_s = self.now_s
             return
         if worker.unresponsive_since_s is None:
-            worker.extend_lease(self.now_s - CALL_DURATION_S, LEASE_S)
+            worker.extend_lease(self.now_s - CALL_DURATION_S, LEASE_S, fleetview.LeaseCall.POLL)
             simulated.until_s = max(simulated.until_s, self.now_s + LEASE_S)
         running = tuple(
             fleetview.ReportedRun(name, run.number, "", self._percent(run), 0.0)
@@ -358,7 +358,11 @@
             return
         if is_start:
             worker = self.scheduler.workers.get(order.incarnation)
-            until_s = worker.extend_lease(self.now_s, 1.5) if worker is not None else 0.0
+            until_s = (
+                worker.extend_lease(self.now_s, 1.5, fleetview.LeaseCall.START)
+                if worker is not None
+                else 0.0
+            )
             report = functools.partial(self._report_start, self.scheduler)
             self.call_later(CALL_DURATION_S, lambda: report(order, fate, outcome, until_s))
         else:
--- a/features/steps/cut_report_steps.py
+++ b/features/steps/cut_report_steps.py
@@ -203,7 +203,7 @@
     ends = [make_end(number + 1, *context.runs[number]) for number in range(2)]
     report(context, (), ends, is_complete=False, after_s=0.1)
     worker, _ = context.service.workers.values()
-    worker.extend_lease(context.now_s, 2.5)
+    worker.extend_lease(context.now_s, 2.5, fleetview.LeaseCall.START)
     context.ends = ends
 
 
@@ -217,7 +217,7 @@
         report(context, (), (), is_complete=True, number=1, after_s=0.25)
         report(context, (), context.ends, is_complete=False, after_s=0.25)
         for worker in context.service.workers.values():
-            worker.extend_lease(context.now_s, 2.5)
+            worker.extend_lease(context.now_s, 2.5, fleetview.LeaseCall.START)
         context.service.tick(context.now_s, 1)
 
 
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -282,7 +282,7 @@
 def expire_lease(context):
     list_hosts(context, 1)
     (worker,) = context.scheduler.workers.values()
-    worker.extend_lease(context.now_s, 2.5)
+    worker.extend_lease(context.now_s, 2.5, fleetview.LeaseCall.START)
     context.now_s += 5.0
     context.scheduler.tick(context.now_s, 0)
     assert not context.scheduler.get_open_workers(context.now_s)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/notelog.py
@@ -5,7 +5,7 @@
 import logging
 import time
 
-from nutmegshelf import audit, jobs, notes, rejections
+from nutmegshelf import audit, jobs, notes, rejections, releasedruns
 
 from nutmegshelf_entry import histograms, logs
 
@@ -17,10 +17,14 @@
 # Jobs whose decisions are kept in memory; the log has those of all jobs.
 _MAX_JOBS = 200
 # Events that end a stage: the name of the stage and the field with its duration.
-_STAGES = {"run starts": ("wait", "waited_s"), "job ended": ("job", "took_s")}
+_STAGES = {
+    "run starts": ("wait", "waited_s"),
+    "job ended": ("job", "took_s"),
+    "lease lapsed": ("lapse", "started_ago_s"),
+}
 
 # Events of faults; their counters exist from the start, so that alarms can compare them with 0.
-_FAULTS = (rejections.REJECTED_JOB_RUNS,)
+_FAULTS = (rejections.REJECTED_JOB_RUNS, releasedruns.RUN_OUTLASTED_LEASE)
 
 
 class NoteLog:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -143,7 +143,7 @@
         is_responsive = worker.unresponsive_since_s is None
         until_ms = self._to_worker_clock_ms(worker, self._lease_s) if is_responsive else None
         if until_ms is not None:
-            worker.extend_lease(sent_s, self._lease_s)
+            worker.extend_lease(sent_s, self._lease_s, fleetview.LeaseCall.POLL)
         wait_s = _get_poll_wait_s(worker) if until_ms is not None else 0.0
         margin_s = _POLL_MARGIN_S if is_responsive else _UNRESPONSIVE_POLL_MARGIN_S
         fencing_token = worker.fencing_token
@@ -251,7 +251,7 @@
             return None
         sent_s = self._loop.time()
         self._scheduler.record_sent(order)
-        may_start_until_s = worker.extend_lease(sent_s, valid_s)
+        may_start_until_s = worker.extend_lease(sent_s, valid_s, fleetview.LeaseCall.START)
         return StartValidity(until_ms, may_start_until_s, sent_s, worker.fencing_token)
 
     def record_answer(
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -77,6 +77,13 @@
     HOST_LEFT = "its host left the pool or runs another worker"
 
 
+class LeaseCall(enum.Enum):
+    """The kinds of calls that ask a worker for a lease."""
+
+    POLL = "poll"
+    START = "start"
+
+
 PLACED_PHASES = frozenset({Phase.STARTING, Phase.RUNNING, Phase.UNCONFIRMED, Phase.STOPPING})
 
 
@@ -208,6 +215,14 @@
     return max((amount / size for amount, size in pairs if size > 0), default=0.0)
 
 
+class LeaseRequest(typing.NamedTuple):
+    """A call that asked for a lease: when it was sent, and until when the lease was to last."""
+
+    call: LeaseCall
+    sent_s: float
+    until_s: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
     """One incarnation of a worker, with its tasks, free resources and lease."""
@@ -223,6 +238,8 @@
     tasks: dict[jobs.TaskKey, Task] = dataclasses.field(default_factory=dict)
     free: Resources = dataclasses.field(init=False)
     leased_until_s: float = 0.0
+    # The last call that asked for a lease.
+    lease_request: LeaseRequest | None = None
     # When the worker was first listed.
     added_s: float = 0.0
     heard_s: float = 0.0
@@ -351,10 +368,11 @@
             return Unavailability.REPORT_INCOMPLETE
         return Unavailability.FULL if now_s < self.start_refused_s + _REFUSAL_PAUSE_S else None
 
-    def extend_lease(self, sent_s: float, lease_s: float) -> float:
+    def extend_lease(self, sent_s: float, lease_s: float, call: LeaseCall) -> float:
         """Record a lease requested at a time; return the latest time that it may last until."""
         until_s = sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
         self.leased_until_s = max(self.leased_until_s, until_s)
+        self.lease_request = LeaseRequest(call, sent_s, until_s)
         return until_s
 
     def is_clock_plausible(self, clock_ms: int, sent_s: float) -> bool:
--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -9,7 +9,7 @@
 import collections.abc
 import dataclasses
 
-from nutmegshelf import crashes, fleetview, ids, jobs, latestarts, notes, registry
+from nutmegshelf import crashes, fleetview, ids, jobs, latestarts, notes, registry, releasedruns
 
 # This many crashes of workers of one service within the period make a storm.
 _STORM_CRASHES = 4
@@ -98,10 +98,12 @@
         job_registry: registry.JobRegistry,
         decision_notes: notes.Notes,
         late_starts: latestarts.LateStarts,
+        released_runs: releasedruns.ReleasedRuns,
     ) -> None:
         self._registry = job_registry
         self._notes = decision_notes
         self._late_starts = late_starts
+        self._released_runs = released_runs
         self._lost_workers = _LostWorkers()
 
     def release(self, worker: fleetview.Worker, now_s: float, cause: fleetview.LossCause) -> None:
@@ -127,6 +129,7 @@
                 unheard_s=round(now_s - worker.heard_s, 3),
                 is_draining=facts.is_draining,
                 is_listed=worker.is_listed,
+                **_describe_lease(worker, now_s),
             )
         is_expired = cause is fleetview.LossCause.LEASE_EXPIRED
         for task in list(worker.tasks.values()):
@@ -138,8 +141,11 @@
                 reason=cause.value,
                 worker=facts.incarnation.worker,
                 phase=task.phase.value,
+                is_confirmed=task.is_confirmed,
                 started_ago_s=round(now_s - task.sent_s, 3),
             )
+            if is_expired:
+                self._released_runs.add(worker, task, now_s)
             self._registry.release(self._registry.records[task.key.job], task, worker, now_s)
 
     def store_silent(self, worker: fleetview.Worker, now_s: float) -> None:
@@ -171,6 +177,7 @@
         """Forget the workers that have neither answered nor restarted for long."""
         for incarnation in self._lost_workers.get_expired(now_s):
             self.clear(incarnation)
+        self._released_runs.expire(now_s)
 
     def count_crashes(
         self,
@@ -220,3 +227,15 @@
             alone=len(history.alone),
             is_suspect=history.is_suspect,
         )
+
+
+def _describe_lease(worker: fleetview.Worker, now_s: float) -> dict[str, float | str | None]:
+    """Return what a log line says of the account of a worker's lease."""
+    request = worker.lease_request
+    if request is None:
+        return {"lease_call": None}
+    return {
+        "lease_call": request.call.value,
+        "lease_asked_ago_s": round(now_s - request.sent_s, 3),
+        "lease_over_s": round(now_s - worker.leased_until_s, 3),
+    }
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -10,6 +10,7 @@
     notes,
     orders,
     registry,
+    releasedruns,
 )
 
 # Initial time of the last stop of an unknown run, so that it is stopped as soon as it is reported.
@@ -30,11 +31,13 @@
         task_estimates: estimates.Estimates,
         decision_notes: notes.Notes,
         late_starts: latestarts.LateStarts,
+        released_runs: releasedruns.ReleasedRuns,
     ) -> None:
         self._registry = job_registry
         self._estimates = task_estimates
         self._notes = decision_notes
         self._late_starts = late_starts
+        self._released_runs = released_runs
         self._containment = containment.ErrorContainment(job_registry, decision_notes)
 
     def apply(self, worker: fleetview.Worker, report: fleetview.WorkerReport) -> None:
@@ -96,6 +99,8 @@
                 worker.unknown_runs.pop((reported.task, reported.run), None)
             else:
                 worker.unknown_runs.setdefault((reported.task, reported.run), _NEVER_STOPPED_S)
+                if not task.step.speculative:
+                    self._released_runs.observe_run(worker, reported, now_s)
                 return
         if task.phase is fleetview.Phase.STARTING or (
             task.phase is fleetview.Phase.UNCONFIRMED and task.stop_sent_s is None
@@ -106,6 +111,7 @@
         self._registry.save_checkpoint(record, task, reported.checkpoint)
 
     def _apply_end(self, worker: fleetview.Worker, end: fleetview.RunEnd, now_s: float) -> None:
+        self._released_runs.observe_end(worker, end, now_s)
         key = jobs.parse_task_name(end.task)
         record = self._registry.records.get(key.job) if key else None
         task = self._registry.find_task(record, key) if record and key else None
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -22,6 +22,7 @@
     rebalancing,
     registry,
     rejections,
+    releasedruns,
     reports,
     simulation,
     speculation,
@@ -88,10 +89,13 @@
             began_s=now_s, lease_expiry_s=lease_expiry_s, is_needed=is_takeover
         )
         self._containment = containment.ErrorContainment(self.registry, self.notes)
+        released_runs = releasedruns.ReleasedRuns(self.notes)
         self._report_handler = reports.ReportHandler(
-            self.registry, self.estimates, self.notes, self._late_starts
+            self.registry, self.estimates, self.notes, self._late_starts, released_runs
+        )
+        self.losses = losses.LossTracker(
+            self.registry, self.notes, self._late_starts, released_runs
         )
-        self.losses = losses.LossTracker(self.registry, self.notes, self._late_starts)
         self.rejections = rejections.RejectionTracker(self.registry, self.notes)
         self._stall_detector = stalls.StallDetector(self.registry, self.notes)
 
@@ -324,6 +328,9 @@
             was_identified=worker.identified_s is not None,
             unheard_s=round(now_s - succession.get_last_contact_s(worker), 3),
             tasks=len(worker.tasks),
+            unconfirmed=sum(
+                each.is_sent and not each.is_confirmed for each in worker.tasks.values()
+            ),
         )
         self._succession.record_ended(incarnation)
         self._takeover.record_ended(incarnation)
