Reproduce: a later incarnation grants a longer lease than a call for the former one asked for

The fakes let a lease last as long as a call asked for, by clocks that run true, and dropped what was sent during a cut.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -24,8 +24,17 @@
 # A task under which this many workers have crashed may be started no more than twice again.
 MAX_CRASHES = 3
 MAX_FURTHER_STARTS = 3
+# A lease lasts no longer than this by its worker's clock, whatever a call asks for.
+MAX_LEASE_MS = 6_000
+# The rate of the slowest clock that a worker may have.
+CLOCK_RATE = 0.98
 # How long a start waits for its answer.
 START_TIMEOUT_S = 0.4
+# How long a call waits for an answer that doesn't come.
+ANSWER_LIMIT_S = 0.8
+# A call arrives within this time, or never.
+MAX_DELAY_S = 12.0
+HELD_CALL_INTERVAL_S = 0.01
 # Nothing listens there.
 DEAD_ADDRESS = "nowhere:9"
 # How many ends a worker lists at a time.
@@ -72,6 +81,8 @@
         # Starts that are executed at once and not answered, and starts that never arrive.
         self.unanswered_starts = 0
         self.dropped_starts = 0
+        # Calls are executed at once and not answered.
+        self.loses_answers = False
         self.slowdown = 1.0
         # Until when the worker had which capacity, before its present one.
         self.former_capacities = []
@@ -84,7 +95,13 @@
         self.began_s = asyncio.get_event_loop().time() if world.has_begun else 0.0
 
     def clock_ms(self):
-        return int((asyncio.get_running_loop().time() - self.began_s) * 1000) + 5_000
+        lived_s = asyncio.get_running_loop().time() - self.began_s
+        return int(lived_s * 1000 * CLOCK_RATE) + 5_000
+
+    def extend_lease(self, until_ms):
+        """Let everything that runs here go on until then, or for the longest possible lease."""
+        latest_ms = self.clock_ms() + MAX_LEASE_MS
+        self.until_ms = max(self.until_ms, min(until_ms, latest_ms))
 
     def check(self, fence):
         if fence < self.fence:
@@ -122,6 +139,7 @@
         if current is not None and current.number == number:
             return None
         if number <= self.highest_ended_run[name] or current is not None:
+            self.extend_lease(until_ms)
             return orders.Refusal.OLD
         step = self.world.step(order.key)
         advised = self.world.jobs[order.key.job].queue.advised is not None
@@ -129,9 +147,10 @@
             return orders.Refusal.TICKET
         if not self.fits(step):
             if self.world.guards_capacity:
+                self.extend_lease(until_ms)
                 return orders.Refusal.ROOM
             self.check_capacity(name, step)
-        self.until_ms = max(self.until_ms, until_ms)
+        self.extend_lease(until_ms)
         duration_s, how = self.world.get_work(order.key, self)
         now_s = asyncio.get_running_loop().time()
         saved_s = float(order.checkpoint or 0)
@@ -220,6 +239,8 @@
         self.foreign_entries = {}
         # Whether a worker that crashed is back under the id that it had.
         self.keeps_ids = False
+        # Whether calls to a worker that is cut off arrive once it can be reached again.
+        self.holds_calls = False
         # Whether reports have the checkpoints of the tasks that run.
         self.reports_checkpoints = False
         self.reported_waves = []
@@ -444,23 +465,47 @@
             raise exceptions.WrongWorker("another worker has the address")
         if minion is None or facts.address == DEAD_ADDRESS:
             raise exceptions.OrderNotDone("connection refused")
+        if minion.is_unresponsive and self.world.holds_calls:
+            return await self._deliver_late(facts)
         if minion.is_unresponsive or self.is_partitioned:
-            await asyncio.sleep(0.8)
+            await asyncio.sleep(ANSWER_LIMIT_S)
             raise exceptions.OrderAnswerLost("no answer")
         return minion
 
+    async def _deliver_late(self, facts):
+        """Wait until any incarnation of a worker can be reached, and return it."""
+        until_s = asyncio.get_running_loop().time() + MAX_DELAY_S
+        while asyncio.get_running_loop().time() < until_s:
+            await asyncio.sleep(HELD_CALL_INTERVAL_S)
+            minion = self.world.find_minion(facts.incarnation.worker)
+            if minion is not None and not minion.is_unresponsive:
+                return minion
+        raise exceptions.OrderAnswerLost("no answer")
+
+    async def _answer(self, minion):
+        """Lose the answer to a call that was carried out, if the worker loses its answers."""
+        if minion.loses_answers:
+            await asyncio.sleep(ANSWER_LIMIT_S)
+            raise exceptions.OrderAnswerLost("no answer")
+
     async def poll(self, facts, *, timeout_s, wait_s, **fields):
+        call = asyncio.ensure_future(self._poll(facts, wait_s=wait_s, **fields))
+        call.add_done_callback(lambda done: done.cancelled() or done.exception())
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._poll(facts, wait_s=wait_s, **fields)
+                return await asyncio.shield(call)
         except TimeoutError as error:
             raise exceptions.OrderAnswerLost("no answer") from error
+        finally:
+            if not self.world.holds_calls:
+                call.cancel()
 
     async def _poll(self, facts, *, fencing_token, last_seen, lease_until_ms, wait_s):
         minion = await self._reach(facts)
         minion.check(fencing_token)
         if lease_until_ms is not None:
-            minion.until_ms = max(minion.until_ms, lease_until_ms)
+            minion.extend_lease(lease_until_ms)
+        await self._answer(minion)
         for end in minion.ends:
             if end.number <= last_seen and end.outcome is fleetview.RunOutcome.DONE:
                 self.world.acknowledged_tasks.add(end.task)
@@ -536,7 +581,9 @@
             await asyncio.sleep(0.8)
             raise exceptions.OrderAnswerLost("no answer")
         minion.check(fencing_token)
-        return orders.StartAnswer(minion.clock_ms(), minion.start(order, valid_until_ms))
+        refusal = minion.start(order, valid_until_ms)
+        await self._answer(minion)
+        return orders.StartAnswer(minion.clock_ms(), refusal)
 
     def _start_late(self, incarnation, order, fencing_token, valid_until_ms):
         """Execute a start, at a later incarnation of its worker if the former one has ended."""
@@ -567,6 +614,7 @@
         run = minion.runs.get(order.task)
         if run is not None and run.number <= order.run:
             run.is_stopping = True
+        await self._answer(minion)
 
     async def set_pace(self, facts, order, *, fencing_token):
         (await self._reach(facts)).check(fencing_token)
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -77,6 +77,44 @@
     Then within 60 s all of them are shown as succeeded
     And no task ran twice at the same time or after its end was acknowledged
 
+  Scenario Outline: A later incarnation grants a longer lease than a call for the former one asked for
+    Given 1 entries and 8 workers of one service
+    And its tasks take 12 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it
+    When <jobs> jobs of 6 tasks come and the busiest worker is cut off after <starts> starts
+    And it starts again behind the cut after 0.1 s, and is reachable from <cut> s on for <open> s, of which no answer arrives
+    And it is cut off for 10 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
+    Examples: lost answers
+      | jobs | starts | cut | open |
+      | 2    | 1      | 0.2 | 0.12 |
+      | 2    | 6      | 0.3 | 0.12 |
+      | 2    | 1      | 1.5 | 0.12 |
+      | 3    | 1      | 2.5 | 0.3  |
+      | 2    | 1      | 6.0 | 0.5  |
+
+  Scenario Outline: A later incarnation that answered for a moment grants a longer lease than is counted
+    Given 1 entries and <workers> workers of one service
+    And its tasks take 12 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it
+    When <jobs> jobs of 6 tasks come and the busiest worker is cut off after 1 starts
+    And it starts again behind the cut after 0.1 s, and is reachable from 0.2 s on for <open> s
+    And it is cut off for 10 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
+    Examples:
+      | workers | jobs | open |
+      | 8       | 2    | 0.05 |
+      | 8       | 2    | 0.25 |
+      | 2       | 10   | 0.25 |
+      | 2       | 10   | 0.5  |
+      | 2       | 10   | 0.8  |
+
   Scenario Outline: A task starts elsewhere though its start may run at a worker that starts again
     Given 2 workers, of which the other one started again under its id 2 s before
     When a <shape> task is started without an answer, and is not reported after that
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -52,6 +52,48 @@
     later.former_facts = None
 
 
+@behave.given("what is sent during a cut arrives after it")
+def hold_calls(context):
+    context.world.holds_calls = True
+
+
+@behave.when(
+    "it starts again behind the cut after {down_s:g} s, and is reachable from {cut_s:g} s on for "
+    "{open_s:g} s"
+)
+@jobs_steps.paused
+async def restart_and_open(context, down_s, cut_s, open_s):
+    await open_for_a_moment(context, down_s, cut_s, open_s, loses_answers=False)
+
+
+@behave.when(
+    "it starts again behind the cut after {down_s:g} s, and is reachable from {cut_s:g} s on for "
+    "{open_s:g} s, of which no answer arrives"
+)
+@jobs_steps.paused
+async def restart_and_open_mutely(context, down_s, cut_s, open_s):
+    await open_for_a_moment(context, down_s, cut_s, open_s, loses_answers=True)
+
+
+async def open_for_a_moment(context, down_s, cut_s, open_s, *, loses_answers):
+    await asyncio.sleep(down_s)
+    context.later = context.world.restart(context.minion)
+    context.later.is_unresponsive, context.later.former_facts = True, context.minion.facts
+    context.later.loses_answers = loses_answers
+    await asyncio.sleep(cut_s - down_s)
+    context.later.is_unresponsive = False
+    await asyncio.sleep(open_s)
+    context.later.is_unresponsive = True
+
+
+@behave.when("it is cut off for {seconds:g} s more")
+@jobs_steps.paused
+async def cut_off_again(context, seconds):
+    await asyncio.sleep(seconds)
+    context.later.is_unresponsive = context.later.loses_answers = False
+    context.later.former_facts = None
+
+
 @behave.given("a worker got the start of a task, {confirmed}, and starts again under its id")
 def start_and_restart(context, confirmed):
     service = jobsite.scheduler_with_workers(1, cpu_millis=4000, memory_mb=1000)
