Wait for the longest lease that a later incarnation may have granted

What callers saw: tasks ran twice at once after minions started again under their ids and were cut off soon after.

Cause: the holder counted a lease from when a call was sent, by what it asked for (5.2 s for a poll, 2.65 s for a start). A later incarnation under the same id takes the deadline of a call for the former one as far ahead on its own clock, and grants the longest lease, 6 s by a clock that may be 2% slow, from when it carries the call out: 6.12 s. Cut off before a poll told of it, its runs went on while the holder started them elsewhere.

One judge now says until when a run may go on at a worker that doesn't answer (leaselimits.py). A run that its worker has confirmed ends with that incarnation or with the lease that was asked for, as before. Any other one may be at a later incarnation, where each call that asks for a lease extends it: it is released once the last such call can no longer be carried out (12 s, and 1 s to leave) and the longest lease after it has ended. A long-running task's start is waited for only as long as one that is carried out 0.3 s after it was sent, as its users wait for it. The first report of an incarnation bars what was meant for former ones, so its lease may last the longest time from then on. A restart that shows later, or a second one, takes the last such call along. A takeover waits for the longest lease, by the setting max_task_lease_s, in place of 5.85 s.

The scenario on a later incarnation that never answers now waits for 18.6 s from its start in place of 12 s, as a start carried out just before then grants the longest lease. Simulations that never asked for a lease now do with each poll, like the links to workers.

--- a/features/loadreplay.py
+++ b/features/loadreplay.py
@@ -12,6 +12,7 @@
 
 from features import jobsite
 
+LEASE_S = 5.0
 STEP_S = 0.05
 PLAN_INTERVAL_S = 0.15
 MOVE_S = 1.5
@@ -77,7 +78,7 @@
         self.numbers = itertools.count(1)
         self.planner = rebalancing.Planner()
         self.schedulers = {
-            pool: scheduler.Scheduler(1, lease_expiry_s=5.0, now_s=0.0, is_takeover=False)
+            pool: scheduler.Scheduler(1, lease_expiry_s=LEASE_S, now_s=0.0, is_takeover=False)
             for pool in hosts_by_pool
             if pool != SPARE
         }
@@ -176,6 +177,9 @@
                 fleetview.ReportedRun(name, run, "", 100, 0.0)
                 for name, (run, _) in host.runs.items()
             )
+            pool_scheduler.workers[host.incarnation].extend_lease(
+                self.now_s, LEASE_S, fleetview.LeaseCall.POLL
+            )
             pool_scheduler.apply_report(
                 fleetview.WorkerReport(
                     host.incarnation, 0, self.now_s - 0.01, self.now_s, running, tuple(host.ends)
--- a/features/poolsimulation.py
+++ b/features/poolsimulation.py
@@ -11,6 +11,7 @@
 from features import jobsite
 
 STEP_S = 0.1
+LEASE_S = 5.0
 MOVE_S = 1.5
 UPKEEP_S = 2.0
 POOL, SPARE = "a", "spare"
@@ -42,7 +43,9 @@
         self.numbers = itertools.count(1)
         self.hosts = [Host(f"h{index}", POOL, f"r{index % 3}") for index in range(hosts)]
         self.hosts += [Host(f"s{index}", SPARE, f"r{index % 3}") for index in range(spare)]
-        self.scheduler = scheduler.Scheduler(1, lease_expiry_s=5.0, now_s=0.0, is_takeover=False)
+        self.scheduler = scheduler.Scheduler(
+            1, lease_expiry_s=LEASE_S, now_s=0.0, is_takeover=False
+        )
         self.planner = rebalancing.Planner()
         # The step of the short tasks that keep arriving, and how long each of them runs.
         self.short_step = None
@@ -141,6 +144,9 @@
         report = fleetview.WorkerReport(
             host.incarnation, 0, self.now_s - 0.01, self.now_s, running, tuple(host.ends)
         )
+        self.scheduler.workers[host.incarnation].extend_lease(
+            report.sent_s, LEASE_S, fleetview.LeaseCall.POLL
+        )
         self.scheduler.apply_report(report)
 
     def _carry_out(self, order):
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -41,7 +41,7 @@
   Scenario: A run at a later incarnation that never answers is waited for without an end
     Given a worker got the start of a task, without answer, and starts again under its id
     When the holder learns of it by poll
-    And the later incarnation doesn't answer for 10 s
+    And the later incarnation doesn't answer for 17 s
     Then its run is unsure
     When the later incarnation doesn't answer for 2 s
     Then its run is waiting
@@ -88,7 +88,7 @@
     Then within 90 s all of them are shown as succeeded
     And no task ran twice at the same time or after its end was acknowledged
 
-    Examples: lost answers
+    Examples:
       | jobs | starts | cut | open |
       | 2    | 1      | 0.2 | 0.12 |
       | 2    | 6      | 0.3 | 0.12 |
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -66,6 +66,7 @@
         lease_set: leases.Leases,
         *,
         lease_s: float,
+        max_lease_s: float,
         max_lease_age_s: float,
         ended_retention_s: float,
         max_row_bytes: int,
@@ -85,12 +86,14 @@
         self._ended_retention_s = ended_retention_s
         self._transport = transport
         self._loop = asyncio.get_running_loop()
-        lease_expiry_s = lease_s / (1 - fleetview.SLOW_CLOCK_FRACTION) + lease_set.duration_s / 4
+        # The former holder's last calls may be carried out after this holder has begun.
+        lease_expiry_s = fleetview.get_max_duration_s(max_lease_s) + lease_set.duration_s / 4
         self.scheduler = scheduler.Scheduler(
             self.epoch,
             lease_expiry_s=lease_expiry_s,
             now_s=self._loop.time(),
             is_takeover=True,
+            max_lease_s=max_lease_s,
             records_incarnations=True,
             router=transport.router,
         )
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -13,6 +13,7 @@
     fleetview,
     ids,
     jobs,
+    leaselimits,
     leases,
     members,
     platform,
@@ -96,6 +97,8 @@
     upkeep_s: float = 2.0
     quiet_s: float = 3.0
     task_lease_s: float = TASK_LEASE_S
+    # The longest lease that workers grant, whatever a call asks for.
+    max_task_lease_s: float = leaselimits.MAX_LEASE_S
     ended_kept_s: float = ENDED_JOB_RETENTION_S
     # The size of a value that the table takes.
     max_row_bytes: int = writer.MAX_ROW_BYTES
@@ -332,6 +335,7 @@
             self._adapters.hosts,
             self._lease_set,
             lease_s=self._settings.task_lease_s,
+            max_lease_s=self._settings.max_task_lease_s,
             max_lease_age_s=MAX_LEASE_AGE_S,
             ended_retention_s=self._settings.ended_kept_s,
             max_row_bytes=self._settings.max_row_bytes,
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -176,6 +176,11 @@
     fencing_token: int = 0
 
 
+def get_max_duration_s(lease_s: float) -> float:
+    """Return how long a lease of a duration by a worker's clock may last."""
+    return lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
+
+
 @dataclasses.dataclass(slots=True)
 class Resources:
     """An amount of cores, memory and accelerators."""
@@ -370,11 +375,19 @@
 
     def extend_lease(self, sent_s: float, lease_s: float, call: LeaseCall) -> float:
         """Record a lease requested at a time; return the latest time that it may last until."""
-        until_s = sent_s + lease_s / (1 - SLOW_CLOCK_FRACTION) + _LEASE_MARGIN_S
+        until_s = sent_s + get_max_duration_s(lease_s)
         self.leased_until_s = max(self.leased_until_s, until_s)
         self.lease_request = LeaseRequest(call, sent_s, until_s)
         return until_s
 
+    def inherit_lease_request(self, former: "Worker") -> None:
+        """Record the calls to a former incarnation, which may extend the lease of this one."""
+        request = former.lease_request
+        if request is not None and (
+            self.lease_request is None or self.lease_request.sent_s < request.sent_s
+        ):
+            self.lease_request = request
+
     def is_clock_plausible(self, clock_ms: int, sent_s: float) -> bool:
         """Return whether a clock in the answer to a call can be that of this incarnation.
 
--- a/packages/nutmegshelf/src/nutmegshelf/latestarts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/latestarts.py
@@ -7,10 +7,8 @@
 started again under its id, the tasks of its starts without an answer start nowhere else.
 """
 
-from nutmegshelf import fleetview
+from nutmegshelf import fleetview, leaselimits
 
-# A worker carries out a start within this time after it was sent, if at all.
-_MAX_DELAY_S = 12.0
 # A long-running task waits no longer than this, as its users wait for it. A lease that a later
 # incarnation grants at once has expired by then.
 _MAX_LONG_RUNNING_DELAY_S = 6.5
@@ -34,9 +32,6 @@
             return False
         if self._restarted_s is None or now_s - self._restarted_s > _RESTART_PERIOD_S:
             return False
-        return now_s < self.get_limit_s(task)
-
-    def get_limit_s(self, task: fleetview.Task) -> float:
-        """Return when the start of a task is no longer carried out."""
-        limit_s = _MAX_LONG_RUNNING_DELAY_S if task.step.long_running else _MAX_DELAY_S
-        return task.sent_s + limit_s
+        is_long_running = task.step.long_running
+        limit_s = _MAX_LONG_RUNNING_DELAY_S if is_long_running else leaselimits.MAX_DELAY_S
+        return now_s < task.sent_s + limit_s
--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -9,7 +9,7 @@
 import collections.abc
 import dataclasses
 
-from nutmegshelf import crashes, fleetview, ids, jobs, latestarts, notes, registry, releasedruns
+from nutmegshelf import crashes, fleetview, ids, jobs, leaselimits, notes, registry, releasedruns
 
 # This many crashes of workers of one service within the period make a storm.
 _STORM_CRASHES = 4
@@ -97,44 +97,57 @@
         self,
         job_registry: registry.JobRegistry,
         decision_notes: notes.Notes,
-        late_starts: latestarts.LateStarts,
+        lease_limits: leaselimits.LeaseLimits,
         released_runs: releasedruns.ReleasedRuns,
     ) -> None:
         self._registry = job_registry
         self._notes = decision_notes
-        self._late_starts = late_starts
+        self._lease_limits = lease_limits
         self._released_runs = released_runs
         self._lost_workers = _LostWorkers()
 
     def release(self, worker: fleetview.Worker, now_s: float, cause: fleetview.LossCause) -> None:
-        """Release the runs of a worker that are lost, and record why.
+        """Release all runs of a worker, which are lost, and record why."""
+        self._release(worker, list(worker.tasks.values()), now_s, cause)
+
+    def release_expired(self, worker: fleetview.Worker, now_s: float) -> None:
+        """Release the runs of a worker that can't go on without an answer from it."""
+        expired = [
+            task
+            for task in worker.tasks.values()
+            if now_s > self._lease_limits.get_release_s(worker, task)
+        ]
+        self._release(worker, expired, now_s, fleetview.LossCause.LEASE_EXPIRED)
 
-        After the end of its lease, starts that may still be carried out stay.
-        """
+    def _release(
+        self,
+        worker: fleetview.Worker,
+        tasks: list[fleetview.Task],
+        now_s: float,
+        cause: fleetview.LossCause,
+    ) -> None:
         facts = worker.facts
-        for task in worker.tasks.values():
+        for task in tasks:
             record = self._registry.records[task.key.job]
             if task.crashes is not None and crashes.is_cleared(task, worker) and record.is_live:
                 self._registry.forget_crashes(record, task)
         # A worker that drains is not lost by a crash, and one that left its pool may run on.
         if not facts.is_draining and cause is not fleetview.LossCause.HOST_LEFT:
             self._lost_workers.add(worker, now_s)
-        if worker.tasks:
+        if tasks:
             self._notes.note(
                 "worker lost",
                 worker=facts.incarnation.worker,
                 host=facts.host,
                 reason=cause.value,
-                tasks=len(worker.tasks),
+                tasks=len(tasks),
+                kept=len(worker.tasks) - len(tasks),
                 unheard_s=round(now_s - worker.heard_s, 3),
                 is_draining=facts.is_draining,
                 is_listed=worker.is_listed,
                 **_describe_lease(worker, now_s),
             )
-        is_expired = cause is fleetview.LossCause.LEASE_EXPIRED
-        for task in list(worker.tasks.values()):
-            if is_expired and self._late_starts.may_arrive(task, now_s):
-                continue
+        for task in tasks:
             self._notes.note_task(
                 _LOSS_EVENTS[cause],
                 task,
@@ -144,7 +157,7 @@
                 is_confirmed=task.is_confirmed,
                 started_ago_s=round(now_s - task.sent_s, 3),
             )
-            if is_expired:
+            if cause is fleetview.LossCause.LEASE_EXPIRED:
                 self._released_runs.add(worker, task, now_s)
             self._registry.release(self._registry.records[task.key.job], task, worker, now_s)
 
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -12,6 +12,7 @@
     ids,
     jobs,
     latestarts,
+    leaselimits,
     losses,
     needs,
     notes,
@@ -57,6 +58,7 @@
         lease_expiry_s: float,
         now_s: float,
         is_takeover: bool,
+        max_lease_s: float = leaselimits.MAX_LEASE_S,
         records_incarnations: bool = False,
         router: window.StartRouter | None = None,
     ) -> None:
@@ -69,8 +71,6 @@
         self.estimates = estimates.Estimates()
         self.advice = policy.Advice()
         self._fencing_token = epoch * _TOKENS_PER_EPOCH
-        # Until then after now, a lease that was granted by now may last.
-        self._lease_expiry_s = lease_expiry_s
         # The entries of this service's workers, which other programs may have written.
         self._listed: dict[fleetview.Incarnation, fleetview.WorkerFacts] = {}
         self._succession = succession.Succession()
@@ -82,6 +82,7 @@
             router or window.StartRouter(),
             self.estimates,
         )
+        self._lease_limits = leaselimits.LeaseLimits(max_lease_s)
         self._late_starts = latestarts.LateStarts()
         self._stopper = stops.Stopper(self.registry, self.notes, self._late_starts)
         self._arrived_core_ms = 0.0
@@ -94,7 +95,7 @@
             self.registry, self.estimates, self.notes, self._late_starts, released_runs
         )
         self.losses = losses.LossTracker(
-            self.registry, self.notes, self._late_starts, released_runs
+            self.registry, self.notes, self._lease_limits, released_runs
         )
         self.rejections = rejections.RejectionTracker(self.registry, self.notes)
         self._stall_detector = stalls.StallDetector(self.registry, self.notes)
@@ -349,9 +350,7 @@
                     phase=task.phase.value,
                 )
                 self.registry.transfer(task, worker, replacement, now_s)
-                replacement.leased_until_s = max(
-                    replacement.leased_until_s, worker.leased_until_s, now_s + self._lease_expiry_s
-                )
+            replacement.inherit_lease_request(worker)
         self._drop_worker(worker, now_s, fleetview.LossCause.RESTARTED)
         self.losses.count_crash(incarnation, now_s)
 
@@ -379,13 +378,13 @@
             if worker.unresponsive_since_s is not None:
                 self.losses.store_silent(worker, now_s)
             if worker.leased_until_s and now_s > worker.leased_until_s:
-                self.losses.release(worker, now_s, fleetview.LossCause.LEASE_EXPIRED)
+                self.losses.release_expired(worker, now_s)
                 worker.is_polled = False
-                # Starts that may still be carried out are left.
-                limits_s = map(self._late_starts.get_limit_s, worker.tasks.values())
-                worker.leased_until_s = max(limits_s, default=0.0)
+                worker.leased_until_s = 0.0
                 worker.is_report_complete = True
                 worker.unknown_runs.clear()
+            elif not (worker.leased_until_s or worker.is_polled):
+                self.losses.release_expired(worker, now_s)
             if not worker.is_listed and self._is_empty(worker, now_s):
                 self._remove_worker(worker.facts.incarnation)
         for job, record in list(self.registry.live.items()):
@@ -474,6 +473,10 @@
         """Apply a worker's report of its running and ended runs."""
         worker = self.workers.get(report.incarnation)
         if worker is not None:
+            if not worker.is_polled:
+                # Until it answered, it may have carried out calls meant for a former incarnation.
+                latest_end_s = self._lease_limits.get_latest_end_s(report.received_s)
+                worker.leased_until_s = max(worker.leased_until_s, latest_end_s)
             self.losses.clear(report.incarnation)
             self._report_handler.apply(worker, report)
             worker.poll_sent_s = report.sent_s
