--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -157,7 +157,7 @@
                 is_confirmed=task.is_confirmed,
                 started_ago_s=round(now_s - task.sent_s, 3),
             )
-            if cause is fleetview.LossCause.LEASE_EXPIRED:
+            if cause is fleetview.LossCause.LEASE_EXPIRED and not task.step.speculative:
                 self._released_runs.add(worker, task, now_s)
             self._registry.release(self._registry.records[task.key.job], task, worker, now_s)
 
