--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -207,6 +207,8 @@
         self.running = collections.defaultdict(set)
         self.acknowledged_tasks = set()
         self.starts = collections.Counter()
+        # The times of the calls to start a task, by worker.
+        self.start_calls_s = collections.defaultdict(list)
         self.done = collections.Counter()
         self.stopped = []
         self.violations = []
@@ -516,6 +518,9 @@
             if minion.ends or asyncio.get_running_loop().time() >= until_s:
                 break
             await asyncio.sleep(0.02)
+            if minion.is_unresponsive and self.world.holds_calls:
+                await self._deliver_late(facts)
+                raise exceptions.OrderAnswerLost("connection reset")
             if minion.is_unresponsive or minion.has_ended:
                 raise exceptions.OrderAnswerLost("connection closed")
         now_s = asyncio.get_running_loop().time()
@@ -547,6 +552,8 @@
 
     async def start(self, facts, order, *, fencing_token, valid_until_ms):
         """Start a run; the worker executes the call even if the caller stops waiting for it."""
+        now_s = asyncio.get_running_loop().time()
+        self.world.start_calls_s[facts.incarnation.worker].append(now_s)
         call = asyncio.ensure_future(self._start(facts, order, fencing_token, valid_until_ms))
         call.add_done_callback(lambda done: done.cancelled() or done.exception())
         try:
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -96,6 +96,13 @@
       | 3    | 1      | 2.5 | 0.3  |
       | 2    | 1      | 6.0 | 0.5  |
 
+  Scenario: Starts go on to a worker that fell silent, and each one interrupts the poll that would tell
+    Given 1 entries and 2 workers of one service
+    And its tasks take 12 s
+    And what is sent during a cut arrives after it
+    When 10 jobs of 6 tasks come and the busiest worker is cut off after 1 starts
+    Then it gets 12 starts more at most, and counts as silent after 2.5 s
+
   Scenario Outline: A later incarnation that answered for a moment grants a longer lease than is counted
     Given 1 entries and <workers> workers of one service
     And its tasks take 12 s
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -94,6 +94,19 @@
     context.later.former_facts = None
 
 
+@behave.then("it gets {count:d} starts more at most, and counts as silent after {seconds:g} s")
+@jobs_steps.paused
+async def check_silence_noticed(context, count, seconds):
+    incarnation = context.minion.facts.incarnation
+    cut_s = jobs_steps.get_time_s()
+    await asyncio.sleep(seconds)
+    holder = context.site.entries["e0"][0].lease_manager.get_holder("a")
+    worker = holder.scheduler.workers[incarnation]
+    calls_s = [each for each in context.world.start_calls_s[incarnation.worker] if each > cut_s]
+    assert worker.unresponsive_since_s is not None, f"{len(calls_s)} starts since the cut"
+    assert len(calls_s) <= count, calls_s
+
+
 @behave.given("a worker got the start of a task, {confirmed}, and starts again under its id")
 def start_and_restart(context, confirmed):
     service = jobsite.scheduler_with_workers(1, cpu_millis=4000, memory_mb=1000)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -139,12 +139,15 @@
         if (settled := self._scheduler.take_stored_end(self._incarnation)) is not None:
             self._acknowledged = settled
         # The lease of an unresponsive worker is not extended, so that its tasks can start elsewhere
-        # once its current lease expires.
+        # once its current lease expires. A later incarnation would even grant a longer one.
         is_responsive = worker.unresponsive_since_s is None
-        until_ms = self._to_worker_clock_ms(worker, self._lease_s) if is_responsive else None
+        is_waiting = is_responsive and worker.clock_offset_ms is not None
+        until_ms = None
+        if not worker.is_in_doubt:
+            until_ms = self._to_worker_clock_ms(worker, self._lease_s)
         if until_ms is not None:
             worker.extend_lease(sent_s, self._lease_s, fleetview.LeaseCall.POLL)
-        wait_s = _get_poll_wait_s(worker) if until_ms is not None else 0.0
+        wait_s = _get_poll_wait_s(worker) if is_waiting else 0.0
         margin_s = _POLL_MARGIN_S if is_responsive else _UNRESPONSIVE_POLL_MARGIN_S
         fencing_token = worker.fencing_token
         if worker.identified_s is None and worker.other_address and self._failures % 2:
@@ -246,7 +249,7 @@
         if worker is None or until_ms is None or not self._may_send():
             self._scheduler.record_refused(order, "not ordered", self._loop.time())
             return None
-        if worker.unresponsive_since_s is not None:
+        if worker.is_in_doubt:
             self._scheduler.record_refused(order, "its worker doesn't answer", self._loop.time())
             return None
         sent_s = self._loop.time()
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -62,6 +62,7 @@
     DRAINING = "drains or is not listed"
     RECLAIMED = "its host is asked for"
     UNRESPONSIVE = "does not answer"
+    UNANSWERED = "left a start without an answer"
     QUARANTINED = "failed what it started"
     FULL = "refused a start for want of room"
     UNKNOWN_RUNS = "runs what it has been told to stop"
@@ -256,6 +257,8 @@
     # The address of an earlier entry, in case that the present one is false.
     other_address: str = ""
     unresponsive_since_s: float | None = None
+    # When a start last turned out to have no answer, until a later poll is answered.
+    unanswered_since_s: float | None = None
     last_end: int = 0
     unpersisted_ends: collections.deque[tuple[int, int]] = dataclasses.field(
         default_factory=collections.deque
@@ -323,6 +326,11 @@
             if not self.tasks:
                 self.idle_since_s = now_s
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Return whether a call without an answer may have met a later incarnation."""
+        return self.unresponsive_since_s is not None or self.unanswered_since_s is not None
+
     @property
     def is_accounted_for(self) -> bool:
         """Return whether the worker has reported all that runs or has ended there."""
@@ -363,6 +371,8 @@
         """Return why an open worker gets no new tasks for a while, or None."""
         if self.unresponsive_since_s is not None:
             return Unavailability.UNRESPONSIVE
+        if self.unanswered_since_s is not None:
+            return Unavailability.UNANSWERED
         if now_s < self.quarantined_until_s:
             return Unavailability.QUARANTINED
         if self.unknown_runs:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -44,6 +44,7 @@
     fleetview.Unavailability.NOT_RECORDED,
     fleetview.Unavailability.FULL,
     fleetview.Unavailability.UNKNOWN_RUNS,
+    fleetview.Unavailability.UNANSWERED,
     fleetview.Unavailability.REPORT_INCOMPLETE,
 )
 
@@ -620,6 +621,7 @@
         if task is not None and is_unsure:
             task.phase, task.since_s = fleetview.Phase.UNCONFIRMED, now_s
             task.may_start_until_s = may_start_until_s
+            self.workers[order.incarnation].unanswered_since_s = now_s
             self.notes.note_task(
                 "start unanswered",
                 task,
