Acknowledge no end at a worker that left a start without an answer

What callers saw: tasks started again after they had ended as done, and that end had been taken note of (TWICE), with nothing late.

Cause: a minion that starts again under its id numbers its ends anew. Short tasks whose starts it took for its former incarnation, with their answers lost, ended before the poll that the first missing answer requested. That poll still carried the highest number of the former incarnation, so their ends were taken note of and never read. Polls acknowledged nothing only after one of them had failed.

Fix: a worker in doubt, from the first start without an answer, is acknowledged nothing until it answers a poll.

Open: a poll that was sent before the cut and is carried out after such an end.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -507,11 +507,12 @@
         minion.check(fencing_token)
         if lease_until_ms is not None:
             minion.extend_lease(lease_until_ms)
-        await self._answer(minion)
+        minion.tick()
         for end in minion.ends:
             if end.number <= last_seen and end.outcome is fleetview.RunOutcome.DONE:
                 self.world.acknowledged_tasks.add(end.task)
         minion.ends = [end for end in minion.ends if end.number > last_seen]
+        await self._answer(minion)
         until_s = asyncio.get_running_loop().time() + wait_s
         while True:
             minion.tick()
@@ -519,8 +520,8 @@
                 break
             await asyncio.sleep(0.02)
             if minion.is_unresponsive and self.world.holds_calls:
-                await self._deliver_late(facts)
-                raise exceptions.OrderAnswerLost("connection reset")
+                await asyncio.sleep(MAX_DELAY_S)
+                raise exceptions.OrderAnswerLost("no answer")
             if minion.is_unresponsive or minion.has_ended:
                 raise exceptions.OrderAnswerLost("connection closed")
         now_s = asyncio.get_running_loop().time()
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -52,6 +52,17 @@
     Then no poll after the silence began acknowledges an end before one is answered
     And all ends are acknowledged after it
 
+  Scenario: An end at a later incarnation is forgotten by the poll that a start without an answer requests
+    Given 1 entries and 1 workers of one service
+    And its tasks take 0.1 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it
+    When 5 tasks end at its worker, and 5 more are to start while it is cut off
+    And it starts again behind the cut after 0.1 s, and is reachable from 0.2 s on for 1.2 s, of which no answer arrives
+    And it is cut off for 3 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
   Scenario Outline: Late starts run at later incarnations beside the same tasks elsewhere
     Given 1 entries and 6 workers of one service
     And its tasks take <work> s
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -156,6 +156,24 @@
     await asyncio.sleep(4.0)
 
 
+@behave.when(
+    "{count:d} tasks end at its worker, and {more:d} more are to start while it is cut off"
+)
+@jobs_steps.paused
+async def end_then_start_during_cut(context, count, more):
+    (context.minion,) = context.world.minions.values()
+    fields = {"cpu_millis": 250, "memory_mb": 100, "estimate_ms": 500}
+    await jobs_steps.submit(context, FIRST_JOB, (jobs.Step(count=count, **fields),), "e0")
+    await asyncio.sleep(2.0)
+    assert len(context.world.acknowledged_tasks) == count, context.world.acknowledged_tasks
+    context.submitted = [
+        await jobs_steps.submit(context, FIRST_JOB + 1, (jobs.Step(count=more, **fields),), "e0")
+    ]
+    while len(context.world.start_calls_s[context.minion.facts.incarnation.worker]) < count + 1:
+        await asyncio.sleep(0.001)
+    context.minion.is_unresponsive = True
+
+
 @behave.then("no poll after the silence began acknowledges an end before one is answered")
 def check_not_acknowledged(context):
     silent = [each for each in context.polls if each[0] > context.silent_from_s]
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -154,7 +154,7 @@
             worker.set_address(worker.other_address)
         facts = worker.facts
         # A later incarnation numbers its ends anew, and would forget those that were not read yet.
-        last_seen = self._acknowledged if is_responsive else 0
+        last_seen = 0 if worker.is_in_doubt else self._acknowledged
         result = await self._client.poll(
             facts,
             fencing_token=fencing_token,
