Know that a call without a connection was never sent

What callers saw: tasks waited for starts that could not have reached a minion, as it was cut off before the connection for them was open.

Cause: a call that got no connection in time counted as one whose answer was lost, so its start might be carried out late.

Fix: the client says whether a request had a connection; without one it was not sent, as with a refused connection, so that its task starts elsewhere at once.

Evidence: 'A call without a connection may have reached its service' failed before (AnswerLost) and passes.

--- /dev/null
+++ b/features/unsent_calls.feature
@@ -0,0 +1,11 @@
+Feature: A call that was never sent counts as one that may be carried out late
+
+  Scenario: A call without a connection may have reached its service
+    Given a service whose queue of new connections is full
+    When a call to it gets no connection in 0.3 s
+    Then it is known not to have been sent
+
+  Scenario: A call whose connection is silent is known not to have been sent
+    Given a service that accepts connections and never answers
+    When a call to it gets no answer in 0.3 s
+    Then it may have been carried out
--- a/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
+++ b/packages/nutmegshelf-http/src/nutmegshelf_http/client.py
@@ -42,6 +42,8 @@
 
     on_progress: collections.abc.Callable[[], None] = lambda: None
     max_bytes: int = _MAX_RESPONSE_BYTES
+    # Whether the request has a connection, so that the server may receive it.
+    is_connected: bool = False
     head_received_s: float | None = None
     received_bytes: int = 0
     content_length: int | None = None
@@ -132,6 +134,7 @@
         progress: ResponseProgress,
     ) -> Response:
         connection = await self._checkout()
+        progress.is_connected = True
         sent_s = asyncio.get_running_loop().time()
         try:
             head = h11.Request(
