Forward no start that waited longer than its holder waits for it

Fix: a start that waited for more than 0.8 s is answered as not sent.

Evidence: 'A start that waited for its turn is forwarded after its holder has given it up' failed before (9 of 9 sent) and passes.

--- a/features/unsent_calls.feature
+++ b/features/unsent_calls.feature
@@ -9,3 +9,8 @@
     Given a service that accepts connections and never answers
     When a call to it gets no answer in 0.3 s
     Then it may have been carried out
+
+  Scenario: A start that waited for its turn is forwarded after its holder has given it up
+    Given an entry that forwards starts to a worker that answers each one after 0.5 s
+    When 9 starts for that worker come at once
+    Then 6 of them are sent, and the others are known not to have been
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/forwarder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/forwarder.py
@@ -14,6 +14,8 @@
 # Holders already limit what they forward by the window, so starts are refused only beyond this
 # multiple of it.
 _MAX_WINDOW_SHARE = 2.0
+# A start that waited longer for its turn is not sent, as its holder no longer waits for it.
+_MAX_WAIT_S = 0.8
 
 _log = logs.get_logger("carrier")
 
@@ -79,6 +81,8 @@
         self._window.reserve(size_bytes, now_s)
         try:
             async with self._slots[facts.incarnation]:
+                if asyncio.get_running_loop().time() - now_s > _MAX_WAIT_S:
+                    return _Answer(orders.Outcome.FULL)
                 # An entry of an earlier version sends no token for each start.
                 fencing_token = start.fencing_token or call.epoch
                 return await self._send(facts, order, fencing_token, start.valid_until_ms)
