Wait for a long-running task's start as for any other while its worker may live

Cause: their starts were waited for only as if they were carried out within 0.3 s, as their users wait and a minion that has died must not keep a task of theirs.

Fix: a worker that is cut off doesn't answer, and one that has ended refuses connections, or another worker answers at its address. Only then a long-running task's start is waited for as if it were carried out within 0.5 s; else as long as any other. What the last poll without an answer met says which it is.

Evidence: rows of 'A long-running task's start that a later incarnation carries out runs elsewhere too' failed before.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -466,7 +466,7 @@
         if minion is None and self.world.is_used(facts.address):
             raise exceptions.WrongWorker("another worker has the address")
         if minion is None or facts.address == DEAD_ADDRESS:
-            raise exceptions.OrderNotDone("connection refused")
+            raise exceptions.WorkerAbsent("connection refused")
         if minion.is_unresponsive and self.world.holds_calls:
             return await self._deliver_late(facts)
         if minion.is_unresponsive or self.is_partitioned:
--- a/features/lease_limits.feature
+++ b/features/lease_limits.feature
@@ -35,11 +35,28 @@
       | plain        | an answer    | start                 | 0     | 5.102 |
       | plain        | an answer    | start of another task | 1.5   | 5.102 |
 
-  Scenario: A long-running task's start that a later incarnation carries out runs elsewhere too
+  Scenario Outline: A long-running task's start that a later incarnation carries out runs elsewhere too
     Given a worker that is known throughout
     When it gets the start of a long-running task, without an answer
     And the worker falls silent
-    Then the run is released 0.3 s and the longest lease after that call, and not before
+    And calls to it <fail>
+    Then the run is released <delay> s and the longest lease after that call, and not before
+
+    Examples:
+      | fail                          | delay |
+      | get no answer                 | 13    |
+      | are refused, as nobody listens | 0.5  |
+
+  Scenario: A plain task's start that a later incarnation carries out runs elsewhere too
+    Given a worker that is known throughout
+    When it gets the start of a plain task, without an answer
+    And the worker falls silent
+    And calls to it are refused, as nobody listens
+    Then the run is released 13 s and the longest lease after that call, and not before
+
+  Scenario: A task runs at a new holder's worker and where the former holder started it
+    Given workers that grant 6 s at most by a clock that may be 2% slow
+    Then a new holder waits for the longest lease of a call that is carried out 0.5 s late
 
   Scenario Outline: A speculative task waits for more than the lease
     Given a worker that is known throughout
--- a/features/steps/lease_limit_steps.py
+++ b/features/steps/lease_limit_steps.py
@@ -1,7 +1,7 @@
 """Steps on how long the runs of a silent worker are waited for."""
 
 import behave
-from nutmegshelf import fleetview, jobs, scheduler
+from nutmegshelf import fleetview, jobs, leaselimits, scheduler
 
 from features import jobsite
 
@@ -174,6 +174,28 @@
     context.service.record_silence(context.worker.facts.incarnation, context.now_s)
 
 
+@behave.when("calls to it get no answer")
+def lose_answers(context):
+    context.worker.is_absent = False
+
+
+@behave.when("calls to it are refused, as nobody listens")
+def refuse_calls(context):
+    context.worker.is_absent = True
+
+
+@behave.given("workers that grant {max_lease_s:g} s at most by a clock that may be 2% slow")
+def limit_lease(context, max_lease_s):
+    context.takeover_s = leaselimits.get_takeover_s(max_lease_s)
+
+
+@behave.then(
+    "a new holder waits for the longest lease of a call that is carried out {delay_s:g} s late"
+)
+def check_takeover(context, delay_s):
+    assert context.takeover_s >= delay_s + LONGEST_LEASE_S, context.takeover_s
+
+
 @behave.when("restarts show {times} s after the start")
 def restart(context, times):
     for after_s in map(float, times.split(",")):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -12,6 +12,7 @@
     fleetview,
     ids,
     jobs,
+    leaselimits,
     leases,
     orders,
     platform,
@@ -86,12 +87,10 @@
         self._ended_retention_s = ended_retention_s
         self._transport = transport
         self._loop = asyncio.get_running_loop()
-        # The former holder's last calls may be carried out after this holder has begun.
-        lease_expiry_s = fleetview.get_max_duration_s(max_lease_s) + lease_set.duration_s / 4
         self.scheduler = scheduler.Scheduler(
             self.epoch,
-            lease_expiry_s=lease_expiry_s,
-            now_s=self._loop.time(),
+            lease_expiry_s=leaselimits.get_takeover_s(max_lease_s),
+            now_s=acquired_s,
             is_takeover=True,
             max_lease_s=max_lease_s,
             records_incarnations=True,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -101,6 +101,9 @@
             except TimeoutError:
                 continue  # An immediate poll was requested.
             except exceptions.WorkerError as error:
+                worker.is_absent = isinstance(
+                    error, (exceptions.WorkerAbsent, exceptions.WrongWorker)
+                )
                 if self._scheduler.record_silence(self._incarnation, self._loop.time()):
                     _log.warning(
                         "A worker doesn't answer.", worker=self._incarnation.worker, why=str(error)
--- a/packages/nutmegshelf/src/nutmegshelf/exceptions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/exceptions.py
@@ -196,6 +196,10 @@
     """The worker certainly did not execute the order."""
 
 
+class WorkerAbsent(OrderNotDone):
+    """Nobody listens at the worker's address."""
+
+
 class OrderAnswerLost(WorkerError):
     """The worker may have executed the order, or may execute it later."""
 
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -257,6 +257,8 @@
     # The address of an earlier entry, in case that the present one is false.
     other_address: str = ""
     unresponsive_since_s: float | None = None
+    # Whether no worker under this id listens at the address, by the last poll without an answer.
+    is_absent: bool = False
     # When a start last turned out to have no answer, until a later poll is answered.
     unanswered_since_s: float | None = None
     last_end: int = 0
--- a/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
@@ -14,9 +14,16 @@
 MAX_DELAY_S = 12.0
 # A call leaves within this time after it was prepared, also one that another entry forwards.
 _MAX_SENDING_S = 1.0
-# The same, all in all, for the start of a long-running task. Its users wait for it, so that starts
-# that are carried out later than most calls are answered are not waited for.
-_MAX_LONG_RUNNING_DELAY_S = 0.3
+# Most calls are carried out within this time.
+_USUAL_DELAY_S = 0.5
+
+
+def get_takeover_s(max_lease_s: float) -> float:
+    """Return how long leases may last after the end of the holder that asked for them.
+
+    It doesn't cover calls that are carried out later than usual, as all tasks of the service wait.
+    """
+    return fleetview.get_max_duration_s(max_lease_s) + _USUAL_DELAY_S
 
 
 class LeaseLimits:
@@ -39,7 +46,7 @@
             return worker.leased_until_s
         request = worker.lease_request
         sent_s = task.sent_s if request is None else max(task.sent_s, request.sent_s)
-        delay_s = MAX_DELAY_S + _MAX_SENDING_S
-        if task.step.long_running:
-            delay_s = _MAX_LONG_RUNNING_DELAY_S
+        # The users of a long-running task wait for it.
+        is_urgent = task.step.long_running and worker.is_absent
+        delay_s = _USUAL_DELAY_S if is_urgent else MAX_DELAY_S + _MAX_SENDING_S
         return max(worker.leased_until_s, self.get_latest_end_s(sent_s + delay_s))
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -45,6 +45,7 @@
         now_s = report.received_s
         worker.is_polled = True
         worker.heard_s, worker.unresponsive_since_s = now_s, None
+        worker.is_absent = False
         unanswered_s = worker.unanswered_since_s
         if unanswered_s is not None and report.sent_s >= unanswered_s:
             worker.unanswered_since_s = None
