--- a/features/steps/lease_limit_steps.py
+++ b/features/steps/lease_limit_steps.py
@@ -164,6 +164,9 @@
     advance(context, context.now_s + after_s)
     if call == "poll":
         ask_for_lease(context, POLL_LEASE_S, fleetview.LeaseCall.POLL)
+    elif context.worker.is_in_doubt:
+        # Another start that had been sent before the first one turned out to have no answer.
+        ask_for_lease(context, START_LEASE_S["plain"], fleetview.LeaseCall.START)
     else:
         add_task(context, "plain", OTHER_JOB)
         send_start(context, "plain")
