Start a task again only at the worker that may still carry out its start

Cause: a worker that answers bars a start by a stop or by a higher fencing token, in that incarnation only. The task then started elsewhere, and a later incarnation of the first worker carried the start out as well.

One incarnation runs a task once at a time, whatever it carries out, and the next one begins with nothing, so that no other worker is involved. Speculative tasks may run twice; gangs go on as before.

--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -32,6 +32,13 @@
         """Record that a task of a step fits nowhere."""
         self._by_label.setdefault(step.label, []).append(_shape(step))
 
+    def add_if_lacking(
+        self, step: jobs.Step, workers: collections.abc.Iterable[fleetview.Worker]
+    ) -> None:
+        """Record that a task of a step fits nowhere, unless some worker has the capacity."""
+        if not has_capacity(step, workers):
+            self.add(step)
+
     def covers(self, step: jobs.Step) -> bool:
         """Return whether a task no larger than one of the step fitted nowhere."""
         cpu, memory, accelerators = _shape(step)
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -128,6 +128,9 @@
     crashes: jobs.CrashHistory | None = None
     # The task starts again only once this change of its job is stored.
     start_after_change: int = 0
+    # Until then it starts again only at this worker, which may carry out an earlier start.
+    bound_worker: ids.WorkerId | None = None
+    bound_until_s: float = 0.0
 
 
 class ReportedRun(typing.NamedTuple):
