Add a fault to the random histories: a worker that restarts is reachable for a moment between two cuts

First cut 0.1 to 2.5 s, open 0.05 to 0.8 s, answers lost or not, second cut 3 to 10 s. In half of the histories calls that were sent during a cut arrive after it. The fault strikes the busiest worker of a service and sends 1 to 3 jobs of 6.5 s tasks its way, as a run that ends sooner can't overlap with one elsewhere.

No check is changed.

--- a/features/jobhistories.py
+++ b/features/jobhistories.py
@@ -23,7 +23,12 @@
 MAX_ATTEMPTS = 4
 # More tasks than a worker lists ends at a time.
 MANY_TASKS = 700
+# More runs than can be tried alone, one after the other, by the end of a history.
+MANY_RUNS = 50
 CALL_TIMEOUT_S = 3.0
+# Longer than any lease lasts, so that a run elsewhere would overlap; trials of it take no longer
+# than a job may idle.
+LONG_WORK_S = 6.5
 QUEUES = (
     jobsite.queue(max_attempts=MAX_ATTEMPTS),
     jobsite.queue(name="q2", service="b", max_attempts=MAX_ATTEMPTS),
@@ -64,6 +69,10 @@
     STARTS_DROPPED = "starts never arrive"
     STARTS_DELAYED = "starts are carried out late"
     FOREIGN_ENTRIES = "another program writes entries of workers"
+    WORKER_REOPENED = (
+        "a worker starts again behind a cut under its id, is reachable for a moment, and is cut "
+        "off again"
+    )
 
 
 @dataclasses.dataclass
@@ -99,6 +108,7 @@
         self._rng = rng
         self._world = jobworld.World({"a": 4, "b": 3}, spare_count=rng.choice([0, 2]))
         self._world.keeps_ids = rng.random() < 0.5
+        self._world.holds_calls = rng.random() < 0.5
         self._site = jobsite.Site(self._world)
         self._numbers = itertools.count(1)
         self._accepted = {}
@@ -163,17 +173,28 @@
     async def _submit_until(self, ends_s):
         while self._now_s() < ends_s:
             made, shape = self._make_job()
-            for _ in range(4):
-                call = self._call_any(lambda router, job=made.job: router.submit(job))
-                if await call:
-                    self._accepted[made.job.job] = made
-                    self._note(f"{made.job.job} is accepted: {shape.value}")
-                    break
-                await asyncio.sleep(1.0)
+            await self._submit(made, shape.value)
             if self._accepted and self._rng.random() < 0.1:
                 await self._cancel(self._rng.choice(list(self._accepted.values())))
             await asyncio.sleep(self._rng.uniform(0.05, 1.0))
 
+    async def _submit(self, made, what):
+        for _ in range(4):
+            if await self._call_any(lambda router: router.submit(made.job)):
+                self._accepted[made.job.job] = made
+                self._note(f"{made.job.job} is accepted: {what}")
+                break
+            await asyncio.sleep(1.0)
+
+    async def _submit_long(self, service):
+        """Submit jobs of long tasks to a service."""
+        (queue,) = [each for each in QUEUES if each.service == service]
+        for _ in range(self._rng.randint(1, 3)):
+            job = jobsite.job(next(self._numbers), (make_step(),), queue=queue)
+            self._world.jobs[job.job] = job
+            self._world.work_by_task[job.job] = LONG_WORK_S, fleetview.RunOutcome.DONE
+            await self._submit(Accepted(job, frozenset({"succeeded"})), "long tasks")
+
     async def _cancel(self, accepted):
         job = accepted.job
         self._note(f"{job.job} is cancelled")
@@ -301,6 +322,43 @@
                 minion.delayed_starts += 2
             case Fault.FOREIGN_ENTRIES:
                 await self._write_foreign_entries(minion)
+            case Fault.WORKER_REOPENED:
+                minions = self._world.get_minions(minion.facts.service)
+                few = [each for each in minions if len(each.runs) < MANY_RUNS]
+                if few:
+                    await self._reopen(max(few, key=lambda each: len(each.runs)))
+
+    async def _reopen(self, minion):
+        """Restart a worker behind a cut, and let it be reached only for a moment before another."""
+        cut_s, open_s = self._rng.uniform(0.1, 2.5), self._rng.uniform(0.05, 0.8)
+        again_s, down_s = self._rng.uniform(3.0, 10.0), self._rng.uniform(0.0, cut_s)
+        loses_answers = self._rng.random() < 0.5
+        minion.is_unresponsive = True
+        # Their starts leave before the silence is noticed.
+        submitted = asyncio.ensure_future(self._submit_long(minion.facts.service))
+        await asyncio.sleep(down_s)
+        await self._reopen_later(minion, cut_s - down_s, open_s, again_s, loses_answers)
+        await submitted
+
+    async def _reopen_later(self, minion, cut_s, open_s, again_s, loses_answers):
+        # The other series of faults may have ended the worker meanwhile.
+        if self._world.minions.get(minion.facts.incarnation) is not minion:
+            return
+        later = self._world.restart(minion, keeps_id=True)
+        later.former_facts, later.loses_answers = minion.facts, loses_answers
+        name = later.facts.incarnation.worker
+        self._note(
+            f"{name} restarts; open after {cut_s:.2f} s for {open_s:.2f} s, cut for {again_s:.1f} s"
+            f"{', answers lost' if loses_answers else ''}"
+        )
+        later.is_unresponsive = True
+        await asyncio.sleep(cut_s)
+        later.is_unresponsive = False
+        await asyncio.sleep(open_s)
+        later.is_unresponsive = True
+        await asyncio.sleep(again_s)
+        later.is_unresponsive = later.loses_answers = False
+        later.former_facts = None
 
     async def _write_foreign_entries(self, minion):
         """Write entries with the host of a worker at which nothing listens."""
--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -361,11 +361,11 @@
     def has_minion(self, host):
         return any(minion.facts.host == host for minion in self.minions.values())
 
-    def restart(self, minion):
+    def restart(self, minion, *, keeps_id=False):
         """Restart a worker at its host, which ends its runs."""
         minion.end_life()
         del self.minions[minion.facts.incarnation]
-        worker = minion.facts.incarnation.worker if self.keeps_ids else None
+        worker = minion.facts.incarnation.worker if keeps_id or self.keeps_ids else None
         return self.add_minion(minion.facts.host, worker)
 
     def replace(self, host, after_s, pool=None, state=rebalancing.HostState.MOVING):
