--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -133,6 +133,60 @@
       | 2       | 10   | 0.5  |
       | 2       | 10   | 0.8  |
 
+  Scenario Outline: A later incarnation's lease outlasts the wait of a holder that comes after
+    Given <entries> entries and <workers> workers of one service
+    And its tasks take 12 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it
+    When <jobs> jobs of 6 tasks come and the busiest worker is cut off after 1 starts
+    And it starts again behind the cut after 0.1 s, and is reachable from <cut> s on for <open> s<of>
+    And the holder is killed at that moment
+    And it is cut off for 10 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
+    Examples:
+      | entries | workers | jobs | cut | open | of                           |
+      | 2       | 8       | 2    | 0.2 | 0.12 | , of which no answer arrives |
+      | 3       | 8       | 2    | 0.2 | 0.12 | , of which no answer arrives |
+      | 2       | 8       | 2    | 1.5 | 0.12 | , of which no answer arrives |
+      | 3       | 8       | 3    | 2.5 | 0.3  | , of which no answer arrives |
+      | 2       | 8       | 2    | 0.2 | 0.25 |                              |
+      | 3       | 2       | 10   | 0.2 | 0.5  |                              |
+
+  Scenario Outline: A later incarnation runs long-running tasks that run elsewhere too
+    Given 1 entries and 8 workers of one service
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it
+    When 2 jobs of 6 long-running tasks come and the busiest worker is cut off after <starts> starts
+    And it starts again behind the cut after 0.1 s, and is reachable from 0.2 s on for <open> s<of>
+    And it is cut off for 10 s more
+    Then after 20 s each of their tasks runs once
+    And no task ran twice at the same time or after its end was acknowledged
+
+    Examples:
+      | starts | open | of                           |
+      | 1      | 0.12 | , of which no answer arrives |
+      | 6      | 0.12 | , of which no answer arrives |
+      | 1      | 0.25 |                              |
+
+  Scenario Outline: A later incarnation runs members of a gang that runs elsewhere too
+    Given 1 entries and 8 workers of one service
+    And its tasks take 12 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it
+    When 2 jobs of 6 gang tasks come and the busiest worker is cut off after <starts> starts
+    And it starts again behind the cut after 0.1 s, and is reachable from <cut> s on for <open> s<of>
+    And it is cut off for 10 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
+    Examples:
+      | starts | cut | open | of                           |
+      | 1      | 0.2 | 0.12 | , of which no answer arrives |
+      | 6      | 1.5 | 0.12 | , of which no answer arrives |
+      | 1      | 0.2 | 0.25 |                              |
+
   Scenario Outline: A task starts elsewhere though its start may run at a worker that starts again
     Given 2 workers, of which the other one started again under its id 2 s before
     When a <shape> task is started without an answer, and is not reported after that
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -13,6 +13,7 @@
 START_S = 10.0
 LEARNED_S = 11.0
 HEARTBEAT_S = 1.5
+SMALL = {"cpu_millis": 250, "memory_mb": 100, "estimate_ms": 8000}
 
 
 @behave.given("a worker that crashed is back under its id")
@@ -26,17 +27,35 @@
 )
 @jobs_steps.paused
 async def cut_during_burst(context, count, tasks, starts):
+    await submit_and_cut(context, count, starts, jobs.Step(count=tasks, **SMALL))
+
+
+@behave.when(
+    "{count:d} jobs of {tasks:d} {shape} tasks come and the busiest worker is cut off after "
+    "{starts:d} starts"
+)
+@jobs_steps.paused
+async def cut_during_shaped_burst(context, count, tasks, shape, starts):
+    is_gang, is_long_running = shape == "gang", shape == "long-running"
+    step = jobs.Step(count=tasks, gang=is_gang, long_running=is_long_running, **SMALL)
+    await submit_and_cut(context, count, starts, step)
+
+
+async def submit_and_cut(context, count, starts, step):
     world = context.world
-    steps = (jobs.Step(count=tasks, cpu_millis=250, memory_mb=100, estimate_ms=8000),)
     context.submitted = [
-        asyncio.ensure_future(jobs_steps.submit(context, number, steps, "e0"))
+        asyncio.ensure_future(jobs_steps.submit(context, number, (step,), "e0"))
         # Of the tasks that may have crashed a worker, the first by name is tried first.
         for number in reversed(range(FIRST_JOB, FIRST_JOB + count))
     ]
     while sum(world.starts.values()) < starts:
         await asyncio.sleep(0.001)
     context.submitted = [await each for each in context.submitted]
-    context.minion = max(world.minions.values(), key=lambda minion: len(minion.runs))
+    cut_busiest(context)
+
+
+def cut_busiest(context):
+    context.minion = max(context.world.minions.values(), key=lambda minion: len(minion.runs))
     context.minion.is_unresponsive = True
 
 
@@ -86,6 +105,21 @@
     context.later.is_unresponsive = True
 
 
+@behave.when("the holder is killed at that moment")
+@jobs_steps.paused
+async def kill_holder(context):
+    await context.site.kill(context.site.holder_of("a"))
+
+
+@behave.then("after {seconds:g} s each of their tasks runs once")
+@jobs_steps.paused
+async def check_each_runs(context, seconds):
+    await asyncio.sleep(seconds)
+    running = sorted(name for minion in context.world.minions.values() for name in minion.runs)
+    count = sum(step.count for job in context.submitted for step in job.steps)
+    assert len(running) == len(set(running)) == count, running
+
+
 @behave.when("it is cut off for {seconds:g} s more")
 @jobs_steps.paused
 async def cut_off_again(context, seconds):
