--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -187,6 +187,17 @@
       | 6      | 1.5 | 0.12 | , of which no answer arrives |
       | 1      | 0.2 | 0.25 |                              |
 
+  Scenario: A call for a former incarnation makes the later one forget ends that nobody has read
+    Given 1 entries and 1 workers of one service
+    And its tasks take 2 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it
+    When 40 jobs of 1 task come, one every 0.3 s, and the busiest worker is cut off after 6.05 s
+    And it starts again behind the cut after 0.6 s, and is reachable from 0.9 s on for 0.3 s, of which no answer arrives
+    And it is cut off for 4 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
   Scenario Outline: A task starts elsewhere though its start may run at a worker that starts again
     Given 2 workers, of which the other one started again under its id 2 s before
     When a <shape> task is started without an answer, and is not reported after that
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -59,6 +59,40 @@
     context.minion.is_unresponsive = True
 
 
+@behave.when(
+    "{count:d} jobs of 1 task come, one every {interval_s:g} s, and the busiest worker is cut off "
+    "after {after_s:g} s"
+)
+@jobs_steps.paused
+async def cut_during_stream(context, count, interval_s, after_s):
+    async def submit_all():
+        step = jobs.Step(count=1, **SMALL)
+        for number in range(FIRST_JOB, FIRST_JOB + count):
+            context.submitted.append(await jobs_steps.submit(context, number, (step,), "e0"))
+            await asyncio.sleep(interval_s)
+
+    context.submitted = []
+    context.submitting = asyncio.ensure_future(submit_all())
+    await asyncio.sleep(after_s)
+    # A poll that waits at the worker would tell of the cut at once.
+    await wait_for_poll(context.site.workers["e0"])
+    cut_busiest(context)
+
+
+async def wait_for_poll(workers):
+    """Wait until a poll is answered."""
+    answered, poll = asyncio.Event(), workers.poll
+
+    async def notice_answer(facts, **fields):
+        result = await poll(facts, **fields)
+        answered.set()
+        return result
+
+    workers.poll = notice_answer
+    await answered.wait()
+    workers.poll = poll
+
+
 @behave.when("it starts again behind the cut after {down_s:g} s and is reachable after {cut_s:g} s")
 @jobs_steps.paused
 async def restart_behind_cut(context, down_s, cut_s):
