--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -250,5 +250,5 @@
     return {
         "lease_call": request.call.value,
         "lease_asked_ago_s": round(now_s - request.sent_s, 3),
-        "lease_over_s": round(now_s - worker.leased_until_s, 3),
+        "lease_over_s": round(now_s - (worker.leased_until_s or request.until_s), 3),
     }
