Let a lease expire, in place of giving it back, while starts may be carried out

Cause: a lease that is given back is taken at once. The next holder waits for the leases of the calls that its predecessor may have sent until then, but doesn't know which of them are still on the way.

Fix: a holder that stops while a start of its has had no answer for over 0.1 s lets its lease expire, which gives these calls 2.5 s more. Any other lease is given back as before. A call that is carried out later than about 3 s after the end of its holder remains open.

--- a/features/jobworld.py
+++ b/features/jobworld.py
@@ -26,6 +26,8 @@
 MAX_FURTHER_STARTS = 3
 # A lease lasts no longer than this by its worker's clock, whatever a call asks for.
 MAX_LEASE_MS = 6_000
+# How long the first workers have lived when a world begins.
+FIRST_AGE_S = 1000.0
 # The rate of the slowest clock that a worker may have.
 CLOCK_RATE = 0.98
 # How long a start waits for its answer.
@@ -91,8 +93,8 @@
         # The entry of its former incarnation, until the worker has written its own.
         self.former_facts = None
         self.ended = asyncio.Event()
-        # The clock of a later incarnation starts anew.
-        self.began_s = asyncio.get_event_loop().time() if world.has_begun else 0.0
+        # The clock of a later incarnation starts anew, so that of a former one is far ahead.
+        self.began_s = asyncio.get_event_loop().time() if world.has_begun else -FIRST_AGE_S
 
     def clock_ms(self):
         lived_s = asyncio.get_running_loop().time() - self.began_s
@@ -243,6 +245,8 @@
         self.keeps_ids = False
         # Whether calls to a worker that is cut off arrive once it can be reached again.
         self.holds_calls = False
+        # How much later than other calls polls are carried out.
+        self.poll_lag_s = 0.0
         # Whether reports have the checkpoints of the tasks that run.
         self.reports_checkpoints = False
         self.reported_waves = []
@@ -504,6 +508,9 @@
 
     async def _poll(self, facts, *, fencing_token, last_seen, lease_until_ms, wait_s):
         minion = await self._reach(facts)
+        if self.world.poll_lag_s:
+            await asyncio.sleep(self.world.poll_lag_s)
+            minion = await self._reach(facts)
         minion.check(fencing_token)
         if lease_until_ms is not None:
             minion.extend_lease(lease_until_ms)
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -110,6 +110,11 @@
     context.world.holds_calls = True
 
 
+@behave.given("what is sent during a cut arrives after it, polls {lag_s:g} s after the rest")
+def hold_polls_longer(context, lag_s):
+    context.world.holds_calls, context.world.poll_lag_s = True, lag_s
+
+
 @behave.when(
     "it starts again behind the cut after {down_s:g} s, and is reachable from {cut_s:g} s on for "
     "{open_s:g} s"
@@ -139,6 +144,13 @@
     context.later.is_unresponsive = True
 
 
+@behave.when("the holder is stopped {after_s:g} s later")
+@jobs_steps.paused
+async def stop_holder(context, after_s):
+    await asyncio.sleep(after_s)
+    context.stopping = asyncio.ensure_future(context.site.stop(context.site.holder_of("a")))
+
+
 @behave.when("the holder is killed at that moment")
 @jobs_steps.paused
 async def kill_holder(context):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -109,6 +109,10 @@
         self._wave_rows: dict[int, upkeep.WaveRow] = {}
         self._group: asyncio.TaskGroup | None = None
 
+    def has_unanswered_starts(self) -> bool:
+        """Return False, as this holder starts no tasks."""
+        return False
+
     async def handle_call(self, call: calls.AnyCall) -> calls.Reply:
         """Record a service's demand report, or show operators the state of the fleet."""
         if isinstance(call, calls.Inspect):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -177,6 +177,10 @@
             return calls.Reply(status=calls.Status.IN_PROGRESS)
         return calls.Reply(status=calls.Status.DONE)
 
+    def has_unanswered_starts(self) -> bool:
+        """Return whether starts may be carried out of which the next holder doesn't know."""
+        return self.scheduler.has_unanswered_starts(self._loop.time())
+
     def get_advice_timeout_s(self, question: policy.Question) -> float:
         """Return how long the policy service may take to answer a question."""
         key = jobs.parse_task_name(f"{question.step}.0")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -47,6 +47,9 @@
     async def handle_call(self, call: calls.AnyCall) -> calls.Reply:
         """Answer a call about the service."""
 
+    def has_unanswered_starts(self) -> bool:
+        """Return whether starts may be carried out of which the next holder doesn't know."""
+
 
 # Creates the holder of a pool, given the time at which its lease was requested.
 HolderFactory = collections.abc.Callable[[ids.PoolName, float], LeaseHolder]
@@ -334,10 +337,15 @@
 
     async def _stop_and_release(self, pool: ids.PoolName) -> None:
         running = self._holders.get(pool)
+        # The next holder waits for the leases of its predecessor's calls from when it begins.
+        leaves_starts = running is not None and running[0].has_unanswered_starts()
         self._stop_holder(pool)
         if running is not None:
             await asyncio.wait([running[1]])
-        if await self._release_lease(pool):
+        if leaves_starts:
+            _log.info("A lease expires, as starts may be carried out.", pool=pool)
+            self._lease_set.drop(pool)
+        elif await self._release_lease(pool):
             _log.info("A lease is given back.", pool=pool)
 
     async def _watch_table(self) -> None:
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -37,6 +37,8 @@
 
 # An epoch's fencing tokens are above those of all earlier epochs, and rise within the epoch.
 _TOKENS_PER_EPOCH = 1 << 24
+# Workers answer most starts within this time.
+_USUAL_ANSWER_S = 0.1
 # Workers that take new tasks now or are expected to within moments.
 _SOON_OPEN = (
     None,
@@ -605,6 +607,16 @@
         if task.phase is fleetview.Phase.STARTING:
             task.phase, task.since_s = fleetview.Phase.RUNNING, now_s
 
+    def has_unanswered_starts(self, now_s: float) -> bool:
+        """Return whether starts were sent that may be carried out, though no answer came."""
+        return any(
+            task.is_sent
+            and not (task.is_confirmed or task.step.speculative)
+            and now_s - task.sent_s > _USUAL_ANSWER_S
+            for worker in self.workers.values()
+            for task in worker.tasks.values()
+        )
+
     def record_refused(self, order: orders.StartRun, reason: str, now_s: float) -> None:
         """Record that a start was refused, and release its task to start elsewhere."""
         worker, task = self.workers.get(order.incarnation), self._get_task(order)
