--- a/features/lease_limits.feature
+++ b/features/lease_limits.feature
@@ -38,6 +38,7 @@
   Scenario Outline: A long-running task's start that a later incarnation carries out runs elsewhere too
     Given a worker that is known throughout
     When it gets the start of a long-running task, without an answer
+    And the last call that asks for a lease is a <call> sent <after> s later
     And the worker falls silent
     And calls to it <fail>
     Then the run is released <delay> s and the longest lease after that call, and not before
@@ -58,6 +59,11 @@
     Given workers that grant 6 s at most by a clock that may be 2% slow
     Then a new holder waits for the longest lease of a call that is carried out 0.5 s late
 
+    Examples:
+      | call  | after |
+      | start | 0     |
+      | poll  | 2.0   |
+
   Scenario Outline: A speculative task waits for more than the lease
     Given a worker that is known throughout
     When it gets the start of a speculative task, without an answer
