--- a/features/lease_limits.feature
+++ b/features/lease_limits.feature
@@ -44,9 +44,11 @@
     Then the run is released <delay> s and the longest lease after that call, and not before
 
     Examples:
-      | fail                          | delay |
-      | get no answer                 | 13    |
-      | are refused, as nobody listens | 0.5  |
+      | call  | after | fail                           | delay |
+      | start | 0     | get no answer                  | 13    |
+      | poll  | 2.0   | get no answer                  | 13    |
+      | start | 0     | are refused, as nobody listens | 0.5   |
+      | poll  | 2.0   | are refused, as nobody listens | 0.5   |
 
   Scenario: A plain task's start that a later incarnation carries out runs elsewhere too
     Given a worker that is known throughout
@@ -59,11 +61,6 @@
     Given workers that grant 6 s at most by a clock that may be 2% slow
     Then a new holder waits for the longest lease of a call that is carried out 0.5 s late
 
-    Examples:
-      | call  | after |
-      | start | 0     |
-      | poll  | 2.0   |
-
   Scenario Outline: A speculative task waits for more than the lease
     Given a worker that is known throughout
     When it gets the start of a speculative task, without an answer
--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -172,6 +172,28 @@
       | 0.2     | 2.3  |
       | 0.5     | 2.0  |
 
+  Scenario: A later incarnation carries out a start seconds after its holder was killed
+    Given 2 entries and 8 workers of one service
+    And its tasks take 12 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it, polls 0.2 s after the rest
+    When 2 jobs of 6 tasks come and the busiest worker is cut off after 1 starts
+    And the holder is killed at that moment
+    And it starts again behind the cut after 0.1 s, and is reachable from 6.0 s on for 0.12 s, of which no answer arrives
+    And it is cut off for 10 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
+  Scenario: A start that one incarnation has barred is carried out by the next one
+    Given 1 entries and 6 workers of one service
+    And its tasks take 4 s
+    And a worker that crashed is back under its id
+    When 4 jobs of 6 tasks come whose first 2 starts at each worker are 3 s late
+    And 2 of the workers start again 0.7 s later and can't be reached for 0.2 s
+    And they start again 1.0 s later and can't be reached for 5 s
+    Then within 60 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
   Scenario Outline: A later incarnation runs long-running tasks that run elsewhere too
     Given 1 entries and 8 workers of one service
     And a worker that crashed is back under its id
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -303,14 +303,24 @@
 )
 @jobs_steps.paused
 async def restart_unreachable(context, count, after_s, cut_s):
+    await restart_all(context, list(context.world.minions.values())[:count], after_s, cut_s)
+
+
+@behave.when("they start again {after_s:g} s later and can't be reached for {cut_s:g} s")
+@jobs_steps.paused
+async def restart_once_more(context, after_s, cut_s):
+    await restart_all(context, context.laters, after_s, cut_s)
+
+
+async def restart_all(context, minions, after_s, cut_s):
     await asyncio.sleep(after_s)
-    laters = []
-    for minion in list(context.world.minions.values())[:count]:
+    context.laters = []
+    for minion in minions:
         later = context.world.restart(minion)
         later.is_unresponsive, later.former_facts = True, minion.facts
-        laters.append(later)
+        context.laters.append(later)
     await asyncio.sleep(cut_s)
-    for later in laters:
+    for later in context.laters:
         later.is_unresponsive, later.former_facts = False, None
 
 
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -167,6 +167,15 @@
     return chosen
 
 
+def list_permitted(
+    task: fleetview.Task, workers: collections.abc.Iterable[fleetview.Worker], now_s: float
+) -> list[fleetview.Worker]:
+    """Return the workers at which a task may start, as it is bound to no other one."""
+    return [
+        worker for worker in workers if task.may_start_at(worker.facts.incarnation.worker, now_s)
+    ]
+
+
 def has_capacity(step: jobs.Step, workers: collections.abc.Iterable[fleetview.Worker]) -> bool:
     """Return whether some worker has room for a task, regardless of the spread of its step."""
     return any(
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -132,6 +132,10 @@
     bound_worker: ids.WorkerId | None = None
     bound_until_s: float = 0.0
 
+    def may_start_at(self, worker: ids.WorkerId, now_s: float) -> bool:
+        """Return whether the task is bound to no other worker."""
+        return now_s >= self.bound_until_s or worker == self.bound_worker
+
 
 class ReportedRun(typing.NamedTuple):
     """A run that a worker reports as running."""
--- a/packages/nutmegshelf/src/nutmegshelf/starts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starts.py
@@ -204,7 +204,7 @@
         """Start the tasks that have room at the worker that each of them is bound to."""
         chosen: list[orders.StartRun] = []
         for task in tasks:
-            bound = [each for each in workers if each.facts.incarnation.worker == task.bound_worker]
+            bound = fitting.list_permitted(task, workers, now_s)
             chosen += self._start_anywhere(record, task_set, [task], bound, now_s=now_s)
         return chosen
 
