Let a lease expire also where its holder alone is cut off from the table with starts without an answer

A holder that only other entries can reach the table beside gives its leases up at once, as one that stops gave them back.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -160,17 +160,18 @@
     And a worker that crashed is back under its id
     And what is sent during a cut arrives after it, polls 0.2 s after the rest
     When 2 jobs of 6 tasks come and the busiest worker is cut off after 1 starts
-    And the holder is stopped <stopped> s later
+    And the holder is <ended> <after> s later
     And it starts again behind the cut after 0.1 s, and is reachable from <late> s on for 0.12 s, of which no answer arrives
     And it is cut off for 10 s more
     Then within 90 s all of them are shown as succeeded
     And no task ran twice at the same time or after its end was acknowledged
 
     Examples:
-      | stopped | late |
-      | 0.2     | 1.0  |
-      | 0.2     | 2.3  |
-      | 0.5     | 2.0  |
+      | ended                  | after | late |
+      | stopped                | 0.2   | 1.0  |
+      | stopped                | 0.2   | 2.3  |
+      | stopped                | 0.5   | 2.0  |
+      | cut off from the table | 0.2   | 2.3  |
 
   Scenario: A later incarnation carries out a start seconds after its holder was killed
     Given 2 entries and 8 workers of one service
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -151,6 +151,13 @@
     context.stopping = asyncio.ensure_future(context.site.stop(context.site.holder_of("a")))
 
 
+@behave.when("the holder is cut off from the table {after_s:g} s later")
+@jobs_steps.paused
+async def cut_holder(context, after_s):
+    await asyncio.sleep(after_s)
+    context.site.views[context.site.holder_of("a")].is_partitioned = True
+
+
 @behave.when("the holder is killed at that moment")
 @jobs_steps.paused
 async def kill_holder(context):
@@ -172,6 +179,8 @@
     await asyncio.sleep(seconds)
     context.later.is_unresponsive = context.later.loses_answers = False
     context.later.former_facts = None
+    for view in context.site.views.values():
+        view.is_partitioned = False
 
 
 @behave.then("it gets {count:d} starts more at most, and counts as silent after {seconds:g} s")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -335,14 +335,21 @@
         self._lease_set.drop(pool)
         return False
 
+    def _leaves_starts(self, pool: ids.PoolName) -> bool:
+        """Return whether a holder leaves starts that the next one has to wait for.
+
+        The next holder doesn't know of them, and waits from when it asked for the lease.
+        """
+        running = self._holders.get(pool)
+        return running is not None and running[0].has_unanswered_starts()
+
     async def _stop_and_release(self, pool: ids.PoolName) -> None:
         running = self._holders.get(pool)
-        # The next holder waits for the leases of its predecessor's calls from when it begins.
-        leaves_starts = running is not None and running[0].has_unanswered_starts()
+        is_expiring = self._leaves_starts(pool)
         self._stop_holder(pool)
         if running is not None:
             await asyncio.wait([running[1]])
-        if leaves_starts:
+        if is_expiring:
             _log.info("A lease expires, as starts may be carried out.", pool=pool)
             self._lease_set.drop(pool)
         elif await self._release_lease(pool):
@@ -375,6 +382,7 @@
 
     async def _relinquish(self, peers: list[members.EntryRow]) -> None:
         epochs = {pool: self._lease_set.held[pool].lease.epoch for pool in self._lease_set.held}
+        expiring = {pool for pool in self._holders if self._leaves_starts(pool)}
         # The holders end first, so that they issue no orders after the other entries are notified.
         tasks = [task for _, task in self._holders.values()]
         for pool in list(self._holders):
@@ -383,6 +391,9 @@
             await asyncio.wait(tasks)
         for pool, epoch in epochs.items():
             self._lease_set.drop(pool)
+            if pool in expiring:
+                _log.info("A lease expires, as starts may be carried out.", pool=pool)
+                continue
             _log.warning("A lease is given up, as only others reach the table.", pool=pool)
             call = calls.LeaseRelinquished(service=ids.ServiceName(pool), epoch=epoch)
             await asyncio.gather(*(self._call_peer(row, call) for row in peers))
--- a/packages/nutmegshelf/src/nutmegshelf/losses.py
+++ b/packages/nutmegshelf/src/nutmegshelf/losses.py
@@ -117,7 +117,8 @@
             for task in worker.tasks.values()
             if now_s > self._lease_limits.get_release_s(worker, task)
         ]
-        self._release(worker, expired, now_s, fleetview.LossCause.LEASE_EXPIRED)
+        if expired:
+            self._release(worker, expired, now_s, fleetview.LossCause.LEASE_EXPIRED)
 
     def _release(
         self,
