--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -250,18 +250,6 @@
       | plain        | 12    |
       | long-running | 6.5   |
 
-  Scenario Outline: A task whose start may be carried out late starts at another worker
-    Given 2 workers, neither of which has started again
-    When a <shape> task is started without an answer, and is not reported after that
-    Then it is released, and starts <where> worker until <limit> s after its start
-    And after that it starts at any worker
-
-    Examples:
-      | shape        | where            | limit |
-      | plain        | only at the same | 13    |
-      | long-running | only at the same | 6.5   |
-      | speculative  | at any           | 1     |
-
   Scenario Outline: A task waits for a start without an answer though that may do no harm
     Given 2 workers, of which the other one started again under its id <ago> s before
     When a <shape> task is started without an answer, and is not reported after that
--- a/packages/nutmegshelf/src/nutmegshelf/fitting.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fitting.py
@@ -32,13 +32,6 @@
         """Record that a task of a step fits nowhere."""
         self._by_label.setdefault(step.label, []).append(_shape(step))
 
-    def add_if_lacking(
-        self, step: jobs.Step, workers: collections.abc.Iterable[fleetview.Worker]
-    ) -> None:
-        """Record that a task of a step fits nowhere, unless some worker has the capacity."""
-        if not has_capacity(step, workers):
-            self.add(step)
-
     def covers(self, step: jobs.Step) -> bool:
         """Return whether a task no larger than one of the step fitted nowhere."""
         cpu, memory, accelerators = _shape(step)
@@ -167,15 +160,6 @@
     return chosen
 
 
-def list_permitted(
-    task: fleetview.Task, workers: collections.abc.Iterable[fleetview.Worker], now_s: float
-) -> list[fleetview.Worker]:
-    """Return the workers at which a task may start, as it is bound to no other one."""
-    return [
-        worker for worker in workers if task.may_start_at(worker.facts.incarnation.worker, now_s)
-    ]
-
-
 def has_capacity(step: jobs.Step, workers: collections.abc.Iterable[fleetview.Worker]) -> bool:
     """Return whether some worker has room for a task, regardless of the spread of its step."""
     return any(
--- a/packages/nutmegshelf/src/nutmegshelf/fleetview.py
+++ b/packages/nutmegshelf/src/nutmegshelf/fleetview.py
@@ -128,13 +128,6 @@
     crashes: jobs.CrashHistory | None = None
     # The task starts again only once this change of its job is stored.
     start_after_change: int = 0
-    # Until then it starts again only at this worker, which may carry out an earlier start.
-    bound_worker: ids.WorkerId | None = None
-    bound_until_s: float = 0.0
-
-    def may_start_at(self, worker: ids.WorkerId, now_s: float) -> bool:
-        """Return whether the task is bound to no other worker."""
-        return now_s >= self.bound_until_s or worker == self.bound_worker
 
 
 class ReportedRun(typing.NamedTuple):
--- a/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
@@ -14,8 +14,6 @@
 MAX_DELAY_S = 12.0
 # A call leaves within this time after it was prepared, also one that another entry forwards.
 _MAX_SENDING_S = 1.0
-# A long-running task starts again only at a worker that may carry out its start for this long.
-_LONG_RUNNING_BINDING_S = 5.5
 # Most calls are carried out within this time.
 _USUAL_DELAY_S = 0.5
 
@@ -38,16 +36,6 @@
         """Return until when a lease may last that was granted by a time."""
         return granted_s + self._max_lease_s
 
-    def bind(self, worker: fleetview.Worker, task: fleetview.Task) -> None:
-        """Bind a task to a worker of which a later incarnation may carry out its start.
-
-        All incarnations of a worker together run a task at most once at a time.
-        """
-        if task.is_sent and not (task.is_confirmed or task.step.speculative or task.step.gang):
-            delay_s = _LONG_RUNNING_BINDING_S if task.step.long_running else MAX_DELAY_S
-            task.bound_worker = worker.facts.incarnation.worker
-            task.bound_until_s = task.sent_s + _MAX_SENDING_S + delay_s
-
     def get_release_s(self, worker: fleetview.Worker, task: fleetview.Task) -> float:
         """Return until when a run may go on, unless its worker answers again.
 
--- a/packages/nutmegshelf/src/nutmegshelf/reports.py
+++ b/packages/nutmegshelf/src/nutmegshelf/reports.py
@@ -7,7 +7,6 @@
     ids,
     jobs,
     latestarts,
-    leaselimits,
     notes,
     orders,
     registry,
@@ -31,16 +30,13 @@
         job_registry: registry.JobRegistry,
         task_estimates: estimates.Estimates,
         decision_notes: notes.Notes,
-        *,
         late_starts: latestarts.LateStarts,
-        lease_limits: leaselimits.LeaseLimits,
         released_runs: releasedruns.ReleasedRuns,
     ) -> None:
         self._registry = job_registry
         self._estimates = task_estimates
         self._notes = decision_notes
         self._late_starts = late_starts
-        self._lease_limits = lease_limits
         self._released_runs = released_runs
         self._containment = containment.ErrorContainment(job_registry, decision_notes)
 
@@ -181,7 +177,6 @@
             case _:
                 is_gone = False
         if is_gone:
-            self._lease_limits.bind(worker, task)
             self._registry.release(
                 self._registry.records[task.key.job], task, worker, report.received_s
             )
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -95,12 +95,7 @@
         self._containment = containment.ErrorContainment(self.registry, self.notes)
         released_runs = releasedruns.ReleasedRuns(self.notes)
         self._report_handler = reports.ReportHandler(
-            self.registry,
-            self.estimates,
-            self.notes,
-            late_starts=self._late_starts,
-            lease_limits=self._lease_limits,
-            released_runs=released_runs,
+            self.registry, self.estimates, self.notes, self._late_starts, released_runs
         )
         self.losses = losses.LossTracker(
             self.registry, self.notes, self._lease_limits, released_runs
--- a/packages/nutmegshelf/src/nutmegshelf/starts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/starts.py
@@ -177,68 +177,30 @@
                 if len(tasks) == len(ready):
                     chosen += self._start_gang(record, task_set, allowed, now_s)
                 continue
-            bound = [task for task in tasks if now_s < task.bound_until_s]
-            chosen += self._start_bound(record, task_set, bound, allowed, now_s=now_s)
-            unbound = [task for task in tasks if task not in bound]
-            if unbound and blocked.covers(task_set.step):
-                self._record_unplaced(record, task_set, unbound)
+            if blocked.covers(task_set.step):
+                self._record_unplaced(record, task_set, tasks)
                 continue
-            chosen += self._start_anywhere(record, task_set, unbound, allowed, now_s=now_s)
-            if self.is_throttled:
-                return chosen
-            if any(task.phase is fleetview.Phase.WAITING for task in unbound):
-                self._record_unplaced(record, task_set, unbound)
-                if allowed is workers:
-                    blocked.add_if_lacking(task_set.step, workers)
-        return chosen
-
-    def _start_bound(
-        self,
-        record: registry.JobRecord,
-        task_set: registry.TaskSet,
-        tasks: list[fleetview.Task],
-        workers: list[fleetview.Worker],
-        *,
-        now_s: float,
-    ) -> list[orders.StartRun]:
-        """Start the tasks that have room at the worker that each of them is bound to."""
-        chosen: list[orders.StartRun] = []
-        for task in tasks:
-            bound = fitting.list_permitted(task, workers, now_s)
-            chosen += self._start_anywhere(record, task_set, [task], bound, now_s=now_s)
-        return chosen
-
-    def _start_anywhere(
-        self,
-        record: registry.JobRecord,
-        task_set: registry.TaskSet,
-        tasks: list[fleetview.Task],
-        workers: list[fleetview.Worker],
-        *,
-        now_s: float,
-    ) -> list[orders.StartRun]:
-        """Start tasks of one step at any of the workers, until one of them finds none."""
-        chosen: list[orders.StartRun] = []
-        if not tasks:
-            return chosen
-        run_counts = registry.count_runs_by_worker(task_set)
-        placer: fitting.ShortTaskPlacer | None = None
-        if not task_set.step.long_running:
-            placer = fitting.ShortTaskPlacer(task_set.step, workers, run_counts)
-        for task in tasks:
-            if placer is not None:
-                worker = placer.choose()
-            else:
-                worker = _choose_long_running(record, task, workers, run_counts, now_s)
-            if worker is None:
-                break
-            route = self._router.route(record.job, task.checkpoint, worker, now_s)
-            if route is None:
-                self.is_throttled = True
-                break
-            run_counts[worker.facts.incarnation] += 1
-            run = self._registry.get_next_run(task)
-            chosen.append(self._start(record, task, worker, run=run, route=route, now_s=now_s))
+            run_counts = registry.count_runs_by_worker(task_set)
+            placer: fitting.ShortTaskPlacer | None = None
+            if not task_set.step.long_running:
+                placer = fitting.ShortTaskPlacer(task_set.step, allowed, run_counts)
+            for task in tasks:
+                if placer is not None:
+                    worker = placer.choose()
+                else:
+                    worker = _choose_long_running(record, task, allowed, run_counts, now_s)
+                if worker is None:
+                    if allowed is workers and not fitting.has_capacity(task_set.step, workers):
+                        blocked.add(task_set.step)
+                    self._record_unplaced(record, task_set, tasks)
+                    break
+                route = self._router.route(record.job, task.checkpoint, worker, now_s)
+                if route is None:
+                    self.is_throttled = True
+                    return chosen
+                run_counts[worker.facts.incarnation] += 1
+                run = self._registry.get_next_run(task)
+                chosen.append(self._start(record, task, worker, run=run, route=route, now_s=now_s))
         return chosen
 
     def _record_unplaced(
