--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -212,7 +212,9 @@
                     self.pools, self._list_entries(now_s), now_s
                 )
                 for pool in excess[:-1]:
-                    await self._stop_and_release(pool)
+                    # A holder whose starts have no answer is released by a later pass.
+                    if not self._leaves_starts(pool):
+                        await self._stop_and_release(pool)
             await asyncio.sleep(_TICK_S)
 
     def _list_acquirable(self, now_s: float) -> list[ids.PoolName]:
