--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -63,6 +63,17 @@
     Then within 90 s all of them are shown as succeeded
     And no task ran twice at the same time or after its end was acknowledged
 
+  Scenario: A poll that left before the first missing answer makes a later incarnation forget an end
+    Given 1 entries and 1 workers of one service
+    And its tasks take 0.2 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it, polls 0.5 s after the rest
+    When 40 jobs of 1 task come, one every 0.1 s, and the busiest worker is cut off after 3.05 s
+    And it starts again behind the cut after 0.6 s, and is reachable from 0.9 s on for 1.2 s, of which no answer arrives
+    And it is cut off for 4 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
   Scenario Outline: Late starts run at later incarnations beside the same tasks elsewhere
     Given 1 entries and 6 workers of one service
     And its tasks take <work> s
@@ -185,6 +196,18 @@
     Then within 90 s all of them are shown as succeeded
     And no task ran twice at the same time or after its end was acknowledged
 
+  Scenario: A later incarnation carries out a start after its holder has started again
+    Given 2 entries and 8 workers of one service
+    And its tasks take 12 s
+    And a worker that crashed is back under its id
+    And what is sent during a cut arrives after it, polls 0.2 s after the rest
+    When 2 jobs of 6 tasks come and the busiest worker is cut off after 1 starts
+    And the holder is stopped 0.2 s later, and starts again after 0.1 s
+    And it starts again behind the cut after 0.1 s, and is reachable from 2.3 s on for 0.12 s, of which no answer arrives
+    And it is cut off for 10 s more
+    Then within 90 s all of them are shown as succeeded
+    And no task ran twice at the same time or after its end was acknowledged
+
   Scenario: A start that one incarnation has barred is carried out by the next one
     Given 1 entries and 6 workers of one service
     And its tasks take 4 s
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -151,6 +151,19 @@
     context.stopping = asyncio.ensure_future(context.site.stop(context.site.holder_of("a")))
 
 
+@behave.when("the holder is stopped {after_s:g} s later, and starts again after {down_s:g} s")
+@jobs_steps.paused
+async def restart_holder(context, after_s, down_s):
+    async def run():
+        await asyncio.sleep(after_s)
+        holder = context.site.holder_of("a")
+        await context.site.stop(holder)
+        await asyncio.sleep(down_s)
+        context.site.start(holder)
+
+    context.restarting = asyncio.ensure_future(run())
+
+
 @behave.when("the holder is cut off from the table {after_s:g} s later")
 @jobs_steps.paused
 async def cut_holder(context, after_s):
