--- a/features/steps/unsent_call_steps.py
+++ b/features/steps/unsent_call_steps.py
@@ -1,12 +1,13 @@
 """Steps on calls that wait for a connection or for their turn until they are given up."""
 
 import asyncio
+import dataclasses
 import socket
 
 import behave
-from nutmegshelf import calls, orders, window
+from nutmegshelf import calls, exceptions, orders, window
 from nutmegshelf_entry import forwarder
-from nutmegshelf_platform import transport
+from nutmegshelf_platform import minions, transport
 
 from features import jobsite
 
@@ -41,6 +42,38 @@
     listen(context, 16)
 
 
+@behave.given("a service that refuses connections")
+def refuse(context):
+    listen(context, 0).close()
+
+
+@behave.when("a worker there is polled for {seconds:g} s")
+def poll(context, seconds):
+    facts = jobsite.worker_facts(0, cpu_millis=1000, memory_mb=1000)
+    facts = dataclasses.replace(facts, address=context.address)
+
+    async def send():
+        try:
+            await minions.WorkerClient().poll(
+                facts,
+                fencing_token=1,
+                last_seen=0,
+                lease_until_ms=None,
+                wait_s=0,
+                timeout_s=seconds,
+            )
+        except exceptions.WorkerError as error:
+            context.error = error
+
+    context.run(send())
+
+
+@behave.then("it counts as {state}")
+def check_state(context, state):
+    is_absent = isinstance(context.error, exceptions.WorkerAbsent)
+    assert is_absent == (state == "absent"), repr(context.error)
+
+
 @behave.when("a call to it gets no connection in {seconds:g} s")
 @behave.when("a call to it gets no answer in {seconds:g} s")
 def call(context, seconds):
--- a/features/unsent_calls.feature
+++ b/features/unsent_calls.feature
@@ -14,3 +14,13 @@
     Given an entry that forwards starts to a worker that answers each one after 0.5 s
     When 9 starts for that worker come at once
     Then 6 of them are sent, and the others are known not to have been
+
+  Scenario Outline: A worker that has ended counts as one that is cut off
+    Given a service that <answers>
+    When a worker there is polled for 0.3 s
+    Then it counts as <state>
+
+    Examples:
+      | answers                                | state   |
+      | refuses connections                    | absent  |
+      | accepts connections and never answers  | silent  |
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/worker_link.py
@@ -141,8 +141,8 @@
         sent_s = self._loop.time()
         if (settled := self._scheduler.take_stored_end(self._incarnation)) is not None:
             self._acknowledged = settled
-        # The lease of an unresponsive worker is not extended, so that its tasks can start elsewhere
-        # once its current lease expires. A later incarnation would even grant a longer one.
+        # The lease of a worker in doubt is not extended, so that its tasks can start elsewhere once
+        # its current lease expires. A later incarnation would even grant a longer one.
         is_responsive = worker.unresponsive_since_s is None
         is_waiting = is_responsive and worker.clock_offset_ms is not None
         until_ms = None
@@ -253,7 +253,7 @@
             self._scheduler.record_refused(order, "not ordered", self._loop.time())
             return None
         if worker.is_in_doubt:
-            self._scheduler.record_refused(order, "its worker doesn't answer", self._loop.time())
+            self._scheduler.record_refused(order, "its worker is in doubt", self._loop.time())
             return None
         sent_s = self._loop.time()
         self._scheduler.record_sent(order)
--- a/packages/nutmegshelf/src/nutmegshelf/latestarts.py
+++ b/packages/nutmegshelf/src/nutmegshelf/latestarts.py
@@ -5,6 +5,8 @@
 unless a call with a higher fencing token comes first. Waiting for each such start would delay many
 tasks for a rare failure, but restarts come in series: for a while after a worker of a service has
 started again under its id, the tasks of its starts without an answer start nowhere else.
+
+This decides for workers that answer; `leaselimits` does for those that don't.
 """
 
 from nutmegshelf import fleetview, leaselimits
--- a/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
@@ -46,7 +46,7 @@
             return worker.leased_until_s
         request = worker.lease_request
         sent_s = task.sent_s if request is None else max(task.sent_s, request.sent_s)
-        # The users of a long-running task wait for it.
+        # The users of a long-running task wait for it, so a worker that has ended must not keep it.
         is_urgent = task.step.long_running and worker.is_absent
         delay_s = _USUAL_DELAY_S if is_urgent else MAX_DELAY_S + _MAX_SENDING_S
         return max(worker.leased_until_s, self.get_latest_end_s(sent_s + delay_s))
--- a/packages/nutmegshelf/src/nutmegshelf/scheduler.py
+++ b/packages/nutmegshelf/src/nutmegshelf/scheduler.py
@@ -387,6 +387,7 @@
                 worker.is_report_complete = True
                 worker.unknown_runs.clear()
             elif not (worker.leased_until_s or worker.is_polled):
+                # Its lease is over, but it may have got starts that are still waited for.
                 self.losses.release_expired(worker, now_s)
             if not worker.is_listed and self._is_empty(worker, now_s):
                 self._remove_worker(worker.facts.incarnation)
