--- a/review/16/case.py
+++ b/review/16/case.py
@@ -1,4 +1,4 @@
-"""A new version of the configuration sends a queue to another service."""
+"""A version removes a queue, and the next one adds it again for another service."""
 
 import asyncio
 import pathlib
@@ -16,7 +16,7 @@
 
 
 async def case(world):
-    """Hand a job in, change the service of its queue, and ask for the job."""
+    """Hand a job in, remove its queue, add it for another service, and ask for the job."""
     await harness.start(world)
     client = deployment.Client(world)
     job = client.make_job(
@@ -25,10 +25,12 @@
     if not await client.submit(job, QUEUE):
         raise harness.NotRunError("the job is not accepted")
     await asyncio.sleep(SETTLED_S)
+    services = [*harness.POOLS, world.spare]
     routes = harness.all_routes()
-    if harness.is_troubled():
-        routes[QUEUE] = LATER
-    world.configure(routes, [*harness.POOLS, world.spare], 7)
+    without = {queue: pool for queue, pool in routes.items() if queue != QUEUE}
+    world.configure(without if harness.is_troubled() else routes, services, 7)
+    await asyncio.sleep(SETTLED_S)
+    world.configure({**without, QUEUE: LATER if harness.is_troubled() else FORMER}, services, 9)
     await asyncio.sleep(SETTLED_S)
     for entry in world.entries.values():
         state = await client.get_state(job, entry)
--- a/review/17/case.py
+++ b/review/17/case.py
@@ -1,90 +1,55 @@
-"""A new version of the configuration removes the routes of two services that have work."""
+"""The operator adds machines to a wave of upkeep."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins_4"))
 
-import deployment  # noqa: E402
 import harness  # noqa: E402
 
-OBSERVED_S = 40.0
-STEP_S = 0.2
-# From this time after its last run, a task that lasts must not wait for longer than the second.
-AFTER_RUN_S, MAX_WAIT_S = 6.0, 3.0
+DURATION_S = 25
+CAP = 2
+POLL_S = 0.1
 
 
-def choose_pools(world):
-    """Return two pools whose services one entry holds."""
-    pools_by_entry = {}
-    for pool in harness.POOLS:
-        pools_by_entry.setdefault(world.get_holder(pool), []).append(pool)
-    return next(pools[:2] for pools in pools_by_entry.values() if len(pools) > 1)
-
-
-def has_room(world, pool):
-    """Return whether a pool has room for a task twice over, and is used by less than half."""
-    minions = [
-        each.minion
-        for each in world.machines.values()
-        if each.pool == pool and each.minion is not None and each.minion.is_up
-    ]
-    step = harness.LASTING_STEP
-    rooms = [
-        min(minion.free["cpu"] // step["cpu"], minion.free["memMb"] // step["memMb"])
-        for minion in minions
-    ]
-    used = sum(minion.machine.capacity["cpu"] - minion.free["cpu"] for minion in minions)
-    total = sum(minion.machine.capacity["cpu"] for minion in minions)
-    return sum(rooms) >= 2 and used < total / 2
+def get_state(world):
+    """Return the state of the wave as the operator reads it."""
+    value = world.store.get("status", "", "wave/1")
+    return value.decode() if value is not None else ""
 
 
 async def case(world):
-    """Hand jobs in that last, remove two routes, and look at the tasks."""
+    """Request a wave, add machines to it, and wait until it is said to be over."""
     await harness.start(world)
-    client = deployment.Client(world)
-    lasting = {}
-    for pool in harness.POOLS:
-        lasting[pool] = client.make_job([dict(harness.LASTING_STEP)])
-        if not await client.submit(lasting[pool], harness.queue_of(pool)):
-            raise harness.NotRunError("a job is not accepted")
-    await asyncio.sleep(4.0)
-    removed = choose_pools(world) if harness.is_troubled() else []
-    routes = {queue: pool for queue, pool in harness.all_routes().items() if pool not in removed}
-    world.configure(routes, [*harness.POOLS, world.spare], 7)
-    await observe(world, lasting)
-
-
-async def observe(world, lasting):
-    """Look for tasks that last, don't run and have room."""
-    tasks = {
-        f"{job['id']}.0.0.{index}": pool
-        for pool, job in lasting.items()
-        for index in range(harness.LASTING_STEP["count"])
-    }
-    ran_s = dict.fromkeys(tasks, time.monotonic())
-    waits_since_s = {}
-    failed = set()
-    until_s = time.monotonic() + OBSERVED_S
-    while time.monotonic() < until_s:
-        now_s = time.monotonic()
-        for task, pool in tasks.items():
-            if world.judge.live.get(task):
-                ran_s[task] = now_s
-            is_waiting = now_s - ran_s[task] > AFTER_RUN_S and has_room(world, pool)
-            if not is_waiting:
-                waits_since_s.pop(task, None)
-            elif now_s - waits_since_s.setdefault(task, now_s) > MAX_WAIT_S and task not in failed:
-                failed.add(task)
-                world.judge.fail(
-                    "LOST",
-                    f"{task}, which lasts, has not run for {now_s - ran_s[task]:.1f} s,"
-                    f" and {pool} has room for it",
-                )
-        await asyncio.sleep(STEP_S)
+    machines = list(world.machines)
+    request(world, machines[:3])
+    await asyncio.sleep(1.5)
+    asked = machines[:3]
+    if harness.is_troubled():
+        asked = machines[:5]
+        request(world, asked)
+    for _ in range(int((DURATION_S + 10) / POLL_S)):
+        if "succeeded" in get_state(world):
+            break
+        await asyncio.sleep(POLL_S)
+    # What was ordered last has begun by now.
+    await asyncio.sleep(5.0)
+    world.recorder.note(f"operator: status/wave/1 is {get_state(world)}")
+    begun = {machine for _, machine, _, _, path in world.orders if path.endswith("upkeep")}
+    missing = [machine for machine in asked if machine not in begun]
+    if "succeeded" in get_state(world) and missing:
+        world.judge.fail(
+            "MIXED", f"wave 1 is said to be succeeded, and {missing} have not begun their upkeep"
+        )
+
+
+def request(world, machines):
+    """Write the row of the wave."""
+    wave = {"wave": 1, "machines": machines, "durationS": DURATION_S, "cap": CAP}
+    world.store.put("op", "wave/1", wave)
+    world.recorder.note(f"operator: op/wave/1 {wave}")
 
 
 harness.run(case, FOLDER)
--- a/review/standins_4/deployment.py
+++ b/review/standins_4/deployment.py
@@ -321,6 +321,7 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.lapses = []
+        self.late_starts = 0
         self.end_times = {}
 
     @property
@@ -426,6 +427,7 @@
         is_order = path in ("/v1/run-start", "/v1/run-stop")
         if is_order and self.world.random.random() < self.late_share:
             delay_s = self.world.random.uniform(2.0, 12.0)
+            self.late_starts += path == "/v1/run-start"
             self.world.recorder.note(
                 f"minion {self.id}: {path} {data.get('task')} is held {delay_s:.1f} s"
             )
--- a/review/standins_4/harness.py
+++ b/review/standins_4/harness.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -73,6 +74,9 @@
 
     async def play():
         world = deployment.World(record, seed)
+        current = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, current.cancel)
         try:
             async with asyncio.timeout(MAX_DURATION_S):
                 await case(world)
@@ -85,7 +89,7 @@
 
     try:
         result = asyncio.run(play())
-    except (NotRunError, OSError, TimeoutError) as error:
+    except (NotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
     print("broken" if result else "held")
