--- a/review/standins_4/deployment.py
+++ b/review/standins_4/deployment.py
@@ -140,6 +140,12 @@
         self.late = False
         self.random = random.Random(1)
         self.counts = {}
+        self.loses_next = None
+        self.lost_s = None
+
+    def lose_next(self, entry):
+        """Lose the answer to the next write of an entry that holds a lease."""
+        self.loses_next, self.lost_s = entry, None
 
     def make_handler(self, entry):
         """Return a handler of the calls of one entry."""
@@ -242,6 +248,10 @@
             return 403, {}
         await asyncio.sleep(self.write_s / 2)
         is_lost = self.random.random() < self.lost_share.get(entry, 0.0)
+        if entry == self.loses_next and any(key[0] == "leases" for key, _ in writes):
+            # A write of a holder, which renews its lease with it.
+            is_lost, self.loses_next, self.lost_s = True, None, time.monotonic()
+            self.recorder.note(f"store: the answer to a write of {entry} is lost")
         if is_lost and self.late:
             delay_s = self.random.uniform(*self.late_s)
             asyncio.get_running_loop().call_later(
