--- a/review/17/case.py
+++ b/review/17/case.py
@@ -1,4 +1,4 @@
-"""The operator adds machines to a wave of upkeep."""
+"""A version removes a queue, and the next one adds it again for another service."""
 
 import asyncio
 import pathlib
@@ -7,49 +7,41 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins_4"))
 
+import deployment  # noqa: E402
 import harness  # noqa: E402
 
-DURATION_S = 25
-CAP = 2
-POLL_S = 0.1
-
-
-def get_state(world):
-    """Return the state of the wave as the operator reads it."""
-    value = world.store.get("status", "", "wave/1")
-    return value.decode() if value is not None else ""
+FORMER, LATER = "tesoreria", "pesaje"
+QUEUE = harness.queue_of(FORMER)
+SETTLED_S = 4.0
 
 
 async def case(world):
-    """Request a wave, add machines to it, and wait until it is said to be over."""
+    """Hand a job in, remove its queue, add it for another service, and ask for the job."""
     await harness.start(world)
-    machines = list(world.machines)
-    request(world, machines[:3])
-    await asyncio.sleep(1.5)
-    asked = machines[:3]
-    if harness.is_troubled():
-        asked = machines[:5]
-        request(world, asked)
-    for _ in range(int((DURATION_S + 10) / POLL_S)):
-        if "succeeded" in get_state(world):
-            break
-        await asyncio.sleep(POLL_S)
-    # What was ordered last has begun by now.
-    await asyncio.sleep(5.0)
-    world.recorder.note(f"operator: status/wave/1 is {get_state(world)}")
-    begun = {machine for _, machine, _, _, path in world.orders if path.endswith("upkeep")}
-    missing = [machine for machine in asked if machine not in begun]
-    if "succeeded" in get_state(world) and missing:
-        world.judge.fail(
-            "MIXED", f"wave 1 is said to be succeeded, and {missing} have not begun their upkeep"
-        )
-
-
-def request(world, machines):
-    """Write the row of the wave."""
-    wave = {"wave": 1, "machines": machines, "durationS": DURATION_S, "cap": CAP}
-    world.store.put("op", "wave/1", wave)
-    world.recorder.note(f"operator: op/wave/1 {wave}")
+    client = deployment.Client(world)
+    job = client.make_job(
+        [{"count": 4, "cpu": 1000, "memMb": 100, "estimateMs": 20000, "workMs": 20000}]
+    )
+    if not await client.submit(job, QUEUE):
+        raise harness.NotRunError("the job is not accepted")
+    await asyncio.sleep(SETTLED_S)
+    services = [*harness.POOLS, world.spare]
+    routes = harness.all_routes()
+    without = {queue: pool for queue, pool in routes.items() if queue != QUEUE}
+    world.configure(without if harness.is_troubled() else routes, services, 7)
+    await asyncio.sleep(SETTLED_S)
+    world.configure({**without, QUEUE: LATER if harness.is_troubled() else FORMER}, services, 9)
+    await asyncio.sleep(SETTLED_S)
+    for entry in world.entries.values():
+        state = await client.get_state(job, entry)
+        if state == 410:
+            world.judge.fail("LOST", f"GET for the accepted job {job['id']} is answered 410")
+    # The same request arrives again, seconds after its 2xx response.
+    entry = next(iter(world.entries.values()))
+    await client.call(entry, "POST", f"/{QUEUE}/{job['id']}", client.body(job))
+    await asyncio.sleep(22.0)
+    for entry in world.entries.values():
+        await client.get_state(job, entry)
 
 
 harness.run(case, FOLDER)
