--- a/review/16/case.py
+++ b/review/16/case.py
@@ -70,11 +70,12 @@
     until_s = time.monotonic() + 2 * MAX_WAIT_S
     while time.monotonic() < until_s:
         now_s = time.monotonic()
-        is_idle = all(
-            not each.minion.runs
+        minions = [
+            each.minion
             for each in world.machines.values()
             if each.pool == POOL and each.minion is not None and each.minion.is_up
-        )
+        ]
+        is_idle = bool(minions) and not any(minion.runs for minion in minions)
         for job in accepted:
             if has_started(world, job) or not is_idle:
                 waits_since_s.pop(job["id"], None)
