--- a/features/jobsite.py
+++ b/features/jobsite.py
@@ -122,9 +122,8 @@
     defaults = {"timeout_ms": 3000, "target_latency_ms": 600, "max_attempts": 3, "stretch": 1.6}
     return queues.Queue(
         name=name,
-        path_prefix=f"/{name}/",
         service=service,
-        **{"host": "x", **defaults, **fields},
+        **{"host": "x", "path_prefix": f"/{name}/", **defaults, **fields},
     )
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -24,6 +24,7 @@
 )
 
 from nutmegshelf_entry import (
+    admissions,
     histograms,
     inbox,
     inspection,
@@ -74,6 +75,7 @@
         acquired_s: float,
         timings: histograms.Histograms,
         transport: sender.Transport,
+        queue_admissions: admissions.Admissions,
     ) -> None:
         held = lease_set.held[pool]
         self.pool = pool
@@ -86,6 +88,7 @@
         self._max_lease_age_s = max_lease_age_s
         self._ended_retention_s = ended_retention_s
         self._transport = transport
+        self._admissions = queue_admissions
         self._loop = asyncio.get_running_loop()
         self.scheduler = scheduler.Scheduler(
             self.epoch,
@@ -99,6 +102,7 @@
         self.writer = writer.Writer(rows, lease_set, pool, acquired_s, max_row_bytes=max_row_bytes)
         self.writer.on_stored = self.wake
         self.writer.on_accepted = self._handle_accepted
+        self.writer.on_admission_changed = queue_admissions.forget
         self._arrived_s: dict[ids.JobId, float] = {}
         self._submitters = submissions.SubmitterIndex(_MAX_SUBMITTED_JOBS)
         # Stored jobs that don't run, as it can't be told which of their tasks have ended.
@@ -211,7 +215,7 @@
         if self._is_stored(job):
             return calls.Reply(status=calls.Status.DONE)
         self._submitters.add(job, call.submitter, self._loop.time())
-        status = await self._submit(call.job)
+        status = await self._submit(call)
         # Another entry may have stored the job in the meantime.
         if status is calls.Status.DONE or self._is_stored(job):
             return calls.Reply(status=calls.Status.DONE)
@@ -222,28 +226,51 @@
             knows_submitters=self._submitters.knows_recent(self._loop.time()),
         )
 
-    async def _submit(self, job: jobs.Job) -> calls.Status:
+    async def _submit(self, call: calls.SubmitJob) -> calls.Status:
+        job = call.job
         if self.is_loaded and self._is_lease_fresh() and not self.writer.is_stalled:
             self._arrived_s.setdefault(job.job, self._loop.time())
             try:
-                outcome = await self.writer.accept(job, _ACCEPT_TIMEOUT_S)
+                return await self._admit_and_store(job, call.version)
             finally:
                 if not self.writer.may_store(job.job):
                     self._arrived_s.pop(job.job, None)
-            match outcome:
-                case submissions.Outcome.STORED:
-                    return calls.Status.DONE
-                case submissions.Outcome.UNKNOWN:
-                    return calls.Status.UNSETTLED
-                case submissions.Outcome.NOT_STORED:
-                    return calls.Status.NOT_STORED
         if self.writer.may_store(job.job):
             return calls.Status.UNSETTLED
         if not self.is_loaded:
             return calls.Status.NOT_HOLDER
+        if not self._admissions.is_only_service(job.queue):
+            return calls.Status.UNSETTLED
         is_stalled = self.writer.is_stalled
         return calls.Status.TABLE_UNAVAILABLE if is_stalled else calls.Status.NOT_STORED
 
+    async def _admit_and_store(self, job: jobs.Job, version: ids.Version) -> calls.Status:
+        """Store a job that no service of its queue has."""
+        until_s = self._loop.time() + _ACCEPT_TIMEOUT_S
+        while True:
+            try:
+                async with asyncio.timeout_at(until_s):
+                    admission = await self._admissions.admit(job, version)
+            except admissions.QueueMoved as error:
+                _log.info("A job's queue has moved.", job=job.job, pool=self.pool, why=str(error))
+                return calls.Status.NOT_ROUTED
+            except (exceptions.TableError, TimeoutError) as error:
+                # Another service may have it.
+                _log.info("A job is not admitted yet.", job=job.job, why=repr(error))
+                return calls.Status.UNSETTLED
+            if admission is None:
+                _log.info("Another service of its queue has a job.", job=job.job, pool=self.pool)
+                self._submitters.discard(job.job)
+                return calls.Status.DONE
+            left_s = until_s - self._loop.time()
+            match await self.writer.accept(job, admission.condition, left_s):
+                case submissions.Outcome.STORED:
+                    return calls.Status.DONE
+                case submissions.Outcome.UNKNOWN:
+                    return calls.Status.UNSETTLED
+            if self._admissions.is_current(admission):
+                return calls.Status.NOT_STORED
+
     def _handle_accepted(self, job: jobs.Job, version: int) -> None:
         arrived_s = self._arrived_s.pop(job.job, self._loop.time())
         self._add(job, arrived_s, version)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_handler.py
@@ -147,7 +147,7 @@
             raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
         match exchange.method, bool(route.job):
             case "POST", True:
-                return await self._submit(exchange, route, routes.declared.limits)
+                return await self._submit(exchange, route, routes.declared)
             case "GET", True:
                 return self._codec.encode_state(
                     await self._router.get_state(route.queue, route.job)
@@ -176,10 +176,10 @@
         return exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_QUEUE)
 
     async def _submit(
-        self, exchange: server.Exchange, route: queues.RouteMatch, limits: queues.Limits
+        self, exchange: server.Exchange, route: queues.RouteMatch, declared: queues.QueueSet
     ) -> bytes:
         try:
-            body = await exchange.connection.read_body(limits.body_bytes)
+            body = await exchange.connection.read_body(declared.limits.body_bytes)
         except ValueError as error:
             kind = exceptions.ErrorKind.BODY_TOO_LARGE
             raise exceptions.RequestError(kind, str(error)) from error
@@ -191,7 +191,7 @@
         if faults := jobs.find_faults(job):
             raise exceptions.RequestError(exceptions.ErrorKind.BAD_REQUEST, "; ".join(faults))
         try:
-            await self._router.submit(job)
+            await self._router.submit(job, declared.version)
         except exceptions.RequestError as error:
             if rejections.is_rejection(error):
                 self.on_rejected(job)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -18,6 +18,7 @@
 )
 
 from nutmegshelf_entry import (
+    admissions,
     doubt_reports,
     doubt_watch,
     forwarder,
@@ -37,6 +38,8 @@
 # The same once the caller's time limit has ended; shorter than the reserve for the response.
 _LATE_REPORT_WAIT_S = 0.06
 _MAX_KNOWN_JOBS = 16_384
+# How often the admission of a job's queue may change until the job is rejected.
+_MAX_ADMISSIONS = 3
 # An entry with a stale configuration usually has the latest one after this time.
 _STALE_RETRY_AFTER_S = 1.0
 
@@ -60,6 +63,13 @@
         return self.reply.status.value if self.reply is not None else self.why
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Missing:
+    """A job that a service doesn't have, and whether it may still be stored there."""
+
+    may_appear: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StoreResult:
     """What became of one submission, what its caller is told, and who else submitted the job."""
@@ -84,6 +94,7 @@
         active_queues: queues.ActiveQueues,
         start_forwarder: forwarder.Forwarder,
         *,
+        queue_admissions: admissions.Admissions,
         doubt_reporter: doubt_reports.DoubtReporter,
         list_active_addresses: collections.abc.Callable[[], list[str]],
         submitter: calls.Submitter,
@@ -93,6 +104,7 @@
         self._lease_manager = lease_manager
         self._peers = peers
         self._forwarder = start_forwarder
+        self._admissions = queue_admissions
         self._doubt_reporter = doubt_reporter
         self._submitter = submitter
         self._loop = asyncio.get_running_loop()
@@ -144,7 +156,10 @@
         if routes is None or routes.declared.version <= call.version:
             return True
         queue = routes.by_name.get(call.queue)
-        return queue is not None and queue.service == call.service
+        if queue is None or not isinstance(call, calls.SubmitJob):
+            # Accepted jobs are served where they are, whatever service their queue has now.
+            return queue is not None
+        return queue.service == call.service
 
     async def call_holder(self, call: calls.AnyCall, timeout_s: float) -> calls.Reply | None:
         """Call the holder of a service; return None if it gives no answer."""
@@ -157,7 +172,8 @@
                 async with asyncio.timeout(timeout_s):
                     reply = await holder.handle_call(call)
             elif (address := self._lease_manager.get_holder_address(call.service)) is not None:
-                versioned_call = msgspec.structs.replace(call, version=self._active_queues.version)
+                version = call.version or self._active_queues.version
+                versioned_call = msgspec.structs.replace(call, version=version)
                 reply = await self._peers.call(address, versioned_call, timeout_s)
                 self._active_queues.observe_version(reply.version)
             else:
@@ -183,16 +199,17 @@
         is_recent = self._absences.notice(call.service, lease_version, self._loop.time())
         return CallResult(None, may_have_taken_effect=False, is_holder_lost=is_recent, why=why)
 
-    async def submit(self, job: jobs.Job) -> None:
+    async def submit(self, job: jobs.Job, version: ids.Version = ids.NO_VERSION) -> None:
         """Submit a job for storage and execution; raises RequestError.
 
-        Unless it is proven that neither this nor an earlier submission of the job is carried out,
-        the error says that the job may run.
+        The version is that of the configuration by which its queue was found, by default the active
+        one. Unless it is proven that neither this nor an earlier submission of the job is carried
+        out, the error says that the job may run.
         """
         self._ledger.begin(job.job)
         result = _StoreResult(submissions.Outcome.UNKNOWN)
         try:
-            result = await self._store(job)
+            result = await self._store(job, version or self._active_queues.version)
         finally:
             self._ledger.end(job.job, result.outcome, self._loop.time())
             if result.outcome is submissions.Outcome.UNKNOWN:
@@ -202,6 +219,13 @@
                     await self._doubt_reporter.wait(job, reported, _LATE_REPORT_WAIT_S)
         if result.refusal is None or self._ledger.is_stored(job.job):
             return
+        elsewhere = submissions.Outcome.NOT_STORED
+        if rejections.is_rejection(result.refusal):
+            elsewhere = await self._find_elsewhere(job)
+        if elsewhere is submissions.Outcome.STORED:
+            return
+        if elsewhere is submissions.Outcome.UNKNOWN:
+            self._ledger.report_doubt(job.job, self._loop.time())
         if result.outcome is submissions.Outcome.UNKNOWN:
             await self._doubt_reporter.wait(job, reported, _REPORT_WAIT_S)
         elif result.is_holder_lost or not await self._do_others_rule_out(
@@ -216,6 +240,18 @@
             has_holder=result.has_holder,
         )
 
+    async def _find_elsewhere(self, job: jobs.Job) -> submissions.Outcome:
+        """Return whether a job that would be rejected is stored at a service of its queue."""
+        services = await self._admissions.list_recent_services(job.queue)
+        if not {*services} - {job.service}:
+            return submissions.Outcome.NOT_STORED
+        try:
+            is_stored = await self._admissions.is_stored(job, services)
+        except exceptions.TableError as error:
+            _log.info("It isn't known which service has a job.", job=job.job, why=str(error))
+            return submissions.Outcome.UNKNOWN
+        return submissions.Outcome.STORED if is_stored else submissions.Outcome.NOT_STORED
+
     async def _do_others_rule_out(
         self, service: ids.ServiceName, job: ids.JobId, submitters: tuple[calls.Submitter, ...]
     ) -> bool:
@@ -275,11 +311,15 @@
         kind = exceptions.ErrorKind.JOB_UNSETTLED
         return exceptions.RequestError(kind, refusal.detail, refusal.retry_after_s)
 
-    async def _store(self, job: jobs.Job) -> _StoreResult:
+    async def _store(self, job: jobs.Job, version: ids.Version) -> _StoreResult:
         """Store a job through its holder or without it."""
         began_s = self._loop.time()
         call = calls.SubmitJob(
-            service=job.service, queue=job.queue.name, job=job, submitter=self._submitter
+            service=job.service,
+            queue=job.queue.name,
+            job=job,
+            submitter=self._submitter,
+            version=version,
         )
         try:
             result = await self._call_holder(call, _WRITE_TIMEOUT_S)
@@ -294,7 +334,15 @@
             if not self._rows.is_available:
                 # Nothing is sent that could still take effect later.
                 raise exceptions.TableUnavailable("the table does not answer")
-            committed = await self._rows.commit(jobs.build_submission(job))
+            is_new = await self._store_without_holder(job, version)
+        except admissions.QueueMoved as error:
+            kind = exceptions.ErrorKind.CONFIGURATION_STALE
+            refusal = exceptions.RequestError(kind, str(error), _STALE_RETRY_AFTER_S)
+            may_be_stored = result.may_have_taken_effect
+            outcome = (
+                submissions.Outcome.UNKNOWN if may_be_stored else submissions.Outcome.NOT_STORED
+            )
+            return _StoreResult(outcome, refusal)
         except exceptions.TableError as error:
             _log.info(
                 "A submitted job got no confirmation.",
@@ -308,26 +356,46 @@
                 took_s=round(self._loop.time() - began_s, 3),
             )
             return _make_failure(job, error, result)
-        _log.info("A job is stored for its holder.", job=job.job, is_new=committed.ok)
+        _log.info("A job is stored for its holder.", job=job.job, is_new=is_new)
         return _StoreResult(submissions.Outcome.STORED)
 
+    async def _store_without_holder(self, job: jobs.Job, version: ids.Version) -> bool:
+        """Store a job unless a service has it; return whether it is new.
+
+        Raises TableError or QueueMoved.
+        """
+        for _ in range(_MAX_ADMISSIONS):
+            admission = await self._admissions.admit(job, version)
+            if admission is None:
+                return False
+            committed = await self._rows.commit(jobs.build_submission(job, admission.condition))
+            if committed.ok:
+                return True
+            job_key = jobs.job_key(job.service, job.job)
+            if any(row.key == job_key and row.version for row in committed.rows):
+                return False
+            self._admissions.forget(admission.condition)
+        raise exceptions.TableUnavailable("other entries change the admission of the queue")
+
     async def get_state(self, queue: queues.Queue, job: ids.JobId) -> jobs.JobState:
         """Return a job's state from its holder or the table; raises RequestError."""
-        call = calls.GetJob(service=queue.service, queue=queue.name, job=job)
+        return await self._look_up(
+            queue,
+            exceptions.ErrorKind.JOB_UNREADABLE,
+            lambda at: self._get_state_at(at, queue, job),
+        )
+
+    async def _get_state_at(
+        self, service: ids.ServiceName, queue: queues.Queue, job: ids.JobId
+    ) -> jobs.JobState | _Missing:
+        call = calls.GetJob(service=service, queue=queue.name, job=job)
         result = await self._call_holder(call, _READ_TIMEOUT_S)
         if result.reply is not None and result.reply.status is calls.Status.DONE:
             return result.reply.state
-        try:
-            job_row = await self._rows.read(jobs.job_key(queue.service, job))
-            if not job_row.version:
-                if await self._may_appear(queue, job, result):
-                    kind = exceptions.ErrorKind.JOB_UNREADABLE
-                    raise exceptions.RequestError(kind, "its submission is in doubt")
-                raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
-            progress_row = await self._rows.read(jobs.progress_key(queue.service, job))
-        except exceptions.TableError as error:
-            kind = exceptions.ErrorKind.JOB_UNREADABLE
-            raise exceptions.RequestError(kind, str(error)) from error
+        job_row = await self._rows.read(jobs.job_key(service, job))
+        if not job_row.version:
+            return _Missing(await self._may_appear(service, job, result))
+        progress_row = await self._rows.read(jobs.progress_key(service, job))
         if not progress_row.version:
             return jobs.JobState.QUEUED
         state = rowcodec.decode_with(progress_row, progressrows.decode_state)
@@ -337,26 +405,54 @@
 
     async def cancel(self, queue: queues.Queue, job: ids.JobId) -> None:
         """Cancel a job, or store the request for its next holder; raises RequestError."""
-        call = calls.CancelJob(service=queue.service, queue=queue.name, job=job)
+        await self._look_up(
+            queue, exceptions.ErrorKind.JOB_UNSETTLED, lambda at: self._cancel_at(at, queue, job)
+        )
+
+    async def _cancel_at(
+        self, service: ids.ServiceName, queue: queues.Queue, job: ids.JobId
+    ) -> jobs.JobState | _Missing:
+        call = calls.CancelJob(service=service, queue=queue.name, job=job)
         result = await self._call_holder(call, _WRITE_TIMEOUT_S)
         if result.reply is not None and result.reply.status is calls.Status.DONE:
-            return
+            return jobs.JobState.CANCELLED
+        row = await self._rows.read(jobs.job_key(service, job))
+        stored_job = rowcodec.decode(row, jobs.Job) if row.version else None
+        if stored_job is None:
+            return _Missing(await self._may_appear(service, job, result))
+        await self._rows.commit(jobs.build_cancellation(stored_job, row.version))
+        _log.info("A job's cancellation is stored for its holder.", job=job, service=service)
+        return jobs.JobState.CANCELLED
+
+    async def _look_up(
+        self,
+        queue: queues.Queue,
+        failure: exceptions.ErrorKind,
+        look_up_at: collections.abc.Callable[
+            [ids.ServiceName], collections.abc.Awaitable[jobs.JobState | _Missing]
+        ],
+    ) -> jobs.JobState:
+        """Look a job up at its queue's service, then at the others that have had the queue.
+
+        Raises RequestError, with the given kind if it isn't known whether there is such a job.
+        """
         try:
-            row = await self._rows.read(jobs.job_key(queue.service, job))
-            stored_job = rowcodec.decode(row, jobs.Job) if row.version else None
-            if stored_job is None:
-                if await self._may_appear(queue, job, result):
-                    kind = exceptions.ErrorKind.JOB_UNSETTLED
-                    raise exceptions.RequestError(kind, "its submission is in doubt")
-                raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
-            await self._rows.commit(jobs.build_cancellation(stored_job, row.version))
+            found = [await look_up_at(queue.service)]
+            if isinstance(found[0], _Missing):
+                services = await self._admissions.list_services(queue)
+                others = [service for service in services if service != queue.service]
+                found += await asyncio.gather(*map(look_up_at, others))
         except exceptions.TableError as error:
-            kind = exceptions.ErrorKind.JOB_UNSETTLED
-            raise exceptions.RequestError(kind, str(error)) from error
-        _log.info("A job's cancellation is stored for its holder.", job=job)
+            raise exceptions.RequestError(failure, str(error)) from error
+        states = [each for each in found if isinstance(each, jobs.JobState)]
+        if states:
+            return states[0]
+        if any(isinstance(each, _Missing) and each.may_appear for each in found):
+            raise exceptions.RequestError(failure, "its submission is in doubt")
+        raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
 
     async def _may_appear(
-        self, queue: queues.Queue, job: ids.JobId, holder_result: CallResult
+        self, service: ids.ServiceName, job: ids.JobId, holder_result: CallResult
     ) -> bool:
         """Return whether a job that is not in the table may still be stored."""
         if holder_result.is_holder_lost or self._ledger.may_appear(job, self._loop.time()):
@@ -366,12 +462,16 @@
             return False
         is_under_way = reply.status is calls.Status.UNSETTLED
         return is_under_way or not await self._do_others_rule_out(
-            queue.service, job, reply.other_submitters
+            service, job, reply.other_submitters
         )
 
     async def count_pending(self, queue: queues.Queue) -> int:
         """Return the number of jobs of a queue that have not started; raises RequestError."""
-        call = calls.CountPendingJobs(service=queue.service, queue=queue.name)
+        counted = {queue.service, *await self._admissions.list_recent_services(queue)}
+        return sum(await asyncio.gather(*(self._count_at(service, queue) for service in counted)))
+
+    async def _count_at(self, service: ids.ServiceName, queue: queues.Queue) -> int:
+        call = calls.CountPendingJobs(service=service, queue=queue.name)
         result = await self._call_holder(call, _READ_TIMEOUT_S)
         if result.reply is None:
             raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNREADABLE)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -24,6 +24,7 @@
 )
 
 from nutmegshelf_entry import (
+    admissions,
     advisor,
     doubt_reports,
     fleet_holder,
@@ -60,6 +61,7 @@
 _INBOX_WAIT_S = 2.0
 _RETRY_DELAY_S = 0.25
 _SETTINGS_INTERVAL_S = 10.0
+_ADMISSION_INTERVAL_S = 0.1
 _DEMAND_INTERVAL_S = 0.15
 _DEMAND_TIMEOUT_S = 0.4
 _BYTES_S_PER_MBPS = 1e6 / 8
@@ -170,12 +172,14 @@
             window.StartRouter(self._window), peers, self._list_other_entries
         )
         self._forwarder = forwarder.Forwarder(adapters.workers, self._window)
+        self.admissions = admissions.Admissions(adapters.rows)
         self.job_router = job_router.JobRouter(
             adapters.rows,
             self.lease_manager,
             peers,
             self.active_queues,
             self._forwarder,
+            queue_admissions=self.admissions,
             doubt_reporter=doubt_reports.DoubtReporter(peers, self._members.list_addresses),
             list_active_addresses=self._list_active_addresses,
             submitter=calls.Submitter(settings.peers.address, self.incarnation),
@@ -194,6 +198,7 @@
             "operations": self._watch_operations,
             "fleet": self._watch_fleet,
             "inbox": self._watch_inbox,
+            "admissions": self._open_admissions,
             "demand": self._report_demand,
             "rejections": self.rejection_reporter.run,
             "advice": self._advisor.run,
@@ -342,6 +347,7 @@
             acquired_s=acquired_s,
             timings=self.timings,
             transport=self._transport,
+            queue_admissions=self.admissions,
         )
         service_holder.update_workers(
             facts for facts in self._fleet if facts.service == ids.ServiceName(pool)
@@ -427,6 +433,23 @@
                 _log.warning("Failed to watch the inbox.", why=str(error))
                 await asyncio.sleep(_RETRY_DELAY_S * (1 + self._random.random()))
 
+    async def _open_admissions(self) -> None:
+        """Open the admissions of the services held here, before jobs wait for that."""
+        while True:
+            await asyncio.sleep(_ADMISSION_INTERVAL_S)
+            routes = self.active_queues.routes
+            for queue in routes.declared.queues if routes is not None else ():
+                is_held = self.lease_manager.get_holder(queue.service) is not None
+                if routes is not None and is_held and self.admissions.get(queue) is None:
+                    await self._open_admission(queue, routes.declared.version)
+
+    async def _open_admission(self, queue: queues.Queue, version: ids.Version) -> None:
+        try:
+            await self.admissions.open(queue, version)
+        except (exceptions.TableError, admissions.QueueMoved) as error:
+            _log.info("A queue's jobs are not admitted yet.", queue=queue.name, why=repr(error))
+            await asyncio.sleep(_RETRY_DELAY_S * (1 + self._random.random()))
+
     def _deliver_notice(self, row: platform.Row) -> None:
         if not row.version or not row.value:
             return
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/writer.py
@@ -70,9 +70,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _PendingJob:
-    """A job to be stored, and the event that is set once nothing more becomes of it here."""
+    """A job to be stored, and the event that is set once nothing more becomes of it here.
+
+    It is stored only while the row of its queue's admission is as the condition says.
+    """
 
     submission: submissions.Submission
+    admission: platform.Condition
     settled: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     @property
@@ -145,6 +149,10 @@
         self.on_accepted: collections.abc.Callable[[jobs.Job, int], None] = (
             lambda job, version: None
         )
+        # Called with the condition of an admission whose row has changed.
+        self.on_admission_changed: collections.abc.Callable[[platform.Condition], None] = (
+            lambda admission: None
+        )
         # The waiters of queued rows; those of rows in flight are in the batch.
         self._waiters: Waiters = {}
         # Smaller after the table refused a batch, until the item that it refuses is found.
@@ -202,12 +210,14 @@
         # Between two attempts none is under way, but the next one follows.
         return pending.submission.may_be_carried_out or not pending.submission.is_closed
 
-    async def accept(self, job: jobs.Job, timeout_s: float) -> submissions.Outcome:
+    async def accept(
+        self, job: jobs.Job, admission: platform.Condition, timeout_s: float
+    ) -> submissions.Outcome:
         """Store a new job; return what is known of it after the time limit at the latest."""
         began_s = self._loop.time()
         pending = self._pending.get(job.job)
         if pending is None:
-            pending = _PendingJob(submissions.Submission(job))
+            pending = _PendingJob(submissions.Submission(job), admission)
             if self._is_ended or self._failing_since_s is not None:
                 pending.submission.close()
                 self._log_not_stored(pending.submission, began_s)
@@ -351,10 +361,17 @@
 
     def _choose_new_jobs(self, budget: "_TransactionBudget") -> PendingJobs:
         chosen: PendingJobs = {}
+        versions: dict[str, int] = {}
         for name, pending in self._pending.items():
-            # A new job needs a condition and a write.
-            if not budget.reserve(2, len(codecs.pack(pending.job))):
+            admission = pending.admission
+            if versions.get(admission.key, admission.version) != admission.version:
+                # One of the two is outdated, so they can't be in one transaction.
+                continue
+            # A new job needs a condition and a write, and the first one of a queue its admission.
+            operations = 2 if admission.key in versions else 3
+            if not budget.reserve(operations, len(codecs.pack(pending.job))):
                 break
+            versions[admission.key] = admission.version
             chosen[name] = pending
         return chosen
 
@@ -417,17 +434,7 @@
                 for name, pending in new_jobs.items()
                 if not pending.submission.is_closed
             }
-            conditions, job_writes = [], []
-            for name, pending in new_jobs.items():
-                key = jobs.job_key(self._pool, name)
-                conditions.append(platform.Condition(key, 0))
-                job_writes.append(platform.Write(key, codecs.pack(pending.job)))
-            transaction = leases.make_fenced_transaction(
-                self._get_held_lease(),
-                tuple(conditions),
-                (*writes, *job_writes),
-                bumps_revision=False,
-            )
+            transaction = self._make_transaction(writes, new_jobs)
             for pending in new_jobs.values():
                 pending.submission.begin_attempt()
             try:
@@ -460,16 +467,44 @@
             for pending in new_jobs.values():
                 pending.submission.end_attempt_without_effect()
             self._apply_lease_row(committed, None)
-            present_keys = {row.key for row in committed.rows if row.version}
-            already_stored = {
-                name: pending
-                for name, pending in new_jobs.items()
-                if jobs.job_key(self._pool, name) in present_keys
-            }
-            self._resolve_accepted(already_stored, committed.rows)
-            new_jobs = {
-                name: pending for name, pending in new_jobs.items() if name not in already_stored
-            }
+            new_jobs = self._drop_failed(new_jobs, committed.rows)
+
+    def _make_transaction(
+        self, writes: list[platform.Write], new_jobs: PendingJobs
+    ) -> platform.Transaction:
+        admission_conditions = {
+            pending.admission.key: pending.admission for pending in new_jobs.values()
+        }
+        job_conditions, job_writes = [], []
+        for name, pending in new_jobs.items():
+            key = jobs.job_key(self._pool, name)
+            job_conditions.append(platform.Condition(key, 0))
+            job_writes.append(platform.Write(key, codecs.pack(pending.job)))
+        return leases.make_fenced_transaction(
+            self._get_held_lease(),
+            (*admission_conditions.values(), *job_conditions),
+            (*writes, *job_writes),
+            bumps_revision=False,
+        )
+
+    def _drop_failed(self, new_jobs: PendingJobs, rows: tuple[platform.Row, ...]) -> PendingJobs:
+        """Return the new jobs that can still be stored, given the rows of a refused transaction."""
+        versions = {row.key: row.version for row in rows}
+        stored: PendingJobs = {}
+        left: PendingJobs = {}
+        for name, pending in new_jobs.items():
+            if versions.get(jobs.job_key(self._pool, name)):
+                stored[name] = pending
+            elif versions.get(pending.admission.key, 0) == pending.admission.version:
+                left[name] = pending
+            else:
+                # That version never comes back, so no earlier attempt can be carried out either.
+                pending.submission.rule_out()
+                self.on_admission_changed(pending.admission)
+                self._forget(pending)
+                pending.settled.set()
+        self._resolve_accepted(stored, rows)
+        return left
 
     def _get_held_lease(self) -> leases.HeldLease:
         held = self._lease_set.held.get(self._pool)
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -10,7 +10,8 @@
 class Call(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """The base class of calls to the holder of a service.
 
-    The version is that of the sender's active configuration.
+    The version is that of the sender's active configuration; that of a submission is the one by
+    which its queue was found.
     """
 
     service: ids.ServiceName
--- a/packages/nutmegshelf/src/nutmegshelf/jobs.py
+++ b/packages/nutmegshelf/src/nutmegshelf/jobs.py
@@ -218,12 +218,15 @@
     return f"{INBOX}/{notice.service}/{kind}.{notice.job}"
 
 
-def build_submission(job: Job) -> platform.Transaction:
-    """Return the transaction that stores a job without its holder; it fails for a stored job."""
+def build_submission(job: Job, *admission: platform.Condition) -> platform.Transaction:
+    """Return the transaction that stores a job without its holder.
+
+    It fails for a stored job, and if the job's queue is not admitted any more.
+    """
     key = job_key(job.service, job.job)
     notice = Notice(job=job.job, service=job.service)
     return platform.Transaction(
-        conditions=(platform.Condition(key, 0),),
+        conditions=(platform.Condition(key, 0), *admission),
         writes=(
             platform.Write(key, codecs.pack(job)),
             platform.Write(notice_key(notice), codecs.pack(notice)),
--- a/packages/nutmegshelf/src/nutmegshelf/submissions.py
+++ b/packages/nutmegshelf/src/nutmegshelf/submissions.py
@@ -110,6 +110,11 @@
         self._has_open_attempt = False
         self._has_lost_attempt = True
 
+    def rule_out(self) -> None:
+        """Record that no attempt was carried out, and that none will be."""
+        self._is_closed = True
+        self._has_open_attempt = self._has_lost_attempt = False
+
     def confirm_stored(self) -> None:
         """Record that the table has the job."""
         self._is_stored = True
