--- a/features/jobsite.py
+++ b/features/jobsite.py
@@ -127,8 +127,9 @@
     )
 
 
-def declare(*declared, version=1, spare="spare"):
-    served = sorted({queue.service for queue in declared})
+def declare(*declared, version=1, spare="spare", services=()):
+    """Declare queues, their services and further services that have no queue."""
+    served = sorted({*services, *(queue.service for queue in declared)})
     return queues.QueueSet(
         version=version,
         queues=declared,
--- a/features/moved_queues.feature
+++ b/features/moved_queues.feature
@@ -82,6 +82,29 @@
       |                                    |
       | , while no holder can be reached   |
 
+  # An accepted job stood still until its queue was declared again (review/12).
+  Scenario Outline: Accepted work stands still after its queue is removed, and <then>
+    Given 3 entries and a service whose jobs last
+    When the queue is removed, and <then>
+    Then its tasks run 15 s later
+
+    Examples:
+      | then                                                                       |
+      | nothing else happens                                                       |
+      | a worker crashes                                                           |
+      | the holder of its service is killed                                        |
+      | the holder of its service is stopped                                       |
+      | all entries are killed and start again                                     |
+      | then all entries are killed, as its service isn't declared either          |
+      | the holder is killed, as its service isn't declared either                 |
+      | the holder is stopped, as its service isn't declared either                |
+
+  Scenario: The hosts of a service without queues never get their upkeep
+    Given 3 entries and a service whose jobs last
+    When the queue is removed, and the holder of its service is killed
+    And a wave requests the upkeep of all hosts within 30 s, 1 at once
+    Then within 40 s the wave is reported as done
+
   Scenario: Two services admit one queue's jobs in some order of changes
     Then in 200 random orders of 5 versions at 4 entries, one service at most admits new jobs
     And a job that the entries submit is stored at one service
--- a/features/steps/moved_queue_steps.py
+++ b/features/steps/moved_queue_steps.py
@@ -231,6 +231,58 @@
         assert await submit(context, f"e{number % 3}", job) == "accepted"
 
 
+# --- services without queues
+
+
+@behave.given("{entries:d} entries and a service whose jobs last")
+@jobs_steps.paused
+async def make_lasting_site(context, entries):
+    context.world = jobworld.World({"a": 2, "b": 2})
+    context.site = jobsite.Site(context.world)
+    context.submitted = []
+    queues = make_queue("a"), jobsite.queue(name="kept-b", service="b")
+    context.world.declare(jobsite.declare(*queues))
+    for number in range(entries):
+        context.site.start(f"e{number}")
+    await asyncio.sleep(START_S)
+    assert await submit(context, "e0", add_job(context, LASTING_STEPS)) == "accepted"
+    await asyncio.sleep(1.0)
+
+
+@behave.when("the queue is removed, and {then}")
+@jobs_steps.paused
+async def remove_queue(context, then):
+    kept = jobsite.queue(name="kept-b", service="b")
+    services = () if "its service" in then else ("a",)
+    context.world.declare(jobsite.declare(kept, version=2, services=services))
+    await asyncio.sleep(SETTLE_S)
+    holder = context.site.holder_of("a")
+    if "is killed" in then:
+        await context.site.kill(holder)
+    if "is stopped" in then:
+        await context.site.stop(holder)
+    if "all entries are killed" in then:
+        names = list(context.site.entries)
+        await asyncio.gather(*map(context.site.kill, names))
+        for name in names:
+            context.site.start(name)
+    if "a worker crashes" in then:
+        minion = next(each for each in context.world.minions.values() if each.runs)
+        context.world.crash(minion)
+
+
+@behave.then("its tasks run {seconds:g} s later")
+@jobs_steps.paused
+async def check_lasting(context, seconds):
+    await asyncio.sleep(seconds)
+    for minion in context.world.minions.values():
+        # Leases may have ended without anybody asking.
+        minion.tick()
+    running = [task for minion in context.world.minions.values() for task in minion.runs]
+    assert len(running) == LASTING_STEPS[0].count, running
+    jobs_steps.check_no_violations(context)
+
+
 # --- tries without an answer
 
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/fleet_holder.py
@@ -113,6 +113,10 @@
         """Return False, as this holder starts no tasks."""
         return False
 
+    def has_unfinished_jobs(self) -> bool:
+        """Return False, as this holder has no jobs."""
+        return False
+
     async def handle_call(self, call: calls.AnyCall) -> calls.Reply:
         """Record a service's demand report, or show operators the state of the fleet."""
         if isinstance(call, calls.Inspect):
@@ -350,7 +354,7 @@
         reserved |= self._retry_at_s.keys()
         reserved |= self._find_hosts_maybe_down()
         views = self._project_moves()
-        is_complete = all(queue.service in fresh_reports for queue in routes.declared.queues)
+        is_complete = all(service in fresh_reports for service in routes.held_services)
         for move in self._planner.plan(
             views, fresh_reports, reserved, routes.spare_service, now_s, is_complete=is_complete
         ):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -185,6 +185,10 @@
         """Return whether starts may be carried out of which the next holder doesn't know."""
         return self.scheduler.has_unanswered_starts(self._loop.time())
 
+    def has_unfinished_jobs(self) -> bool:
+        """Return whether stored jobs have not ended, as far as is known."""
+        return not self.is_loaded or bool(self.scheduler.registry.live)
+
     def get_advice_timeout_s(self, question: policy.Question) -> float:
         """Return how long the policy service may take to answer a question."""
         key = jobs.parse_task_name(f"{question.step}.0")
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_operator_api.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_operator_api.py
@@ -67,10 +67,8 @@
         return routes.declared.version if routes is not None else None
 
     def _get_services(self) -> list[ids.ServiceName]:
-        routes = self._active_queues.routes
-        if routes is None:
-            return []
-        return sorted({queue.service for queue in routes.declared.queues})
+        fleet = _get_fleet_service()
+        return [service for service in self._router.list_services() if service != fleet]
 
     async def _inspect(
         self, view: calls.View, service: ids.ServiceName, job: ids.JobId = _NO_JOB
@@ -138,14 +136,10 @@
 
     async def _cancel_job(self, job: ids.JobId) -> Response:
         detail, unresponsive = await self._find_job(job)
-        routes = self._active_queues.routes
-        if detail is None or routes is None:
+        if detail is None:
             return _make_unknown_job(job, unresponsive)
-        queue = routes.by_name.get(detail.job.queue)
-        if queue is None:
-            return 409, {"error": f"the queue {detail.job.queue} is not declared any more"}
         try:
-            await self._router.cancel(queue, job)
+            await self._router.cancel_at(detail.job.service, detail.job.queue, job)
         except exceptions.RequestError as error:
             return error.response.status, {"error": str(error)}
         _log.info("An operator cancelled a job.", job=job)
@@ -153,13 +147,16 @@
 
     async def _list_queues(self) -> Response:
         rows, unresponsive = await self._inspect_all(calls.View.QUEUES, self._get_services())
-        active_rows = {row["queue"]: row for row in rows}
+        # A queue with jobs at several services has a row for each, also if it isn't declared.
+        active = {row["queue"] for row in rows}
         routes = self._active_queues.routes
-        queue_rows = [
-            active_rows.get(queue.name) or msgspec.to_builtins(_make_idle_view(queue))
+        rows += [
+            msgspec.to_builtins(_make_idle_view(queue))
             for queue in (routes.declared.queues if routes is not None else ())
+            if queue.name not in active
         ]
-        return 200, {"queues": queue_rows, "silent": unresponsive}
+        rows.sort(key=lambda row: (str(row["queue"]), str(row["service"])))
+        return 200, {"queues": rows, "silent": unresponsive}
 
     async def _list_pools(self) -> Response:
         worker_rows, unresponsive = await self._inspect_all(calls.View.POOLS, self._get_services())
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -406,13 +406,28 @@
     async def cancel(self, queue: queues.Queue, job: ids.JobId) -> None:
         """Cancel a job, or store the request for its next holder; raises RequestError."""
         await self._look_up(
-            queue, exceptions.ErrorKind.JOB_UNSETTLED, lambda at: self._cancel_at(at, queue, job)
+            queue,
+            exceptions.ErrorKind.JOB_UNSETTLED,
+            lambda at: self._cancel_at(at, queue.name, job),
         )
 
+    async def cancel_at(
+        self, service: ids.ServiceName, queue: ids.QueueName, job: ids.JobId
+    ) -> None:
+        """Cancel a job of a service, whether or not its queue is declared; raises RequestError."""
+        kind = exceptions.ErrorKind.JOB_UNSETTLED
+        try:
+            cancelled = await self._cancel_at(service, queue, job)
+        except exceptions.TableError as error:
+            raise exceptions.RequestError(kind, str(error)) from error
+        if isinstance(cancelled, _Missing):
+            kind = kind if cancelled.may_appear else exceptions.ErrorKind.UNKNOWN_JOB
+            raise exceptions.RequestError(kind)
+
     async def _cancel_at(
-        self, service: ids.ServiceName, queue: queues.Queue, job: ids.JobId
+        self, service: ids.ServiceName, queue: ids.QueueName, job: ids.JobId
     ) -> jobs.JobState | _Missing:
-        call = calls.CancelJob(service=service, queue=queue.name, job=job)
+        call = calls.CancelJob(service=service, queue=queue, job=job)
         result = await self._call_holder(call, _WRITE_TIMEOUT_S)
         if result.reply is not None and result.reply.status is calls.Status.DONE:
             return jobs.JobState.CANCELLED
@@ -465,6 +480,10 @@
             service, job, reply.other_submitters
         )
 
+    def list_services(self) -> list[ids.ServiceName]:
+        """Return the services that have a holder or should have one."""
+        return [ids.ServiceName(pool) for pool in self._lease_manager.list_needed()]
+
     async def count_pending(self, queue: queues.Queue) -> int:
         """Return the number of jobs of a queue that have not started; raises RequestError."""
         counted = {queue.service, *await self._admissions.list_recent_services(queue)}
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -385,8 +385,8 @@
             "A configuration is in force.", version=declared.version, queues=len(declared.queues)
         )
         self.on_limits_changed(declared.limits)
-        served = {ids.PoolName(queue.service) for queue in declared.queues}
-        self.lease_manager.pools = sorted(served | {fleet_holder.FLEET})
+        held = map(ids.PoolName, queues.Routes(declared).held_services)
+        self.lease_manager.pools = sorted({*held, fleet_holder.FLEET})
 
     async def _report_demand(self) -> None:
         while True:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -50,6 +50,9 @@
     def has_unanswered_starts(self) -> bool:
         """Return whether starts may be carried out of which the next holder doesn't know."""
 
+    def has_unfinished_jobs(self) -> bool:
+        """Return whether the service needs a holder, even if it is not declared any more."""
+
 
 # Creates the holder of a pool, given the time at which its lease was requested.
 HolderFactory = collections.abc.Callable[[ids.PoolName, float], LeaseHolder]
@@ -198,7 +201,10 @@
                 now_s = self._loop.time()
                 for failed in list(self._failed_pools):
                     self._failed_pools.discard(failed)
-                    await self._release_lease(failed)
+                    if self._is_unfinished(failed):
+                        self._lease_set.drop(failed)
+                    else:
+                        await self._release_lease(failed)
                     self._reacquirable_from_s[failed] = self._loop.time() + _REACQUIRE_DELAY_S
                 pool = self._lease_set.select_next_to_acquire(
                     self._list_acquirable(now_s), self._holders, now_s
@@ -206,19 +212,36 @@
                 if pool is not None:
                     await self._acquire(pool)
                     self._align_holders(group)
-                # One lease beyond the share is kept, as a service pauses whenever its lease changes
-                # hands.
-                excess = self._lease_set.select_to_release(
-                    self.pools, self._list_entries(now_s), now_s
-                )
-                for pool in excess[:-1]:
+                for pool in self._select_to_release(now_s):
                     # A holder whose starts have no answer is released by a later pass.
                     if not self._leaves_starts(pool):
                         await self._stop_and_release(pool)
             await asyncio.sleep(_TICK_S)
 
+    def list_needed(self) -> list[ids.PoolName]:
+        """Return the declared pools, and those that were left with unfinished jobs."""
+        if not self.pools:
+            return []
+        return sorted({*self.pools, *self._lease_set.list_unreleased()})
+
     def _list_acquirable(self, now_s: float) -> list[ids.PoolName]:
-        return [pool for pool in self.pools if self._reacquirable_from_s.get(pool, now_s) <= now_s]
+        return [
+            pool
+            for pool in self.list_needed()
+            if self._reacquirable_from_s.get(pool, now_s) <= now_s
+        ]
+
+    def _select_to_release(self, now_s: float) -> list[ids.PoolName]:
+        selected = self._lease_set.select_to_release(self.pools, self._list_entries(now_s), now_s)
+        undeclared = [pool for pool in selected if pool not in self.pools]
+        excess = [pool for pool in selected if pool in self.pools]
+        # One lease beyond the share is kept, as a service pauses whenever its lease changes hands.
+        return [pool for pool in undeclared if not self._is_unfinished(pool)] + excess[:-1]
+
+    def _is_unfinished(self, pool: ids.PoolName) -> bool:
+        """Return whether a pool that is not declared needs a holder for its accepted jobs."""
+        running = self._holders.get(pool)
+        return pool not in self.pools and (running is None or running[0].has_unfinished_jobs())
 
     async def _reacquire(self, group: asyncio.TaskGroup) -> None:
         """Acquire what an earlier process of this entry held, while other entries become known."""
@@ -226,7 +249,7 @@
         while self._loop.time() < until_s:
             pool = None
             if self.is_watching and not self._is_leaving:
-                pool = self._lease_set.select_to_reacquire(self.pools, self._holders)
+                pool = self._lease_set.select_to_reacquire(self.list_needed(), self._holders)
             if pool is not None:
                 await self._acquire(pool)
             self._align_holders(group)
@@ -347,13 +370,17 @@
 
     async def _stop_and_release(self, pool: ids.PoolName) -> None:
         running = self._holders.get(pool)
-        is_expiring = self._leaves_starts(pool)
+        leaves_starts, is_unfinished = self._leaves_starts(pool), self._is_unfinished(pool)
         self._stop_holder(pool)
         if running is not None:
             await asyncio.wait([running[1]])
-        if is_expiring:
+        if leaves_starts:
             _log.info("A lease expires, as starts may be carried out.", pool=pool)
             self._lease_set.drop(pool)
+        elif is_unfinished:
+            # Others take a lease that nobody has given back, whether it is declared or not.
+            _log.info("A lease expires, as an undeclared service has jobs.", pool=pool)
+            self._lease_set.drop(pool)
         elif await self._release_lease(pool):
             _log.info("A lease is given back.", pool=pool)
 
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -170,6 +170,10 @@
         lease = self._leases.get(pool)
         return lease if lease is not None and lease.holder is not None else None
 
+    def list_unreleased(self) -> list[ids.PoolName]:
+        """Return the pools whose lease was acquired and not given back, expired ones included."""
+        return [pool for pool, lease in self._leases.items() if lease.holder is not None]
+
     def drop(self, pool: ids.PoolName) -> None:
         """Stop holding a lease, for example after another transaction changed its row."""
         self.held.pop(pool, None)
--- a/packages/nutmegshelf/src/nutmegshelf/queues.py
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -149,6 +149,12 @@
                 return RouteMatch(queue, ids.JobId(path[len(queue.path_prefix) :]))
         return None
 
+    @property
+    def held_services(self) -> list[ids.ServiceName]:
+        """Return the services that need a holder, also for jobs of queues that were removed."""
+        declared = {service.name for service in self.declared.services if not service.is_spare}
+        return sorted(declared | {queue.service for queue in self.declared.queues})
+
     @property
     def spare_service(self) -> ids.ServiceName | None:
         """Return the service whose hosts are switched off, or None."""
