--- a/features/job_histories.feature
+++ b/features/job_histories.feature
@@ -9,6 +9,18 @@
       | second |
       | third  |
 
+  Scenario Outline: A small number of histories in which queues move to other services
+    Then 1 random histories of queues that move, the <part> ones, lose no job
+
+    Examples:
+      | part   |
+      | first  |
+      | second |
+
   @soak
   Scenario: A large number of histories
     Then 50 random histories of jobs, the soaked ones, violate no guarantee
+
+  @soak
+  Scenario: A large number of histories in which queues move
+    Then 50 random histories of queues that move, the soaked ones, lose no job
--- a/features/jobhistories.py
+++ b/features/jobhistories.py
@@ -128,22 +128,34 @@
 
     async def run(self):
         """Play the history, and return what violated a guarantee."""
-        self._world.declare(jobsite.declare(*QUEUES))
+        self._declare()
         for number in range(self._rng.choice([1, 2, 3])):
             self._start(f"e{number}")
         await asyncio.sleep(self._rng.choice([0.0, 0.0, 0.3, 0.8, 2.0]))
         ends_s = self._now_s() + DURATION_S
-        await asyncio.gather(
-            self._submit_until(ends_s), self._strike_until(ends_s), self._strike_until(ends_s)
-        )
+        await asyncio.gather(*self._list_activities(ends_s))
         self._end_faults()
         unfinished = await self._wait_finished()
         await self._site.close()
         failed = [f"the holder of {pool} failed" for pool in self._failed_holders]
         return [*self._world.violations, *failed, *unfinished]
 
+    def _declare(self):
+        self._world.declare(jobsite.declare(*QUEUES))
+
+    def _list_activities(self, ends_s):
+        return [
+            self._submit_until(ends_s),
+            self._strike_until(ends_s),
+            self._strike_until(ends_s),
+        ]
+
     # --- jobs
 
+    def _route(self, service, job):
+        """Return a job with its queue as an entry has it."""
+        return job
+
     def _make_job(self):
         shape = self._rng.choices(list(Shape), [WEIGHTS.get(shape, 1) for shape in Shape])[0]
         due = {"first_due_ms": int(time.time() * 1000), "interval_ms": 1}
@@ -180,7 +192,9 @@
 
     async def _submit(self, made, what):
         for _ in range(4):
-            if await self._call_any(lambda router: router.submit(made.job)):
+            if await self._call_any(
+                lambda service: service.job_router.submit(self._route(service, made.job))
+            ):
                 self._accepted[made.job.job] = made
                 self._note(f"{made.job.job} is accepted: {what}")
                 break
@@ -200,16 +214,18 @@
         self._note(f"{job.job} is cancelled")
         # A cancellation without an answer may be in force, and may come after the end.
         accepted.end_states |= {"cancelled", "succeeded", "failed"}
-        await self._call_any(lambda router: router.cancel(job.queue, job.job))
+        await self._call_any(
+            lambda service: service.job_router.cancel(self._route(service, job).queue, job.job)
+        )
 
     async def _call_any(self, call):
-        """Call the router of any entry; return whether it answered with success."""
+        """Call any entry; return whether it answered with success."""
         if not self._site.entries:
             return False
         service, _ = self._site.entries[self._rng.choice(list(self._site.entries))]
         with contextlib.suppress(exceptions.NutmegshelfError, TimeoutError):
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                await call(service.job_router)
+                await call(service)
                 return True
         return False
 
