Pending counts: by the queue's address, and without services that need no holder

Jobs count by the name or the address of their queue, and only services that need a holder are asked.

--- a/features/moved_queues.feature
+++ b/features/moved_queues.feature
@@ -44,6 +44,17 @@
     And then its queue moves to the other service
     Then each entry counts 4 pending jobs
 
+  Scenario Outline: The pending jobs of a queue that <moves> can't be counted
+    Given 3 entries, two services and a queue of the first
+    When 4 jobs wait for room
+    And then its queue <moves>
+    Then each entry counts <count> pending jobs
+
+    Examples:
+      | moves                                                          | count |
+      | moves to the other service under another name                  | 4     |
+      | moves, and its first service isn't declared once its jobs end  | 0     |
+
   Scenario: Jobs that wait at the former service of their queue run at both
     Given 3 entries, two services and a queue of the first
     When 4 jobs wait for room
--- a/features/steps/moved_queue_steps.py
+++ b/features/steps/moved_queue_steps.py
@@ -15,6 +15,8 @@
 WORK_S = 3.0
 SETTLE_S = 0.6
 CALL_LIMIT_S = 3.0
+# Longer than a lease lasts.
+LEASE_S = 4.0
 STEPS = (jobs.Step(count=2, cpu_millis=1000, memory_mb=100, estimate_ms=500),)
 LASTING_STEPS = (jobs.Step(count=2, cpu_millis=1000, memory_mb=100, long_running=True),)
 # One job takes the whole room of a service.
@@ -126,6 +128,12 @@
         assert await submit(context, "e0", add_job(context, STEPS)) == "accepted"
         declare(context, "a")
         await asyncio.sleep(SETTLE_S)
+    if "isn't declared once its jobs end" in moves:
+        await asyncio.sleep(6 * WORK_S)
+        kept = jobsite.queue(name="kept-b", service="b")
+        context.world.declare(jobsite.declare(kept, make_queue("b"), version=context.version + 1))
+        await asyncio.sleep(LEASE_S)
+        assert context.site.holder_of("a") is None
     if "all entries are killed" in moves:
         names = list(context.site.entries)
         await asyncio.gather(*map(context.site.kill, names))
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -154,7 +154,7 @@
             case calls.CancelJob():
                 reply = await self._cancel(call.job)
             case calls.CountPendingJobs():
-                reply = self._count_pending(call.queue)
+                reply = self._count_pending(call)
             case calls.EvacuateHost():
                 reply = await self._evacuate(call)
             case _:
@@ -321,9 +321,10 @@
             call, self.scheduler, self.notes.decisions, own_view, now_s
         )
 
-    def _count_pending(self, queue: ids.QueueName) -> calls.Reply:
+    def _count_pending(self, call: calls.CountPendingJobs) -> calls.Reply:
         pending = sum(
-            record.progress.state is jobs.JobState.QUEUED and record.job.queue.name == queue
+            record.progress.state is jobs.JobState.QUEUED
+            and (record.job.queue.name == call.queue or record.job.queue.address == call.address)
             for record in self.scheduler.registry.live.values()
         )
         return calls.Reply(status=calls.Status.DONE, count=pending)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -486,11 +486,13 @@
 
     async def count_pending(self, queue: queues.Queue) -> int:
         """Return the number of jobs of a queue that have not started; raises RequestError."""
-        counted = {queue.service, *await self._admissions.list_recent_services(queue)}
+        former = {*await self._admissions.list_recent_services(queue)}
+        # A service that needs no holder has no jobs that wait.
+        counted = {queue.service} | (former & {*self.list_services()})
         return sum(await asyncio.gather(*(self._count_at(service, queue) for service in counted)))
 
     async def _count_at(self, service: ids.ServiceName, queue: queues.Queue) -> int:
-        call = calls.CountPendingJobs(service=service, queue=queue.name)
+        call = calls.CountPendingJobs(service=service, queue=queue.name, address=queue.address)
         result = await self._call_holder(call, _READ_TIMEOUT_S)
         if result.reply is None:
             raise exceptions.RequestError(exceptions.ErrorKind.JOB_UNREADABLE)
--- a/packages/nutmegshelf/src/nutmegshelf/assignments.py
+++ b/packages/nutmegshelf/src/nutmegshelf/assignments.py
@@ -52,11 +52,11 @@
 
 
 def _make_name(queue: queues.Queue) -> str:
-    # Callers know a queue by its address; it may be declared again under another name.
-    name = f"{queue.host}{queue.path_prefix}"
-    if len(name.encode()) <= _MAX_NAME_BYTES:
-        return name
-    return hashlib.blake2b(name.encode(), digest_size=16).hexdigest()
+    # A queue may be declared again under another name.
+    address = queue.address
+    if len(address.encode()) <= _MAX_NAME_BYTES:
+        return address
+    return hashlib.blake2b(address.encode(), digest_size=16).hexdigest()
 
 
 def assign(
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -58,7 +58,9 @@
 
 
 class CountPendingJobs(QueueCall, frozen=True, kw_only=True, tag="CountPending"):
-    """Return how many jobs of a queue have not started."""
+    """Return how many jobs of a queue, by its name or its address, have not started."""
+
+    address: str = ""
 
 
 class EvacuateHost(Call, frozen=True, kw_only=True, tag="Give"):
--- a/packages/nutmegshelf/src/nutmegshelf/queues.py
+++ b/packages/nutmegshelf/src/nutmegshelf/queues.py
@@ -33,6 +33,11 @@
     stretch: float = 1.0
     advised: AdviceTiming | None = None
 
+    @property
+    def address(self) -> str:
+        """Return the host and the path prefix, by which callers know the queue."""
+        return f"{self.host}{self.path_prefix}"
+
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """A service: a pool of workers that run the jobs of its queues."""
