Takeovers: hand a service over at once, and tell the next holder of starts without an answer

But that is about workers that don't answer, and everything else waited as well.

Evidence: `A lease expires, as starts may be carried out.` is the only such line before the gap. Two new rows of features/restarted_workers.feature fail before ("held: ['e0', 'e1']" after 1.2 s).

Why this is as safe: a lease that is given back, or whose holder tells its peers, says whether starts were left. The next holder then waits 2.5 s longer for workers that haven't answered it, so until as long after the former one's end as before: 9.1 s from when it asked for the lease. A worker that answers has seen its fencing token, as before. It passes the word on if it ends before that.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -184,6 +184,19 @@
       | stopped                | 0.5   | 2.0  |
       | cut off from the table | 0.2   | 2.3  |
 
+  # Callers waited until the lease had expired (dorna-studio-grown trouble-1, seed 11).
+  Scenario Outline: A service stands still as its holder, <ended>, leaves starts without an answer
+    Given 3 entries and 8 workers of one service
+    And its tasks take 12 s
+    When 2 jobs of 6 tasks come and the busiest worker is cut off after 1 starts
+    And the holder is <ended> 1 s later
+    Then another entry holds the service within 1.2 s, and waits 9.12 s for the worker
+
+    Examples:
+      | ended                  |
+      | stopped                |
+      | cut off from the table |
+
   Scenario: A later incarnation carries out a start seconds after its holder was killed
     Given 2 entries and 8 workers of one service
     And its tasks take 12 s
--- a/features/steps/restarted_worker_steps.py
+++ b/features/steps/restarted_worker_steps.py
@@ -177,6 +177,29 @@
     await context.site.kill(context.site.holder_of("a"))
 
 
+@behave.then(
+    "another entry holds the service within {seconds:g} s, and waits {wait_s:g} s for the worker"
+)
+@jobs_steps.paused
+async def check_next_holder(context, seconds, wait_s):
+    former, began_s = context.site.holder_of("a"), jobs_steps.get_time_s()
+
+    async def is_held():
+        holders = {
+            name: service.lease_manager.get_holder("a")
+            for name, (service, _) in context.site.entries.items()
+            if name != former
+        }
+        context.next = next((each for each in holders.values() if each is not None), None)
+        return (context.next is not None and context.next.is_loaded) or list(holders)
+
+    await jobs_steps.wait_until(seconds, is_held, "held")
+    await asyncio.sleep(began_s + wait_s - 0.1 - jobs_steps.get_time_s())
+    assert not context.next.scheduler.is_reconciled
+    await asyncio.sleep(seconds + 0.3)
+    assert context.next.scheduler.is_reconciled
+
+
 @behave.then("after {seconds:g} s each of their tasks runs once")
 @jobs_steps.paused
 async def check_each_runs(context, seconds):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -73,6 +73,7 @@
         ended_retention_s: float,
         max_row_bytes: int,
         acquired_s: float,
+        has_left_starts: bool,
         timings: histograms.Histograms,
         transport: sender.Transport,
         queue_admissions: admissions.Admissions,
@@ -92,7 +93,7 @@
         self._loop = asyncio.get_running_loop()
         self.scheduler = scheduler.Scheduler(
             self.epoch,
-            lease_expiry_s=leaselimits.get_takeover_s(max_lease_s),
+            lease_expiry_s=leaselimits.get_takeover_s(max_lease_s, may_have_starts=has_left_starts),
             now_s=acquired_s,
             is_takeover=True,
             max_lease_s=max_lease_s,
@@ -129,6 +130,8 @@
         self.stages.histograms = timings
         self.notes = notelog.NoteLog("holder", pool, self.stages)
         self._acquired_s = acquired_s
+        # Whether the former holder left starts without an answer.
+        self._has_left_starts = has_left_starts
         self._was_reconciled = False
 
     def wake(self) -> None:
@@ -183,6 +186,8 @@
 
     def has_unanswered_starts(self) -> bool:
         """Return whether starts may be carried out of which the next holder doesn't know."""
+        if self._has_left_starts and not self._was_reconciled:
+            return True
         return self.scheduler.has_unanswered_starts(self._loop.time())
 
     def has_unfinished_jobs(self) -> bool:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -132,7 +132,9 @@
                 can_rule_out = self._can_rule_out(call)
                 status = calls.Status.NOT_STORED if can_rule_out else calls.Status.UNSETTLED
             case calls.LeaseRelinquished():
-                self._lease_manager.record_relinquished(call.service, call.epoch)
+                self._lease_manager.record_relinquished(
+                    call.service, call.epoch, leaves_starts=call.leaves_starts
+                )
                 status = calls.Status.DONE
             case calls.ReportDoubts():
                 for job in call.jobs:
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_service.py
@@ -319,7 +319,9 @@
             beat=beat,
         )
 
-    def _make_holder(self, pool: ids.PoolName, acquired_s: float) -> lease_manager.LeaseHolder:
+    def _make_holder(
+        self, pool: ids.PoolName, acquired_s: float, has_left_starts: bool
+    ) -> lease_manager.LeaseHolder:
         if pool == fleet_holder.FLEET:
             return fleet_holder.FleetHolder(
                 self._adapters.rows,
@@ -345,6 +347,7 @@
             ended_retention_s=self._settings.ended_kept_s,
             max_row_bytes=self._settings.max_row_bytes,
             acquired_s=acquired_s,
+            has_left_starts=has_left_starts,
             timings=self.timings,
             transport=self._transport,
             queue_admissions=self.admissions,
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/lease_manager.py
@@ -54,8 +54,9 @@
         """Return whether the service needs a holder, even if it is not declared any more."""
 
 
-# Creates the holder of a pool, given the time at which its lease was requested.
-HolderFactory = collections.abc.Callable[[ids.PoolName, float], LeaseHolder]
+# Creates the holder of a pool, given the time at which its lease was requested, and whether the
+# former holder left starts without an answer.
+HolderFactory = collections.abc.Callable[[ids.PoolName, float, bool], LeaseHolder]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +65,7 @@
 
     epoch: ids.Epoch
     sent_s: float
+    has_left_starts: bool
 
 
 class LeaseManager:
@@ -261,7 +263,11 @@
         return sorted(live | {self._lease_set.entry})
 
     async def _acquire(self, pool: ids.PoolName) -> None:
-        acquisition = _Acquisition(self._lease_set.get_next_epoch(pool), self._loop.time())
+        acquisition = _Acquisition(
+            self._lease_set.get_next_epoch(pool),
+            self._loop.time(),
+            self._lease_set.has_left_starts(pool),
+        )
         earlier = self._acquisitions.get(pool)
         if earlier is None or earlier.epoch != acquisition.epoch:
             # Of several attempts without an answer, any one may be carried out; the first is the
@@ -312,7 +318,7 @@
     ) -> None:
         age_s = round(self._loop.time() - acquisition.sent_s, 3)
         _log.info("A lease is taken.", pool=pool, epoch=acquisition.epoch, age_s=age_s)
-        holder = self._make_holder(pool, acquisition.sent_s)
+        holder = self._make_holder(pool, acquisition.sent_s, acquisition.has_left_starts)
         self._holders[pool] = holder, group.create_task(self._run_holder(pool, holder))
 
     async def _run_holder(self, pool: ids.PoolName, holder: LeaseHolder) -> None:
@@ -337,12 +343,13 @@
         if running is not None:
             running[1].cancel()
 
-    async def _release_lease(self, pool: ids.PoolName) -> bool:
+    async def _release_lease(self, pool: ids.PoolName, *, leaves_starts: bool = False) -> bool:
         for _ in range(_MAX_RELEASE_ATTEMPTS):
             if pool not in self._lease_set.held:
                 return False
             try:
-                committed = await self._rows.commit(self._lease_set.make_release(pool))
+                release = self._lease_set.make_release(pool, leaves_starts=leaves_starts)
+                committed = await self._rows.commit(release)
             except exceptions.TableError as error:
                 _log.warning("Failed to release a lease.", pool=pool, why=str(error))
                 await asyncio.sleep(_RETRY_DELAY_S)
@@ -374,15 +381,12 @@
         self._stop_holder(pool)
         if running is not None:
             await asyncio.wait([running[1]])
-        if leaves_starts:
-            _log.info("A lease expires, as starts may be carried out.", pool=pool)
-            self._lease_set.drop(pool)
-        elif is_unfinished:
+        if is_unfinished:
             # Others take a lease that nobody has given back, whether it is declared or not.
             _log.info("A lease expires, as an undeclared service has jobs.", pool=pool)
             self._lease_set.drop(pool)
-        elif await self._release_lease(pool):
-            _log.info("A lease is given back.", pool=pool)
+        elif await self._release_lease(pool, leaves_starts=leaves_starts):
+            _log.info("A lease is given back.", pool=pool, leaves_starts=leaves_starts)
 
     async def _watch_table(self) -> None:
         """Relinquish all leases when other entries reach the table, but this one does not."""
@@ -411,7 +415,7 @@
 
     async def _relinquish(self, peers: list[members.EntryRow]) -> None:
         epochs = {pool: self._lease_set.held[pool].lease.epoch for pool in self._lease_set.held}
-        expiring = {pool for pool in self._holders if self._leaves_starts(pool)}
+        leaving_starts = {pool for pool in self._holders if self._leaves_starts(pool)}
         # The holders end first, so that they issue no orders after the other entries are notified.
         tasks = [task for _, task in self._holders.values()]
         for pool in list(self._holders):
@@ -420,11 +424,15 @@
             await asyncio.wait(tasks)
         for pool, epoch in epochs.items():
             self._lease_set.drop(pool)
-            if pool in expiring:
-                _log.info("A lease expires, as starts may be carried out.", pool=pool)
-                continue
-            _log.warning("A lease is given up, as only others reach the table.", pool=pool)
-            call = calls.LeaseRelinquished(service=ids.ServiceName(pool), epoch=epoch)
+            leaves_starts = pool in leaving_starts
+            _log.warning(
+                "A lease is given up, as only others reach the table.",
+                pool=pool,
+                leaves_starts=leaves_starts,
+            )
+            call = calls.LeaseRelinquished(
+                service=ids.ServiceName(pool), epoch=epoch, leaves_starts=leaves_starts
+            )
             await asyncio.gather(*(self._call_peer(row, call) for row in peers))
 
     async def _call_peer(self, row: members.EntryRow, call: calls.AnyCall) -> calls.Reply | None:
@@ -444,10 +452,12 @@
             return False
         return True
 
-    def record_relinquished(self, pool: str, epoch: ids.Epoch) -> None:
+    def record_relinquished(self, pool: str, epoch: ids.Epoch, *, leaves_starts: bool) -> None:
         """Record that a holder gave its lease up, so that it can be acquired at once."""
         _log.info("A lease was given up.", pool=pool, epoch=epoch)
-        self._lease_set.mark_relinquished(ids.PoolName(pool), epoch, self._loop.time())
+        self._lease_set.mark_relinquished(
+            ids.PoolName(pool), epoch, self._loop.time(), leaves_starts=leaves_starts
+        )
 
     async def leave(self) -> None:
         """Release all leases, and mark this entry as leaving in its row."""
--- a/packages/nutmegshelf/src/nutmegshelf/calls.py
+++ b/packages/nutmegshelf/src/nutmegshelf/calls.py
@@ -164,9 +164,13 @@
 
 
 class LeaseRelinquished(Call, frozen=True, kw_only=True, tag="GaveUp"):
-    """The sender has given up a service's lease, but could not store that."""
+    """The sender has given up a service's lease, but could not store that.
+
+    It may leave starts without an answer, which may still be carried out.
+    """
 
     epoch: ids.Epoch
+    leaves_starts: bool = False
 
 
 class ReportDoubts(Call, frozen=True, kw_only=True, tag="Doubts"):
--- a/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
@@ -16,14 +16,18 @@
 _MAX_SENDING_S = 1.0
 # Most calls are carried out within this time.
 _USUAL_DELAY_S = 0.5
+# As long as it takes until others take the lease of a holder that has ended without notice.
+_LEFT_START_DELAY_S = 2.5
 
 
-def get_takeover_s(max_lease_s: float) -> float:
+def get_takeover_s(max_lease_s: float, *, may_have_starts: bool = False) -> float:
     """Return how long leases may last after the end of the holder that asked for them.
 
     It doesn't cover calls that are carried out later than usual, as all tasks of the service wait.
+    Starts without an answer that the holder left, and told of, have some more time.
     """
-    return fleetview.get_max_duration_s(max_lease_s) + _USUAL_DELAY_S
+    delay_s = _USUAL_DELAY_S + (_LEFT_START_DELAY_S if may_have_starts else 0.0)
+    return fleetview.get_max_duration_s(max_lease_s) + delay_s
 
 
 class LeaseLimits:
--- a/packages/nutmegshelf/src/nutmegshelf/leases.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leases.py
@@ -21,7 +21,8 @@
     """The lease of a pool.
 
     The epoch grows with each holder, the beat with each transaction of the holder, and the
-    revision with each change to rows of hosts.
+    revision with each change to rows of hosts. A lease that was given back tells whether its holder
+    left starts without an answer.
     """
 
     pool: ids.PoolName
@@ -31,6 +32,7 @@
     beat: int = 0
     revision: int = 0
     address: str = ""
+    leaves_starts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +53,7 @@
 class _Relinquished:
     epoch: ids.Epoch
     since_s: float
+    leaves_starts: bool
 
 
 def key(pool: ids.PoolName) -> str:
@@ -179,9 +182,20 @@
         self.held.pop(pool, None)
         self._held_since_s.pop(pool, None)
 
-    def mark_relinquished(self, pool: ids.PoolName, epoch: ids.Epoch, now_s: float) -> None:
+    def mark_relinquished(
+        self, pool: ids.PoolName, epoch: ids.Epoch, now_s: float, *, leaves_starts: bool
+    ) -> None:
         """Record that the holder of an epoch issues no orders any more."""
-        self._relinquished[pool] = _Relinquished(epoch, now_s)
+        self._relinquished[pool] = _Relinquished(epoch, now_s, leaves_starts)
+
+    def has_left_starts(self, pool: ids.PoolName) -> bool:
+        """Return whether the last holder said that it leaves starts without an answer."""
+        lease, relinquished = self._leases.get(pool), self._relinquished.get(pool)
+        if lease is None:
+            return False
+        if relinquished is not None and relinquished.epoch == lease.epoch:
+            return relinquished.leaves_starts
+        return lease.leaves_starts
 
     def expired_holders(self, now_s: float) -> set[ids.EntryId]:
         """Return the other entries that hold an expired lease."""
@@ -290,10 +304,14 @@
             writes=(platform.Write(key(pool), codecs.pack(acquired)),),
         )
 
-    def make_release(self, pool: ids.PoolName) -> platform.Transaction:
+    def make_release(
+        self, pool: ids.PoolName, *, leaves_starts: bool = False
+    ) -> platform.Transaction:
         """Return the transaction that releases a lease and keeps its epoch."""
         held = self.held[pool]
-        released = msgspec.structs.replace(held.lease, holder=None, incarnation="", address="")
+        released = msgspec.structs.replace(
+            held.lease, holder=None, incarnation="", address="", leaves_starts=leaves_starts
+        )
         return platform.Transaction(
             conditions=(platform.Condition(key(pool), held.version),),
             writes=(platform.Write(key(pool), codecs.pack(released)),),
