--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -1066,6 +1066,7 @@
         "lost": submission.lose_attempt,
         "stored": submission.confirm_stored,
         "closed": submission.close,
+        "ruled-out": submission.rule_out,
     }
     for event in events.split(", "):
         apply_by_event[event]()
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -266,6 +266,8 @@
       | joined, sent, closed, refused           | not-stored |
       | joined, sent, stored                    | stored     |
       | joined, sent, lost, stored, closed      | stored     |
+      | joined, sent, lost, ruled-out           | not-stored |
+      | joined, sent, ruled-out, left           | not-stored |
 
   Scenario Outline: An entry forgets what became of a submission
     Then after a job was <events>, an entry says that it <stored> be stored, and that it <appears> appear
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -93,7 +93,7 @@
         self._loop = asyncio.get_running_loop()
         self.scheduler = scheduler.Scheduler(
             self.epoch,
-            lease_expiry_s=leaselimits.get_takeover_s(max_lease_s, may_have_starts=has_left_starts),
+            lease_expiry_s=leaselimits.get_takeover_s(max_lease_s, has_left_starts=has_left_starts),
             now_s=acquired_s,
             is_takeover=True,
             max_lease_s=max_lease_s,
--- a/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
@@ -20,13 +20,13 @@
 _LEFT_START_DELAY_S = 2.5
 
 
-def get_takeover_s(max_lease_s: float, *, may_have_starts: bool = False) -> float:
+def get_takeover_s(max_lease_s: float, *, has_left_starts: bool = False) -> float:
     """Return how long leases may last after the end of the holder that asked for them.
 
     It doesn't cover calls that are carried out later than usual, as all tasks of the service wait.
     Starts without an answer that the holder left, and told of, have some more time.
     """
-    delay_s = _USUAL_DELAY_S + (_LEFT_START_DELAY_S if may_have_starts else 0.0)
+    delay_s = _USUAL_DELAY_S + (_LEFT_START_DELAY_S if has_left_starts else 0.0)
     return fleetview.get_max_duration_s(max_lease_s) + delay_s
 
 
