Lookups: ask the holders of all services of a queue before the table

What callers saw: after a move, GET for a job at the former service got 503 (job-unreadable) while its holder knew it.

Cause: the table was read at the queue's present service, and for the list of its services, before the former holder was asked; the log names a read that had no answer within 0.3 s. A job that has not moved is answered by its holder, without the table.

Why this works: the holders of the services that the entry knows to have had the queue are asked before the table, and the table is read only for what none of them knows. Without a move the calls are the same as before.

--- a/features/moved_queues.feature
+++ b/features/moved_queues.feature
@@ -24,6 +24,15 @@
       | moves, and the holder of the first service is killed          |
       | moves, and the holder of the other service is killed          |
 
+  # A state that its holder knows was read from the table first (found by a soak, at a slow store).
+  Scenario: A job at the former service of its queue can't be shown while the table is away
+    Given 3 entries, two services and a queue of the first
+    When a job is accepted
+    And then its queue moves to the other service
+    Then each entry tells callers of the job
+    When the table is away
+    Then each entry tells callers of the job
+
   # The cancellation was answered 410 and the job ran on.
   Scenario Outline: A job that is cancelled after its queue <moves> runs on
     Given 3 entries, two services and a queue of the first
--- a/features/steps/moved_queue_steps.py
+++ b/features/steps/moved_queue_steps.py
@@ -154,6 +154,13 @@
         assert set(told.values()) <= shown, (job.job, told)
 
 
+@behave.when("the table is away")
+@jobs_steps.paused
+async def stop_table(context):
+    for view in context.site.views.values():
+        view.is_unavailable = True
+
+
 @behave.then("the same submission is accepted by each entry")
 @jobs_steps.paused
 async def submit_again(context):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/admissions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/admissions.py
@@ -178,6 +178,12 @@
             ) from error
         return any(row.version for row in rows)
 
+    def get_services(self, queue: queues.Queue) -> tuple[ids.ServiceName, ...]:
+        """Return the services that are known here to have had a queue."""
+        admission = self.get(queue)
+        listed, _ = self._services.get(assignments.assignment_key(queue), ((), 0.0))
+        return (*listed, *(admission.former if admission is not None else ()))
+
     async def list_services(self, queue: queues.Queue) -> tuple[ids.ServiceName, ...]:
         """Return the services that may have jobs of a queue; raises TableUnavailable."""
         key = assignments.assignment_key(queue)
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/job_router.py
@@ -69,6 +69,15 @@
 
     may_appear: bool
 
+    def make_error(self, failure: exceptions.ErrorKind) -> exceptions.RequestError:
+        """Return what a caller is told, with the given kind if the job may appear."""
+        if self.may_appear:
+            return exceptions.RequestError(failure, "its submission is in doubt")
+        return exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
+
+
+_Found = jobs.JobState | _Missing
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StoreResult:
@@ -383,20 +392,18 @@
         """Return a job's state from its holder or the table; raises RequestError."""
         return await self._look_up(
             queue,
-            exceptions.ErrorKind.JOB_UNREADABLE,
-            lambda at: self._get_state_at(at, queue, job),
+            lambda service: calls.GetJob(service=service, queue=queue.name, job=job),
+            lambda service, result: self._read_state(service, job, result),
+            timeout_s=_READ_TIMEOUT_S,
+            failure=exceptions.ErrorKind.JOB_UNREADABLE,
         )
 
-    async def _get_state_at(
-        self, service: ids.ServiceName, queue: queues.Queue, job: ids.JobId
+    async def _read_state(
+        self, service: ids.ServiceName, job: ids.JobId, holder_result: CallResult
     ) -> jobs.JobState | _Missing:
-        call = calls.GetJob(service=service, queue=queue.name, job=job)
-        result = await self._call_holder(call, _READ_TIMEOUT_S)
-        if result.reply is not None and result.reply.status is calls.Status.DONE:
-            return result.reply.state
         job_row = await self._rows.read(jobs.job_key(service, job))
         if not job_row.version:
-            return _Missing(await self._may_appear(service, job, result))
+            return _Missing(await self._may_appear(service, job, holder_result))
         progress_row = await self._rows.read(jobs.progress_key(service, job))
         if not progress_row.version:
             return jobs.JobState.QUEUED
@@ -409,34 +416,35 @@
         """Cancel a job, or store the request for its next holder; raises RequestError."""
         await self._look_up(
             queue,
-            exceptions.ErrorKind.JOB_UNSETTLED,
-            lambda at: self._cancel_at(at, queue.name, job),
+            lambda service: calls.CancelJob(service=service, queue=queue.name, job=job),
+            lambda service, result: self._store_cancellation(service, job, result),
+            timeout_s=_WRITE_TIMEOUT_S,
+            failure=exceptions.ErrorKind.JOB_UNSETTLED,
         )
 
     async def cancel_at(
         self, service: ids.ServiceName, queue: ids.QueueName, job: ids.JobId
     ) -> None:
         """Cancel a job of a service, whether or not its queue is declared; raises RequestError."""
-        kind = exceptions.ErrorKind.JOB_UNSETTLED
+        call = calls.CancelJob(service=service, queue=queue, job=job)
+        result = await self._call_holder(call, _WRITE_TIMEOUT_S)
+        if result.reply is not None and result.reply.status is calls.Status.DONE:
+            return
         try:
-            cancelled = await self._cancel_at(service, queue, job)
+            cancelled = await self._store_cancellation(service, job, result)
         except exceptions.TableError as error:
+            kind = exceptions.ErrorKind.JOB_UNSETTLED
             raise exceptions.RequestError(kind, str(error)) from error
         if isinstance(cancelled, _Missing):
-            kind = kind if cancelled.may_appear else exceptions.ErrorKind.UNKNOWN_JOB
-            raise exceptions.RequestError(kind)
+            raise cancelled.make_error(exceptions.ErrorKind.JOB_UNSETTLED)
 
-    async def _cancel_at(
-        self, service: ids.ServiceName, queue: ids.QueueName, job: ids.JobId
+    async def _store_cancellation(
+        self, service: ids.ServiceName, job: ids.JobId, holder_result: CallResult
     ) -> jobs.JobState | _Missing:
-        call = calls.CancelJob(service=service, queue=queue, job=job)
-        result = await self._call_holder(call, _WRITE_TIMEOUT_S)
-        if result.reply is not None and result.reply.status is calls.Status.DONE:
-            return jobs.JobState.CANCELLED
         row = await self._rows.read(jobs.job_key(service, job))
         stored_job = rowcodec.decode(row, jobs.Job) if row.version else None
         if stored_job is None:
-            return _Missing(await self._may_appear(service, job, result))
+            return _Missing(await self._may_appear(service, job, holder_result))
         await self._rows.commit(jobs.build_cancellation(stored_job, row.version))
         _log.info("A job's cancellation is stored for its holder.", job=job, service=service)
         return jobs.JobState.CANCELLED
@@ -444,29 +452,50 @@
     async def _look_up(
         self,
         queue: queues.Queue,
-        failure: exceptions.ErrorKind,
-        look_up_at: collections.abc.Callable[
-            [ids.ServiceName], collections.abc.Awaitable[jobs.JobState | _Missing]
+        make_call: collections.abc.Callable[[ids.ServiceName], calls.GetJob | calls.CancelJob],
+        read_table: collections.abc.Callable[
+            [ids.ServiceName, CallResult], collections.abc.Awaitable[jobs.JobState | _Missing]
         ],
+        *,
+        timeout_s: float,
+        failure: exceptions.ErrorKind,
     ) -> jobs.JobState:
         """Look a job up at its queue's service, then at the others that have had the queue.
 
-        Raises RequestError, with the given kind if it isn't known whether there is such a job.
+        The holders are asked first, as they answer without the table. Raises RequestError, with the
+        given kind if it isn't known whether there is such a job.
         """
+        results: dict[ids.ServiceName, CallResult] = {}
+
+        async def ask(services: collections.abc.Iterable[ids.ServiceName]) -> calls.Reply | None:
+            asked = sorted({*services} - results.keys())
+            answers = [self._call_holder(make_call(service), timeout_s) for service in asked]
+            results.update(zip(asked, await asyncio.gather(*answers), strict=True))
+            replies = [results[service].reply for service in asked]
+            done = (each for each in replies if each and each.status is calls.Status.DONE)
+            return next(done, None)
+
+        async def read(services: collections.abc.Iterable[ids.ServiceName]) -> list[_Found]:
+            return await asyncio.gather(*(read_table(each, results[each]) for each in services))
+
+        reply = await ask([queue.service]) or await ask(self._admissions.get_services(queue))
+        if reply is not None:
+            return reply.state
         try:
-            found = [await look_up_at(queue.service)]
-            if isinstance(found[0], _Missing):
-                services = await self._admissions.list_services(queue)
-                others = [service for service in services if service != queue.service]
-                found += await asyncio.gather(*map(look_up_at, others))
+            found = await read([*results])
+            if all(isinstance(each, _Missing) for each in found):
+                others = {*await self._admissions.list_services(queue)} - results.keys()
+                reply = await ask(others)
+                if reply is not None:
+                    return reply.state
+                found += await read(others)
         except exceptions.TableError as error:
             raise exceptions.RequestError(failure, str(error)) from error
+        missing = [each for each in found if isinstance(each, _Missing)]
         states = [each for each in found if isinstance(each, jobs.JobState)]
         if states:
             return states[0]
-        if any(isinstance(each, _Missing) and each.may_appear for each in found):
-            raise exceptions.RequestError(failure, "its submission is in doubt")
-        raise exceptions.RequestError(exceptions.ErrorKind.UNKNOWN_JOB)
+        raise _Missing(any(each.may_appear for each in missing)).make_error(failure)
 
     async def _may_appear(
         self, service: ids.ServiceName, job: ids.JobId, holder_result: CallResult
