Closing read: say "unknown" where a queue's services can't be read; one figure for a handover

Three things:

- An entry with older routes said 503, not run, of a job that another service may have: the admission was refused as the queue had moved, and reading its services then failed, which counted as "nothing was sent".
It is "unknown" now.
The new scenario fails before (TableUnavailable in place of TableAnswerLost).
- How much longer a holder waits after a handover was a figure of its own beside the duration of a lease (2.5 s both).
- Rows of a former release (a job without an admission, a lease without the word on starts that were left) had no test: one job, known and run once, also after a move.
It passed before, too.

--- a/features/moved_queues.feature
+++ b/features/moved_queues.feature
@@ -125,6 +125,20 @@
     And a wave requests the upkeep of all hosts within 30 s, 1 at once
     Then within 40 s the wave is reported as done
 
+  # 503 said that a job never runs that another service may have.
+  Scenario: A job is rejected though the services of its queue, which moved, can't be read
+    Given a queue that a newer configuration has given to another service
+    When an entry with the older one admits a job, and can't read which services there are
+    Then it isn't known whether another service has the job
+
+  # Rows without an admission, and leases without the word on starts that were left.
+  Scenario: A job that a former release stored is unknown, or runs twice, after its queue moves
+    Given 3 entries that start with a job and a lease of a former release
+    When its queue moves to the other service
+    Then each entry tells callers of the job
+    And the same submission is accepted by each entry
+    And the job's tasks have run once
+
   Scenario: Two services admit one queue's jobs in some order of changes
     Then in 200 random orders of 5 versions at 4 entries, one service at most admits new jobs
     And a job that the entries submit is stored at one service
--- a/features/steps/moved_queue_steps.py
+++ b/features/steps/moved_queue_steps.py
@@ -4,7 +4,7 @@
 import random
 
 import behave
-from nutmegshelf import assignments, codecs, exceptions, fleetview, ids, jobs
+from nutmegshelf import assignments, codecs, exceptions, fleetview, ids, jobs, platform
 from nutmegshelf_entry import admissions
 from nutmegshelf_standins import clock
 
@@ -39,11 +39,30 @@
 @behave.given("{entries:d} entries, two services and a queue of the first")
 @jobs_steps.paused
 async def make_site(context, entries):
+    make_world(context)
+    await start_entries(context, entries)
+
+
+@behave.given("{entries:d} entries that start with a job and a lease of a former release")
+@jobs_steps.paused
+async def make_former_site(context, entries):
+    make_world(context)
+    context.world.table.apply(jobs.build_submission(add_job(context, STEPS)))
+    lease = {"pool": "a", "holder": None, "incarnation": "", "epoch": 3, "beat": 9, "revision": 0}
+    write = platform.Write("leases/a", codecs.pack({**lease, "address": ""}))
+    context.world.table.apply(platform.Transaction(writes=(write,)))
+    await start_entries(context, entries)
+
+
+def make_world(context):
     context.world = jobworld.World({"a": 2, "b": 2})
     context.world.default_work = (WORK_S, fleetview.RunOutcome.DONE)
     context.site = jobsite.Site(context.world)
     context.version = 0
     context.submitted = []
+
+
+async def start_entries(context, entries):
     declare(context, "a")
     for number in range(entries):
         context.site.start(f"e{number}")
@@ -382,6 +401,43 @@
 # --- the rows alone
 
 
+class UnlistedTable(jobtable.TableClient):
+    """A table that answers the first read of an assignment only."""
+
+    listed = 0
+
+    async def read(self, key):
+        if key == assignments.assignment_key(make_queue("a")):
+            self.listed += 1
+            if self.listed > 1:
+                raise exceptions.TableUnavailable("503")
+        return await super().read(key)
+
+
+@behave.given("a queue that a newer configuration has given to another service")
+@jobs_steps.paused
+async def give_queue(context):
+    context.queue_table = jobtable.Table()
+    own = admissions.Admissions(jobtable.TableClient(context.queue_table))
+    await own.open(make_queue("a"), ids.Version(1))
+    await own.open(make_queue("b"), ids.Version(2))
+
+
+@behave.when("an entry with the older one admits a job, and can't read which services there are")
+@jobs_steps.paused
+async def admit_unlisted(context):
+    own = admissions.Admissions(UnlistedTable(context.queue_table))
+    try:
+        await own.admit(jobsite.job(1, STEPS, queue=make_queue("a")), ids.Version(1))
+    except (exceptions.TableError, admissions.QueueMoved) as error:
+        context.error = error
+
+
+@behave.then("it isn't known whether another service has the job")
+def check_unknown(context):
+    assert isinstance(context.error, exceptions.TableAnswerLost), repr(context.error)
+
+
 class ErraticTable(jobtable.TableClient):
     """A table whose answers take random times, are lost, or belong to late transactions."""
 
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/admissions.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/admissions.py
@@ -76,7 +76,13 @@
         try:
             admission = self.get(job.queue) or await self.open(job.queue, version)
         except QueueMoved:
-            if await self.is_stored(job, await self.list_services(job.queue)):
+            try:
+                services = await self.list_services(job.queue)
+            except exceptions.TableError as error:
+                raise exceptions.TableAnswerLost(
+                    f"another service of the queue may have the job: {error}"
+                ) from error
+            if await self.is_stored(job, services):
                 return None
             raise
         if admission.former and await self.is_stored(job, admission.former):
--- a/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
+++ b/packages/nutmegshelf-entry/src/nutmegshelf_entry/holder.py
@@ -91,9 +91,10 @@
         self._transport = transport
         self._admissions = queue_admissions
         self._loop = asyncio.get_running_loop()
+        handover_s = lease_set.duration_s if has_left_starts else 0.0
         self.scheduler = scheduler.Scheduler(
             self.epoch,
-            lease_expiry_s=leaselimits.get_takeover_s(max_lease_s, has_left_starts=has_left_starts),
+            lease_expiry_s=leaselimits.get_takeover_s(max_lease_s, handover_s=handover_s),
             now_s=acquired_s,
             is_takeover=True,
             max_lease_s=max_lease_s,
--- a/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
+++ b/packages/nutmegshelf/src/nutmegshelf/leaselimits.py
@@ -16,18 +16,15 @@
 _MAX_SENDING_S = 1.0
 # Most calls are carried out within this time.
 _USUAL_DELAY_S = 0.5
-# As long as it takes until others take the lease of a holder that has ended without notice.
-_LEFT_START_DELAY_S = 2.5
 
 
-def get_takeover_s(max_lease_s: float, *, has_left_starts: bool = False) -> float:
+def get_takeover_s(max_lease_s: float, *, handover_s: float = 0.0) -> float:
     """Return how long leases may last after the end of the holder that asked for them.
 
     It doesn't cover calls that are carried out later than usual, as all tasks of the service wait.
-    Starts without an answer that the holder left, and told of, have some more time.
+    The time by which a handover came sooner than the expiry of the holder's lease is added.
     """
-    delay_s = _USUAL_DELAY_S + (_LEFT_START_DELAY_S if has_left_starts else 0.0)
-    return fleetview.get_max_duration_s(max_lease_s) + delay_s
+    return fleetview.get_max_duration_s(max_lease_s) + _USUAL_DELAY_S + handover_s
 
 
 class LeaseLimits:
